--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,91 @@
+// Package config reads what the scheduler is told at its start: by the platform
+// in the file that EDGE_CONFIG names, or by an operator's file.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"os"
+	"strconv"
+
+	"falltray/internal/discovery"
+)
+
+// Config is all that a scheduler is told.
+type Config struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"` // empty: the list in Known stands
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB int     `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    *discovery.List `json:"known"`
+	Settings Settings        `json:"settings"`
+}
+
+// FromEnv reads the platform's configuration. The single variables count before
+// the file.
+func FromEnv() (*Config, error) {
+	path := os.Getenv("EDGE_CONFIG")
+	if path == "" {
+		return nil, errors.New("EDGE_CONFIG is not set")
+	}
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
+	}
+	c, err := Parse(b)
+	if err != nil {
+		return nil, fmt.Errorf("EDGE_CONFIG %s: %w", path, err)
+	}
+	for _, v := range []struct {
+		name string
+		to   *string
+	}{{"EDGE_NAME", &c.Name}, {"EDGE_LISTEN", &c.Listen}, {"EDGE_DISCOVERY", &c.Discovery}} {
+		if s := os.Getenv(v.name); s != "" {
+			*v.to = s
+		}
+	}
+	return c, c.Check()
+}
+
+// Parse reads a configuration; Check is still to be called.
+func Parse(b []byte) (*Config, error) {
+	var c Config
+	if err := json.Unmarshal(b, &c); err != nil {
+		return nil, err
+	}
+	return &c, nil
+}
+
+// Check returns an error for a configuration that cannot serve.
+func (c *Config) Check() error {
+	switch {
+	case c.Listen == "":
+		return errors.New("no address to listen on")
+	case c.Known == nil:
+		return errors.New("no list of known workers")
+	case len(c.Settings.Classes) == 0:
+		return errors.New("no class in the settings")
+	}
+	if err := c.Known.Check(); err != nil {
+		return err
+	}
+	_, err := c.Settings.Module(1)
+	return err
+}
+
+// SeedNumber returns the seed as a number.
+func (c *Config) SeedNumber() uint64 {
+	if v, err := strconv.ParseUint(c.Seed, 16, 64); err == nil {
+		return v
+	}
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(c.Seed))
+	return h.Sum64()
+}
--- /dev/null
+++ b/internal/config/settings.go
@@ -0,0 +1,153 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"falltray"
+)
+
+// Settings are the deployment's settings in the names of the platform. Times
+// are in seconds.
+type Settings struct {
+	Bounds struct {
+		Cancel        bool    `json:"cancel" toml:"cancel"`
+		DialTimeout   float64 `json:"dial_timeout" toml:"dial_timeout"`
+		IdleClose     float64 `json:"idle_close" toml:"idle_close"`
+		MaxAttempts   int     `json:"max_attempts" toml:"max_attempts"`
+		MaxRetryAfter float64 `json:"max_retry_after" toml:"max_retry_after"`
+		MayProbe      bool    `json:"may_probe" toml:"may_probe"`
+		ParallelTries bool    `json:"parallel_tries" toml:"parallel_tries"`
+		RetryAfter    bool    `json:"retry_after" toml:"retry_after"`
+	} `json:"bounds" toml:"bounds"`
+	Classes []struct {
+		Name       string  `json:"name" toml:"name"`
+		Effect     string  `json:"effect" toml:"effect"`
+		Scope      string  `json:"dedup_scope" toml:"dedup_scope"`
+		Window     float64 `json:"window" toml:"window"`
+		Promise    float64 `json:"promise" toml:"promise"`
+		HardLimit  float64 `json:"hard_limit" toml:"hard_limit"`
+		LateShare  float64 `json:"late_share" toml:"late_share"`
+		Stream     bool    `json:"stream" toml:"stream"`
+		AimStretch float64 `json:"aim_stretch" toml:"aim_stretch"`
+		RunsOn     *[]int  `json:"runs_on" toml:"runs_on"`
+		RunsIn     *[]int  `json:"runs_in" toml:"runs_in"`
+	} `json:"classes" toml:"classes"`
+	Discovery string `json:"discovery" toml:"discovery"`
+	Family    struct {
+		ClassKind    []int     `json:"class_kind" toml:"class_kind"`
+		ClassStretch []float64 `json:"class_stretch" toml:"class_stretch"`
+		TellsStart   bool      `json:"tells_start" toml:"tells_start"`
+	} `json:"family_info" toml:"family_info"`
+	Kinds      []string `json:"kinds" toml:"kinds"`
+	PeersTotal int      `json:"peers_total" toml:"peers_total"`
+	Realms     []struct {
+		Name  string  `json:"name" toml:"name"`
+		Share float64 `json:"share" toml:"share"`
+		Quota float64 `json:"quota_rps" toml:"quota_rps"`
+	} `json:"realms" toml:"realms"`
+	Report struct {
+		Via string `json:"via" toml:"via"`
+	} `json:"report" toml:"report"`
+	Rules struct {
+		StartCapacity  float64  `json:"start_capacity" toml:"start_capacity"`
+		WarmUp         float64  `json:"warm_up" toml:"warm_up"`
+		FallMultiple   float64  `json:"fall_multiple" toml:"fall_multiple"`
+		Fall           float64  `json:"fall" toml:"fall"`
+		FullMayHaveRun bool     `json:"full_may_have_run" toml:"full_may_have_run"`
+		CloseOnDrain   float64  `json:"close_on_drain_within" toml:"close_on_drain_within"`
+		ExtraFree      *int     `json:"extra_free" toml:"extra_free"`
+		RepeatRatio    *float64 `json:"repeat_ratio" toml:"repeat_ratio"`
+		RatioSpan      *float64 `json:"ratio_span" toml:"ratio_span"`
+	} `json:"rules" toml:"rules"`
+	Weights string   `json:"weights" toml:"weights"`
+	Zone    int      `json:"zone" toml:"zone"`
+	Zones   []string `json:"zones" toml:"zones"`
+}
+
+var (
+	effects = map[string]falltray.Effect{
+		"free": falltray.Safe, "guarded": falltray.Keyed, "single_shot": falltray.Unsafe,
+	}
+	scopes = map[string]falltray.Scope{
+		"": falltray.ScopeAll, "all": falltray.ScopeAll, "zone": falltray.ScopeZone, "cell": falltray.ScopeCell,
+	}
+	weights = map[string]falltray.WeightMeaning{
+		"": falltray.WeightNone, "none": falltray.WeightNone, "nominal": falltray.WeightSize,
+		"rough": falltray.WeightSize, "live": falltray.WeightLive,
+	}
+)
+
+// Seconds turns a time of the settings into a Duration.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Module returns the settings in the module's form, for one of so many planners
+// in this process.
+func (s *Settings) Module(planners int) (falltray.Settings, error) {
+	m := falltray.Settings{
+		Zone:          s.Zone,
+		Peers:         max(1, s.PeersTotal) * max(1, planners),
+		MaxAttempts:   s.Bounds.MaxAttempts,
+		ParallelTries: s.Bounds.ParallelTries,
+		MayCancel:     s.Bounds.Cancel,
+		AskForList:    s.Discovery == "ask",
+		TellsStart:    s.Family.TellsStart,
+		MustProbe:     s.Bounds.MayProbe && s.Report.Via == "probe",
+
+		FullMayHaveRun: s.Rules.FullMayHaveRun,
+		CloseOnDrain:   Seconds(s.Rules.CloseOnDrain),
+		StartCapacity:  s.Rules.StartCapacity,
+		WarmUp:         Seconds(s.Rules.WarmUp),
+		FallMultiple:   s.Rules.FallMultiple,
+		Fall:           Seconds(s.Rules.Fall),
+	}
+	if s.Bounds.RetryAfter {
+		m.MaxRetryAfter = Seconds(s.Bounds.MaxRetryAfter)
+	}
+	if r := &s.Rules; r.ExtraFree != nil || r.RepeatRatio != nil || r.RatioSpan != nil {
+		if r.RatioSpan == nil || *r.RatioSpan <= 0 {
+			return m, errors.New("a budget of attempts without rules.ratio_span")
+		}
+		m.Further.Span = Seconds(*r.RatioSpan)
+		if r.ExtraFree != nil {
+			m.Further.Free = *r.ExtraFree
+		}
+		if r.RepeatRatio != nil {
+			m.Further.Ratio = *r.RepeatRatio
+		}
+	}
+	var ok bool
+	if m.Weights, ok = weights[s.Weights]; !ok {
+		return m, fmt.Errorf("unknown meaning of weights %q", s.Weights)
+	}
+	for i, c := range s.Classes {
+		k := falltray.Class{Name: c.Name, Window: Seconds(c.Window), Aim: Seconds(c.Promise),
+			Limit: Seconds(c.HardLimit), LateShare: c.LateShare, Stream: c.Stream, Stretch: c.AimStretch}
+		if k.Effect, ok = effects[c.Effect]; !ok {
+			return m, fmt.Errorf("class %q: unknown effect %q", c.Name, c.Effect)
+		}
+		if k.Scope, ok = scopes[c.Scope]; !ok {
+			return m, fmt.Errorf("class %q: unknown dedup_scope %q", c.Name, c.Scope)
+		}
+		if c.Name == "" {
+			return m, fmt.Errorf("class %d has no name", i)
+		}
+		if k.Stretch == 0 && i < len(s.Family.ClassStretch) {
+			k.Stretch = s.Family.ClassStretch[i]
+		}
+		if c.RunsOn != nil {
+			k.Kinds = *c.RunsOn
+		} else if i < len(s.Family.ClassKind) && s.Family.ClassKind[i] >= 0 {
+			k.Kinds = []int{s.Family.ClassKind[i]}
+		}
+		if c.RunsIn != nil {
+			k.Zones = *c.RunsIn
+		}
+		m.Classes = append(m.Classes, k)
+	}
+	for _, r := range s.Realms {
+		m.Tenants = append(m.Tenants, falltray.Tenant{Name: r.Name, Share: r.Share, Quota: r.Quota})
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/core/planner.go
@@ -0,0 +1,406 @@
+package core
+
+import (
+	"container/heap"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"runtime/debug"
+	"time"
+
+	"falltray"
+	"falltray/internal/inbox"
+)
+
+// Planner owns one Dispatcher. All that happens comes in through its inbox and
+// is read by one goroutine, which also keeps the timers.
+type Planner struct {
+	clock   Clock
+	carrier Carrier
+	watch   func()
+	log     *slog.Logger
+	set     falltray.Settings
+	seed    uint64
+
+	d      *falltray.Dispatcher
+	box    *inbox.Box[event]
+	wake   chan struct{}
+	timers timers
+	serial uint64
+	now    time.Duration
+	open   map[string]*Exchange
+	list   map[string]falltray.WorkerInfo // for a fresh Dispatcher
+}
+
+type kind uint8
+
+const (
+	evRequest kind = iota
+	evGone
+	evStarted
+	evProgress
+	evEnded
+	evProbed
+	evMembers
+	evCall
+)
+
+type event struct {
+	kind    kind
+	x       *Exchange
+	a       *Attempt
+	outcome falltray.Outcome
+	report  *falltray.Report
+	result  []byte
+	share   float64
+	worker  string
+	list    falltray.ListKind
+	entries []falltray.WorkerInfo
+	call    func()
+}
+
+// NewPlanner returns a Planner. Watch is called when the Dispatcher asks for
+// the list of workers.
+func NewPlanner(set falltray.Settings, seed uint64, clock Clock, carrier Carrier, watch func(),
+	log *slog.Logger) (*Planner, error) {
+	p := &Planner{clock: clock, carrier: carrier, watch: watch, log: log, set: set, seed: seed,
+		wake: make(chan struct{}, 1), open: map[string]*Exchange{}, list: map[string]falltray.WorkerInfo{}}
+	p.box = inbox.New[event](func() {
+		select {
+		case p.wake <- struct{}{}:
+		default:
+		}
+	})
+	var err error
+	p.d, err = falltray.New(set, seed, p)
+	return p, err
+}
+
+// Request hands in an Exchange.
+func (p *Planner) Request(x *Exchange) { p.box.Put(event{kind: evRequest, x: x}) }
+
+// Gone tells that the client has left; nobody waits for an answer any more.
+func (p *Planner) Gone(x *Exchange) { p.box.Put(event{kind: evGone, x: x}) }
+
+// Started tells that the worker has begun.
+func (p *Planner) Started(a *Attempt) { p.box.Put(event{kind: evStarted, a: a}) }
+
+// Progress tells what share of the job is done.
+func (p *Planner) Progress(a *Attempt, share float64) {
+	p.box.Put(event{kind: evProgress, a: a, share: share})
+}
+
+// Ended tells how an attempt ended. Result is that of a Served one.
+func (p *Planner) Ended(a *Attempt, o falltray.Outcome, result []byte, report *falltray.Report) {
+	p.box.Put(event{kind: evEnded, a: a, outcome: o, result: result, report: report})
+}
+
+// Probed brings the answer to a probe, or nil.
+func (p *Planner) Probed(worker string, report *falltray.Report) {
+	p.box.Put(event{kind: evProbed, worker: worker, report: report})
+}
+
+// Members brings the list of workers. The Planner keeps the entries.
+func (p *Planner) Members(list falltray.ListKind, entries []falltray.WorkerInfo) {
+	p.box.Put(event{kind: evMembers, list: list, entries: entries})
+}
+
+// Open calls f with the number of exchanges that are not over, once all that
+// was handed in before has been read.
+func (p *Planner) Open(f func(int)) {
+	p.box.Put(event{kind: evCall, call: func() { f(len(p.open)) }})
+}
+
+// Run works until the context ends.
+func (p *Planner) Run(ctx context.Context) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for ctx.Err() == nil {
+		items := p.box.Take()
+		for i := range items {
+			p.guard(func() { p.handle(&items[i]) })
+		}
+		p.guard(p.fire)
+		wait := time.Hour
+		if len(p.timers) > 0 {
+			wait = max(0, p.timers[0].at-p.clock.Now())
+		}
+		timer.Reset(wait)
+		select {
+		case <-ctx.Done():
+		case <-p.wake:
+		case <-timer.C:
+		}
+	}
+}
+
+// guard keeps the program up when the decisions panic: what is open fails, and
+// a fresh Dispatcher begins with the list as it stands.
+func (p *Planner) guard(f func()) {
+	defer func() {
+		fault := recover()
+		if fault == nil {
+			return
+		}
+		p.log.Error("decision module panicked, starting it afresh", "panic", fmt.Sprint(fault),
+			"open", len(p.open), "stack", string(debug.Stack()))
+		for _, x := range p.open {
+			for _, a := range x.attempts {
+				if !a.over {
+					a.over = true
+					p.carrier.Cancel(a)
+				}
+			}
+			x.answer(Answer{Kind: Failed, Reason: "internal error", Ran: x.mayHaveRun()})
+		}
+		clear(p.open)
+		p.timers = nil
+		p.seed++
+		d, err := falltray.New(p.set, p.seed, p)
+		if err != nil {
+			p.log.Error("decision module did not start", "err", err)
+			return
+		}
+		p.d = d
+		entries := make([]falltray.WorkerInfo, 0, len(p.list))
+		for _, e := range p.list {
+			entries = append(entries, e)
+		}
+		p.d.Members(p.clock.Now(), falltray.ListWhole, entries)
+	}()
+	f()
+}
+
+func (p *Planner) handle(e *event) {
+	p.now = p.clock.Now()
+	switch e.kind {
+	case evRequest:
+		p.request(e.x)
+	case evGone:
+		if !e.x.answered {
+			e.x.answered = true
+			p.d.Gone(p.now, e.x.ID)
+			p.forget(e.x)
+		}
+	case evStarted:
+		if !e.a.over {
+			if !e.a.answered {
+				e.a.client.Started()
+			}
+			p.check(p.d.Started(p.now, e.a.ID, e.a.Number))
+		}
+	case evProgress:
+		if !e.a.over {
+			if !e.a.answered {
+				e.a.client.Progress(e.share)
+			}
+			p.check(p.d.Progress(p.now, e.a.ID, e.a.Number, e.share))
+		}
+	case evEnded:
+		p.ended(e.a, e.outcome, e.result, e.report)
+	case evProbed:
+		p.d.Probed(p.now, e.worker, e.report)
+	case evMembers:
+		p.members(e.list, e.entries)
+	case evCall:
+		e.call()
+	}
+}
+
+func (p *Planner) request(x *Exchange) {
+	left := x.deadline - p.now
+	if p.open[x.ID] != nil {
+		x.answer(Answer{Kind: Failed, Reason: "request id in use"})
+		return
+	}
+	p.open[x.ID] = x
+	err := p.d.Request(p.now, falltray.Request{ID: x.ID, Class: x.Class, Tenant: x.Tenant, Key: x.Key,
+		Left: left, Hint: x.Hint, Slots: x.Slots, Retry: x.Retry})
+	if err != nil {
+		p.log.Error("decision module did not take a request", "err", err)
+		x.answer(Answer{Kind: Failed, Reason: "internal error"})
+	}
+	p.forget(x)
+}
+
+func (p *Planner) ended(a *Attempt, o falltray.Outcome, result []byte, report *falltray.Report) {
+	if a.over {
+		return
+	}
+	a.over = true
+	if a.timer.index >= 0 { // else it would keep the request's body until the deadline
+		heap.Remove(&p.timers, a.timer.index)
+	}
+	a.unseen = o == falltray.ConnectFailed || o == falltray.NotSent ||
+		o == falltray.Full && !p.set.FullMayHaveRun
+	x := a.Exchange
+	x.out--
+	x.last = o
+	if o == falltray.Served {
+		x.answer(Answer{Kind: Served, Result: result})
+	}
+	p.check(p.d.Outcome(p.now, falltray.Result{ID: x.ID, Attempt: a.Number, Outcome: o,
+		Closed: x.answered, Report: report}))
+	p.forget(x)
+}
+
+func (p *Planner) members(list falltray.ListKind, entries []falltray.WorkerInfo) {
+	if list == falltray.ListWhole || list == falltray.ListStale {
+		clear(p.list)
+	}
+	for _, e := range entries {
+		if p.list[e.Worker] = e; e.State == falltray.Left {
+			delete(p.list, e.Worker)
+		}
+	}
+	p.d.Members(p.now, list, entries)
+}
+
+// forget drops what is over: answered, and no attempt out.
+func (p *Planner) forget(x *Exchange) {
+	if x.answered && x.out == 0 && p.open[x.ID] == x {
+		delete(p.open, x.ID)
+	}
+}
+
+func (p *Planner) check(err error) {
+	if err != nil && !errors.Is(err, falltray.ErrUnknownRequest) && !errors.Is(err, falltray.ErrUnknownAttempt) {
+		p.log.Error("decision module refused an event", "err", err)
+	}
+}
+
+// fire runs the timers that are due.
+func (p *Planner) fire() {
+	p.now = p.clock.Now()
+	for len(p.timers) > 0 && p.timers[0].at <= p.now {
+		t := heap.Pop(&p.timers).(*timer)
+		switch {
+		case t.attempt == nil:
+			p.d.Timer(p.now, t.token)
+		case !t.attempt.over:
+			p.carrier.Cancel(t.attempt)
+			p.ended(t.attempt, falltray.TimedOut, nil, nil)
+		}
+	}
+}
+
+// Send is called by the Dispatcher.
+func (p *Planner) Send(id, worker string, timeout time.Duration) {
+	x := p.open[id]
+	if x == nil {
+		return
+	}
+	a := &Attempt{Exchange: x, Worker: worker, Number: len(x.attempts), Deadline: x.deadline, Planner: p}
+	if timeout > 0 {
+		a.Deadline = min(a.Deadline, p.now+timeout)
+	}
+	x.attempts = append(x.attempts, a)
+	x.out++
+	a.timer = &timer{at: a.Deadline, attempt: a}
+	p.arm(a.timer)
+	p.carrier.Send(a)
+}
+
+// Refuse is called by the Dispatcher.
+func (p *Planner) Refuse(id string, after time.Duration) {
+	if x := p.open[id]; x != nil {
+		x.answer(Answer{Kind: Refused, After: after, Reason: "cannot be in time"})
+	}
+}
+
+// Fail is called by the Dispatcher.
+func (p *Planner) Fail(id string) {
+	if x := p.open[id]; x != nil {
+		x.answer(Answer{Kind: Failed, Reason: x.reason(), Ran: x.mayHaveRun()})
+	}
+}
+
+// Cancel is called by the Dispatcher.
+func (p *Planner) Cancel(id string, attempt int) {
+	if x := p.open[id]; x != nil && attempt < len(x.attempts) && !x.attempts[attempt].over {
+		p.carrier.Cancel(x.attempts[attempt])
+	}
+}
+
+// SetTimer is called by the Dispatcher.
+func (p *Planner) SetTimer(after time.Duration, token uint64) {
+	p.arm(&timer{at: p.now + after, token: token})
+}
+
+// Probe is called by the Dispatcher.
+func (p *Planner) Probe(worker string) { p.carrier.Probe(worker, p) }
+
+// CloseIdle is called by the Dispatcher.
+func (p *Planner) CloseIdle(worker string) { p.carrier.CloseIdle(worker) }
+
+// Watch is called by the Dispatcher.
+func (p *Planner) Watch() { p.watch() }
+
+// Log is called by the Dispatcher.
+func (p *Planner) Log(text string) { p.log.Warn(text) }
+
+func (x *Exchange) reason() string {
+	if x.out > 0 {
+		return "no answer in time"
+	}
+	switch x.last {
+	case falltray.Errored:
+		return "the worker failed"
+	case falltray.Lost:
+		return "the connection to the worker broke"
+	case falltray.TimedOut:
+		return "no answer in time"
+	}
+	return "not served"
+}
+
+type timer struct {
+	at      time.Duration
+	serial  uint64
+	token   uint64
+	attempt *Attempt // its time-out; else the timer is the Dispatcher's
+	index   int      // in the heap; -1: not in it
+}
+
+func (p *Planner) arm(t *timer) {
+	p.serial++
+	t.serial = p.serial
+	heap.Push(&p.timers, t)
+}
+
+// timers is a heap. Of those due at once an attempt's time-out comes first: it
+// is news to the Dispatcher, whose own timers come in the order of their setting.
+type timers []*timer
+
+func (t timers) Len() int { return len(t) }
+
+func (t timers) Less(i, j int) bool {
+	if t[i].at != t[j].at {
+		return t[i].at < t[j].at
+	}
+	if first := t[i].attempt != nil; first != (t[j].attempt != nil) {
+		return first
+	}
+	return t[i].serial < t[j].serial
+}
+
+func (t timers) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].index, t[j].index = i, j
+}
+
+func (t *timers) Push(v any) {
+	last := v.(*timer)
+	last.index = len(*t)
+	*t = append(*t, last)
+}
+
+func (t *timers) Pop() any {
+	old := *t
+	v := old[len(old)-1]
+	old[len(old)-1] = nil
+	v.index = -1
+	*t = old[:len(old)-1]
+	return v
+}
--- /dev/null
+++ b/internal/core/set.go
@@ -0,0 +1,65 @@
+package core
+
+import (
+	"context"
+	"hash/maphash"
+	"sync"
+
+	"falltray"
+)
+
+// Set is the planners of one program. A request belongs to one of them by its
+// id; the list of workers goes to all.
+type Set struct {
+	planners []*Planner
+	seed     maphash.Seed
+}
+
+// NewSet returns a Set of planners.
+func NewSet(planners ...*Planner) *Set { return &Set{planners, maphash.MakeSeed()} }
+
+// Run works until the context ends.
+func (s *Set) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, p := range s.planners {
+		wg.Go(func() { p.Run(ctx) })
+	}
+	wg.Wait()
+}
+
+func (s *Set) of(id string) *Planner {
+	if len(s.planners) == 1 {
+		return s.planners[0]
+	}
+	return s.planners[maphash.String(s.seed, id)%uint64(len(s.planners))]
+}
+
+// Request hands in an Exchange.
+func (s *Set) Request(x *Exchange) { s.of(x.ID).Request(x) }
+
+// Gone tells that an Exchange's client has left.
+func (s *Set) Gone(x *Exchange) { s.of(x.ID).Gone(x) }
+
+// Members brings the list of workers to all planners, each with a copy of its own.
+func (s *Set) Members(list falltray.ListKind, entries []falltray.WorkerInfo) {
+	for _, p := range s.planners {
+		p.Members(list, append([]falltray.WorkerInfo(nil), entries...))
+	}
+}
+
+// Open returns how many exchanges are not over.
+func (s *Set) Open(ctx context.Context) (open int, err error) {
+	counts := make(chan int, len(s.planners))
+	for _, p := range s.planners {
+		p.Open(func(n int) { counts <- n })
+	}
+	for range s.planners {
+		select {
+		case n := <-counts:
+			open += n
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		}
+	}
+	return open, nil
+}
--- /dev/null
+++ b/internal/discovery/wire.go
@@ -0,0 +1,81 @@
+// Package discovery keeps a watch on the list of workers.
+package discovery
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"falltray"
+)
+
+// List is the list of workers, whole or the part that has changed.
+type List struct {
+	Revision int64    `json:"revision"`
+	Complete bool     `json:"complete"`
+	Members  []Member `json:"members"`
+}
+
+// Member is an entry of the list.
+type Member struct {
+	ID       string  `json:"id"`
+	HostPort string  `json:"host_port"`
+	Locality string  `json:"locality"`
+	Flavor   string  `json:"flavor"`
+	Cell     int     `json:"cell"`
+	Phase    string  `json:"phase"`
+	Size     float64 `json:"size"`
+	UpSince  int64   `json:"up_since_ms"`
+}
+
+var phases = map[string]falltray.WorkerState{
+	"ready": falltray.Active, "draining": falltray.Leaving, "gone": falltray.Left,
+}
+
+// Parse reads a list.
+func Parse(b []byte) (List, error) {
+	var l List
+	if err := json.Unmarshal(b, &l); err != nil {
+		return l, fmt.Errorf("list of workers: %w", err)
+	}
+	return l, l.Check()
+}
+
+// Check returns an error for a list that cannot be acted on.
+func (l *List) Check() error {
+	for i, m := range l.Members {
+		if _, ok := phases[m.Phase]; m.ID == "" || !ok || m.Cell < 0 {
+			return fmt.Errorf("list of workers: entry %d (%q) lacks an id, or its phase or cell is unknown", i, m.ID)
+		}
+	}
+	return nil
+}
+
+// Names are what the list's places and kinds are called in the settings.
+type Names struct{ Zones, Kinds []string }
+
+// Entries turns a list into the module's form. When maps Unix times onto the
+// module's clock.
+func (n Names) Entries(l List, when func(unixMilli int64) time.Duration) []falltray.WorkerInfo {
+	entries := make([]falltray.WorkerInfo, 0, len(l.Members))
+	for _, m := range l.Members {
+		entries = append(entries, falltray.WorkerInfo{Worker: m.ID, Zone: place(n.Zones, m.Locality),
+			Kind: place(n.Kinds, m.Flavor), Cell: m.Cell, State: phases[m.Phase], Weight: m.Size,
+			StartedAt: when(m.UpSince)})
+	}
+	return entries
+}
+
+// place returns a name's index; an unknown one comes after all that are known,
+// so that no class is sent there by mistake.
+func place(names []string, name string) int {
+	for i := range names {
+		if names[i] == name {
+			return i
+		}
+	}
+	return len(names)
+}
+
+// Ready reports whether the worker takes new jobs.
+func (m *Member) Ready() bool { return phases[m.Phase] == falltray.Active }
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,105 @@
+// Package front is the thin front for the platform's protocol: a request comes,
+// one answer goes.
+package front
+
+import (
+	"errors"
+	"strconv"
+
+	"falltray/internal/core"
+	"falltray/internal/http1"
+	"falltray/internal/httpd"
+	"falltray/internal/intake"
+)
+
+// Planners take requests in.
+type Planners interface {
+	Request(*core.Exchange)
+	Gone(*core.Exchange)
+}
+
+// Front is an httpd.Handler.
+type Front struct {
+	rules    *intake.Rules
+	planners Planners
+	ready    func() bool
+}
+
+// New returns a Front. Ready says whether the scheduler should be sent requests.
+func New(rules *intake.Rules, planners Planners, ready func() bool) *Front {
+	return &Front{rules, planners, ready}
+}
+
+// Serve is called with each request.
+func (f *Front) Serve(c *httpd.Conn, q *httpd.Request) {
+	if q.Target == "/ready" {
+		Ready(c, q, f.ready())
+		return
+	}
+	job, deadline, err := f.rules.Job(q, "", 0)
+	if err != nil {
+		Reject(c, err)
+		return
+	}
+	x := core.NewExchange(job, deadline, waiter{c})
+	c.State = x
+	f.planners.Request(x)
+}
+
+// Gone is called when the client left before its answer.
+func (f *Front) Gone(c *httpd.Conn) {
+	if x, ok := c.State.(*core.Exchange); ok {
+		f.planners.Gone(x)
+	}
+}
+
+// Ready answers whether the scheduler should be sent requests.
+func Ready(c *httpd.Conn, q *httpd.Request, ready bool) {
+	switch {
+	case q.Method != "GET":
+		Reject(c, &intake.Error{Status: 405, Text: "only GET"})
+	case ready:
+		c.Respond(200, nil, []byte("ready\n"))
+	default:
+		c.Respond(503, nil, []byte("not ready\n"))
+	}
+}
+
+// Reject answers a request that is no job, and ends its connection.
+func Reject(c *httpd.Conn, err error) {
+	status := 400
+	var why *intake.Error
+	if errors.As(err, &why) {
+		status = why.Status
+	}
+	var fields []http1.Field
+	if status == 405 {
+		fields = []http1.Field{{Name: "Allow", Value: "POST"}}
+	}
+	c.RespondLast(status, fields, []byte(err.Error()+"\n"))
+}
+
+// waiter is the client side of an exchange: a client that waits for the answer.
+type waiter struct{ c *httpd.Conn }
+
+func (waiter) Started()         {}
+func (waiter) Progress(float64) {}
+
+func (w waiter) Answer(a core.Answer) {
+	w.c.Post(func(c *httpd.Conn) {
+		c.State = nil
+		switch a.Kind {
+		case core.Served:
+			c.Respond(200, nil, a.Result)
+		case core.Refused:
+			var fields []http1.Field
+			if a.After > 0 {
+				fields = []http1.Field{{Name: "Retry-After",
+					Value: strconv.FormatFloat(a.After.Seconds(), 'f', 3, 64)}}
+			}
+			c.Respond(503, fields, []byte(a.Reason+"\n"))
+		case core.Failed:
+			c.Respond(500, nil, []byte(a.Reason+"\n"))
+		}
+	})
+}
--- /dev/null
+++ b/internal/httpd/httpd.go
@@ -0,0 +1,495 @@
+// Package httpd is the client side's ground: an HTTP/1.1 server on gnet's event
+// loops. It decides nothing; what a request means is its Handler's business.
+package httpd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/panjf2000/gnet/v2/pkg/logging"
+	"golang.org/x/sys/unix"
+
+	"falltray/internal/budget"
+	"falltray/internal/http1"
+	"falltray/internal/inbox"
+)
+
+// The server's bounds.
+const (
+	MaxBody      = 64 << 10
+	maxAhead     = MaxBody + http1.MaxHead // bytes a client may send before its turn
+	readTimeout  = 10 * time.Second        // for a request that has begun to come
+	lingerFor    = 2 * time.Second         // for a client to read the last answer
+	sweepEvery   = 500 * time.Millisecond
+	closeAtOnce  = 64 // idle connections closed each time that descriptors run short
+	readBuffer   = 32 << 10
+	writeBuffer  = 64 << 10
+	eventLoopCap = 64
+)
+
+// Request is one request of a client. At is when its last byte came.
+type Request struct {
+	*http1.Head
+	Body []byte
+	At   time.Time
+}
+
+// Handler deals with requests. Its methods are called on the connection's event
+// loop and must not block. After Serve the connection is the request's until
+// Respond, or EndStream, has been called.
+type Handler interface {
+	Serve(*Conn, *Request)
+	// Gone tells that the client has closed the connection of a request that
+	// was not answered, or of a stream that has not ended.
+	Gone(*Conn)
+}
+
+// Server is an HTTP/1.1 server.
+type Server struct {
+	gnet.BuiltinEventEngine
+	addr     string
+	loops    int
+	handler  Handler
+	budget   *budget.Budget
+	log      *slog.Logger
+	engine   gnet.Engine
+	booted   chan struct{}
+	draining atomic.Bool
+	mu       sync.Mutex
+	lanes    map[gnet.EventLoop]*lane
+}
+
+// New returns a Server that is not yet listening.
+func New(addr string, loops int, handler Handler, b *budget.Budget, log *slog.Logger) *Server {
+	s := &Server{addr: addr, loops: min(max(1, loops), eventLoopCap), handler: handler, budget: b, log: log,
+		booted: make(chan struct{}), lanes: map[gnet.EventLoop]*lane{}}
+	b.OnShort(func() { s.each(func(l *lane) { l.closeIdle(closeAtOnce) }) })
+	return s
+}
+
+// Start listens. It returns once connections are accepted; the channel brings
+// the error that ended the server, or nil after Stop.
+func (s *Server) Start() (<-chan error, error) {
+	if err := bindable(s.addr); err != nil {
+		return nil, fmt.Errorf("cannot listen on %s: %w", s.addr, err)
+	}
+	ended := make(chan error, 1)
+	go func() {
+		ended <- gnet.Run(s, "tcp://"+s.addr, gnet.WithNumEventLoop(s.loops), gnet.WithReusePort(true),
+			gnet.WithReadBufferCap(readBuffer), gnet.WithWriteBufferCap(writeBuffer), gnet.WithLogger(Quiet(s.log)))
+	}()
+	select {
+	case <-s.booted:
+		go s.sweeper()
+		return ended, nil
+	case err := <-ended:
+		return nil, fmt.Errorf("cannot listen on %s: %w", s.addr, err)
+	}
+}
+
+// bindable asks the kernel whether the address is free. gnet's own sockets
+// share their port, and so would not notice another process there. Nothing
+// listens meanwhile: a connection made here would be lost.
+func bindable(addr string) error {
+	network, sa, err := resolve(addr)
+	if err != nil {
+		return err
+	}
+	fd, err := unix.Socket(network, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return err
+	}
+	defer unix.Close(fd)
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
+		return err
+	}
+	return unix.Bind(fd, sa)
+}
+
+// OnBoot is gnet's.
+func (s *Server) OnBoot(e gnet.Engine) gnet.Action {
+	s.engine = e
+	close(s.booted)
+	return gnet.None
+}
+
+// Drain makes each further answer the last of its connection.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// CloseIdle closes the connections that carry no request.
+func (s *Server) CloseIdle() { s.each(func(l *lane) { l.closeIdle(1 << 30) }) }
+
+// Stop ends the server.
+func (s *Server) Stop(ctx context.Context) error {
+	if err := s.engine.Stop(ctx); err != nil && !errors.Is(err, context.Canceled) {
+		return fmt.Errorf("stopping the server on %s: %w", s.addr, err)
+	}
+	return nil
+}
+
+func (s *Server) each(f func(*lane)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.lanes {
+		l.box.Put(func() { f(l) })
+	}
+}
+
+func (s *Server) sweeper() {
+	for range time.Tick(sweepEvery) {
+		if s.engine.Validate() != nil {
+			return
+		}
+		s.each((*lane).sweep)
+	}
+}
+
+// lane is one event loop: what is asked of it from outside, and its connections.
+type lane struct {
+	loop gnet.EventLoop
+	box  *inbox.Box[func()]
+	// The connections that are waited for, the longest first: to send a request,
+	// to send the rest of one, to read the last answer.
+	idle, reading, ending list
+}
+
+func (s *Server) laneOf(loop gnet.EventLoop) *lane {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.lanes[loop]
+	if l == nil {
+		l = &lane{loop: loop}
+		run := gnet.RunnableFunc(func(context.Context) error {
+			for _, f := range l.box.Take() {
+				f()
+			}
+			return nil
+		})
+		l.box = inbox.New[func()](func() { _ = loop.Execute(context.Background(), run) })
+		s.lanes[loop] = l
+	}
+	return l
+}
+
+func (l *lane) closeIdle(most int) {
+	for ; most > 0 && l.idle.first != nil; most-- {
+		l.close(l.idle.first)
+	}
+}
+
+// sweep closes what has been waited for long enough.
+func (l *lane) sweep() {
+	now := time.Now()
+	for c := l.reading.first; c != nil && now.After(c.until); c = l.reading.first {
+		c.fail(408, "the request did not come in time")
+	}
+	for c := l.ending.first; c != nil && now.After(c.until); c = l.ending.first {
+		l.close(c)
+	}
+	for c := l.ending.first; c != nil; c = c.next {
+		c.shutdown()
+	}
+}
+
+func (l *lane) close(c *Conn) { _ = l.loop.Close(c.gc) }
+
+type connState uint8
+
+const (
+	idle    connState = iota
+	reading           // part of a request has come
+	busy              // the request is the handler's
+	ending            // the last answer is out
+	closed
+)
+
+// Conn is a client's connection. Its methods are for its event loop, but for
+// Post.
+type Conn struct {
+	State any // the handler's
+
+	gc         gnet.Conn
+	srv        *Server
+	lane       *lane
+	parser     *http1.Parser
+	body       []byte
+	state      connState
+	closeAfter bool
+	until      time.Time
+	prev, next *Conn
+	in         *list
+	out        []byte
+}
+
+// OnOpen is gnet's.
+func (s *Server) OnOpen(gc gnet.Conn) ([]byte, gnet.Action) {
+	c := &Conn{gc: gc, srv: s, lane: s.laneOf(gc.EventLoop()), parser: http1.NewParser(http1.Request)}
+	gc.SetContext(c)
+	c.lane.idle.push(c)
+	if !s.budget.Take() {
+		// A descriptor more, and accepting fails, which ends the event loop with
+		// all that it holds. This one connection is the lesser loss.
+		s.log.Error("no descriptors left, closing a new connection", "open", s.budget.Used())
+		return nil, gnet.Close
+	}
+	return nil, gnet.None
+}
+
+// OnClose is gnet's.
+func (s *Server) OnClose(gc gnet.Conn, _ error) gnet.Action {
+	c, ok := gc.Context().(*Conn)
+	if !ok {
+		return gnet.None
+	}
+	s.budget.Release()
+	was := c.state
+	c.setState(closed)
+	if was == busy {
+		s.handler.Gone(c)
+	}
+	return gnet.None
+}
+
+// OnTraffic is gnet's.
+func (s *Server) OnTraffic(gc gnet.Conn) gnet.Action {
+	if c, ok := gc.Context().(*Conn); ok {
+		c.read()
+	}
+	return gnet.None
+}
+
+func (c *Conn) setState(to connState) {
+	if c.in != nil {
+		c.in.remove(c)
+	}
+	c.state = to
+	switch to {
+	case idle:
+		c.lane.idle.push(c)
+	case reading:
+		c.until = time.Now().Add(readTimeout)
+		c.lane.reading.push(c)
+	case ending:
+		c.until = time.Now().Add(lingerFor)
+		c.lane.ending.push(c)
+	}
+}
+
+// read takes what has come, up to one request.
+func (c *Conn) read() {
+	for c.state != closed {
+		if c.state == ending {
+			_, _ = c.gc.Discard(c.gc.InboundBuffered())
+			return
+		}
+		if c.state == busy {
+			if c.gc.InboundBuffered() > maxAhead {
+				c.srv.log.Warn("a client sends far ahead of its turn, closing")
+				c.lane.close(c)
+			}
+			return
+		}
+		buf, _ := c.gc.Peek(-1)
+		if len(buf) == 0 && c.parser.Idle() {
+			return
+		}
+		if c.state == idle {
+			c.setState(reading)
+		}
+		n, ev, part, err := c.parser.Next(buf)
+		if ev == http1.Body {
+			if len(c.body)+len(part) > MaxBody {
+				err = &http1.Error{Status: 413, Text: "body too large"}
+			} else {
+				c.body = append(c.body, part...)
+			}
+		}
+		if n > 0 { // gnet takes 0 for all
+			_, _ = c.gc.Discard(n)
+		}
+		switch {
+		case err != nil:
+			var wrong *http1.Error
+			if !errors.As(err, &wrong) {
+				wrong = &http1.Error{Status: 400, Text: err.Error()}
+			}
+			c.fail(wrong.Status, wrong.Text)
+			return
+		case ev == http1.Headed:
+			c.body = nil
+			if c.parser.Head.Length > MaxBody {
+				c.fail(413, "body too large")
+				return
+			}
+			if len(c.parser.Head.Get("Expect")) > 0 {
+				_, _ = c.gc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+			}
+		case ev == http1.Ended:
+			c.setState(busy)
+			head := c.parser.Head
+			c.closeAfter = head.Close
+			body := c.body
+			c.body = nil
+			c.srv.handler.Serve(c, &Request{Head: &head, Body: body, At: time.Now()})
+		case ev == http1.More:
+			return
+		}
+	}
+}
+
+// fail answers what cannot be understood and ends the connection.
+func (c *Conn) fail(status int, text string) {
+	c.RespondLast(status, nil, append([]byte(text), '\n'))
+}
+
+// RespondLast answers the request and ends the connection.
+func (c *Conn) RespondLast(status int, fields []http1.Field, body []byte) {
+	c.closeAfter = true
+	c.Respond(status, fields, body)
+}
+
+// Respond answers the request.
+func (c *Conn) Respond(status int, fields []http1.Field, body []byte) {
+	if c.state == closed {
+		return
+	}
+	c.begin(status, fields)
+	if status == 204 {
+		c.out = append(c.out, "\r\n"...)
+	} else {
+		c.out = http1.AppendBody(c.out, body)
+	}
+	_, _ = c.gc.Write(c.out)
+	c.finish()
+}
+
+// BeginStream sends a head whose body goes on until EndStream.
+func (c *Conn) BeginStream(fields []http1.Field) {
+	if c.state == closed {
+		return
+	}
+	c.closeAfter = true // the end of the connection ends the body
+	c.begin(200, fields)
+	c.out = append(c.out, "\r\n"...)
+	_, _ = c.gc.Write(c.out)
+}
+
+// Write sends a part of a stream.
+func (c *Conn) Write(b []byte) {
+	if c.state != closed {
+		_, _ = c.gc.Write(b)
+	}
+}
+
+// Unsent is how much of what was written the kernel has not taken yet.
+func (c *Conn) Unsent() int {
+	if c.state == closed {
+		return 0
+	}
+	return c.gc.OutboundBuffered()
+}
+
+// EndStream ends a stream.
+func (c *Conn) EndStream() { c.finish() }
+
+// Abort closes the connection at once.
+func (c *Conn) Abort() {
+	if c.state != closed {
+		c.lane.close(c)
+	}
+}
+
+func (c *Conn) begin(status int, fields []http1.Field) {
+	c.closeAfter = c.closeAfter || c.srv.draining.Load()
+	c.out = http1.AppendStatus(c.out[:0], status)
+	for _, f := range fields {
+		c.out = http1.AppendField(c.out, f.Name, f.Value)
+	}
+	if c.closeAfter {
+		c.out = http1.AppendField(c.out, "Connection", "close")
+	}
+}
+
+// finish makes the connection ready for the next request, or ends it. The end
+// leaves the client time to read: closing with unread bytes about would reset
+// the connection under the answer.
+func (c *Conn) finish() {
+	if c.state == closed {
+		return
+	}
+	if !c.closeAfter {
+		c.setState(idle)
+		if c.gc.InboundBuffered() > 0 {
+			c.Post((*Conn).read)
+		}
+		return
+	}
+	c.setState(ending)
+	c.shutdown()
+}
+
+// shutdown ends our sending once all is out; sweep closes the rest.
+func (c *Conn) shutdown() {
+	if c.gc.OutboundBuffered() == 0 {
+		_ = unix.Shutdown(c.gc.Fd(), syscall.SHUT_WR)
+	}
+}
+
+// Post calls f on the connection's event loop unless it is closed by then. It
+// may be called from anywhere.
+func (c *Conn) Post(f func(*Conn)) {
+	c.lane.box.Put(func() {
+		if c.state != closed {
+			f(c)
+		}
+	})
+}
+
+// list is a list of connections in the order in which they came to it.
+type list struct{ first, last *Conn }
+
+func (l *list) push(c *Conn) {
+	c.in, c.prev, c.next = l, l.last, nil
+	if l.last != nil {
+		l.last.next = c
+	} else {
+		l.first = c
+	}
+	l.last = c
+}
+
+func (l *list) remove(c *Conn) {
+	if c.prev != nil {
+		c.prev.next = c.next
+	} else {
+		l.first = c.next
+	}
+	if c.next != nil {
+		c.next.prev = c.prev
+	} else {
+		l.last = c.prev
+	}
+	c.in, c.prev, c.next = nil, nil, nil
+}
+
+type quiet struct{ log *slog.Logger }
+
+// Quiet returns a logger for gnet that passes on errors alone.
+func Quiet(log *slog.Logger) logging.Logger { return quiet{log} }
+
+func (quiet) Debugf(string, ...any) {}
+func (quiet) Infof(string, ...any)  {}
+func (quiet) Warnf(string, ...any)  {}
+func (q quiet) Errorf(format string, args ...any) {
+	q.log.Error("event loop", "what", fmt.Sprintf(format, args...))
+}
+func (q quiet) Fatalf(format string, args ...any) {
+	q.log.Error("event loop, fatal", "what", fmt.Sprintf(format, args...))
+}
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,145 @@
+// Package intake turns a client's HTTP request into a job. Both fronts take
+// their requests in by the same rules.
+package intake
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"falltray"
+	"falltray/internal/core"
+	"falltray/internal/httpd"
+)
+
+// margin is kept of the time that a client waits, for the answer's way back.
+const margin = 10 * time.Millisecond
+
+// Rules are what requests are read by.
+type Rules struct {
+	Clock   core.Clock
+	Classes []falltray.Class
+	Tenants []falltray.Tenant
+}
+
+// Error is why a request is not a job.
+type Error struct {
+	Status int
+	Text   string
+}
+
+func (e *Error) Error() string { return e.Text }
+
+func bad(format string, args ...any) error { return &Error{400, fmt.Sprintf(format, args...)} }
+
+// Class returns the index of the class that a path stands for, or -1.
+func (r *Rules) Class(target string) int {
+	path, _, _ := strings.Cut(target, "?")
+	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	return r.named(name)
+}
+
+func (r *Rules) named(name string) int {
+	for i := range r.Classes {
+		if r.Classes[i].Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// Job reads a request, and until when its client waits. An id and a time-out
+// are asked for unless they are given here for a request that has none.
+func (r *Rules) Job(q *httpd.Request, id string, patience time.Duration) (core.Job, time.Duration, error) {
+	j := core.Job{ID: id, Tenant: -1, Slots: 1, Method: q.Method, Target: q.Target, Body: q.Body}
+	hint, info := "", ""
+	class, tenant := "", ""
+	for _, f := range q.Fields {
+		switch name := f.Name; {
+		case strings.EqualFold(name, "Request-Id"):
+			j.ID = f.Value
+		case strings.EqualFold(name, "Request-Class"):
+			class = f.Value
+		case strings.EqualFold(name, "Tenant"):
+			tenant = f.Value
+		case strings.EqualFold(name, "Affinity-Key"):
+			j.Key = f.Value
+		case strings.EqualFold(name, "Idempotency-Key"):
+			j.Once = f.Value
+		case strings.EqualFold(name, "Client-Retry"):
+			j.Retry = f.Value == "1"
+		case strings.EqualFold(name, "Work-Hint"):
+			hint = f.Value
+		case strings.EqualFold(name, "Request-Info"):
+			info = f.Value
+		case strings.EqualFold(name, "Request-Timeout"):
+			d, ok := parseTime(f.Value)
+			if !ok {
+				return j, 0, bad("Request-Timeout must be a number and m or u")
+			}
+			patience = d
+		}
+	}
+	j.Class = r.Class(q.Target)
+	if class != "" && r.named(class) != j.Class || class != "" && j.Class < 0 {
+		return j, 0, bad("Request-Class is unknown or not that of the path")
+	}
+	if j.Class < 0 {
+		return j, 0, &Error{404, "no such class"}
+	}
+	switch {
+	case q.Method != "POST":
+		return j, 0, &Error{405, "jobs come by POST"}
+	case j.ID == "" || len(j.ID) > 128 || strings.ContainsAny(j.ID, " \t"):
+		return j, 0, bad("Request-Id must be one word")
+	case patience <= 0:
+		return j, 0, bad("Request-Timeout is missing")
+	case j.Once == "" && r.Classes[j.Class].Effect == falltray.Keyed:
+		return j, 0, bad("this class needs an Idempotency-Key")
+	}
+	for i := range r.Tenants {
+		if r.Tenants[i].Name == tenant {
+			j.Tenant = i
+		}
+	}
+	if j.Tenant < 0 && len(r.Tenants) > 0 {
+		return j, 0, bad("unknown Tenant")
+	}
+	if d, ok := parseTime(hint); ok {
+		j.Hint = d
+	}
+	for pair := range strings.SplitSeq(info, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
+		if name != "slots" {
+			continue
+		}
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(v > 0) || v > 1e6 {
+			return j, 0, bad("slots must be a positive number")
+		}
+		j.Slots = v
+	}
+	return j, r.Clock.At(q.At) + patience - margin, nil
+}
+
+// parseTime reads a number and a unit, m for milliseconds or u for microseconds.
+func parseTime(s string) (time.Duration, bool) {
+	if len(s) < 2 {
+		return 0, false
+	}
+	unit := time.Millisecond
+	switch s[len(s)-1] {
+	case 'm':
+	case 'u':
+		unit = time.Microsecond
+	default:
+		return 0, false
+	}
+	v, err := strconv.ParseFloat(s[:len(s)-1], 64)
+	if err != nil || math.IsNaN(v) || v < 0 || v > 1e9 {
+		return 0, false
+	}
+	return time.Duration(v * float64(unit)), true
+}
--- /dev/null
+++ b/internal/upstream/line.go
@@ -0,0 +1,81 @@
+package upstream
+
+import (
+	"encoding/json"
+	"errors"
+	"strconv"
+	"strings"
+
+	"falltray"
+)
+
+// line is one object of a worker's answer, read into what is used of it.
+type line struct {
+	ID     string             `json:"id"`
+	State  string             `json:"state"`
+	Share  float64            `json:"share"`
+	Result *string            `json:"result"`
+	Load   map[string]float64 `json:"load"`
+}
+
+func parseLine(b []byte) (l line, err error) {
+	err = json.Unmarshal(b, &l)
+	return l, err
+}
+
+// lines cuts a body, which comes in parts, into lines. It keeps only a line
+// that is not whole yet.
+type lines struct{ part []byte }
+
+var errLongLine = errors.New("line too long")
+
+// maxLine bounds a line: a result of 64 KiB in which each byte is escaped.
+const maxLine = 512 << 10
+
+// next returns the first whole line of b, and what follows it. Without a whole
+// line it keeps b and returns nil. The line is valid until the next call.
+func (l *lines) next(b []byte) (whole, rest []byte, err error) {
+	for i, c := range b {
+		if c != '\n' {
+			continue
+		}
+		whole = b[:i]
+		if len(l.part) > 0 {
+			whole = append(l.part, whole...)
+			l.part = l.part[:0]
+		}
+		return whole, b[i+1:], nil
+	}
+	if len(l.part)+len(b) > maxLine {
+		return nil, nil, errLongLine
+	}
+	l.part = append(l.part, b...)
+	return nil, nil, nil
+}
+
+// reportOf picks the values that decisions are made from; nil if there is none.
+func reportOf(values map[string]float64) *falltray.Report {
+	var r falltray.Report
+	r.Free, r.HasFree = values["x0"]
+	if r.Held, r.HasHeld = values["rif"]; !r.HasHeld {
+		r.Held, r.HasHeld = values["inflight"]
+	}
+	if !r.HasFree && !r.HasHeld {
+		return nil
+	}
+	return &r
+}
+
+// parseLoad reads a report of the form name=value,name=value. What is malformed
+// is left out: a report is advice, and the answer that carries it still counts.
+func parseLoad(s string) *falltray.Report {
+	values := map[string]float64{}
+	for pair := range strings.SplitSeq(s, ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(pair), "=")
+		v, err := strconv.ParseFloat(value, 64)
+		if ok && err == nil && v == v && v < 1e12 && v > -1e12 {
+			values[name] = v
+		}
+	}
+	return reportOf(values)
+}
--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,374 @@
+// Package upstream is the server side: it carries attempts to workers over
+// HTTP/1.1 connections on a gnet event loop, one attempt a connection at a
+// time. It decides nothing and never sends anything again on its own.
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+
+	"falltray"
+	"falltray/internal/budget"
+	"falltray/internal/core"
+	"falltray/internal/http1"
+	"falltray/internal/httpd"
+	"falltray/internal/inbox"
+)
+
+// Options set a Pool up.
+type Options struct {
+	DialTimeout time.Duration
+	IdleClose   time.Duration // when workers close an idle connection; 0: not told
+	Host        string        // the Host field of what is sent
+	Clock       core.Clock
+	Budget      *budget.Budget
+	Log         *slog.Logger
+}
+
+// Member is a worker as the list has it.
+type Member struct {
+	ID, Addr string
+	Ready    bool // else it drains or is gone
+}
+
+const (
+	sweepEvery  = 500 * time.Millisecond
+	defaultIdle = 30 * time.Second
+	idlePart    = 0.6 // of the time after which a worker closes: a request must not cross that
+	probeWait   = time.Second
+	tailWait    = time.Second
+	closeAtOnce = 64
+)
+
+// Pool holds the connections to all workers. It implements core.Carrier.
+type Pool struct {
+	gnet.BuiltinEventEngine
+	opt    Options
+	client *gnet.Client
+	box    *inbox.Box[func()]
+	loop   gnet.EventLoop
+
+	// For the loop alone.
+	workers map[string]*worker
+	flights map[*core.Attempt]*flight
+	tails   map[*conn]struct{} // their attempt is over, the end of the answer is still to come
+}
+
+type worker struct {
+	id, addr string
+	ready    bool
+	idle     []*conn // the most recently used last
+	dialling map[*flight]struct{}
+}
+
+// flight is an attempt on its way, or a probe.
+type flight struct {
+	a    *core.Attempt // nil: a probe
+	p    *core.Planner // of the probe
+	w    *worker
+	c    *conn // nil: not connected yet
+	over bool
+}
+
+// New starts a Pool.
+func New(opt Options) (*Pool, error) {
+	if opt.IdleClose <= 0 {
+		opt.IdleClose = defaultIdle
+	}
+	if opt.DialTimeout <= 0 {
+		opt.DialTimeout = time.Second
+	}
+	p := &Pool{opt: opt, workers: map[string]*worker{}, flights: map[*core.Attempt]*flight{},
+		tails: map[*conn]struct{}{}}
+	var err error
+	p.client, err = gnet.NewClient(p, gnet.WithNumEventLoop(1), gnet.WithReadBufferCap(32<<10),
+		gnet.WithLogger(httpd.Quiet(opt.Log)))
+	if err != nil {
+		return nil, fmt.Errorf("event loop for workers: %w", err)
+	}
+	if err := p.client.Start(); err != nil {
+		return nil, fmt.Errorf("event loop for workers: %w", err)
+	}
+	if p.loop, err = firstLoop(p.client); err != nil {
+		return nil, fmt.Errorf("event loop for workers: %w", err)
+	}
+	run := gnet.RunnableFunc(func(context.Context) error {
+		for _, f := range p.box.Take() {
+			f()
+		}
+		return nil
+	})
+	p.box = inbox.New[func()](func() { _ = p.loop.Execute(context.Background(), run) })
+	opt.Budget.OnShort(func() { p.box.Put(func() { p.closeIdle(closeAtOnce) }) })
+	return p, nil
+}
+
+// firstLoop finds the client's event loop. gnet names it only by a connection,
+// so a pair of connected sockets serves for one.
+func firstLoop(client *gnet.Client) (gnet.EventLoop, error) {
+	near, far, err := socketPair()
+	if err != nil {
+		return nil, err
+	}
+	defer far.Close()
+	c, err := client.EnrollContext(near, nil)
+	if err != nil {
+		return nil, err
+	}
+	return c.EventLoop(), nil
+}
+
+// Run closes connections that are idle for too long, until the context ends.
+func (p *Pool) Run(ctx context.Context) error {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			p.box.Put(p.sweep)
+		case <-ctx.Done():
+			return p.client.Stop()
+		}
+	}
+}
+
+// Members brings the list, or what has changed in it. With whole, who is absent
+// has been removed.
+func (p *Pool) Members(whole bool, members []Member) {
+	p.box.Put(func() {
+		if whole {
+			named := make(map[string]bool, len(members))
+			for _, m := range members {
+				named[m.ID] = true
+			}
+			for id, w := range p.workers {
+				if !named[id] {
+					p.leave(w)
+				}
+			}
+		}
+		for _, m := range members {
+			w := p.workers[m.ID]
+			if w == nil {
+				w = &worker{id: m.ID, dialling: map[*flight]struct{}{}}
+				p.workers[m.ID] = w
+			}
+			if w.addr != m.Addr {
+				p.closeAll(w)
+				w.addr = m.Addr
+			}
+			if w.ready = m.Ready; !m.Ready {
+				p.leave(w)
+			}
+		}
+	})
+}
+
+// leave ends what has not been sent yet to a worker that drains or is gone: the
+// rule counts a send from its first byte, which a dial may put off.
+func (p *Pool) leave(w *worker) {
+	w.ready = false
+	for f := range w.dialling {
+		p.end(f, falltray.NotSent, nil, nil)
+	}
+	p.closeAll(w)
+}
+
+func (p *Pool) closeAll(w *worker) {
+	for len(w.idle) > 0 {
+		p.drop(w.idle[len(w.idle)-1])
+	}
+}
+
+// Send carries out an attempt.
+func (p *Pool) Send(a *core.Attempt) {
+	p.box.Put(func() {
+		f := &flight{a: a, w: p.workers[a.Worker]}
+		p.flights[a] = f
+		p.start(f)
+	})
+}
+
+// Cancel gives an attempt up by closing its connection.
+func (p *Pool) Cancel(a *core.Attempt) {
+	p.box.Put(func() {
+		if f := p.flights[a]; f != nil {
+			p.end(f, falltray.Cancelled, nil, nil)
+		}
+	})
+}
+
+// Probe asks a worker for its load.
+func (p *Pool) Probe(id string, planner *core.Planner) {
+	p.box.Put(func() {
+		f := &flight{p: planner, w: p.workers[id]}
+		if f.w == nil {
+			planner.Probed(id, nil)
+			return
+		}
+		p.start(f)
+		time.AfterFunc(probeWait, func() {
+			p.box.Put(func() { p.end(f, falltray.TimedOut, nil, nil) })
+		})
+	})
+}
+
+// CloseIdle closes the connections to a worker that carry nothing.
+func (p *Pool) CloseIdle(id string) {
+	p.box.Put(func() {
+		if w := p.workers[id]; w != nil {
+			p.closeAll(w)
+		}
+	})
+}
+
+func (p *Pool) start(f *flight) {
+	w := f.w
+	if w == nil || !w.ready {
+		p.end(f, falltray.NotSent, nil, nil)
+		return
+	}
+	if n := len(w.idle); n > 0 {
+		c := w.idle[n-1]
+		w.idle = w.idle[:n-1]
+		c.carry(f)
+		return
+	}
+	w.dialling[f] = struct{}{}
+	addr := w.addr
+	go p.dial(f, addr)
+}
+
+// dial connects off the loop and hands the connection to it.
+func (p *Pool) dial(f *flight, addr string) {
+	nc, err := net.DialTimeout("tcp", addr, p.opt.DialTimeout)
+	if err == nil {
+		_, err = p.client.EnrollContext(nc, &conn{pool: p, f: f, parser: http1.NewParser(http1.Response)})
+	}
+	if err != nil {
+		p.box.Put(func() { p.end(f, falltray.ConnectFailed, nil, nil) })
+	}
+}
+
+// OnOpen is gnet's: a dialled connection is up.
+func (p *Pool) OnOpen(gc gnet.Conn) ([]byte, gnet.Action) {
+	c, ok := gc.Context().(*conn)
+	if !ok {
+		return nil, gnet.None
+	}
+	c.gc = gc
+	p.opt.Budget.Take()
+	f := c.f
+	c.w, c.f = f.w, nil
+	if f.over { // the worker has begun to drain, or nobody waits any more
+		c.dead = true
+		return nil, gnet.Close
+	}
+	delete(f.w.dialling, f)
+	c.carry(f)
+	return nil, gnet.None
+}
+
+// OnClose is gnet's.
+func (p *Pool) OnClose(gc gnet.Conn, _ error) gnet.Action {
+	c, ok := gc.Context().(*conn)
+	if !ok || c.gc == nil {
+		return gnet.None
+	}
+	p.opt.Budget.Release()
+	c.dead = true
+	c.w.forget(c)
+	delete(p.tails, c)
+	f := c.f
+	if f == nil || f.over {
+		return gnet.None
+	}
+	if c.whole() {
+		p.end(f, falltray.Lost, nil, nil)
+	} else {
+		p.end(f, falltray.ConnectFailed, nil, nil)
+	}
+	return gnet.None
+}
+
+// OnTraffic is gnet's.
+func (p *Pool) OnTraffic(gc gnet.Conn) gnet.Action {
+	if c, ok := gc.Context().(*conn); ok {
+		return c.read()
+	}
+	return gnet.None
+}
+
+// end tells how a flight ended. Unless its answer has come whole, its
+// connection is closed with it.
+func (p *Pool) end(f *flight, o falltray.Outcome, result []byte, report *falltray.Report) {
+	if f.over {
+		return
+	}
+	f.over = true
+	if f.w != nil {
+		delete(f.w.dialling, f)
+	}
+	if c := f.c; c != nil && !c.dead && o != falltray.Served && !c.ended {
+		p.drop(c)
+	}
+	if f.a == nil {
+		f.p.Probed(f.w.id, report)
+		return
+	}
+	delete(p.flights, f.a)
+	f.a.Planner.Ended(f.a, o, result, report)
+}
+
+// drop closes a connection.
+func (p *Pool) drop(c *conn) {
+	if c.dead {
+		return
+	}
+	c.dead = true
+	c.w.forget(c)
+	_ = p.loop.Close(c.gc)
+}
+
+func (w *worker) forget(c *conn) {
+	for i := range w.idle {
+		if w.idle[i] == c {
+			w.idle = append(w.idle[:i], w.idle[i+1:]...)
+			return
+		}
+	}
+}
+
+// sweep closes what will soon have been idle for too long, and forgets workers
+// that are gone.
+func (p *Pool) sweep() {
+	now := time.Now()
+	for c := range p.tails {
+		if now.Sub(c.since) > tailWait {
+			p.drop(c)
+		}
+	}
+	last := now.Add(-time.Duration(idlePart * float64(p.opt.IdleClose)))
+	for id, w := range p.workers {
+		for len(w.idle) > 0 && w.idle[0].since.Before(last) {
+			p.drop(w.idle[0])
+		}
+		if !w.ready && len(w.idle) == 0 && len(w.dialling) == 0 {
+			delete(p.workers, id)
+		}
+	}
+}
+
+// closeIdle closes so many idle connections, whichever comes first.
+func (p *Pool) closeIdle(most int) {
+	for _, w := range p.workers {
+		for ; most > 0 && len(w.idle) > 0; most-- {
+			p.drop(w.idle[0])
+		}
+	}
+}
--- /dev/null
+++ b/scheduler/scheduler.go
@@ -0,0 +1,179 @@
+// Package scheduler is the whole scheduler as a library: it listens to clients,
+// watches the list of workers, and carries jobs to them as the decision module
+// says. A program needs no more than New and Run.
+package scheduler
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"falltray"
+	"falltray/internal/budget"
+	"falltray/internal/config"
+	"falltray/internal/core"
+	"falltray/internal/discovery"
+	"falltray/internal/front"
+	"falltray/internal/httpd"
+	"falltray/internal/intake"
+	"falltray/internal/upstream"
+)
+
+const (
+	// A front goes on sending for 0.4 s after it was told to stop, so at least as
+	// long is listened.
+	lastCalls = 700 * time.Millisecond
+	quietFor  = 50 * time.Millisecond
+	// Each event loop and planner may sit in a system call. With a processor for
+	// each the others go on at once; the runtime would take up to 10 ms to notice.
+	processors = 8
+	memoryPart = 0.75
+	service    = "origin.svc"
+)
+
+// Options are the choices of who embeds a scheduler.
+type Options struct {
+	Log      *slog.Logger // nil: none
+	Planners int          // 0 counts as 1
+	Loops    int          // event loops for clients; 0 counts as 1
+}
+
+// Scheduler is a real scheduler.
+type Scheduler struct {
+	opt      Options
+	config   *config.Config
+	settings falltray.Settings
+	clock    core.Clock
+	budget   *budget.Budget
+	pool     *upstream.Pool
+	watcher  *discovery.Watcher
+	planners *core.Set
+	server   *httpd.Server
+	ready    atomic.Bool
+}
+
+// New returns a scheduler that does nothing yet.
+func New(c *config.Config, opt Options) (*Scheduler, error) {
+	if opt.Log == nil {
+		opt.Log = slog.New(slog.DiscardHandler)
+	}
+	opt.Planners = max(1, opt.Planners)
+	if err := c.Check(); err != nil {
+		return nil, err
+	}
+	set, err := c.Settings.Module(opt.Planners)
+	if err != nil {
+		return nil, err
+	}
+	if c.Discovery == "" {
+		set.AskForList = false
+	}
+	s := &Scheduler{opt: opt, config: c, settings: set, clock: core.NewClock(), budget: budget.New(c.Limits.Sockets)}
+	s.pool, err = upstream.New(upstream.Options{DialTimeout: config.Seconds(c.Settings.Bounds.DialTimeout),
+		IdleClose: config.Seconds(c.Settings.Bounds.IdleClose), Host: service, Clock: s.clock, Budget: s.budget,
+		Log: opt.Log})
+	if err != nil {
+		return nil, err
+	}
+	s.watcher = discovery.NewWatcher(c.Discovery, *c.Known, s.told, s.broken, opt.Log)
+	var planners []*core.Planner
+	for i := range opt.Planners {
+		p, err := core.NewPlanner(set, c.SeedNumber()+uint64(i), s.clock, s.pool, s.watcher.Watch, opt.Log)
+		if err != nil {
+			return nil, err
+		}
+		planners = append(planners, p)
+	}
+	s.planners = core.NewSet(planners...)
+	rules := &intake.Rules{Clock: s.clock, Classes: set.Classes, Tenants: set.Tenants}
+	s.server = httpd.New(c.Listen, opt.Loops, front.New(rules, s.planners, s.ready.Load), s.budget, opt.Log)
+	return s, nil
+}
+
+// Limit sets the Go runtime up for the machine: it is for programs that are
+// nothing but a scheduler.
+func Limit(c *config.Config) {
+	if c.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(c.Limits.MemoryMB) * (1 << 20)))
+	}
+	if runtime.GOMAXPROCS(0) < processors {
+		runtime.GOMAXPROCS(processors)
+	}
+}
+
+// Run serves until the context ends, then answers what it has taken.
+func (s *Scheduler) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go s.planners.Run(work)
+	go func() { _ = s.pool.Run(work) }()
+	if s.config.Discovery != "" {
+		go s.watcher.Run(work)
+	}
+	s.members(falltray.ListStale, *s.config.Known)
+	ended, err := s.server.Start()
+	if err != nil {
+		return err
+	}
+	s.ready.Store(true)
+	s.opt.Log.Info("serving", "name", s.config.Name, "listen", s.config.Listen,
+		"workers", len(s.config.Known.Members), "revision", s.config.Known.Revision)
+	select {
+	case err := <-ended:
+		return fmt.Errorf("serving on %s ended: %w", s.config.Listen, err)
+	case <-ctx.Done():
+	}
+	return s.drain(work)
+}
+
+// drain answers what was taken and what still comes, and returns once all is
+// quiet. Whoever sent the signal sets the last limit.
+func (s *Scheduler) drain(ctx context.Context) error {
+	s.ready.Store(false)
+	s.server.Drain()
+	s.opt.Log.Info("stopping: answering what was taken")
+	time.Sleep(lastCalls)
+	s.server.CloseIdle()
+	for {
+		time.Sleep(quietFor)
+		open, err := s.planners.Open(ctx)
+		if err != nil {
+			return err
+		}
+		if open == 0 {
+			break
+		}
+	}
+	time.Sleep(quietFor) // the last answers are on their way to their event loop
+	if err := s.server.Stop(ctx); err != nil {
+		return err
+	}
+	s.opt.Log.Info("stopped")
+	return nil
+}
+
+// told passes an answer of discovery on: first to those who carry, so that they
+// know each worker that a planner may name.
+func (s *Scheduler) told(l discovery.List) {
+	kind := falltray.ListPatch
+	if l.Complete {
+		kind = falltray.ListWhole
+	}
+	s.members(kind, l)
+}
+
+func (s *Scheduler) members(kind falltray.ListKind, l discovery.List) {
+	carriers := make([]upstream.Member, 0, len(l.Members))
+	for _, m := range l.Members {
+		carriers = append(carriers, upstream.Member{ID: m.ID, Addr: m.HostPort, Ready: m.Ready()})
+	}
+	s.pool.Members(kind != falltray.ListPatch, carriers)
+	names := discovery.Names{Zones: s.config.Settings.Zones, Kinds: s.config.Settings.Kinds}
+	s.planners.Members(kind, names.Entries(l, s.clock.FromUnixMilli))
+}
+
+func (s *Scheduler) broken() { s.planners.Members(falltray.ListBroken, nil) }
