Forget exchanges that a timer of the module ends

Seen: after SIGTERM the program waited for ever. A stack dump showed the drain loop asleep while Planner.Open counted a request that had been refused. Ruled out the event loops, which were idle. At fault: Planner.Refuse and Fail left the exchange on the books when a timer, not an event of the request, ended it. The drain has a last limit as well.

--- a/internal/core/planner.go
+++ b/internal/core/planner.go
@@ -306,6 +306,7 @@
 func (p *Planner) Refuse(id string, after time.Duration) {
 	if x := p.open[id]; x != nil {
 		x.answer(Answer{Kind: Refused, After: after, Reason: "cannot be in time"})
+		p.forget(x)
 	}
 }
 
@@ -313,6 +314,7 @@
 func (p *Planner) Fail(id string) {
 	if x := p.open[id]; x != nil {
 		x.answer(Answer{Kind: Failed, Reason: x.reason(), Ran: x.mayHaveRun()})
+		p.forget(x)
 	}
 }
 
--- /dev/null
+++ b/internal/core/planner_test.go
@@ -0,0 +1,221 @@
+package core
+
+import (
+	"context"
+	"go/parser"
+	"go/token"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"falltray"
+)
+
+// carrier notes what it is asked to carry.
+type carrier struct {
+	sent      chan *Attempt
+	cancelled chan *Attempt
+}
+
+func (c *carrier) Send(a *Attempt)         { c.sent <- a }
+func (c *carrier) Cancel(a *Attempt)       { c.cancelled <- a }
+func (c *carrier) Probe(string, *Planner)  {}
+func (c *carrier) CloseIdle(worker string) {}
+
+// client notes its answers.
+type client struct {
+	mu      sync.Mutex
+	answers []Answer
+	first   chan Answer
+}
+
+func newClient() *client             { return &client{first: make(chan Answer, 1)} }
+func (c *client) Started()           {}
+func (c *client) Progress(_ float64) {}
+
+func (c *client) Answer(a Answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.answers = append(c.answers, a); len(c.answers) == 1 {
+		c.first <- a
+	}
+}
+
+func (c *client) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.answers)
+}
+
+func classes() []falltray.Class {
+	return []falltray.Class{
+		{Name: "free", Effect: falltray.Safe, Aim: time.Second, Limit: 5 * time.Second},
+		{Name: "once", Effect: falltray.Unsafe, Aim: time.Second, Limit: 5 * time.Second},
+	}
+}
+
+// begin runs a planner with so many workers until the test ends.
+func begin(t *testing.T, workers ...string) (*Planner, *carrier, Clock) {
+	t.Helper()
+	c := &carrier{make(chan *Attempt, 16), make(chan *Attempt, 16)}
+	clock := NewClock()
+	p, err := NewPlanner(falltray.Settings{Classes: classes(), MaxAttempts: 3, MayCancel: true}, 1, clock, c,
+		func() {}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); p.Run(ctx) }()
+	t.Cleanup(func() { stop(); <-done })
+	var entries []falltray.WorkerInfo
+	for _, w := range workers {
+		entries = append(entries, falltray.WorkerInfo{Worker: w})
+	}
+	p.Members(falltray.ListWhole, entries)
+	return p, c, clock
+}
+
+func await[T any](t *testing.T, from <-chan T) (v T) {
+	t.Helper()
+	select {
+	case v = <-from:
+	case <-time.After(10 * time.Second):
+		t.Fatal("nothing came")
+	}
+	return v
+}
+
+func openNow(t *testing.T, p *Planner) int {
+	t.Helper()
+	n := make(chan int, 1)
+	p.Open(func(open int) { n <- open })
+	return await(t, n)
+}
+
+// Guards against exchanges that stay on the books when a timer of the module
+// ends them: the program waited for them for ever after SIGTERM.
+func TestRefusedByTimerIsForgotten(t *testing.T) {
+	p, _, clock := begin(t)
+	c := newClient()
+	p.Request(NewExchange(Job{ID: "r", Tenant: -1}, clock.Now()+200*time.Millisecond, c))
+	if a := await(t, c.first); a.Kind != Refused {
+		t.Errorf("answered %v without any worker", a)
+	}
+	if n := openNow(t, p); n != 0 {
+		t.Errorf("%d exchanges still open", n)
+	}
+}
+
+// Guards against a job without an answer when the worker says nothing, and
+// against a second answer when it speaks later.
+func TestSilentWorkerFailsAtTheDeadlineOnce(t *testing.T) {
+	p, carry, clock := begin(t, "w")
+	c := newClient()
+	deadline := clock.Now() + 300*time.Millisecond
+	p.Request(NewExchange(Job{ID: "r", Class: 1, Tenant: -1}, deadline, c))
+	a := await(t, carry.sent)
+	got := await(t, c.first)
+	if late := clock.Now() - deadline; got.Kind != Failed || !got.Ran || late > 200*time.Millisecond || late < 0 {
+		t.Errorf("answered %+v, %v after the deadline", got, late)
+	}
+	if await(t, carry.cancelled) != a {
+		t.Error("another attempt was called off")
+	}
+	p.Ended(a, falltray.Served, []byte("late"), nil)
+	if n := openNow(t, p); n != 0 || c.count() != 1 {
+		t.Errorf("%d exchanges open, %d answers", n, c.count())
+	}
+}
+
+// Guards against an unsafe job that goes out again after it may have run, and
+// against a refusal, which would invite the client to send it again.
+func TestUnsafeJobIsNotRepeated(t *testing.T) {
+	p, carry, clock := begin(t, "v", "w")
+	c := newClient()
+	p.Request(NewExchange(Job{ID: "r", Class: 1, Tenant: -1}, clock.Now()+5*time.Second, c))
+	p.Ended(await(t, carry.sent), falltray.Lost, nil, nil)
+	if got := await(t, c.first); got.Kind != Failed || !got.Ran {
+		t.Errorf("answered %+v", got)
+	}
+	openNow(t, p)
+	if len(carry.sent) > 0 {
+		t.Error("sent again")
+	}
+}
+
+// Guards against a send that was put off until its worker began to drain being
+// taken for a failure: it never ran, so another worker gets it.
+func TestNotSentGoesElsewhere(t *testing.T) {
+	p, carry, clock := begin(t, "v", "w")
+	c := newClient()
+	p.Request(NewExchange(Job{ID: "r", Class: 1, Tenant: -1}, clock.Now()+5*time.Second, c))
+	first := await(t, carry.sent)
+	p.Members(falltray.ListPatch, []falltray.WorkerInfo{{Worker: first.Worker, State: falltray.Leaving}})
+	p.Ended(first, falltray.NotSent, nil, nil)
+	second := await(t, carry.sent)
+	if second.Worker == first.Worker {
+		t.Error("sent to the worker that drains")
+	}
+	p.Ended(second, falltray.Served, []byte("ok"), nil)
+	if got := await(t, c.first); got.Kind != Served || string(got.Result) != "ok" {
+		t.Errorf("answered %+v", got)
+	}
+}
+
+// Guards against one fault in the decisions taking the program down with all
+// that it holds.
+func TestPanicFailsWhatIsOpenAndGoesOn(t *testing.T) {
+	p, carry, clock := begin(t, "w")
+	c := newClient()
+	p.Request(NewExchange(Job{ID: "r", Tenant: -1}, clock.Now()+5*time.Second, c))
+	await(t, carry.sent)
+	p.box.Put(event{kind: evCall, call: func() { panic("fault") }})
+	if got := await(t, c.first); got.Kind != Failed {
+		t.Errorf("answered %+v", got)
+	}
+	again := newClient()
+	p.Request(NewExchange(Job{ID: "s", Tenant: -1}, clock.Now()+5*time.Second, again))
+	p.Ended(await(t, carry.sent), falltray.Served, nil, nil)
+	if got := await(t, again.first); got.Kind != Served {
+		t.Errorf("answered %+v", got)
+	}
+}
+
+// A start before the program's own is a time of its own; only 0 is long ago.
+func TestClockMapsStarts(t *testing.T) {
+	c := NewClock()
+	start := time.Now().Add(-10 * time.Second)
+	got := c.FromUnixMilli(start.UnixMilli())
+	if want := c.Now() - 10*time.Second; got < want-time.Second || got > want+time.Second {
+		t.Errorf("a start 10 s ago is at %v, now is %v", got, c.Now())
+	}
+	if c.FromUnixMilli(0) != 0 || c.FromUnixMilli(1) != 0 {
+		t.Error("long ago is not 0")
+	}
+}
+
+// The core deals in requests, attempts and outcomes, and knows no wire.
+func TestCoreKnowsNoWire(t *testing.T) {
+	pkgs, err := parser.ParseDir(token.NewFileSet(), ".", nil, parser.ImportsOnly)
+	if err != nil {
+		t.Fatal(err)
+	}
+	files := 0
+	for name, f := range pkgs["core"].Files {
+		files++
+		for _, i := range f.Imports {
+			for _, wire := range []string{"net", "gnet", "http", "httpd", "http1", "sse", "json", "upstream"} {
+				path := strings.Trim(i.Path.Value, `"`)
+				if path == wire || strings.HasSuffix(path, "/"+wire) || strings.HasPrefix(path, wire+"/") {
+					t.Errorf("%s imports %s", name, path)
+				}
+			}
+		}
+	}
+	if files < 3 {
+		t.Errorf("only %d files seen", files)
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -138,7 +138,7 @@
 	s.opt.Log.Info("stopping: answering what was taken")
 	time.Sleep(lastCalls)
 	s.server.CloseIdle()
-	for {
+	for until := time.Now().Add(s.longest()); time.Now().Before(until); {
 		time.Sleep(quietFor)
 		open, err := s.planners.Open(ctx)
 		if err != nil {
@@ -156,6 +156,15 @@
 	return nil
 }
 
+// longest is how long a client may wait, and a little more.
+func (s *Scheduler) longest() time.Duration {
+	most := time.Second
+	for _, c := range s.settings.Classes {
+		most = max(most, c.Limit+time.Second)
+	}
+	return most
+}
+
 // told passes an answer of discovery on: first to those who carry, so that they
 // know each worker that a planner may name.
 func (s *Scheduler) told(l discovery.List) {
