--- a/api.go
+++ b/api.go
@@ -1,4 +1,4 @@
-// Package falltray makes the decisions of a dispatcher that pushes jobs to
+// Package sedgevale makes the decisions of a dispatcher that pushes jobs to
 // workers. It does no input or output of its own: the host tells a Dispatcher
 // what happened, and the Dispatcher answers by calls on a Host.
 //
@@ -11,7 +11,7 @@
 // origin. A Dispatcher is not safe for concurrent use; several of them in one
 // process share nothing. The same settings, seed and events give the same
 // actions.
-package falltray
+package sedgevale
 
 import (
 	"errors"
@@ -119,29 +119,29 @@
 // check returns an error for settings that make no sense.
 func (s *Settings) check() error {
 	if len(s.Classes) == 0 {
-		return errors.New("falltray: no class in the settings")
+		return errors.New("sedgevale: no class in the settings")
 	}
 	for i, c := range s.Classes {
 		if c.Limit <= 0 || c.Aim <= 0 || c.Stretch < 0 || c.Effect == Keyed && c.Window <= 0 {
-			return fmt.Errorf("falltray: class %d (%s): limit, aim and window must be positive", i, c.Name)
+			return fmt.Errorf("sedgevale: class %d (%s): limit, aim and window must be positive", i, c.Name)
 		}
 		if slices.ContainsFunc(c.Kinds, negative) || slices.ContainsFunc(c.Zones, negative) {
-			return fmt.Errorf("falltray: class %d (%s): kinds and zones must not be negative", i, c.Name)
+			return fmt.Errorf("sedgevale: class %d (%s): kinds and zones must not be negative", i, c.Name)
 		}
 	}
 	if b := s.Further; b.Free < 0 || !(b.Ratio >= 0) || b.Span < 0 || b.Span == 0 && b != (Budget{}) {
-		return errors.New("falltray: the budget of further attempts must not be negative, and needs a span")
+		return errors.New("sedgevale: the budget of further attempts must not be negative, and needs a span")
 	}
 	for i, t := range s.Tenants {
 		if !(t.Share > 0) || t.Quota < 0 {
-			return fmt.Errorf("falltray: tenant %d (%s): share must be positive, quota not negative", i, t.Name)
+			return fmt.Errorf("sedgevale: tenant %d (%s): share must be positive, quota not negative", i, t.Name)
 		}
 	}
 	if s.WarmUp > 0 && !(s.StartCapacity > 0 && s.StartCapacity <= 1 && s.Fall > 0 && s.FallMultiple > 0) {
-		return errors.New("falltray: start capacity must be in (0, 1], fall and its multiple positive")
+		return errors.New("sedgevale: start capacity must be in (0, 1], fall and its multiple positive")
 	}
 	if s.Zone < 0 || s.MaxAttempts < 0 || s.Peers < 0 || s.CloseOnDrain < 0 || s.MaxRetryAfter < 0 {
-		return errors.New("falltray: zone, attempts, peers, closing time and advice must not be negative")
+		return errors.New("sedgevale: zone, attempts, peers, closing time and advice must not be negative")
 	}
 	return nil
 }
@@ -255,9 +255,9 @@
 // Errors for what a host has got wrong. The event that returned one was not
 // acted on.
 var (
-	ErrUnknownRequest   = errors.New("falltray: no such request")
-	ErrUnknownAttempt   = errors.New("falltray: no such attempt, or it is over")
-	ErrDuplicateRequest = errors.New("falltray: request id already taken")
-	errNoHost           = errors.New("falltray: no host")
-	ErrBadRequest       = errors.New("falltray: class or tenant out of range")
+	ErrUnknownRequest   = errors.New("sedgevale: no such request")
+	ErrUnknownAttempt   = errors.New("sedgevale: no such attempt, or it is over")
+	ErrDuplicateRequest = errors.New("sedgevale: request id already taken")
+	errNoHost           = errors.New("sedgevale: no host")
+	ErrBadRequest       = errors.New("sedgevale: class or tenant out of range")
 )
--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -1,4 +1,4 @@
-// Benchlink hosts falltray dispatchers on the bench's wire, on standard input
+// Benchlink hosts sedgevale dispatchers on the bench's wire, on standard input
 // and output.
 package main
 
@@ -8,8 +8,8 @@
 	"io"
 	"os"
 
-	"falltray"
-	"falltray/internal/wire"
+	"sedgevale"
+	"sedgevale/internal/wire"
 )
 
 func main() {
@@ -22,7 +22,7 @@
 // run answers batches until the input ends.
 func run(in io.Reader, out io.Writer) error {
 	reader := wire.NewReader(in)
-	link := &link{instances: map[string]*falltray.Dispatcher{}}
+	link := &link{instances: map[string]*sedgevale.Dispatcher{}}
 	for {
 		seq, err := reader.Batch()
 		if err == io.EOF {
@@ -53,7 +53,7 @@
 
 type link struct {
 	out       wire.Writer
-	instances map[string]*falltray.Dispatcher
+	instances map[string]*sedgevale.Dispatcher
 }
 
 func (l *link) batch(reader *wire.Reader) error {
@@ -78,7 +78,7 @@
 	}()
 	switch e.Kind {
 	case wire.Begin:
-		d, err := falltray.New(e.Settings, e.Seed, &l.out)
+		d, err := sedgevale.New(e.Settings, e.Seed, &l.out)
 		if err != nil {
 			return err
 		}
@@ -95,7 +95,7 @@
 	return deliver(d, e)
 }
 
-func deliver(d *falltray.Dispatcher, e *wire.Event) error {
+func deliver(d *sedgevale.Dispatcher, e *wire.Event) error {
 	id, n := e.Result.ID, e.Result.Attempt
 	switch e.Kind {
 	case wire.Members:
--- a/cmd/sedgevale/main.go
+++ b/cmd/sedgevale/main.go
@@ -11,8 +11,8 @@
 
 	"github.com/alecthomas/kong"
 
-	"falltray/internal/config"
-	"falltray/scheduler"
+	"sedgevale/internal/config"
+	"sedgevale/scheduler"
 )
 
 type cli struct {
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -1,4 +1,4 @@
-package falltray
+package sedgevale
 
 // All decisions of the library are in this file; its interface is in api.go. The ordinary path follows
 // Wisp's Algorithm 1. A request is taken (Request), refused if it cannot be in time, else held in its
--- a/example_test.go
+++ b/example_test.go
@@ -1,10 +1,10 @@
-package falltray_test
+package sedgevale_test
 
 import (
 	"fmt"
 	"time"
 
-	"falltray"
+	"sedgevale"
 )
 
 // printer is a host that prints what a dispatcher decides.
@@ -21,9 +21,9 @@
 func (printer) Log(text string)                         { fmt.Println(text) }
 
 func Example() {
-	d, err := falltray.New(falltray.Settings{
-		Classes: []falltray.Class{{
-			Name: "resize", Effect: falltray.Safe,
+	d, err := sedgevale.New(sedgevale.Settings{
+		Classes: []sedgevale.Class{{
+			Name: "resize", Effect: sedgevale.Safe,
 			Aim: 200 * time.Millisecond, Stretch: 2, Limit: 5 * time.Second,
 		}},
 		MaxAttempts: 3,
@@ -35,12 +35,12 @@
 	start := time.Now()
 	clock := func() time.Duration { return time.Since(start) }
 
-	d.Members(clock(), falltray.ListWhole, []falltray.WorkerInfo{{Worker: "10.0.0.1:5000"}})
-	err = d.Request(clock(), falltray.Request{ID: "job-1", Left: 5 * time.Second})
+	d.Members(clock(), sedgevale.ListWhole, []sedgevale.WorkerInfo{{Worker: "10.0.0.1:5000"}})
+	err = d.Request(clock(), sedgevale.Request{ID: "job-1", Left: 5 * time.Second})
 	if err != nil {
 		fmt.Println(err)
 	}
-	err = d.Outcome(clock(), falltray.Result{ID: "job-1", Outcome: falltray.Served, Closed: true})
+	err = d.Outcome(clock(), sedgevale.Result{ID: "job-1", Outcome: sedgevale.Served, Closed: true})
 	fmt.Println(err)
 	// Output:
 	// send job-1 to 10.0.0.1:5000
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,7 +10,7 @@
 	"os"
 	"strconv"
 
-	"falltray/internal/discovery"
+	"sedgevale/internal/discovery"
 )
 
 // Config is all that a scheduler is told.
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"falltray"
+	"sedgevale"
 )
 
 // Settings are the deployment's settings in the names of the platform. Times
@@ -67,15 +67,15 @@
 }
 
 var (
-	effects = map[string]falltray.Effect{
-		"free": falltray.Safe, "guarded": falltray.Keyed, "single_shot": falltray.Unsafe,
+	effects = map[string]sedgevale.Effect{
+		"free": sedgevale.Safe, "guarded": sedgevale.Keyed, "single_shot": sedgevale.Unsafe,
 	}
-	scopes = map[string]falltray.Scope{
-		"": falltray.ScopeAll, "all": falltray.ScopeAll, "zone": falltray.ScopeZone, "cell": falltray.ScopeCell,
+	scopes = map[string]sedgevale.Scope{
+		"": sedgevale.ScopeAll, "all": sedgevale.ScopeAll, "zone": sedgevale.ScopeZone, "cell": sedgevale.ScopeCell,
 	}
-	weights = map[string]falltray.WeightMeaning{
-		"": falltray.WeightNone, "none": falltray.WeightNone, "nominal": falltray.WeightSize,
-		"rough": falltray.WeightSize, "live": falltray.WeightLive,
+	weights = map[string]sedgevale.WeightMeaning{
+		"": sedgevale.WeightNone, "none": sedgevale.WeightNone, "nominal": sedgevale.WeightSize,
+		"rough": sedgevale.WeightSize, "live": sedgevale.WeightLive,
 	}
 )
 
@@ -84,8 +84,8 @@
 
 // Module returns the settings in the module's form, for one of so many planners
 // in this process.
-func (s *Settings) Module(planners int) (falltray.Settings, error) {
-	m := falltray.Settings{
+func (s *Settings) Module(planners int) (sedgevale.Settings, error) {
+	m := sedgevale.Settings{
 		Zone:          s.Zone,
 		Peers:         max(1, s.PeersTotal) * max(1, planners),
 		MaxAttempts:   s.Bounds.MaxAttempts,
@@ -122,7 +122,7 @@
 		return m, fmt.Errorf("unknown meaning of weights %q", s.Weights)
 	}
 	for i, c := range s.Classes {
-		k := falltray.Class{Name: c.Name, Window: Seconds(c.Window), Aim: Seconds(c.Promise),
+		k := sedgevale.Class{Name: c.Name, Window: Seconds(c.Window), Aim: Seconds(c.Promise),
 			Limit: Seconds(c.HardLimit), LateShare: c.LateShare, Stream: c.Stream, Stretch: c.AimStretch}
 		if k.Effect, ok = effects[c.Effect]; !ok {
 			return m, fmt.Errorf("class %q: unknown effect %q", c.Name, c.Effect)
@@ -147,7 +147,7 @@
 		m.Classes = append(m.Classes, k)
 	}
 	for _, r := range s.Realms {
-		m.Tenants = append(m.Tenants, falltray.Tenant{Name: r.Name, Share: r.Share, Quota: r.Quota})
+		m.Tenants = append(m.Tenants, sedgevale.Tenant{Name: r.Name, Share: r.Share, Quota: r.Quota})
 	}
 	return m, nil
 }
--- a/internal/core/exchange.go
+++ b/internal/core/exchange.go
@@ -6,7 +6,7 @@
 import (
 	"time"
 
-	"falltray"
+	"sedgevale"
 )
 
 // Job is what a client asks for.
@@ -61,7 +61,7 @@
 	attempts []*Attempt
 	out      int
 	answered bool
-	last     falltray.Outcome // of the attempt that ended last
+	last     sedgevale.Outcome // of the attempt that ended last
 }
 
 // NewExchange returns an Exchange for a job whose client waits up to the
--- a/internal/core/planner.go
+++ b/internal/core/planner.go
@@ -9,8 +9,8 @@
 	"runtime/debug"
 	"time"
 
-	"falltray"
-	"falltray/internal/inbox"
+	"sedgevale"
+	"sedgevale/internal/inbox"
 )
 
 // Planner owns one Dispatcher. All that happens comes in through its inbox and
@@ -20,17 +20,17 @@
 	carrier Carrier
 	watch   func()
 	log     *slog.Logger
-	set     falltray.Settings
+	set     sedgevale.Settings
 	seed    uint64
 
-	d      *falltray.Dispatcher
+	d      *sedgevale.Dispatcher
 	box    *inbox.Box[event]
 	wake   chan struct{}
 	timers timers
 	serial uint64
 	now    time.Duration
 	open   map[string]*Exchange
-	list   map[string]falltray.WorkerInfo // for a fresh Dispatcher
+	list   map[string]sedgevale.WorkerInfo // for a fresh Dispatcher
 }
 
 type kind uint8
@@ -50,22 +50,22 @@
 	kind    kind
 	x       *Exchange
 	a       *Attempt
-	outcome falltray.Outcome
-	report  *falltray.Report
+	outcome sedgevale.Outcome
+	report  *sedgevale.Report
 	result  []byte
 	share   float64
 	worker  string
-	list    falltray.ListKind
-	entries []falltray.WorkerInfo
+	list    sedgevale.ListKind
+	entries []sedgevale.WorkerInfo
 	call    func()
 }
 
 // NewPlanner returns a Planner. Watch is called when the Dispatcher asks for
 // the list of workers.
-func NewPlanner(set falltray.Settings, seed uint64, clock Clock, carrier Carrier, watch func(),
+func NewPlanner(set sedgevale.Settings, seed uint64, clock Clock, carrier Carrier, watch func(),
 	log *slog.Logger) (*Planner, error) {
 	p := &Planner{clock: clock, carrier: carrier, watch: watch, log: log, set: set, seed: seed,
-		wake: make(chan struct{}, 1), open: map[string]*Exchange{}, list: map[string]falltray.WorkerInfo{}}
+		wake: make(chan struct{}, 1), open: map[string]*Exchange{}, list: map[string]sedgevale.WorkerInfo{}}
 	p.box = inbox.New[event](func() {
 		select {
 		case p.wake <- struct{}{}:
@@ -73,7 +73,7 @@
 		}
 	})
 	var err error
-	p.d, err = falltray.New(set, seed, p)
+	p.d, err = sedgevale.New(set, seed, p)
 	return p, err
 }
 
@@ -92,17 +92,17 @@
 }
 
 // Ended tells how an attempt ended. Result is that of a Served one.
-func (p *Planner) Ended(a *Attempt, o falltray.Outcome, result []byte, report *falltray.Report) {
+func (p *Planner) Ended(a *Attempt, o sedgevale.Outcome, result []byte, report *sedgevale.Report) {
 	p.box.Put(event{kind: evEnded, a: a, outcome: o, result: result, report: report})
 }
 
 // Probed brings the answer to a probe, or nil.
-func (p *Planner) Probed(worker string, report *falltray.Report) {
+func (p *Planner) Probed(worker string, report *sedgevale.Report) {
 	p.box.Put(event{kind: evProbed, worker: worker, report: report})
 }
 
 // Members brings the list of workers. The Planner keeps the entries.
-func (p *Planner) Members(list falltray.ListKind, entries []falltray.WorkerInfo) {
+func (p *Planner) Members(list sedgevale.ListKind, entries []sedgevale.WorkerInfo) {
 	p.box.Put(event{kind: evMembers, list: list, entries: entries})
 }
 
@@ -157,17 +157,17 @@
 		clear(p.open)
 		p.timers = nil
 		p.seed++
-		d, err := falltray.New(p.set, p.seed, p)
+		d, err := sedgevale.New(p.set, p.seed, p)
 		if err != nil {
 			p.log.Error("decision module did not start", "err", err)
 			return
 		}
 		p.d = d
-		entries := make([]falltray.WorkerInfo, 0, len(p.list))
+		entries := make([]sedgevale.WorkerInfo, 0, len(p.list))
 		for _, e := range p.list {
 			entries = append(entries, e)
 		}
-		p.d.Members(p.clock.Now(), falltray.ListWhole, entries)
+		p.d.Members(p.clock.Now(), sedgevale.ListWhole, entries)
 	}()
 	f()
 }
@@ -215,7 +215,7 @@
 		return
 	}
 	p.open[x.ID] = x
-	err := p.d.Request(p.now, falltray.Request{ID: x.ID, Class: x.Class, Tenant: x.Tenant, Key: x.Key,
+	err := p.d.Request(p.now, sedgevale.Request{ID: x.ID, Class: x.Class, Tenant: x.Tenant, Key: x.Key,
 		Left: left, Hint: x.Hint, Slots: x.Slots, Retry: x.Retry})
 	if err != nil {
 		p.log.Error("decision module did not take a request", "err", err)
@@ -224,7 +224,7 @@
 	p.forget(x)
 }
 
-func (p *Planner) ended(a *Attempt, o falltray.Outcome, result []byte, report *falltray.Report) {
+func (p *Planner) ended(a *Attempt, o sedgevale.Outcome, result []byte, report *sedgevale.Report) {
 	if a.over {
 		return
 	}
@@ -232,25 +232,25 @@
 	if a.timer.index >= 0 { // else it would keep the request's body until the deadline
 		heap.Remove(&p.timers, a.timer.index)
 	}
-	a.unseen = o == falltray.ConnectFailed || o == falltray.NotSent ||
-		o == falltray.Full && !p.set.FullMayHaveRun
+	a.unseen = o == sedgevale.ConnectFailed || o == sedgevale.NotSent ||
+		o == sedgevale.Full && !p.set.FullMayHaveRun
 	x := a.Exchange
 	x.out--
 	x.last = o
-	if o == falltray.Served {
+	if o == sedgevale.Served {
 		x.answer(Answer{Kind: Served, Result: result})
 	}
-	p.check(p.d.Outcome(p.now, falltray.Result{ID: x.ID, Attempt: a.Number, Outcome: o,
+	p.check(p.d.Outcome(p.now, sedgevale.Result{ID: x.ID, Attempt: a.Number, Outcome: o,
 		Closed: x.answered, Report: report}))
 	p.forget(x)
 }
 
-func (p *Planner) members(list falltray.ListKind, entries []falltray.WorkerInfo) {
-	if list == falltray.ListWhole || list == falltray.ListStale {
+func (p *Planner) members(list sedgevale.ListKind, entries []sedgevale.WorkerInfo) {
+	if list == sedgevale.ListWhole || list == sedgevale.ListStale {
 		clear(p.list)
 	}
 	for _, e := range entries {
-		if p.list[e.Worker] = e; e.State == falltray.Left {
+		if p.list[e.Worker] = e; e.State == sedgevale.Left {
 			delete(p.list, e.Worker)
 		}
 	}
@@ -265,7 +265,7 @@
 }
 
 func (p *Planner) check(err error) {
-	if err != nil && !errors.Is(err, falltray.ErrUnknownRequest) && !errors.Is(err, falltray.ErrUnknownAttempt) {
+	if err != nil && !errors.Is(err, sedgevale.ErrUnknownRequest) && !errors.Is(err, sedgevale.ErrUnknownAttempt) {
 		p.log.Error("decision module refused an event", "err", err)
 	}
 }
@@ -280,7 +280,7 @@
 			p.d.Timer(p.now, t.token)
 		case !t.attempt.over:
 			p.carrier.Cancel(t.attempt)
-			p.ended(t.attempt, falltray.TimedOut, nil, nil)
+			p.ended(t.attempt, sedgevale.TimedOut, nil, nil)
 		}
 	}
 }
@@ -347,11 +347,11 @@
 		return "no answer in time"
 	}
 	switch x.last {
-	case falltray.Errored:
+	case sedgevale.Errored:
 		return "the worker failed"
-	case falltray.Lost:
+	case sedgevale.Lost:
 		return "the connection to the worker broke"
-	case falltray.TimedOut:
+	case sedgevale.TimedOut:
 		return "no answer in time"
 	}
 	return "not served"
--- a/internal/core/planner_test.go
+++ b/internal/core/planner_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"falltray"
+	"sedgevale"
 )
 
 // carrier notes what it is asked to carry.
@@ -49,10 +49,10 @@
 	return len(c.answers)
 }
 
-func classes() []falltray.Class {
-	return []falltray.Class{
-		{Name: "free", Effect: falltray.Safe, Aim: time.Second, Limit: 5 * time.Second},
-		{Name: "once", Effect: falltray.Unsafe, Aim: time.Second, Limit: 5 * time.Second},
+func classes() []sedgevale.Class {
+	return []sedgevale.Class{
+		{Name: "free", Effect: sedgevale.Safe, Aim: time.Second, Limit: 5 * time.Second},
+		{Name: "once", Effect: sedgevale.Unsafe, Aim: time.Second, Limit: 5 * time.Second},
 	}
 }
 
@@ -61,7 +61,7 @@
 	t.Helper()
 	c := &carrier{make(chan *Attempt, 16), make(chan *Attempt, 16)}
 	clock := NewClock()
-	p, err := NewPlanner(falltray.Settings{Classes: classes(), MaxAttempts: 3, MayCancel: true}, 1, clock, c,
+	p, err := NewPlanner(sedgevale.Settings{Classes: classes(), MaxAttempts: 3, MayCancel: true}, 1, clock, c,
 		func() {}, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
@@ -70,11 +70,11 @@
 	done := make(chan struct{})
 	go func() { defer close(done); p.Run(ctx) }()
 	t.Cleanup(func() { stop(); <-done })
-	var entries []falltray.WorkerInfo
+	var entries []sedgevale.WorkerInfo
 	for _, w := range workers {
-		entries = append(entries, falltray.WorkerInfo{Worker: w})
+		entries = append(entries, sedgevale.WorkerInfo{Worker: w})
 	}
-	p.Members(falltray.ListWhole, entries)
+	p.Members(sedgevale.ListWhole, entries)
 	return p, c, clock
 }
 
@@ -124,7 +124,7 @@
 	if await(t, carry.cancelled) != a {
 		t.Error("another attempt was called off")
 	}
-	p.Ended(a, falltray.Served, []byte("late"), nil)
+	p.Ended(a, sedgevale.Served, []byte("late"), nil)
 	if n := openNow(t, p); n != 0 || c.count() != 1 {
 		t.Errorf("%d exchanges open, %d answers", n, c.count())
 	}
@@ -136,7 +136,7 @@
 	p, carry, clock := begin(t, "v", "w")
 	c := newClient()
 	p.Request(NewExchange(Job{ID: "r", Class: 1, Tenant: -1}, clock.Now()+5*time.Second, c))
-	p.Ended(await(t, carry.sent), falltray.Lost, nil, nil)
+	p.Ended(await(t, carry.sent), sedgevale.Lost, nil, nil)
 	if got := await(t, c.first); got.Kind != Failed || !got.Ran {
 		t.Errorf("answered %+v", got)
 	}
@@ -153,13 +153,13 @@
 	c := newClient()
 	p.Request(NewExchange(Job{ID: "r", Class: 1, Tenant: -1}, clock.Now()+5*time.Second, c))
 	first := await(t, carry.sent)
-	p.Members(falltray.ListPatch, []falltray.WorkerInfo{{Worker: first.Worker, State: falltray.Leaving}})
-	p.Ended(first, falltray.NotSent, nil, nil)
+	p.Members(sedgevale.ListPatch, []sedgevale.WorkerInfo{{Worker: first.Worker, State: sedgevale.Leaving}})
+	p.Ended(first, sedgevale.NotSent, nil, nil)
 	second := await(t, carry.sent)
 	if second.Worker == first.Worker {
 		t.Error("sent to the worker that drains")
 	}
-	p.Ended(second, falltray.Served, []byte("ok"), nil)
+	p.Ended(second, sedgevale.Served, []byte("ok"), nil)
 	if got := await(t, c.first); got.Kind != Served || string(got.Result) != "ok" {
 		t.Errorf("answered %+v", got)
 	}
@@ -178,7 +178,7 @@
 	}
 	again := newClient()
 	p.Request(NewExchange(Job{ID: "s", Tenant: -1}, clock.Now()+5*time.Second, again))
-	p.Ended(await(t, carry.sent), falltray.Served, nil, nil)
+	p.Ended(await(t, carry.sent), sedgevale.Served, nil, nil)
 	if got := await(t, again.first); got.Kind != Served {
 		t.Errorf("answered %+v", got)
 	}
--- a/internal/core/set.go
+++ b/internal/core/set.go
@@ -5,7 +5,7 @@
 	"hash/maphash"
 	"sync"
 
-	"falltray"
+	"sedgevale"
 )
 
 // Set is the planners of one program. A request belongs to one of them by its
@@ -41,9 +41,9 @@
 func (s *Set) Gone(x *Exchange) { s.of(x.ID).Gone(x) }
 
 // Members brings the list of workers to all planners, each with a copy of its own.
-func (s *Set) Members(list falltray.ListKind, entries []falltray.WorkerInfo) {
+func (s *Set) Members(list sedgevale.ListKind, entries []sedgevale.WorkerInfo) {
 	for _, p := range s.planners {
-		p.Members(list, append([]falltray.WorkerInfo(nil), entries...))
+		p.Members(list, append([]sedgevale.WorkerInfo(nil), entries...))
 	}
 }
 
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"falltray/internal/http1"
+	"sedgevale/internal/http1"
 )
 
 const (
--- a/internal/discovery/wire.go
+++ b/internal/discovery/wire.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"falltray"
+	"sedgevale"
 )
 
 // List is the list of workers, whole or the part that has changed.
@@ -28,8 +28,8 @@
 	UpSince  int64   `json:"up_since_ms"`
 }
 
-var phases = map[string]falltray.WorkerState{
-	"ready": falltray.Active, "draining": falltray.Leaving, "gone": falltray.Left,
+var phases = map[string]sedgevale.WorkerState{
+	"ready": sedgevale.Active, "draining": sedgevale.Leaving, "gone": sedgevale.Left,
 }
 
 // Parse reads a list.
@@ -56,10 +56,10 @@
 
 // Entries turns a list into the module's form. When maps Unix times onto the
 // module's clock.
-func (n Names) Entries(l List, when func(unixMilli int64) time.Duration) []falltray.WorkerInfo {
-	entries := make([]falltray.WorkerInfo, 0, len(l.Members))
+func (n Names) Entries(l List, when func(unixMilli int64) time.Duration) []sedgevale.WorkerInfo {
+	entries := make([]sedgevale.WorkerInfo, 0, len(l.Members))
 	for _, m := range l.Members {
-		entries = append(entries, falltray.WorkerInfo{Worker: m.ID, Zone: place(n.Zones, m.Locality),
+		entries = append(entries, sedgevale.WorkerInfo{Worker: m.ID, Zone: place(n.Zones, m.Locality),
 			Kind: place(n.Kinds, m.Flavor), Cell: m.Cell, State: phases[m.Phase], Weight: m.Size,
 			StartedAt: when(m.UpSince)})
 	}
@@ -78,4 +78,4 @@
 }
 
 // Ready reports whether the worker takes new jobs.
-func (m *Member) Ready() bool { return phases[m.Phase] == falltray.Active }
+func (m *Member) Ready() bool { return phases[m.Phase] == sedgevale.Active }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -6,10 +6,10 @@
 	"errors"
 	"strconv"
 
-	"falltray/internal/core"
-	"falltray/internal/http1"
-	"falltray/internal/httpd"
-	"falltray/internal/intake"
+	"sedgevale/internal/core"
+	"sedgevale/internal/http1"
+	"sedgevale/internal/httpd"
+	"sedgevale/internal/intake"
 )
 
 // Planners take requests in.
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -16,9 +16,9 @@
 	"github.com/panjf2000/gnet/v2/pkg/logging"
 	"golang.org/x/sys/unix"
 
-	"falltray/internal/budget"
-	"falltray/internal/http1"
-	"falltray/internal/inbox"
+	"sedgevale/internal/budget"
+	"sedgevale/internal/http1"
+	"sedgevale/internal/inbox"
 )
 
 // The server's bounds.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -9,9 +9,9 @@
 	"strings"
 	"time"
 
-	"falltray"
-	"falltray/internal/core"
-	"falltray/internal/httpd"
+	"sedgevale"
+	"sedgevale/internal/core"
+	"sedgevale/internal/httpd"
 )
 
 // margin is kept of the time that a client waits, for the answer's way back.
@@ -20,8 +20,8 @@
 // Rules are what requests are read by.
 type Rules struct {
 	Clock   core.Clock
-	Classes []falltray.Class
-	Tenants []falltray.Tenant
+	Classes []sedgevale.Class
+	Tenants []sedgevale.Tenant
 }
 
 // Error is why a request is not a job.
@@ -96,7 +96,7 @@
 		return j, 0, bad("Request-Id must be one word")
 	case patience <= 0:
 		return j, 0, bad("Request-Timeout is missing")
-	case j.Once == "" && r.Classes[j.Class].Effect == falltray.Keyed:
+	case j.Once == "" && r.Classes[j.Class].Effect == sedgevale.Keyed:
 		return j, 0, bad("this class needs an Idempotency-Key")
 	}
 	for i := range r.Tenants {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,8 +9,8 @@
 	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
 
-	"falltray"
-	"falltray/internal/http1"
+	"sedgevale"
+	"sedgevale/internal/http1"
 )
 
 // conn is a connection to a worker. It belongs to the loop.
@@ -36,7 +36,7 @@
 	c.out = c.request(c.out[:0], f)
 	c.broken = true // a failure closes the connection within Write, and OnClose tells
 	if _, err := c.gc.Write(c.out); err != nil {
-		c.pool.end(f, falltray.ConnectFailed, nil, nil)
+		c.pool.end(f, sedgevale.ConnectFailed, nil, nil)
 		return
 	}
 	c.broken = false
@@ -101,7 +101,7 @@
 func (c *conn) broke(err error) gnet.Action {
 	if f := c.f; f != nil && !f.over {
 		c.pool.opt.Log.Warn("a worker's answer is malformed", "worker", c.w.id, "err", err)
-		c.pool.end(f, falltray.Lost, nil, nil)
+		c.pool.end(f, sedgevale.Lost, nil, nil)
 	}
 	c.pool.drop(c)
 	return gnet.None
@@ -151,9 +151,9 @@
 func (c *conn) headOnly(h *http1.Head) {
 	f := c.f
 	report := parseLoad(h.Get("Server-Load"))
-	o := falltray.Errored
+	o := sedgevale.Errored
 	if (h.Status == 503 || h.Status == 504) && h.Get("Not-Started") == "1" {
-		o = falltray.Full
+		o = sedgevale.Full
 	}
 	c.tail()
 	c.pool.end(f, o, nil, report)
@@ -181,20 +181,20 @@
 		if l.Result == nil {
 			return errNoResult
 		}
-		c.over(falltray.Served, []byte(*l.Result), l)
+		c.over(sedgevale.Served, []byte(*l.Result), l)
 	case "failed":
-		c.over(falltray.Errored, nil, l)
+		c.over(sedgevale.Errored, nil, l)
 	case "returned":
-		c.over(falltray.Full, nil, l)
+		c.over(sedgevale.Full, nil, l)
 	case "lost":
-		c.over(falltray.Lost, nil, l)
+		c.over(sedgevale.Lost, nil, l)
 	}
 	return nil
 }
 
 // over ends the attempt by its last line. The end of the chunks is still to
 // come; until then the connection is not used again.
-func (c *conn) over(o falltray.Outcome, result []byte, l line) {
+func (c *conn) over(o sedgevale.Outcome, result []byte, l line) {
 	c.tail()
 	c.pool.end(c.f, o, result, reportOf(l.Load))
 }
@@ -210,7 +210,7 @@
 func (c *conn) finish() bool {
 	delete(c.pool.tails, c)
 	if f := c.f; f != nil && !f.over { // it ended without a last line
-		c.pool.end(f, falltray.Lost, nil, nil)
+		c.pool.end(f, sedgevale.Lost, nil, nil)
 	}
 	if c.dead {
 		return false
--- a/internal/upstream/line.go
+++ b/internal/upstream/line.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"strings"
 
-	"falltray"
+	"sedgevale"
 )
 
 // line is one object of a worker's answer, read into what is used of it.
@@ -54,8 +54,8 @@
 }
 
 // reportOf picks the values that decisions are made from; nil if there is none.
-func reportOf(values map[string]float64) *falltray.Report {
-	var r falltray.Report
+func reportOf(values map[string]float64) *sedgevale.Report {
+	var r sedgevale.Report
 	r.Free, r.HasFree = values["x0"]
 	if r.Held, r.HasHeld = values["rif"]; !r.HasHeld {
 		r.Held, r.HasHeld = values["inflight"]
@@ -68,7 +68,7 @@
 
 // parseLoad reads a report of the form name=value,name=value. What is malformed
 // is left out: a report is advice, and the answer that carries it still counts.
-func parseLoad(s string) *falltray.Report {
+func parseLoad(s string) *sedgevale.Report {
 	values := map[string]float64{}
 	for pair := range strings.SplitSeq(s, ",") {
 		name, value, ok := strings.Cut(strings.TrimSpace(pair), "=")
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -12,12 +12,12 @@
 
 	"github.com/panjf2000/gnet/v2"
 
-	"falltray"
-	"falltray/internal/budget"
-	"falltray/internal/core"
-	"falltray/internal/http1"
-	"falltray/internal/httpd"
-	"falltray/internal/inbox"
+	"sedgevale"
+	"sedgevale/internal/budget"
+	"sedgevale/internal/core"
+	"sedgevale/internal/http1"
+	"sedgevale/internal/httpd"
+	"sedgevale/internal/inbox"
 )
 
 // Options set a Pool up.
@@ -174,7 +174,7 @@
 func (p *Pool) leave(w *worker) {
 	w.ready = false
 	for f := range w.dialling {
-		p.end(f, falltray.NotSent, nil, nil)
+		p.end(f, sedgevale.NotSent, nil, nil)
 	}
 	p.closeAll(w)
 }
@@ -198,7 +198,7 @@
 func (p *Pool) Cancel(a *core.Attempt) {
 	p.box.Put(func() {
 		if f := p.flights[a]; f != nil {
-			p.end(f, falltray.Cancelled, nil, nil)
+			p.end(f, sedgevale.Cancelled, nil, nil)
 		}
 	})
 }
@@ -213,7 +213,7 @@
 		}
 		p.start(f)
 		time.AfterFunc(probeWait, func() {
-			p.box.Put(func() { p.end(f, falltray.TimedOut, nil, nil) })
+			p.box.Put(func() { p.end(f, sedgevale.TimedOut, nil, nil) })
 		})
 	})
 }
@@ -230,7 +230,7 @@
 func (p *Pool) start(f *flight) {
 	w := f.w
 	if w == nil || !w.ready {
-		p.end(f, falltray.NotSent, nil, nil)
+		p.end(f, sedgevale.NotSent, nil, nil)
 		return
 	}
 	if n := len(w.idle); n > 0 {
@@ -251,7 +251,7 @@
 		_, err = p.client.EnrollContext(nc, &conn{pool: p, f: f, parser: http1.NewParser(http1.Response)})
 	}
 	if err != nil {
-		p.box.Put(func() { p.end(f, falltray.ConnectFailed, nil, nil) })
+		p.box.Put(func() { p.end(f, sedgevale.ConnectFailed, nil, nil) })
 	}
 }
 
@@ -289,9 +289,9 @@
 		return gnet.None
 	}
 	if c.whole() {
-		p.end(f, falltray.Lost, nil, nil)
+		p.end(f, sedgevale.Lost, nil, nil)
 	} else {
-		p.end(f, falltray.ConnectFailed, nil, nil)
+		p.end(f, sedgevale.ConnectFailed, nil, nil)
 	}
 	return gnet.None
 }
@@ -306,7 +306,7 @@
 
 // end tells how a flight ended. Unless its answer has come whole, its
 // connection is closed with it.
-func (p *Pool) end(f *flight, o falltray.Outcome, result []byte, report *falltray.Report) {
+func (p *Pool) end(f *flight, o sedgevale.Outcome, result []byte, report *sedgevale.Report) {
 	if f.over {
 		return
 	}
@@ -314,7 +314,7 @@
 	if f.w != nil {
 		delete(f.w.dialling, f)
 	}
-	if c := f.c; c != nil && !c.dead && o != falltray.Served && !c.ended {
+	if c := f.c; c != nil && !c.dead && o != sedgevale.Served && !c.ended {
 		p.drop(c)
 	}
 	if f.a == nil {
--- a/internal/wire/reader.go
+++ b/internal/wire/reader.go
@@ -12,7 +12,7 @@
 	"strconv"
 	"time"
 
-	"falltray"
+	"sedgevale"
 )
 
 // Kind tells what an Event is.
@@ -41,11 +41,11 @@
 	Now      time.Duration
 
 	Seed     uint64                // Begin
-	Settings falltray.Settings     // Begin
-	List     falltray.ListKind     // Members
-	Entries  []falltray.WorkerInfo // Members
-	Request  falltray.Request      // Knock
-	Result   falltray.Result       // Answer; ID and Attempt also of Headers, Note and Gone; Report of Echo
+	Settings sedgevale.Settings     // Begin
+	List     sedgevale.ListKind     // Members
+	Entries  []sedgevale.WorkerInfo // Members
+	Request  sedgevale.Request      // Knock
+	Result   sedgevale.Result       // Answer; ID and Attempt also of Headers, Note and Gone; Report of Echo
 	Worker   string                // Echo
 	Started  bool                  // Note: started, else progress
 	Share    float64               // Note: share done
@@ -78,10 +78,10 @@
 	now      time.Duration
 	instance string
 	names    map[string]string // instances and workers, interned
-	lists    [lists][]falltray.WorkerInfo
+	lists    [lists][]sedgevale.WorkerInfo
 	known    [lists]bool
 	event    Event
-	report   falltray.Report
+	report   sedgevale.Report
 }
 
 // NewReader returns a Reader on in.
@@ -207,7 +207,7 @@
 	return r.done()
 }
 
-func (r *Reader) knock(q *falltray.Request) (err error) {
+func (r *Reader) knock(q *sedgevale.Request) (err error) {
 	if q.ID, err = r.copied("request id"); err != nil {
 		return err
 	}
@@ -247,7 +247,7 @@
 	return nil
 }
 
-func (r *Reader) answer(a *falltray.Result) (err error) {
+func (r *Reader) answer(a *sedgevale.Result) (err error) {
 	if a.ID, err = r.copied("request id"); err != nil {
 		return err
 	}
@@ -271,18 +271,18 @@
 	return r.load(a)
 }
 
-var outcomes = map[string]falltray.Outcome{
-	"pass": falltray.Served, "fault": falltray.Errored, "no_room": falltray.Full,
-	"too_slow": falltray.TimedOut, "no_route": falltray.ConnectFailed, "cut": falltray.Lost,
-	"undone": falltray.Cancelled, "stale_send": falltray.NotSent,
+var outcomes = map[string]sedgevale.Outcome{
+	"pass": sedgevale.Served, "fault": sedgevale.Errored, "no_room": sedgevale.Full,
+	"too_slow": sedgevale.TimedOut, "no_route": sedgevale.ConnectFailed, "cut": sedgevale.Lost,
+	"undone": sedgevale.Cancelled, "stale_send": sedgevale.NotSent,
 }
 
-func (r *Reader) load(a *falltray.Result) error {
+func (r *Reader) load(a *sedgevale.Result) error {
 	rest := r.word()
 	if absent(rest) {
 		return nil
 	}
-	r.report = falltray.Report{}
+	r.report = sedgevale.Report{}
 	for len(rest) > 0 {
 		pair := rest
 		if i := bytes.IndexByte(rest, ','); i >= 0 {
@@ -360,13 +360,13 @@
 	slot := r.word()
 	switch mode := r.word(); string(mode) {
 	case "patch":
-		e.List = falltray.ListPatch
+		e.List = sedgevale.ListPatch
 	case "whole":
-		e.List = falltray.ListWhole
+		e.List = sedgevale.ListWhole
 	case "stale_copy":
-		e.List = falltray.ListStale
+		e.List = sedgevale.ListStale
 	case "broken":
-		e.List = falltray.ListBroken
+		e.List = sedgevale.ListBroken
 		return nil
 	default:
 		return r.bad("unknown list mode")
@@ -398,7 +398,7 @@
 	if n >= lists {
 		return r.bad("list number over 15")
 	}
-	rows := make([]falltray.WorkerInfo, 0, min(count, 4096))
+	rows := make([]sedgevale.WorkerInfo, 0, min(count, 4096))
 	for range count {
 		if err := r.readLine(); err != nil {
 			return err
@@ -406,7 +406,7 @@
 		if word := r.word(); string(word) != "ITEM" {
 			return &SyntaxError{head, fmt.Sprintf("%d entries announced, %d found", count, len(rows))}
 		}
-		var w falltray.WorkerInfo
+		var w sedgevale.WorkerInfo
 		if err := r.item(&w); err != nil {
 			return err
 		}
@@ -416,7 +416,7 @@
 	return nil
 }
 
-func (r *Reader) item(w *falltray.WorkerInfo) (err error) {
+func (r *Reader) item(w *sedgevale.WorkerInfo) (err error) {
 	name, err := r.text("worker")
 	if err != nil {
 		return err
@@ -433,11 +433,11 @@
 	}
 	switch state := r.word(); string(state) {
 	case "active":
-		w.State = falltray.Active
+		w.State = sedgevale.Active
 	case "leaving":
-		w.State = falltray.Leaving
+		w.State = sedgevale.Leaving
 	case "left":
-		w.State = falltray.Left
+		w.State = sedgevale.Left
 	default:
 		return r.bad("unknown state")
 	}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,21 +6,21 @@
 	"strings"
 	"time"
 
-	"falltray"
+	"sedgevale"
 )
 
 // ParseSettings reads the path=value pairs of BEGIN. Unknown keys are skipped.
 // A non-empty text says what is wrong.
-func ParseSettings(info string) (falltray.Settings, string) {
+func ParseSettings(info string) (sedgevale.Settings, string) {
 	p := pairs{m: map[string]string{}}
 	for _, pair := range strings.Fields(info) {
 		path, value, ok := strings.Cut(pair, "=")
 		if !ok {
-			return falltray.Settings{}, fmt.Sprintf("setting %q has no value", pair)
+			return sedgevale.Settings{}, fmt.Sprintf("setting %q has no value", pair)
 		}
 		p.m[path] = value
 	}
-	s := falltray.Settings{
+	s := sedgevale.Settings{
 		Zone:          p.int("zone"),
 		Peers:         p.int("peers_total"),
 		MaxAttempts:   p.int("bounds.max_attempts"),
@@ -45,15 +45,15 @@
 	}
 	switch p.m["weights"] {
 	case "nominal", "rough":
-		s.Weights = falltray.WeightSize
+		s.Weights = sedgevale.WeightSize
 	case "live":
-		s.Weights = falltray.WeightLive
+		s.Weights = sedgevale.WeightLive
 	}
 	kinds := p.list("family_info.class_kind")
 	stretch := p.list("family_info.class_stretch")
 	for i := range min(p.int("classes.count"), 1<<16) {
 		at := fmt.Sprintf("classes.%d.", i)
-		c := falltray.Class{
+		c := sedgevale.Class{
 			Name:      p.m[at+"name"],
 			Effect:    effects[p.m[at+"effect"]],
 			Scope:     scopes[p.m[at+"dedup_scope"]],
@@ -81,18 +81,18 @@
 	}
 	for i := range min(p.int("realms.count"), 1<<16) {
 		at := fmt.Sprintf("realms.%d.", i)
-		s.Tenants = append(s.Tenants, falltray.Tenant{
+		s.Tenants = append(s.Tenants, sedgevale.Tenant{
 			Name: p.m[at+"name"], Share: p.float(at + "share"), Quota: p.float(at + "quota_rps")})
 	}
 	return s, p.wrong
 }
 
-var effects = map[string]falltray.Effect{
-	"free": falltray.Safe, "guarded": falltray.Keyed, "single_shot": falltray.Unsafe,
+var effects = map[string]sedgevale.Effect{
+	"free": sedgevale.Safe, "guarded": sedgevale.Keyed, "single_shot": sedgevale.Unsafe,
 }
 
-var scopes = map[string]falltray.Scope{
-	"all": falltray.ScopeAll, "zone": falltray.ScopeZone, "cell": falltray.ScopeCell,
+var scopes = map[string]sedgevale.Scope{
+	"all": sedgevale.ScopeAll, "zone": sedgevale.ScopeZone, "cell": sedgevale.ScopeCell,
 }
 
 // pairs looks settings up; it keeps the first that is malformed.
@@ -135,7 +135,7 @@
 
 // budget reads the budget of further attempts. It binds where any of its keys
 // is there, and then needs a span.
-func (p *pairs) budget(b *falltray.Budget) string {
+func (p *pairs) budget(b *sedgevale.Budget) string {
 	_, free := p.m["rules.extra_free"]
 	_, ratio := p.m["rules.repeat_ratio"]
 	_, span := p.m["rules.ratio_span"]
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"falltray"
+	"sedgevale"
 )
 
 const ms = time.Millisecond
@@ -29,7 +29,7 @@
 			return all, err
 		}
 		c := *e
-		c.Entries = append([]falltray.WorkerInfo(nil), e.Entries...)
+		c.Entries = append([]sedgevale.WorkerInfo(nil), e.Entries...)
 		if e.Result.Report != nil {
 			report := *e.Result.Report
 			c.Result.Report = &report
@@ -43,28 +43,28 @@
 		line string
 		want Event
 	}{
-		{"KNOCK rq_b 1 2 data/k 0.24 0.012 2 0.5 3", Event{Kind: Knock, Request: falltray.Request{
+		{"KNOCK rq_b 1 2 data/k 0.24 0.012 2 0.5 3", Event{Kind: Knock, Request: sedgevale.Request{
 			ID: "rq_b", Class: 1, Tenant: 2, Key: "data/k", Left: 240 * ms, Hint: 12 * ms, Slots: 2,
 			Retry: true}}},
-		{"KNOCK rq_b 0 - - 0.24 0.012 - - 0", Event{Kind: Knock, Request: falltray.Request{
+		{"KNOCK rq_b 0 - - 0.24 0.012 - - 0", Event{Kind: Knock, Request: sedgevale.Request{
 			ID: "rq_b", Tenant: -1, Left: 240 * ms}}},
-		{"ANSWER rq_b 1 10.0.0.1:5 no_room 0.0185 0 - -", Event{Kind: Answer, Result: falltray.Result{
-			ID: "rq_b", Attempt: 1, Outcome: falltray.Full}}},
-		{"ANSWER rq_b 0 10.0.0.1:5 pass 0.0185 1 - busy:0.62,x0:0.4,rif:3,new:7", Event{Kind: Answer, Result: falltray.Result{
-			ID: "rq_b", Closed: true, Report: &falltray.Report{HasFree: true, Free: 0.4, HasHeld: true, Held: 3}}}},
+		{"ANSWER rq_b 1 10.0.0.1:5 no_room 0.0185 0 - -", Event{Kind: Answer, Result: sedgevale.Result{
+			ID: "rq_b", Attempt: 1, Outcome: sedgevale.Full}}},
+		{"ANSWER rq_b 0 10.0.0.1:5 pass 0.0185 1 - busy:0.62,x0:0.4,rif:3,new:7", Event{Kind: Answer, Result: sedgevale.Result{
+			ID: "rq_b", Closed: true, Report: &sedgevale.Report{HasFree: true, Free: 0.4, HasHeld: true, Held: 3}}}},
 		{"STATUS_NOTE rq_b 0 10.0.0.1:5 1 0.5", Event{Kind: Note, Started: true, Share: 0.5,
-			Result: falltray.Result{ID: "rq_b"}}},
+			Result: sedgevale.Result{ID: "rq_b"}}},
 		{"STATUS_NOTE rq_b 2 10.0.0.1:5 2 0.25", Event{Kind: Note, Share: 0.25,
-			Result: falltray.Result{ID: "rq_b", Attempt: 2}}},
-		{"HEADERS rq_b 10.0.0.1:5 3 0.009", Event{Kind: Headers, Result: falltray.Result{ID: "rq_b", Attempt: 3}}},
-		{"CLIENT_GONE rq_b", Event{Kind: Gone, Result: falltray.Result{ID: "rq_b"}}},
+			Result: sedgevale.Result{ID: "rq_b", Attempt: 2}}},
+		{"HEADERS rq_b 10.0.0.1:5 3 0.009", Event{Kind: Headers, Result: sedgevale.Result{ID: "rq_b", Attempt: 3}}},
+		{"CLIENT_GONE rq_b", Event{Kind: Gone, Result: sedgevale.Result{ID: "rq_b"}}},
 		{"WAKE 9223372036854775808", Event{Kind: Wake, Token: 1 << 63}},
 		{"KILL", Event{Kind: Kill}},
-		{"ECHO 10.0.0.1:5 pass 0.001 x0:1.5,rif:2", Event{Kind: Echo, Worker: "10.0.0.1:5", Result: falltray.Result{
-			Report: &falltray.Report{HasFree: true, Free: 1.5, HasHeld: true, Held: 2}}}},
+		{"ECHO 10.0.0.1:5 pass 0.001 x0:1.5,rif:2", Event{Kind: Echo, Worker: "10.0.0.1:5", Result: sedgevale.Result{
+			Report: &sedgevale.Report{HasFree: true, Free: 1.5, HasHeld: true, Held: 2}}}},
 		{"ECHO 10.0.0.1:5 too_slow 0.5 -", Event{Kind: Echo, Worker: "10.0.0.1:5"}},
 		{"MESSAGE 2 68692037", Event{Kind: Message}},
-		{"MEMBERS 4 - broken", Event{Kind: Members, List: falltray.ListBroken}},
+		{"MEMBERS 4 - broken", Event{Kind: Members, List: sedgevale.ListBroken}},
 	} {
 		got, err := read(t, "MARK 8.41225 1", "ABOUT d/1", c.line, "GO")
 		if err != nil || len(got) != 1 {
@@ -89,15 +89,15 @@
 	if err != nil || len(got) != 3 {
 		t.Fatalf("%d events, error %v", len(got), err)
 	}
-	want := []falltray.WorkerInfo{{Worker: "a:1", Kind: 1, Cell: 2, Weight: 1.5},
-		{Worker: "b:1", Zone: 1, State: falltray.Leaving, Weight: 1, StartedAt: 6100 * ms}}
-	if !reflect.DeepEqual(got[0].Entries, want) || got[0].List != falltray.ListStale {
+	want := []sedgevale.WorkerInfo{{Worker: "a:1", Kind: 1, Cell: 2, Weight: 1.5},
+		{Worker: "b:1", Zone: 1, State: sedgevale.Leaving, Weight: 1, StartedAt: 6100 * ms}}
+	if !reflect.DeepEqual(got[0].Entries, want) || got[0].List != sedgevale.ListStale {
 		t.Errorf("first list: %+v", got[0])
 	}
-	if len(got[1].Entries) != 0 || got[1].List != falltray.ListWhole {
+	if len(got[1].Entries) != 0 || got[1].List != sedgevale.ListWhole {
 		t.Errorf("second list: %+v", got[1])
 	}
-	if len(got[2].Entries) != 1 || got[2].Entries[0].State != falltray.Left {
+	if len(got[2].Entries) != 1 || got[2].Entries[0].State != sedgevale.Left {
 		t.Errorf("third list: %+v", got[2])
 	}
 }
@@ -167,13 +167,13 @@
 	if what != "" {
 		t.Fatal(what)
 	}
-	want := falltray.Settings{Zone: 1, Peers: 2, Weights: falltray.WeightLive, MaxAttempts: 6, ParallelTries: true,
+	want := sedgevale.Settings{Zone: 1, Peers: 2, Weights: sedgevale.WeightLive, MaxAttempts: 6, ParallelTries: true,
 		MayCancel: true, AskForList: true, TellsStart: true, MaxRetryAfter: 2 * time.Second, StartCapacity: 0.3,
 		WarmUp: 8700 * ms, FallMultiple: 2.5, Fall: 1500 * ms,
-		Tenants: []falltray.Tenant{{Name: "t", Share: 0.4, Quota: 14}},
-		Classes: []falltray.Class{
+		Tenants: []sedgevale.Tenant{{Name: "t", Share: 0.4, Quota: 14}},
+		Classes: []sedgevale.Class{
 			{Name: "a", Window: 5 * time.Second, Aim: 80 * ms, Stretch: 2.5, Limit: 5 * time.Second, LateShare: 0.5},
-			{Name: "b", Effect: falltray.Keyed, Scope: falltray.ScopeZone, Window: 7500 * ms, Aim: 100 * ms,
+			{Name: "b", Effect: sedgevale.Keyed, Scope: sedgevale.ScopeZone, Window: 7500 * ms, Aim: 100 * ms,
 				Stretch: 2, Limit: 5 * time.Second, Kinds: []int{1}, Stream: true}}}
 	if !reflect.DeepEqual(s, want) {
 		t.Errorf("\n got %+v\nwant %+v", s, want)
@@ -188,13 +188,13 @@
 	if what != "" {
 		t.Fatal(what)
 	}
-	want := falltray.Settings{MustProbe: true, FullMayHaveRun: true, CloseOnDrain: 1500 * ms,
-		Further: falltray.Budget{Free: 3, Ratio: 0.03, Span: 5 * time.Second},
-		Classes: []falltray.Class{{Kinds: []int{1}}, {Zones: []int{0, 1}}, {Kinds: []int{}}}}
+	want := sedgevale.Settings{MustProbe: true, FullMayHaveRun: true, CloseOnDrain: 1500 * ms,
+		Further: sedgevale.Budget{Free: 3, Ratio: 0.03, Span: 5 * time.Second},
+		Classes: []sedgevale.Class{{Kinds: []int{1}}, {Zones: []int{0, 1}}, {Kinds: []int{}}}}
 	if !reflect.DeepEqual(s, want) {
 		t.Errorf("\n got %+v\nwant %+v", s, want)
 	}
-	if s, what := ParseSettings("classes.count=0"); what != "" || s.Further != (falltray.Budget{}) {
+	if s, what := ParseSettings("classes.count=0"); what != "" || s.Further != (sedgevale.Budget{}) {
 		t.Errorf("no budget set: %+v, %q", s.Further, what)
 	}
 }
--- a/rules_test.go
+++ b/rules_test.go
@@ -1,4 +1,4 @@
-package falltray
+package sedgevale
 
 import (
 	"fmt"
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -12,15 +12,15 @@
 	"sync/atomic"
 	"time"
 
-	"falltray"
-	"falltray/internal/budget"
-	"falltray/internal/config"
-	"falltray/internal/core"
-	"falltray/internal/discovery"
-	"falltray/internal/front"
-	"falltray/internal/httpd"
-	"falltray/internal/intake"
-	"falltray/internal/upstream"
+	"sedgevale"
+	"sedgevale/internal/budget"
+	"sedgevale/internal/config"
+	"sedgevale/internal/core"
+	"sedgevale/internal/discovery"
+	"sedgevale/internal/front"
+	"sedgevale/internal/httpd"
+	"sedgevale/internal/intake"
+	"sedgevale/internal/upstream"
 )
 
 const (
@@ -46,7 +46,7 @@
 type Scheduler struct {
 	opt      Options
 	config   *config.Config
-	settings falltray.Settings
+	settings sedgevale.Settings
 	clock    core.Clock
 	budget   *budget.Budget
 	pool     *upstream.Pool
@@ -114,7 +114,7 @@
 	if s.config.Discovery != "" {
 		go s.watcher.Run(work)
 	}
-	s.members(falltray.ListStale, *s.config.Known)
+	s.members(sedgevale.ListStale, *s.config.Known)
 	ended, err := s.server.Start()
 	if err != nil {
 		return err
@@ -168,21 +168,21 @@
 // told passes an answer of discovery on: first to those who carry, so that they
 // know each worker that a planner may name.
 func (s *Scheduler) told(l discovery.List) {
-	kind := falltray.ListPatch
+	kind := sedgevale.ListPatch
 	if l.Complete {
-		kind = falltray.ListWhole
+		kind = sedgevale.ListWhole
 	}
 	s.members(kind, l)
 }
 
-func (s *Scheduler) members(kind falltray.ListKind, l discovery.List) {
+func (s *Scheduler) members(kind sedgevale.ListKind, l discovery.List) {
 	carriers := make([]upstream.Member, 0, len(l.Members))
 	for _, m := range l.Members {
 		carriers = append(carriers, upstream.Member{ID: m.ID, Addr: m.HostPort, Ready: m.Ready()})
 	}
-	s.pool.Members(kind != falltray.ListPatch, carriers)
+	s.pool.Members(kind != sedgevale.ListPatch, carriers)
 	names := discovery.Names{Zones: s.config.Settings.Zones, Kinds: s.config.Settings.Kinds}
 	s.planners.Members(kind, names.Entries(l, s.clock.FromUnixMilli))
 }
 
-func (s *Scheduler) broken() { s.planners.Members(falltray.ListBroken, nil) }
+func (s *Scheduler) broken() { s.planners.Members(sedgevale.ListBroken, nil) }
--- a/state.go
+++ b/state.go
@@ -1,4 +1,4 @@
-package falltray
+package sedgevale
 
 // Types, book-keeping and the arithmetic of means, levels and quantiles. Nothing
 // here decides: that is all in dispatcher.go, and so are the constants.
