--- /dev/null
+++ b/internal/sse/id.go
@@ -0,0 +1,47 @@
+package sse
+
+import (
+	"net/url"
+	"strconv"
+	"strings"
+)
+
+// eventID names an event: the scheduler's run, the request, its class, and the
+// event's place in the stream. It tells by itself whether the event was final,
+// so that nothing need be kept to know that a client has all.
+type eventID struct {
+	epoch   string
+	seq     int
+	final   bool
+	class   string
+	request string
+}
+
+const finalMark = ".end"
+
+func (id eventID) String() string {
+	seq := strconv.Itoa(id.seq)
+	if id.final {
+		seq += finalMark
+	}
+	return id.epoch + ":" + seq + ":" + url.QueryEscape(id.class) + ":" + url.QueryEscape(id.request)
+}
+
+// parseID reads what a client sends back. It may be anything.
+func parseID(s string) (id eventID, ok bool) {
+	parts := strings.Split(s, ":")
+	if len(parts) != 4 || parts[0] == "" || len(s) > 1024 {
+		return id, false
+	}
+	id.epoch = parts[0]
+	seq, final := strings.CutSuffix(parts[1], finalMark)
+	v, err := strconv.ParseUint(seq, 10, 31)
+	if err != nil {
+		return id, false
+	}
+	id.seq, id.final = int(v), final
+	var err1, err2 error
+	id.class, err1 = url.QueryUnescape(parts[2])
+	id.request, err2 = url.QueryUnescape(parts[3])
+	return id, err1 == nil && err2 == nil && id.class != "" && id.request != ""
+}
--- /dev/null
+++ b/internal/sse/sse.go
@@ -0,0 +1,255 @@
+// Package sse is the second front: clients follow their jobs by server-sent
+// events. It keeps the same rules as the first. A stream has any number of
+// accepted, started and progress events and then exactly one final event:
+// result, refused or failed. A client that lost its connection goes on from the
+// last event it has had.
+package sse
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"sedgevale"
+	"sedgevale/internal/core"
+	"sedgevale/internal/front"
+	"sedgevale/internal/http1"
+	"sedgevale/internal/httpd"
+	"sedgevale/internal/intake"
+)
+
+const (
+	maxEvents = 64       // of a job; older progress events are dropped beyond
+	maxUnsent = 64 << 10 // what a slow subscriber may leave unread
+	maxKept   = 4096     // jobs kept after their end
+	maxBytes  = 16 << 20 // of all events kept
+	tickEvery = time.Second
+)
+
+// Options set a Front up.
+type Options struct {
+	Rules     *intake.Rules
+	Planners  front.Planners
+	Ready     func() bool
+	Heartbeat time.Duration // between comments on a stream that says nothing; 0: 10 s
+	Retain    time.Duration // how long a finished job can be asked for; 0: a minute
+	Log       *slog.Logger
+}
+
+// Front is an httpd.Handler.
+type Front struct {
+	rules     *intake.Rules
+	planners  front.Planners
+	ready     func() bool
+	heartbeat time.Duration
+	retain    time.Duration
+	log       *slog.Logger
+	epoch     string
+
+	mu    sync.Mutex
+	jobs  map[string]*job
+	done  []*job // finished, the oldest first
+	bytes int
+}
+
+// New returns a Front. Its epoch is new with each: ids of an earlier run are
+// known as such.
+func New(o Options) *Front {
+	f := &Front{rules: o.Rules, planners: o.Planners, ready: o.Ready, heartbeat: o.Heartbeat, retain: o.Retain,
+		log: o.Log, epoch: randomID(), jobs: map[string]*job{}}
+	if f.heartbeat <= 0 {
+		f.heartbeat = 10 * time.Second
+	}
+	if f.retain <= 0 {
+		f.retain = time.Minute
+	}
+	return f
+}
+
+func randomID() string {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return hex.EncodeToString(b[:])
+}
+
+// Run sends heartbeats and drops what was kept long enough, until the context
+// ends.
+func (f *Front) Run(ctx context.Context) {
+	tick := time.NewTicker(min(tickEvery, f.heartbeat, f.retain))
+	defer tick.Stop()
+	for {
+		select {
+		case now := <-tick.C:
+			f.tick(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (f *Front) tick(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.retire(now)
+	for _, j := range f.jobs {
+		if j.sub != nil && now.Sub(j.wrote) >= f.heartbeat {
+			j.wrote = now
+			j.sub.Post(func(c *httpd.Conn) {
+				if c.Write([]byte(":\n\n")); c.Unsent() > maxUnsent {
+					c.Abort()
+				}
+			})
+		}
+	}
+}
+
+// retire drops finished jobs that are too old or too many.
+func (f *Front) retire(now time.Time) {
+	n := 0
+	for n < len(f.done) && (now.Sub(f.done[n].ended) >= f.retain || len(f.done)-n > maxKept || f.bytes > maxBytes) {
+		j := f.done[n]
+		if j.sub != nil { // its last events are on their way
+			break
+		}
+		f.bytes -= j.bytes
+		delete(f.jobs, j.id)
+		f.done[n] = nil
+		n++
+	}
+	f.done = f.done[n:]
+}
+
+// Serve is called with each request.
+func (f *Front) Serve(c *httpd.Conn, q *httpd.Request) {
+	if q.Target == "/ready" {
+		front.Ready(c, q, f.ready())
+		return
+	}
+	class := f.rules.Class(q.Target)
+	var err error
+	switch {
+	case class < 0:
+		err = &intake.Error{Status: 404, Text: "no such class"}
+	case q.Method != "POST" && q.Method != "GET":
+		c.RespondLast(405, []http1.Field{{Name: "Allow", Value: "GET, POST"}}, []byte("only GET and POST\n"))
+		return
+	case !accepts(q.Get("Accept")):
+		err = &intake.Error{Status: 406, Text: "answers here are text/event-stream"}
+	case q.Method == "POST":
+		err = f.post(c, q, class)
+	default:
+		err = f.resume(c, q, class)
+	}
+	if err != nil {
+		front.Reject(c, err)
+	}
+}
+
+// Gone is called when a subscriber has left. Its job goes on.
+func (f *Front) Gone(c *httpd.Conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if j, ok := c.State.(*job); ok && j.sub == c {
+		j.sub, j.waiting = nil, false
+	}
+}
+
+func accepts(accept string) bool {
+	for part := range strings.SplitSeq(accept, ",") {
+		kind, _, _ := strings.Cut(part, ";")
+		if strings.EqualFold(strings.TrimSpace(kind), "text/event-stream") {
+			return true
+		}
+	}
+	return false
+}
+
+// post takes a job in.
+func (f *Front) post(c *httpd.Conn, q *httpd.Request, class int) error {
+	limit := f.rules.Classes[class].Limit
+	work, deadline, err := f.rules.Job(q, randomID(), limit)
+	if err != nil {
+		return err
+	}
+	deadline = min(deadline, f.rules.Clock.At(q.At)+limit)
+	f.mu.Lock()
+	if f.jobs[work.ID] != nil {
+		f.mu.Unlock()
+		return &intake.Error{Status: 409, Text: "this Request-Id is known; GET with it, or with Last-Event-ID, resumes"}
+	}
+	j := &job{front: f, id: work.ID, class: class}
+	f.jobs[j.id] = j
+	begin(c)
+	j.attach(c, 0)
+	f.mu.Unlock()
+	j.emit("accepted", nil, struct {
+		Request string `json:"request"`
+	}{j.id}, false)
+	f.planners.Request(core.NewExchange(work, deadline, j))
+	return nil
+}
+
+func begin(c *httpd.Conn) {
+	c.BeginStream([]http1.Field{{Name: "Content-Type", Value: "text/event-stream"},
+		{Name: "Cache-Control", Value: "no-store"}})
+}
+
+var errNoID = errors.New("nothing to resume: send Last-Event-ID, or the Request-Id of a job")
+
+// resume goes on with a stream after the last event that the client has had.
+func (f *Front) resume(c *httpd.Conn, q *httpd.Request, class int) error {
+	name := f.rules.Classes[class].Name
+	id := eventID{epoch: f.epoch, class: name, request: q.Get("Request-Id")}
+	if last := q.Get("Last-Event-ID"); last != "" {
+		var ok bool
+		if id, ok = parseID(last); !ok || id.class != name {
+			return &intake.Error{Status: 400, Text: "Last-Event-ID is none of this path's"}
+		}
+	} else if id.request == "" {
+		return errNoID
+	}
+	if id.final {
+		c.Respond(204, nil, nil) // the client has all; it need not come again
+		return nil
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	j := f.jobs[id.request]
+	if j != nil && id.epoch == f.epoch && j.class == class && id.seq <= j.seq {
+		begin(c)
+		j.attach(c, id.seq)
+		return nil
+	}
+	// Another run of the scheduler took the job, or it is too long ago. Nobody
+	// knows here what became of it, and nothing is run again.
+	reason := "the job is no longer known"
+	if id.epoch != f.epoch {
+		reason = "the scheduler has restarted since; what became of the job is unknown"
+	}
+	begin(c)
+	id = eventID{f.epoch, id.seq + 1, true, name, id.request}
+	c.Write(format(id, "failed", nil, f.failure(class, reason, true)))
+	c.EndStream()
+	return nil
+}
+
+type failure struct {
+	Reason     string `json:"reason"`
+	Outcome    string `json:"outcome"`     // what the worker did, as far as is known
+	RepeatSafe bool   `json:"repeat_safe"` // the client may post the job again
+}
+
+func (f *Front) failure(class int, reason string, ran bool) failure {
+	c := &f.rules.Classes[class]
+	out := failure{reason, "not run", true}
+	if ran {
+		out.Outcome = "unknown"
+		out.RepeatSafe = c.Effect == sedgevale.Safe || c.Effect == sedgevale.Keyed && c.Scope == sedgevale.ScopeAll
+	}
+	return out
+}
--- a/internal/wire/reader.go
+++ b/internal/wire/reader.go
@@ -40,16 +40,16 @@
 	Instance string
 	Now      time.Duration
 
-	Seed     uint64                // Begin
+	Seed     uint64                 // Begin
 	Settings sedgevale.Settings     // Begin
 	List     sedgevale.ListKind     // Members
 	Entries  []sedgevale.WorkerInfo // Members
 	Request  sedgevale.Request      // Knock
 	Result   sedgevale.Result       // Answer; ID and Attempt also of Headers, Note and Gone; Report of Echo
-	Worker   string                // Echo
-	Started  bool                  // Note: started, else progress
-	Share    float64               // Note: share done
-	Token    uint64                // Wake
+	Worker   string                 // Echo
+	Started  bool                   // Note: started, else progress
+	Share    float64                // Note: share done
+	Token    uint64                 // Wake
 }
 
 // SyntaxError is a line that does not follow the protocol.
