Start again while old connections are in TIME_WAIT

A look at the sockets showed only TIME_WAIT on the address, of the run before. At fault: httpd's trial bind, without SO_REUSEPORT, on sockets that gnet opens with SO_REUSEPORT alone. A trial connect takes its place, and gnet sets both.

--- /dev/null
+++ b/internal/config/operator.go
@@ -0,0 +1,115 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"strings"
+
+	"github.com/BurntSushi/toml"
+
+	"sedgevale/internal/discovery"
+)
+
+// File is an operator's file: the same settings as the platform's, the workers,
+// and what the platform does not offer.
+type File struct {
+	Name      string             `toml:"name"`
+	Listen    string             `toml:"listen"`
+	Discovery string             `toml:"discovery,omitempty"`
+	Seed      string             `toml:"seed,omitempty"`
+	Planners  int                `toml:"planners,omitempty"`
+	Loops     int                `toml:"loops,omitempty"`
+	Limits    Limits             `toml:"limits"`
+	SSE       *SSE               `toml:"sse,omitempty"`
+	Settings  Settings           `toml:"settings"`
+	Workers   []discovery.Member `toml:"workers"`
+}
+
+// SSE sets up the second front.
+type SSE struct {
+	Listen    string  `toml:"listen"`
+	Heartbeat float64 `toml:"heartbeat_s,omitempty"`
+	Retain    float64 `toml:"retain_s,omitempty"`
+}
+
+// ReadOperator reads an operator's file and checks it. A key that means nothing
+// is an error: it is a misspelling more often than not.
+func ReadOperator(path string) (*Config, error) {
+	var f File
+	meta, err := toml.DecodeFile(path, &f)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if keys := meta.Undecoded(); len(keys) > 0 {
+		names := make([]string, len(keys))
+		for i, k := range keys {
+			names[i] = k.String()
+		}
+		return nil, fmt.Errorf("%s: unknown keys: %s", path, strings.Join(names, ", "))
+	}
+	c := f.config()
+	if err := c.Check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+func (f *File) config() *Config {
+	for i := range f.Workers {
+		if w := &f.Workers[i]; w.Phase == "" {
+			w.Phase = "ready"
+		}
+	}
+	return &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Seed: f.Seed, Limits: f.Limits,
+		Known: &discovery.List{Complete: true, Members: f.Workers}, Settings: f.Settings,
+		SSE: f.SSE, Planners: f.Planners, Loops: f.Loops}
+}
+
+// Write writes the file.
+func (f *File) Write(w io.Writer) error {
+	e := toml.NewEncoder(w)
+	e.Indent = ""
+	return e.Encode(f)
+}
+
+// address checks an address of ours.
+func address(what, addr string) error {
+	ap, err := netip.ParseAddrPort(addr)
+	if err != nil || ap.Port() == 0 {
+		return fmt.Errorf("%s %q is no IP address and port", what, addr)
+	}
+	return nil
+}
+
+func (c *Config) checkOperator() error {
+	if err := address("the address to listen on,", c.Listen); err != nil {
+		return err
+	}
+	if c.SSE != nil {
+		if err := address("sse.listen", c.SSE.Listen); err != nil {
+			return err
+		}
+		if c.SSE.Listen == c.Listen {
+			return errors.New("sse.listen and listen are the same")
+		}
+		if c.SSE.Heartbeat < 0 || c.SSE.Retain < 0 {
+			return errors.New("times of sse must not be negative")
+		}
+	}
+	if c.Planners < 0 || c.Loops < 0 {
+		return errors.New("planners and loops must not be negative")
+	}
+	seen := map[string]bool{}
+	for _, m := range c.Known.Members {
+		if seen[m.ID] {
+			return fmt.Errorf("worker %q is listed twice", m.ID)
+		}
+		seen[m.ID] = true
+		if err := address("worker "+m.ID+":", m.HostPort); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -32,6 +33,7 @@
 	readBuffer   = 32 << 10
 	writeBuffer  = 64 << 10
 	eventLoopCap = 64
+	takenWait    = 200 * time.Millisecond
 )
 
 // Request is one request of a client. At is when its last byte came.
@@ -77,12 +79,12 @@
 // Start listens. It returns once connections are accepted; the channel brings
 // the error that ended the server, or nil after Stop.
 func (s *Server) Start() (<-chan error, error) {
-	if err := bindable(s.addr); err != nil {
-		return nil, fmt.Errorf("cannot listen on %s: %w", s.addr, err)
+	if taken(s.addr) {
+		return nil, fmt.Errorf("cannot listen on %s: another process does", s.addr)
 	}
 	ended := make(chan error, 1)
 	go func() {
-		ended <- gnet.Run(s, "tcp://"+s.addr, gnet.WithNumEventLoop(s.loops), gnet.WithReusePort(true),
+		ended <- gnet.Run(s, "tcp://"+s.addr, gnet.WithNumEventLoop(s.loops), gnet.WithReusePort(true), gnet.WithReuseAddr(true),
 			gnet.WithReadBufferCap(readBuffer), gnet.WithWriteBufferCap(writeBuffer), gnet.WithLogger(Quiet(s.log)))
 	}()
 	select {
@@ -94,23 +96,15 @@
 	}
 }
 
-// bindable asks the kernel whether the address is free. gnet's own sockets
-// share their port, and so would not notice another process there. Nothing
-// listens meanwhile: a connection made here would be lost.
-func bindable(addr string) error {
-	network, sa, err := resolve(addr)
-	if err != nil {
-		return err
-	}
-	fd, err := unix.Socket(network, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
-	if err != nil {
-		return err
-	}
-	defer unix.Close(fd)
-	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
-		return err
+// taken reports whether somebody listens on the address. gnet's own sockets
+// share their port, and so would not notice. A trial bind is no answer: it fails
+// on connections of an earlier run that are still in TIME_WAIT.
+func taken(addr string) bool {
+	c, err := net.DialTimeout("tcp", addr, takenWait)
+	if err == nil {
+		c.Close()
 	}
-	return unix.Bind(fd, sa)
+	return err == nil
 }
 
 // OnBoot is gnet's.
--- /dev/null
+++ b/internal/httpd/httpd_test.go
@@ -0,0 +1,218 @@
+package httpd
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"sedgevale/internal/budget"
+	"sedgevale/internal/http1"
+)
+
+// echo answers with the body, and holds back what asks for it.
+type echo struct{ gone chan struct{} }
+
+func (e echo) Serve(c *Conn, q *Request) {
+	if q.Target == "/hold" {
+		return
+	}
+	c.Respond(200, nil, q.Body)
+}
+
+func (e echo) Gone(*Conn) { e.gone <- struct{}{} }
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func start(t *testing.T, addr string, b *budget.Budget) (*Server, echo) {
+	t.Helper()
+	h := echo{make(chan struct{}, 8)}
+	s := New(addr, 1, h, b, slog.New(slog.DiscardHandler))
+	if _, err := s.Start(); err != nil {
+		t.Fatal(err)
+	}
+	return s, h
+}
+
+func stop(t *testing.T, s *Server) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	if err := s.Stop(ctx); err != nil {
+		t.Error(err)
+	}
+}
+
+func dial(t *testing.T, addr string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	return c, bufio.NewReader(c)
+}
+
+func answer(t *testing.T, r *bufio.Reader) (status int, body string, last bool) {
+	t.Helper()
+	a, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := io.ReadAll(a.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a.StatusCode, string(b), a.Close
+}
+
+const post = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
+
+// Guards against a scheduler that cannot start again because connections which
+// its last run closed are still in TIME_WAIT, and against two that share a port
+// without noticing.
+func TestStartsAgainButNotTwice(t *testing.T) {
+	addr := freeAddr(t)
+	s, _ := start(t, addr, budget.New(0))
+	c, r := dial(t, addr)
+	if _, err := io.WriteString(c, "BAD\r\n\r\n"); err != nil { // the server is the one that closes
+		t.Fatal(err)
+	}
+	if status, _, last := answer(t, r); status != 400 || !last {
+		t.Errorf("answered %d, last %v", status, last)
+	}
+	if _, err := r.ReadByte(); err != io.EOF {
+		t.Errorf("after the last answer: %v", err)
+	}
+	if _, err := New(addr, 1, echo{}, budget.New(0), slog.New(slog.DiscardHandler)).Start(); err == nil {
+		t.Error("two servers listen on one address")
+	}
+	stop(t, s)
+	s, _ = start(t, addr, budget.New(0))
+	stop(t, s)
+}
+
+// Guards against a message that ends without further bytes being left unread,
+// and against the bytes after it being dropped: gnet's Discard(0) drops all.
+func TestRequestsOneAfterAnother(t *testing.T) {
+	addr := freeAddr(t)
+	s, _ := start(t, addr, budget.New(0))
+	defer stop(t, s)
+	c, r := dial(t, addr)
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if status, body, _ := answer(t, r); status != 200 || body != "" {
+		t.Errorf("%d %q", status, body)
+	}
+	whole := post + "POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n1;x\r\nd\r\n0\r\n\r\n"
+	for _, part := range []string{whole[:10], whole[10:60], whole[60:]} {
+		if _, err := io.WriteString(c, part); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, want := range []string{"hi", "abcd"} {
+		if status, body, last := answer(t, r); status != 200 || body != want || last {
+			t.Errorf("%d %q, last %v; want %q", status, body, last, want)
+		}
+	}
+}
+
+func TestMalformedRequestsAreAnswered(t *testing.T) {
+	addr := freeAddr(t)
+	s, _ := start(t, addr, budget.New(0))
+	defer stop(t, s)
+	for _, c := range []struct {
+		text string
+		want int
+	}{
+		{"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 400},
+		{"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\n", 501},
+		{"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 65537\r\n\r\n", 413},
+		{"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n" + strings.Repeat("x", 0x10001), 413},
+		{"POST /a HTTP/2.0\r\nHost: h\r\n\r\n", 505},
+		{"POST /a HTTP/1.1\r\n\r\n", 400},
+		{"GET / HTTP/1.1\r\nX: " + strings.Repeat("x", http1.MaxHead) + "\r\n\r\n", 431},
+	} {
+		conn, r := dial(t, addr)
+		go func() { _, _ = io.WriteString(conn, c.text) }()
+		if status, _, last := answer(t, r); status != c.want || !last {
+			t.Errorf("%.60q: answered %d, last %v; want %d", c.text, status, last, c.want)
+		}
+	}
+}
+
+// A client that leaves before its answer is told of; one that had its answer is
+// not. After Drain each answer is the last of its connection.
+func TestGoneAndDrain(t *testing.T) {
+	addr := freeAddr(t)
+	s, h := start(t, addr, budget.New(0))
+	defer stop(t, s)
+	c, _ := dial(t, addr)
+	if _, err := io.WriteString(c, "POST /hold HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	s.Drain()
+	d, r := dial(t, addr) // read after the first, on the same event loop
+	if _, err := io.WriteString(d, post); err != nil {
+		t.Fatal(err)
+	}
+	if status, _, last := answer(t, r); status != 200 || !last {
+		t.Errorf("answered %d, last %v", status, last)
+	}
+	d.Close()
+	c.Close()
+	select {
+	case <-h.gone:
+	case <-time.After(10 * time.Second):
+		t.Fatal("nothing tells that the client has left")
+	}
+	if len(h.gone) > 0 {
+		t.Error("told of twice")
+	}
+}
+
+// Guards against running out of descriptors, on which accepting fails for good:
+// idle connections are closed, the busy one stays.
+func TestShortOfDescriptors(t *testing.T) {
+	addr := freeAddr(t)
+	b := budget.New(68) // 4 connections and the reserve
+	s, _ := start(t, addr, b)
+	defer stop(t, s)
+	busy, _ := dial(t, addr)
+	if _, err := io.WriteString(busy, "POST /hold HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	var idle []net.Conn
+	for range 4 {
+		c, r := dial(t, addr)
+		if _, err := io.WriteString(c, post); err != nil {
+			t.Fatal(err)
+		}
+		if len(idle) < 3 {
+			answer(t, r)
+		}
+		idle = append(idle, c)
+	}
+	if _, err := idle[0].Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the longest idle connection: %v", err)
+	}
+	_ = busy.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	if _, err := busy.Read(make([]byte, 1)); err == nil || err == io.EOF {
+		t.Error("the busy connection was closed")
+	}
+}
