--- a/api.go
+++ b/api.go
@@ -116,8 +116,8 @@
 	Fall          time.Duration
 }
 
-// check returns an error for settings that make no sense.
-func (s *Settings) check() error {
+// Check returns an error for settings that make no sense.
+func (s *Settings) Check() error {
 	if len(s.Classes) == 0 {
 		return errors.New("sedgevale: no class in the settings")
 	}
--- a/cmd/sedgevale/main.go
+++ b/cmd/sedgevale/main.go
@@ -7,6 +7,8 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -16,13 +18,24 @@
 )
 
 type cli struct {
-	Serve serveCmd `cmd:"" help:"Schedule jobs until SIGTERM."`
+	Serve   serveCmd   `cmd:"" help:"Schedule jobs until SIGTERM."`
+	Check   checkCmd   `cmd:"" help:"Check an operator's file."`
+	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
-type serveCmd struct{}
+type serveCmd struct {
+	File string `short:"f" type:"existingfile" help:"Operator's file. Without it EDGE_CONFIG names the platform's."`
+}
+
+func (s serveCmd) Run() error {
+	if s.File == "" {
+		return serve(config.FromEnv)
+	}
+	return serve(func() (*config.Config, error) { return config.ReadOperator(s.File) })
+}
 
-func (serveCmd) Run() error {
-	c, err := config.FromEnv()
+func serve(read func() (*config.Config, error)) error {
+	c, err := read()
 	if err != nil {
 		return err
 	}
@@ -36,6 +49,29 @@
 	return s.Run(ctx)
 }
 
+type checkCmd struct {
+	File string `arg:"" type:"existingfile" help:"The file."`
+}
+
+func (c checkCmd) Run() error {
+	got, err := config.ReadOperator(c.File)
+	if err == nil {
+		fmt.Printf("%s: good: %d classes, %d workers\n", c.File, len(got.Settings.Classes), len(got.Known.Members))
+	}
+	return err
+}
+
+type versionCmd struct{}
+
+func (versionCmd) Run() error {
+	version := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		version = info.Main.Version
+	}
+	fmt.Println("sedgevale", version, runtime.Version())
+	return nil
+}
+
 func main() {
 	k := kong.Parse(&cli{}, kong.Name("sedgevale"), kong.Description("A job scheduler for a fleet of workers."))
 	if err := k.Run(); err != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -15,17 +15,25 @@
 
 // Config is all that a scheduler is told.
 type Config struct {
-	Name      string `json:"name"`
-	Listen    string `json:"listen"`
-	Discovery string `json:"discovery"` // empty: the list in Known stands
-	Seed      string `json:"seed"`
-	Limits    struct {
-		Cores    float64 `json:"cores"`
-		MemoryMB int     `json:"memory_mb"`
-		Sockets  int     `json:"sockets"`
-	} `json:"limits"`
-	Known    *discovery.List `json:"known"`
-	Settings Settings        `json:"settings"`
+	Name      string          `json:"name"`
+	Listen    string          `json:"listen"`
+	Discovery string          `json:"discovery"` // empty: the list in Known stands
+	Seed      string          `json:"seed"`
+	Limits    Limits          `json:"limits"`
+	Known     *discovery.List `json:"known"`
+	Settings  Settings        `json:"settings"`
+
+	// Of an operator's file alone.
+	SSE      *SSE `json:"-"`
+	Planners int  `json:"-"`
+	Loops    int  `json:"-"`
+}
+
+// Limits are the machine's.
+type Limits struct {
+	Cores    float64 `json:"cores" toml:"cores,omitempty"`
+	MemoryMB int     `json:"memory_mb" toml:"memory_mb,omitempty"`
+	Sockets  int     `json:"sockets" toml:"sockets,omitempty"`
 }
 
 // FromEnv reads the platform's configuration. The single variables count before
@@ -76,8 +84,14 @@
 	if err := c.Known.Check(); err != nil {
 		return err
 	}
-	_, err := c.Settings.Module(1)
-	return err
+	if err := c.checkOperator(); err != nil {
+		return err
+	}
+	m, err := c.Settings.Module(max(1, c.Planners))
+	if err != nil {
+		return err
+	}
+	return m.Check()
 }
 
 // SeedNumber returns the seed as a number.
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -12,58 +12,58 @@
 // are in seconds.
 type Settings struct {
 	Bounds struct {
-		Cancel        bool    `json:"cancel" toml:"cancel"`
-		DialTimeout   float64 `json:"dial_timeout" toml:"dial_timeout"`
-		IdleClose     float64 `json:"idle_close" toml:"idle_close"`
-		MaxAttempts   int     `json:"max_attempts" toml:"max_attempts"`
-		MaxRetryAfter float64 `json:"max_retry_after" toml:"max_retry_after"`
-		MayProbe      bool    `json:"may_probe" toml:"may_probe"`
-		ParallelTries bool    `json:"parallel_tries" toml:"parallel_tries"`
-		RetryAfter    bool    `json:"retry_after" toml:"retry_after"`
-	} `json:"bounds" toml:"bounds"`
+		Cancel        bool    `json:"cancel" toml:"cancel,omitempty"`
+		DialTimeout   float64 `json:"dial_timeout" toml:"dial_timeout,omitempty"`
+		IdleClose     float64 `json:"idle_close" toml:"idle_close,omitempty"`
+		MaxAttempts   int     `json:"max_attempts" toml:"max_attempts,omitempty"`
+		MaxRetryAfter float64 `json:"max_retry_after" toml:"max_retry_after,omitempty"`
+		MayProbe      bool    `json:"may_probe" toml:"may_probe,omitempty"`
+		ParallelTries bool    `json:"parallel_tries" toml:"parallel_tries,omitempty"`
+		RetryAfter    bool    `json:"retry_after" toml:"retry_after,omitempty"`
+	} `json:"bounds" toml:"bounds,omitempty"`
 	Classes []struct {
-		Name       string  `json:"name" toml:"name"`
-		Effect     string  `json:"effect" toml:"effect"`
-		Scope      string  `json:"dedup_scope" toml:"dedup_scope"`
-		Window     float64 `json:"window" toml:"window"`
-		Promise    float64 `json:"promise" toml:"promise"`
-		HardLimit  float64 `json:"hard_limit" toml:"hard_limit"`
-		LateShare  float64 `json:"late_share" toml:"late_share"`
-		Stream     bool    `json:"stream" toml:"stream"`
-		AimStretch float64 `json:"aim_stretch" toml:"aim_stretch"`
-		RunsOn     *[]int  `json:"runs_on" toml:"runs_on"`
-		RunsIn     *[]int  `json:"runs_in" toml:"runs_in"`
-	} `json:"classes" toml:"classes"`
-	Discovery string `json:"discovery" toml:"discovery"`
+		Name       string  `json:"name" toml:"name,omitempty"`
+		Effect     string  `json:"effect" toml:"effect,omitempty"`
+		Scope      string  `json:"dedup_scope" toml:"dedup_scope,omitempty"`
+		Window     float64 `json:"window" toml:"window,omitempty"`
+		Promise    float64 `json:"promise" toml:"promise,omitempty"`
+		HardLimit  float64 `json:"hard_limit" toml:"hard_limit,omitempty"`
+		LateShare  float64 `json:"late_share" toml:"late_share,omitempty"`
+		Stream     bool    `json:"stream" toml:"stream,omitempty"`
+		AimStretch float64 `json:"aim_stretch" toml:"aim_stretch,omitempty"`
+		RunsOn     *[]int  `json:"runs_on" toml:"runs_on,omitempty"`
+		RunsIn     *[]int  `json:"runs_in" toml:"runs_in,omitempty"`
+	} `json:"classes" toml:"classes,omitempty"`
+	Discovery string `json:"discovery" toml:"discovery,omitempty"`
 	Family    struct {
-		ClassKind    []int     `json:"class_kind" toml:"class_kind"`
-		ClassStretch []float64 `json:"class_stretch" toml:"class_stretch"`
-		TellsStart   bool      `json:"tells_start" toml:"tells_start"`
-	} `json:"family_info" toml:"family_info"`
-	Kinds      []string `json:"kinds" toml:"kinds"`
-	PeersTotal int      `json:"peers_total" toml:"peers_total"`
+		ClassKind    []int     `json:"class_kind" toml:"class_kind,omitempty"`
+		ClassStretch []float64 `json:"class_stretch" toml:"class_stretch,omitempty"`
+		TellsStart   bool      `json:"tells_start" toml:"tells_start,omitempty"`
+	} `json:"family_info" toml:"family_info,omitempty"`
+	Kinds      []string `json:"kinds" toml:"kinds,omitempty"`
+	PeersTotal int      `json:"peers_total" toml:"peers_total,omitempty"`
 	Realms     []struct {
-		Name  string  `json:"name" toml:"name"`
-		Share float64 `json:"share" toml:"share"`
-		Quota float64 `json:"quota_rps" toml:"quota_rps"`
-	} `json:"realms" toml:"realms"`
+		Name  string  `json:"name" toml:"name,omitempty"`
+		Share float64 `json:"share" toml:"share,omitempty"`
+		Quota float64 `json:"quota_rps" toml:"quota_rps,omitempty"`
+	} `json:"realms" toml:"realms,omitempty"`
 	Report struct {
-		Via string `json:"via" toml:"via"`
-	} `json:"report" toml:"report"`
+		Via string `json:"via" toml:"via,omitempty"`
+	} `json:"report" toml:"report,omitempty"`
 	Rules struct {
-		StartCapacity  float64  `json:"start_capacity" toml:"start_capacity"`
-		WarmUp         float64  `json:"warm_up" toml:"warm_up"`
-		FallMultiple   float64  `json:"fall_multiple" toml:"fall_multiple"`
-		Fall           float64  `json:"fall" toml:"fall"`
-		FullMayHaveRun bool     `json:"full_may_have_run" toml:"full_may_have_run"`
-		CloseOnDrain   float64  `json:"close_on_drain_within" toml:"close_on_drain_within"`
-		ExtraFree      *int     `json:"extra_free" toml:"extra_free"`
-		RepeatRatio    *float64 `json:"repeat_ratio" toml:"repeat_ratio"`
-		RatioSpan      *float64 `json:"ratio_span" toml:"ratio_span"`
-	} `json:"rules" toml:"rules"`
-	Weights string   `json:"weights" toml:"weights"`
-	Zone    int      `json:"zone" toml:"zone"`
-	Zones   []string `json:"zones" toml:"zones"`
+		StartCapacity  float64  `json:"start_capacity" toml:"start_capacity,omitempty"`
+		WarmUp         float64  `json:"warm_up" toml:"warm_up,omitempty"`
+		FallMultiple   float64  `json:"fall_multiple" toml:"fall_multiple,omitempty"`
+		Fall           float64  `json:"fall" toml:"fall,omitempty"`
+		FullMayHaveRun bool     `json:"full_may_have_run" toml:"full_may_have_run,omitempty"`
+		CloseOnDrain   float64  `json:"close_on_drain_within" toml:"close_on_drain_within,omitempty"`
+		ExtraFree      *int     `json:"extra_free" toml:"extra_free,omitempty"`
+		RepeatRatio    *float64 `json:"repeat_ratio" toml:"repeat_ratio,omitempty"`
+		RatioSpan      *float64 `json:"ratio_span" toml:"ratio_span,omitempty"`
+	} `json:"rules" toml:"rules,omitempty"`
+	Weights string   `json:"weights" toml:"weights,omitempty"`
+	Zone    int      `json:"zone" toml:"zone,omitempty"`
+	Zones   []string `json:"zones" toml:"zones,omitempty"`
 }
 
 var (
--- a/internal/discovery/wire.go
+++ b/internal/discovery/wire.go
@@ -11,21 +11,21 @@
 
 // List is the list of workers, whole or the part that has changed.
 type List struct {
-	Revision int64    `json:"revision"`
-	Complete bool     `json:"complete"`
-	Members  []Member `json:"members"`
+	Revision int64    `json:"revision" toml:"revision,omitempty"`
+	Complete bool     `json:"complete" toml:"complete,omitempty"`
+	Members  []Member `json:"members" toml:"members,omitempty"`
 }
 
 // Member is an entry of the list.
 type Member struct {
-	ID       string  `json:"id"`
-	HostPort string  `json:"host_port"`
-	Locality string  `json:"locality"`
-	Flavor   string  `json:"flavor"`
-	Cell     int     `json:"cell"`
-	Phase    string  `json:"phase"`
-	Size     float64 `json:"size"`
-	UpSince  int64   `json:"up_since_ms"`
+	ID       string  `json:"id" toml:"id,omitempty"`
+	HostPort string  `json:"host_port" toml:"host_port,omitempty"`
+	Locality string  `json:"locality" toml:"locality,omitempty"`
+	Flavor   string  `json:"flavor" toml:"flavor,omitempty"`
+	Cell     int     `json:"cell" toml:"cell,omitempty"`
+	Phase    string  `json:"phase" toml:"phase,omitempty"`
+	Size     float64 `json:"size" toml:"size,omitempty"`
+	UpSince  int64   `json:"up_since_ms" toml:"up_since_ms,omitempty"`
 }
 
 var phases = map[string]sedgevale.WorkerState{
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -22,6 +22,14 @@
 	Clock   core.Clock
 	Classes []sedgevale.Class
 	Tenants []sedgevale.Tenant
+	margin  time.Duration // beyond margin
+}
+
+// Earlier returns rules by which a client's time ends earlier by so much.
+func (r *Rules) Earlier(by time.Duration) *Rules {
+	out := *r
+	out.margin += by
+	return &out
 }
 
 // Error is why a request is not a job.
@@ -121,7 +129,7 @@
 		}
 		j.Slots = v
 	}
-	return j, r.Clock.At(q.At) + patience - margin, nil
+	return j, r.Clock.At(q.At) + patience - margin - r.margin, nil
 }
 
 // parseTime reads a number and a unit, m for milliseconds or u for microseconds.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -20,6 +20,7 @@
 	"sedgevale/internal/front"
 	"sedgevale/internal/httpd"
 	"sedgevale/internal/intake"
+	"sedgevale/internal/sse"
 	"sedgevale/internal/upstream"
 )
 
@@ -33,13 +34,13 @@
 	processors = 8
 	memoryPart = 0.75
 	service    = "origin.svc"
+	// Kept of a subscriber's time, for its last event's way.
+	streamMargin = 50 * time.Millisecond
 )
 
 // Options are the choices of who embeds a scheduler.
 type Options struct {
-	Log      *slog.Logger // nil: none
-	Planners int          // 0 counts as 1
-	Loops    int          // event loops for clients; 0 counts as 1
+	Log *slog.Logger // nil: none
 }
 
 // Scheduler is a real scheduler.
@@ -52,7 +53,8 @@
 	pool     *upstream.Pool
 	watcher  *discovery.Watcher
 	planners *core.Set
-	server   *httpd.Server
+	servers  []*httpd.Server
+	streams  *sse.Front // nil: no second front
 	ready    atomic.Bool
 }
 
@@ -61,11 +63,11 @@
 	if opt.Log == nil {
 		opt.Log = slog.New(slog.DiscardHandler)
 	}
-	opt.Planners = max(1, opt.Planners)
+	many := max(1, c.Planners)
 	if err := c.Check(); err != nil {
 		return nil, err
 	}
-	set, err := c.Settings.Module(opt.Planners)
+	set, err := c.Settings.Module(many)
 	if err != nil {
 		return nil, err
 	}
@@ -81,7 +83,7 @@
 	}
 	s.watcher = discovery.NewWatcher(c.Discovery, *c.Known, s.told, s.broken, opt.Log)
 	var planners []*core.Planner
-	for i := range opt.Planners {
+	for i := range many {
 		p, err := core.NewPlanner(set, c.SeedNumber()+uint64(i), s.clock, s.pool, s.watcher.Watch, opt.Log)
 		if err != nil {
 			return nil, err
@@ -90,7 +92,13 @@
 	}
 	s.planners = core.NewSet(planners...)
 	rules := &intake.Rules{Clock: s.clock, Classes: set.Classes, Tenants: set.Tenants}
-	s.server = httpd.New(c.Listen, opt.Loops, front.New(rules, s.planners, s.ready.Load), s.budget, opt.Log)
+	s.servers = []*httpd.Server{
+		httpd.New(c.Listen, c.Loops, front.New(rules, s.planners, s.ready.Load), s.budget, opt.Log)}
+	if c.SSE != nil {
+		s.streams = sse.New(sse.Options{Rules: rules.Earlier(streamMargin), Planners: s.planners, Ready: s.ready.Load,
+			Heartbeat: config.Seconds(c.SSE.Heartbeat), Retain: config.Seconds(c.SSE.Retain), Log: opt.Log})
+		s.servers = append(s.servers, httpd.New(c.SSE.Listen, c.Loops, s.streams, s.budget, opt.Log))
+	}
 	return s, nil
 }
 
@@ -115,16 +123,23 @@
 		go s.watcher.Run(work)
 	}
 	s.members(sedgevale.ListStale, *s.config.Known)
-	ended, err := s.server.Start()
-	if err != nil {
-		return err
+	ended := make(chan error, len(s.servers))
+	for _, server := range s.servers {
+		over, err := server.Start()
+		if err != nil {
+			return err
+		}
+		go func() { ended <- <-over }()
+	}
+	if s.streams != nil {
+		go s.streams.Run(work)
 	}
 	s.ready.Store(true)
 	s.opt.Log.Info("serving", "name", s.config.Name, "listen", s.config.Listen,
 		"workers", len(s.config.Known.Members), "revision", s.config.Known.Revision)
 	select {
 	case err := <-ended:
-		return fmt.Errorf("serving on %s ended: %w", s.config.Listen, err)
+		return fmt.Errorf("an event loop for clients ended: %w", err)
 	case <-ctx.Done():
 	}
 	return s.drain(work)
@@ -134,10 +149,14 @@
 // quiet. Whoever sent the signal sets the last limit.
 func (s *Scheduler) drain(ctx context.Context) error {
 	s.ready.Store(false)
-	s.server.Drain()
+	for _, server := range s.servers {
+		server.Drain()
+	}
 	s.opt.Log.Info("stopping: answering what was taken")
 	time.Sleep(lastCalls)
-	s.server.CloseIdle()
+	for _, server := range s.servers {
+		server.CloseIdle()
+	}
 	for until := time.Now().Add(s.longest()); time.Now().Before(until); {
 		time.Sleep(quietFor)
 		open, err := s.planners.Open(ctx)
@@ -149,8 +168,10 @@
 		}
 	}
 	time.Sleep(quietFor) // the last answers are on their way to their event loop
-	if err := s.server.Stop(ctx); err != nil {
-		return err
+	for _, server := range s.servers {
+		if err := server.Stop(ctx); err != nil {
+			return err
+		}
 	}
 	s.opt.Log.Info("stopped")
 	return nil
--- a/state.go
+++ b/state.go
@@ -424,7 +424,7 @@
 // New returns a Dispatcher that acts on host. It wants a class and tenants with
 // positive times and shares.
 func New(set Settings, seed uint64, host Host) (*Dispatcher, error) {
-	if err := set.check(); err != nil {
+	if err := set.Check(); err != nil {
 		return nil, err
 	}
 	if host == nil {
