--- /dev/null
+++ b/scheduler/fleet_test.go
@@ -0,0 +1,281 @@
+package scheduler_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"sedgevale/internal/config"
+	"sedgevale/internal/discovery"
+	"sedgevale/scheduler"
+)
+
+// childFile names the operator's file by which this test binary serves as a
+// scheduler, so that tests can kill one for good.
+const childFile = "SEDGEVALE_TEST_SERVE"
+
+func TestMain(m *testing.M) {
+	path := os.Getenv(childFile)
+	if path == "" {
+		os.Exit(m.Run())
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	c, err := config.ReadOperator(path)
+	if err == nil {
+		scheduler.Limit(c)
+		var s *scheduler.Scheduler
+		if s, err = scheduler.New(c, scheduler.Options{Log: slog.New(slog.NewTextHandler(os.Stderr, nil))}); err == nil {
+			err = s.Run(ctx)
+		}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+const patience = 20 * time.Second // for what must come; no test waits that long when all is well
+
+func await[T any](t *testing.T, what string, from <-chan T) (v T) {
+	t.Helper()
+	select {
+	case v = <-from:
+	case <-time.After(patience):
+		t.Fatalf("waited in vain for %s", what)
+	}
+	return v
+}
+
+// run is one job at a worker. The test tells what becomes of it.
+type run struct {
+	worker, id, class, target string
+	body                      string
+	lines                     chan string // sent as they come; closed: the answer ends
+	cut                       chan struct{}
+	over                      <-chan struct{} // the scheduler has given it up
+}
+
+func (r *run) say(format string, args ...any) {
+	r.lines <- fmt.Sprintf(`{"id":%q,"from":%q,%s}`, r.id, r.worker, fmt.Sprintf(format, args...))
+}
+
+func (r *run) done(result string) {
+	r.say(`"state":"done","result":%q,"load":{"x0":3}`, result)
+	close(r.lines)
+}
+
+// fleet is some workers and the discovery that names them.
+type fleet struct {
+	t      *testing.T
+	runs   chan *run
+	mu     sync.Mutex
+	counts map[string]int // runs by class, and by worker
+	list   discovery.List
+	newer  chan struct{} // closed at the next change
+	told   chan int64    // the versions after which the scheduler has asked again
+	addr   string
+}
+
+func newFleet(t *testing.T, workers ...string) *fleet {
+	f := &fleet{t: t, runs: make(chan *run, 64), counts: map[string]int{}, newer: make(chan struct{}),
+		told: make(chan int64, 1024), list: discovery.List{Revision: 1, Complete: true}}
+	for i, name := range workers {
+		f.list.Members = append(f.list.Members, discovery.Member{ID: name, HostPort: f.serve(f.worker(name)),
+			Locality: "hut", Flavor: "box", Cell: i, Phase: "ready", Size: 1})
+	}
+	f.addr = f.serve(http.HandlerFunc(f.discover))
+	return f
+}
+
+func (f *fleet) serve(h http.Handler) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	s := &http.Server{Handler: h}
+	go func() { _ = s.Serve(l) }()
+	f.t.Cleanup(func() { s.Close() })
+	return l.Addr().String()
+}
+
+func (f *fleet) worker(name string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		body, _ := io.ReadAll(q.Body)
+		r := &run{worker: name, id: q.Header.Get("Request-Id"), class: q.URL.Path[1:], target: q.RequestURI,
+			body: string(body), lines: make(chan string, 16), cut: make(chan struct{}), over: q.Context().Done()}
+		f.mu.Lock()
+		f.counts[r.class]++
+		f.counts[name]++
+		f.mu.Unlock()
+		f.runs <- r
+		rc := http.NewResponseController(w)
+		w.WriteHeader(200)
+		_ = rc.Flush()
+		for {
+			select {
+			case l, more := <-r.lines:
+				if !more {
+					return
+				}
+				_, _ = io.WriteString(w, l+"\n")
+				_ = rc.Flush()
+			case <-r.cut:
+				panic(http.ErrAbortHandler)
+			case <-q.Context().Done():
+				return
+			}
+		}
+	})
+}
+
+func (f *fleet) discover(w http.ResponseWriter, q *http.Request) {
+	since, _ := strconv.ParseInt(q.FormValue("since"), 10, 64)
+	f.told <- since
+	f.mu.Lock()
+	l, newer := f.list, f.newer
+	f.mu.Unlock()
+	if l.Revision <= since {
+		wait, _ := strconv.Atoi(q.FormValue("timeout_ms"))
+		select {
+		case <-newer:
+		case <-time.After(time.Duration(wait) * time.Millisecond):
+		case <-q.Context().Done():
+			return
+		}
+		f.mu.Lock()
+		l = f.list
+		f.mu.Unlock()
+	}
+	_ = json.NewEncoder(w).Encode(l)
+}
+
+// phase changes a worker's phase and returns once the scheduler knows: it has
+// asked for what comes after.
+func (f *fleet) phase(name, phase string) {
+	f.t.Helper()
+	f.mu.Lock()
+	members := append([]discovery.Member(nil), f.list.Members...)
+	for i := range members {
+		if members[i].ID == name {
+			members[i].Phase = phase
+		}
+	}
+	f.list.Members = members
+	f.list.Revision++
+	want := f.list.Revision
+	close(f.newer)
+	f.newer = make(chan struct{})
+	f.mu.Unlock()
+	for await(f.t, "the next watch", f.told) < want {
+	}
+}
+
+func (f *fleet) count(what string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.counts[what]
+}
+
+func (f *fleet) next() *run {
+	f.t.Helper()
+	return await(f.t, "a job at a worker", f.runs)
+}
+
+// settings are those of a small deployment.
+func settings(t *testing.T) (s config.Settings) {
+	t.Helper()
+	err := json.Unmarshal([]byte(`{"bounds":{"cancel":true,"dial_timeout":1,"idle_close":15,"max_attempts":3,
+		"max_retry_after":2,"parallel_tries":true,"retry_after":true},"classes":[
+		{"name":"usage-view","effect":"free","hard_limit":10,"promise":8},
+		{"name":"plan-change","effect":"single_shot","hard_limit":10,"promise":8},
+		{"name":"bill-pay","effect":"guarded","dedup_scope":"cell","window":7.5,"hard_limit":10,"promise":8}],
+		"discovery":"ask","family_info":{"tells_start":true},"kinds":["box"],"zones":["hut"],"peers_total":1,
+		"realms":[{"name":"co-op","share":1,"quota_rps":100}],"weights":"rough"}`), &s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// child is a scheduler in a process of its own.
+type child struct {
+	t          *testing.T
+	file       string
+	plain, sse string // addresses
+	cmd        *exec.Cmd
+	exited     chan error
+}
+
+func startChild(t *testing.T, f *fleet) *child {
+	t.Helper()
+	c := &child{t: t, file: filepath.Join(t.TempDir(), "operator.toml"), plain: freeAddr(t), sse: freeAddr(t)}
+	file := config.File{Name: "test", Listen: c.plain, Discovery: f.addr, Seed: "1f", Settings: settings(t),
+		Limits: config.Limits{MemoryMB: 192, Sockets: 1024}, Workers: f.list.Members,
+		SSE: &config.SSE{Listen: c.sse, Heartbeat: 0.2, Retain: 30}}
+	w, err := os.Create(c.file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	if err := file.Write(w); err != nil {
+		t.Fatal(err)
+	}
+	c.start()
+	t.Cleanup(c.kill)
+	return c
+}
+
+func (c *child) start() {
+	c.t.Helper()
+	c.cmd = exec.Command(os.Args[0])
+	c.cmd.Env = append(os.Environ(), childFile+"="+c.file)
+	c.cmd.Stderr = os.Stderr
+	if err := c.cmd.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	c.exited = make(chan error, 1)
+	go func() { c.exited <- c.cmd.Wait() }()
+	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		a, err := http.Get("http://" + c.sse + "/ready")
+		if err != nil {
+			continue
+		}
+		a.Body.Close()
+		if a.StatusCode == 200 {
+			return
+		}
+	}
+	c.t.Fatal("the scheduler is not ready")
+}
+
+func (c *child) kill() {
+	if c.cmd != nil {
+		_ = c.cmd.Process.Kill()
+		<-c.exited
+		c.cmd = nil
+	}
+}
