Import HAProxy's configuration, and test the parsers by random cuts and garbage

The parsers of HTTP, of workers' lines and of event ids get random cuts and garbage from fixed seeds.

--- a/cmd/sedgevale/main.go
+++ b/cmd/sedgevale/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -14,11 +15,13 @@
 	"github.com/alecthomas/kong"
 
 	"sedgevale/internal/config"
+	"sedgevale/internal/haproxy"
 	"sedgevale/scheduler"
 )
 
 type cli struct {
 	Serve   serveCmd   `cmd:"" help:"Schedule jobs until SIGTERM."`
+	Import  importCmd  `cmd:"" help:"Make an operator's file of HAProxy's configuration."`
 	Check   checkCmd   `cmd:"" help:"Check an operator's file."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
@@ -49,6 +52,37 @@
 	return s.Run(ctx)
 }
 
+type importCmd struct {
+	Config   string `arg:"" type:"existingfile" help:"HAProxy's configuration."`
+	Out      string `short:"o" type:"path" help:"The file to write; standard output without it."`
+	Frontend string `help:"The frontend or listen section; else the first that leads to servers."`
+	Class    string `help:"The class of its requests, the first part of their path; else the frontend's name."`
+}
+
+// Run writes the file and reports on standard error what was not taken over.
+func (c importCmd) Run() error {
+	in, err := os.Open(c.Config)
+	if err != nil {
+		return err
+	}
+	defer in.Close()
+	file, notes, err := haproxy.Import(in, haproxy.Options{Frontend: c.Frontend, Class: c.Class})
+	if err != nil {
+		return fmt.Errorf("%s: %w", c.Config, err)
+	}
+	for _, n := range notes {
+		fmt.Fprintln(os.Stderr, n)
+	}
+	if c.Out == "" {
+		return file.Write(os.Stdout)
+	}
+	out, err := os.Create(c.Out)
+	if err != nil {
+		return err
+	}
+	return errors.Join(file.Write(out), out.Close())
+}
+
 type checkCmd struct {
 	File string `arg:"" type:"existingfile" help:"The file."`
 }
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -21,20 +21,8 @@
 		ParallelTries bool    `json:"parallel_tries" toml:"parallel_tries,omitempty"`
 		RetryAfter    bool    `json:"retry_after" toml:"retry_after,omitempty"`
 	} `json:"bounds" toml:"bounds,omitempty"`
-	Classes []struct {
-		Name       string  `json:"name" toml:"name,omitempty"`
-		Effect     string  `json:"effect" toml:"effect,omitempty"`
-		Scope      string  `json:"dedup_scope" toml:"dedup_scope,omitempty"`
-		Window     float64 `json:"window" toml:"window,omitempty"`
-		Promise    float64 `json:"promise" toml:"promise,omitempty"`
-		HardLimit  float64 `json:"hard_limit" toml:"hard_limit,omitempty"`
-		LateShare  float64 `json:"late_share" toml:"late_share,omitempty"`
-		Stream     bool    `json:"stream" toml:"stream,omitempty"`
-		AimStretch float64 `json:"aim_stretch" toml:"aim_stretch,omitempty"`
-		RunsOn     *[]int  `json:"runs_on" toml:"runs_on,omitempty"`
-		RunsIn     *[]int  `json:"runs_in" toml:"runs_in,omitempty"`
-	} `json:"classes" toml:"classes,omitempty"`
-	Discovery string `json:"discovery" toml:"discovery,omitempty"`
+	Classes   []Class `json:"classes" toml:"classes,omitempty"`
+	Discovery string  `json:"discovery" toml:"discovery,omitempty"`
 	Family    struct {
 		ClassKind    []int     `json:"class_kind" toml:"class_kind,omitempty"`
 		ClassStretch []float64 `json:"class_stretch" toml:"class_stretch,omitempty"`
@@ -66,6 +54,21 @@
 	Zones   []string `json:"zones" toml:"zones,omitempty"`
 }
 
+// Class is a class of requests.
+type Class struct {
+	Name       string  `json:"name" toml:"name,omitempty"`
+	Effect     string  `json:"effect" toml:"effect,omitempty"`
+	Scope      string  `json:"dedup_scope" toml:"dedup_scope,omitempty"`
+	Window     float64 `json:"window" toml:"window,omitempty"`
+	Promise    float64 `json:"promise" toml:"promise,omitempty"`
+	HardLimit  float64 `json:"hard_limit" toml:"hard_limit,omitempty"`
+	LateShare  float64 `json:"late_share" toml:"late_share,omitempty"`
+	Stream     bool    `json:"stream" toml:"stream,omitempty"`
+	AimStretch float64 `json:"aim_stretch" toml:"aim_stretch,omitempty"`
+	RunsOn     *[]int  `json:"runs_on" toml:"runs_on,omitempty"`
+	RunsIn     *[]int  `json:"runs_in" toml:"runs_in,omitempty"`
+}
+
 var (
 	effects = map[string]sedgevale.Effect{
 		"free": sedgevale.Safe, "guarded": sedgevale.Keyed, "single_shot": sedgevale.Unsafe,
--- /dev/null
+++ b/internal/http1/parse_test.go
@@ -0,0 +1,183 @@
+package http1
+
+import (
+	"bytes"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// The same cases each time.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "300", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// feed offers the text in parts, cut at the given places, and tells what came.
+func feed(kind Kind, parts ...[]byte) (seen string, err error) {
+	p := NewParser(kind)
+	var buf, body []byte
+	for _, part := range parts {
+		buf = append(buf, part...)
+		for {
+			n, ev, b, err := p.Next(buf)
+			if n > len(buf) {
+				return seen, errors.New("took more than there was")
+			}
+			body = append(body, b...)
+			buf = buf[n:]
+			if err != nil {
+				return seen, err
+			}
+			if ev == More {
+				break
+			}
+			if ev == Ended {
+				h := &p.Head
+				seen += fmt.Sprintf("%s %s %d %v %q\n", h.Method, h.Target, h.Status, h.Fields, body)
+				body = nil
+			}
+		}
+	}
+	if len(buf) > 0 || !p.Idle() {
+		seen += "unfinished"
+	}
+	return seen, nil
+}
+
+var word = rapid.StringMatching(`[a-zA-Z0-9-]{1,12}`)
+
+// message draws a valid message and what should be seen of it.
+func message(t *rapid.T, kind Kind) (text []byte, want string) {
+	method, target, status := "", "", 0
+	var b bytes.Buffer
+	if kind == Request {
+		method, target = word.Draw(t, "method"), "/"+word.Draw(t, "target")
+		fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: h\r\n", method, target)
+	} else {
+		status = rapid.SampledFrom([]int{200, 429, 500, 503}).Draw(t, "status")
+		fmt.Fprintf(&b, "HTTP/1.1 %d Some text\r\nHost: h\r\n", status)
+	}
+	fields := []Field{{"Host", "h"}}
+	add := func(name, value string) {
+		fmt.Fprintf(&b, "%s:%s\r\n", name, " "+value+" ")
+		fields = append(fields, Field{name, value})
+	}
+	for range rapid.IntRange(0, 3).Draw(t, "fields") {
+		add("X-"+word.Draw(t, "name"), word.Draw(t, "value"))
+	}
+	body := rapid.SliceOfN(rapid.Byte(), 0, 200).Draw(t, "body")
+	if rapid.Bool().Draw(t, "chunked") {
+		add("Transfer-Encoding", "chunked")
+		b.WriteString("\r\n")
+		for rest := body; len(rest) > 0; {
+			n := rapid.IntRange(1, len(rest)).Draw(t, "chunk")
+			fmt.Fprintf(&b, "%x;ext=1\r\n%s\r\n", n, rest[:n])
+			rest = rest[n:]
+		}
+		b.WriteString("0\r\nTrailer: x\r\n\r\n")
+	} else {
+		add("Content-Length", fmt.Sprint(len(body)))
+		b.WriteString("\r\n")
+		b.Write(body)
+	}
+	return b.Bytes(), fmt.Sprintf("%s %s %d %v %q\n", method, target, status, fields, body)
+}
+
+// Valid messages one after another are read alike however they are cut.
+func TestCuts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		kind := rapid.SampledFrom([]Kind{Request, Response}).Draw(t, "kind")
+		var all []byte
+		want := ""
+		for range rapid.IntRange(1, 3).Draw(t, "messages") {
+			text, seen := message(t, kind)
+			all, want = append(all, text...), want+seen
+		}
+		var parts [][]byte
+		for len(all) > 0 {
+			n := rapid.IntRange(1, len(all)).Draw(t, "cut")
+			parts, all = append(parts, all[:n]), all[n:]
+		}
+		if got, err := feed(kind, parts...); err != nil || got != want {
+			t.Fatalf("got %q, error %v; want %q", got, err, want)
+		}
+	})
+}
+
+// Garbage, alone or after a valid start, neither panics nor reads past its end,
+// and a fault is always an Error.
+func TestGarbage(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		kind := rapid.SampledFrom([]Kind{Request, Response}).Draw(t, "kind")
+		text, _ := message(t, kind)
+		text = append([]byte(nil), text[:rapid.IntRange(0, len(text)).Draw(t, "start")]...)
+		for range rapid.IntRange(0, 4).Draw(t, "flips") {
+			if len(text) > 0 {
+				text[rapid.IntRange(0, len(text)-1).Draw(t, "at")] = rapid.Byte().Draw(t, "byte")
+			}
+		}
+		text = append(text, rapid.SliceOfN(rapid.Byte(), 0, 100).Draw(t, "tail")...)
+		_, err := feed(kind, text)
+		var fault *Error
+		if err != nil && !errors.As(err, &fault) {
+			t.Fatalf("%v", err)
+		}
+	})
+}
+
+func TestFaults(t *testing.T) {
+	for text, want := range map[string]int{
+		"GET / HTTP/1.1\r\n\r\n":                                                                     400,
+		"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n":                                               400,
+		"GET / HTTP/1.1\r\nHost : a\r\n\r\n":                                                         400,
+		"GET / HTTP/1.1\r\nHost: a\r\n folded\r\n\r\n":                                               400,
+		"GET / HTTP/1.1\r\nHost: a\x00\r\n\r\n":                                                      400,
+		"GET  / HTTP/1.1\r\nHost: a\r\n\r\n":                                                         400,
+		"GET / HTTP/3.1\r\nHost: a\r\n\r\n":                                                          505,
+		"GET / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n":                400,
+		"GET / HTTP/1.1\r\nHost: a\r\nContent-Length: +1\r\n\r\n":                                    400,
+		"GET / HTTP/1.1\r\nHost: a\r\nContent-Length: \r\n\r\n":                                      400,
+		"GET / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n":       400,
+		"GET / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: br\r\n\r\n":                                 501,
+		"GET / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n":                     400,
+		"GET / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab\r\n":                 400,
+		"GET / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n\r\n":                        400,
+		"GET / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1", 999): 400,
+		"GET / HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("A: b\r\n", 101) + "\r\n":                   431,
+		strings.Repeat("x", MaxHead+1):                                                               431,
+	} {
+		var fault *Error
+		if _, err := feed(Request, []byte(text)); !errors.As(err, &fault) || fault.Status != want {
+			t.Errorf("%.70q: %v, want %d", text, err, want)
+		}
+	}
+}
+
+// A response without a length lasts until the connection ends; one that cannot
+// have a body has none.
+func TestResponseBodies(t *testing.T) {
+	p := NewParser(Response)
+	text := []byte("HTTP/1.1 200 OK\r\n\r\nabc")
+	n, ev, _, err := p.Next(text)
+	if ev != Headed || err != nil || !p.UntilClose() || !p.Head.Close {
+		t.Errorf("%v, %v, error %v", ev, p.Head, err)
+	}
+	if _, ev, body, _ := p.Next(text[n:]); ev != Body || string(body) != "abc" {
+		t.Errorf("%v %q", ev, body)
+	}
+	got, err := feed(Response, []byte("HTTP/1.1 204 No\r\n\r\nHTTP/1.1 100 Continue\r\nA: b\r\n\r\n"))
+	if err != nil || !strings.HasPrefix(got, "  204 [] \"\"\n  100 [{A b}] \"\"\n") || strings.Contains(got, "unfinished") {
+		t.Errorf("%q, error %v", got, err)
+	}
+}
--- /dev/null
+++ b/internal/sse/id_test.go
@@ -0,0 +1,36 @@
+package sse
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// The same cases each time.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "200", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// Ids come back as they went out, and garbage is told as such: a client may
+// send anything as its last event id.
+func TestIDs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		id := eventID{epoch: randomID(), seq: rapid.IntRange(0, 1<<30).Draw(t, "seq"), final: rapid.Bool().Draw(t, "final"),
+			class: rapid.StringN(1, 20, 60).Draw(t, "class"), request: rapid.StringN(1, 20, 60).Draw(t, "request")}
+		if got, ok := parseID(id.String()); !ok || got != id {
+			t.Fatalf("%+v came back as %+v, %v", id, got, ok)
+		}
+		text := rapid.OneOf(rapid.String(), rapid.StringMatching(`[a-f0-9:.%]{0,30}`)).Draw(t, "garbage")
+		if got, ok := parseID(text); ok && (got.epoch == "" || got.class == "" || got.request == "") {
+			t.Fatalf("%q became %+v", text, got)
+		}
+	})
+}
--- /dev/null
+++ b/scheduler/front_test.go
@@ -0,0 +1,196 @@
+package scheduler_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"sedgevale/internal/haproxy"
+)
+
+// reply is what a client of the first front gets.
+type reply struct {
+	status int
+	after  string
+	body   string
+	last   bool
+	err    error
+}
+
+// post sends one job on a connection of its own.
+func post(addr, path string, fields ...string) <-chan reply {
+	got := make(chan reply, 1)
+	go func() {
+		q, err := http.NewRequest("POST", "http://"+addr+path, strings.NewReader("body"))
+		if err != nil {
+			got <- reply{err: err}
+			return
+		}
+		for i := 0; i < len(fields); i += 2 {
+			q.Header.Set(fields[i], fields[i+1])
+		}
+		a, err := (&http.Transport{}).RoundTrip(q)
+		if err != nil {
+			got <- reply{err: err}
+			return
+		}
+		defer a.Body.Close()
+		b, err := io.ReadAll(a.Body)
+		got <- reply{a.StatusCode, a.Header.Get("Retry-After"), string(b), a.Close, err}
+	}()
+	return got
+}
+
+func job(id string, more ...string) []string {
+	return append([]string{"Request-Id", id, "Tenant", "co-op", "Request-Timeout", "9000m"}, more...)
+}
+
+// The platform's protocol from end to end: what passes on, and each answer.
+func TestPlainAnswers(t *testing.T) {
+	f := newFleet(t, "v", "w")
+	c := startChild(t, f)
+	got := post(c.plain, "/usage-view/a?b=c", job("one")...)
+	r := f.next()
+	if r.id != "one" || r.body != "body" || r.target != "/usage-view/a?b=c" {
+		t.Errorf("the worker got %q, %q, %q", r.id, r.target, r.body)
+	}
+	r.say(`"state":"started"`)
+	r.done("result")
+	if a := await(t, "the answer", got); a.status != 200 || a.body != "result" || a.last {
+		t.Errorf("served: %+v", a)
+	}
+	got = post(c.plain, "/plan-change", job("two")...)
+	f.next().say(`"state":"failed"`)
+	if a := await(t, "the answer", got); a.status != 500 {
+		t.Errorf("failed: %+v", a)
+	}
+	// An answer to another job is nobody's answer, and may hide that this one ran.
+	got = post(c.plain, "/plan-change", job("three")...)
+	f.next().lines <- `{"id":"two","from":"w","state":"done","result":"not yours"}`
+	if a := await(t, "the answer", got); a.status != 500 || strings.Contains(a.body, "not yours") {
+		t.Errorf("another's result: %+v", a)
+	}
+	// Garbage from a worker ends that attempt only; the safe job runs again.
+	got = post(c.plain, "/usage-view", job("four")...)
+	f.next().lines <- `{"id":`
+	f.next().done("again")
+	if a := await(t, "the answer", got); a.status != 200 || a.body != "again" {
+		t.Errorf("after garbage: %+v", a)
+	}
+	for _, q := range []struct {
+		path   string
+		fields []string
+		want   int
+	}{
+		{"/nothing", job("x"), 404},
+		{"/usage-view", job("x", "Request-Class", "nothing"), 400},
+		{"/usage-view", job("x", "Request-Class", "bill-pay"), 400},
+		{"/usage-view", job("x", "Tenant", "stranger"), 400},
+		{"/usage-view", job("x", "Request-Timeout", "5s"), 400},
+		{"/usage-view", job("x", "Request-Info", "slots=none"), 400},
+		{"/usage-view", job(""), 400},
+		{"/bill-pay", job("x"), 400},
+	} {
+		if a := await(t, "the answer", post(c.plain, q.path, q.fields...)); a.status != q.want || !a.last {
+			t.Errorf("%s %v: %+v, want %d", q.path, q.fields, a, q.want)
+		}
+	}
+}
+
+// Without workers the module refuses, and says when to come again.
+func TestPlainRefusal(t *testing.T) {
+	c := startChild(t, newFleet(t))
+	a := await(t, "the answer", post(c.plain, "/usage-view", job("one", "Request-Timeout", "900m")...))
+	if after, err := strconv.ParseFloat(a.after, 64); a.status != 503 || err != nil || after <= 0 || after > 2 {
+		t.Errorf("%+v", a)
+	}
+}
+
+// A client that leaves has its job called off.
+func TestPlainGone(t *testing.T) {
+	f := newFleet(t, "w")
+	c := startChild(t, f)
+	conn, err := net.Dial("tcp", c.plain)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(conn, "POST /plan-change HTTP/1.1\r\nHost: h\r\nRequest-Id: a\r\nTenant: co-op\r\n"+
+		"Request-Timeout: 9000m\r\nContent-Length: 0\r\n\r\n")
+	r := f.next()
+	conn.Close()
+	await(t, "the attempt to be called off", r.over)
+}
+
+// Guards against requests lost at a planned restart: what was taken is
+// answered, what still comes as well, each answer is the last of its
+// connection, and the program ends by itself with 0.
+func TestTermination(t *testing.T) {
+	f := newFleet(t, "w")
+	c := startChild(t, f)
+	conn, err := net.Dial("tcp", c.plain) // kept from before
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	before := post(c.plain, "/plan-change", job("before")...)
+	first := f.next()
+	if err := c.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(200 * time.Millisecond) // the front goes on for so long
+	after := post(c.plain, "/usage-view", job("after")...)
+	f.next().done("second")
+	fmt.Fprintf(conn, "POST /usage-view HTTP/1.1\r\nHost: h\r\nRequest-Id: kept\r\nTenant: co-op\r\n"+
+		"Request-Timeout: 9000m\r\nContent-Length: 0\r\n\r\n")
+	f.next().done("third")
+	if a, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || a.StatusCode != 200 || !a.Close {
+		t.Errorf("on the kept connection: %+v, error %v", a, err)
+	}
+	first.done("first")
+	for want, got := range map[string]<-chan reply{"first": before, "second": after} {
+		if a := await(t, "the answer", got); a.status != 200 || a.body != want || !a.last {
+			t.Errorf("%s: %+v", want, a)
+		}
+	}
+	if err := await(t, "the program's end", c.exited); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+	c.cmd = nil
+}
+
+// What the importer makes of HAProxy's configuration serves.
+func TestImportedConfigurationServes(t *testing.T) {
+	f := newFleet(t, "w")
+	c := &child{t: t, file: filepath.Join(t.TempDir(), "operator.toml"), plain: freeAddr(t)}
+	c.sse = c.plain // asked for /ready
+	file, _, err := haproxy.Import(strings.NewReader("defaults\n mode http\n timeout connect 1s\n timeout server 9s\n"+
+		"frontend web\n bind "+c.plain+"\n default_backend boxes\n"+
+		"backend boxes\n server w "+f.list.Members[0].HostPort+" check\n"), haproxy.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w, err := os.Create(c.file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := file.Write(w); err != nil {
+		t.Fatal(err)
+	}
+	w.Close()
+	c.start()
+	t.Cleanup(c.kill)
+	got := post(c.plain, "/web/page", "Request-Id", "a", "Request-Timeout", "5000m")
+	f.next().done("served")
+	if a := await(t, "the answer", got); a.status != 200 || a.body != "served" {
+		t.Errorf("%+v", a)
+	}
+}
