Put discovery on the event loop of the workers' side, and share that loop's code

The house style wants gnet's loops; discovery was a goroutine with a blocking socket. evloop holds what both sides need of gnet, so client side and server side import nothing of each other. Also: the stream front wrote to connections under its lock; a write that fails calls Gone, which takes the same lock. Tests for configuration, intake and discovery.

--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,77 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"sedgevale"
+)
+
+const platform = `{"name":"n0","listen":"127.0.0.1:3000","discovery":"127.0.0.1:8500","seed":"92094eb940cf389a",
+"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":{"revision":7,"complete":true,"members":[
+{"cell":1,"flavor":"old-box","host_port":"127.0.0.2:3000","id":"s-1","locality":"hut","phase":"draining","size":5.0,"up_since_ms":9}]},
+"settings":{"bounds":{"cancel":true,"dial_timeout":0.1,"idle_close":15.0,"max_attempts":6,"max_retry_after":2.0,
+"may_probe":true,"parallel_tries":true,"retry_after":true},"classes":[{"dedup_scope":"cell","effect":"guarded",
+"hard_limit":5.0,"late_share":0.0,"name":"bill-pay","promise":0.1,"stream":false,"value":10.0,"window":7.5}],
+"discovery":"ask","family_info":{"class_kind":[-1],"class_stretch":[2.5],"tells_start":true},"kinds":["old-box"],
+"peers_total":2,"realms":[{"name":"co-op","quota_rps":58.0,"share":0.3}],"report":{"fields":["x0"],"via":"answers"},
+"rules":{"fall":2.0,"fall_multiple":3.0,"start_capacity":0.13,"warm_up":22.0},"weights":"rough","zone":0,"zones":["hut"]}}`
+
+func TestFromEnv(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(platform), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("EDGE_CONFIG", path)
+	t.Setenv("EDGE_NAME", "n9")
+	t.Setenv("EDGE_LISTEN", "127.0.0.3:3000")
+	t.Setenv("EDGE_DISCOVERY", "")
+	c, err := FromEnv()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Name != "n9" || c.Listen != "127.0.0.3:3000" || c.Discovery != "127.0.0.1:8500" || c.Known.Revision != 7 ||
+		c.Limits.Sockets != 1024 || c.SeedNumber() != 0x92094eb940cf389a {
+		t.Errorf("%+v", c)
+	}
+	m, err := c.Settings.Module(3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	k := m.Classes[0]
+	if k.Effect != sedgevale.Keyed || k.Scope != sedgevale.ScopeCell || k.Window != 7500*time.Millisecond ||
+		k.Stretch != 2.5 || k.Kinds != nil || m.Peers != 6 || !m.AskForList || !m.TellsStart || m.MustProbe ||
+		m.Weights != sedgevale.WeightSize || m.WarmUp != 22*time.Second || m.MaxRetryAfter != 2*time.Second ||
+		m.Tenants[0].Quota != 58 {
+		t.Errorf("%+v", m)
+	}
+}
+
+// A bad configuration is told in one plain line, and nothing starts.
+func TestBadConfig(t *testing.T) {
+	for _, change := range [][2]string{
+		{`{"name"`, `{"name`}, {`"guarded"`, `"other"`}, {`"cell",`, `"town",`}, {`"rough"`, `"heavy"`},
+		{`"hard_limit":5.0`, `"hard_limit":0`}, {`"share":0.3`, `"share":0`}, {`"127.0.0.1:3000"`, `"here"`},
+		{`"127.0.0.2:3000"`, `"there:x"`}, {`"draining"`, `"tired"`}, {`"known"`, `"unknown"`}, {`"bill-pay"`, `""`},
+	} {
+		text := strings.Replace(platform, change[0], change[1], 1)
+		c, err := Parse([]byte(text))
+		if err == nil {
+			err = c.Check()
+		}
+		if err == nil || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s in place of %s: %v", change[1], change[0], err)
+		}
+	}
+}
+
+// The file that the project ships can be served.
+func TestShippedOperatorFile(t *testing.T) {
+	c, err := ReadOperator("../../deploy/operator.toml")
+	if err != nil || c.SSE == nil || len(c.Settings.Classes) != 3 {
+		t.Errorf("%+v, error %v", c, err)
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,15 +1,13 @@
 package discovery
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"log/slog"
-	"net"
 	"strconv"
-	"sync/atomic"
 	"time"
 
+	"sedgevale/internal/evloop"
 	"sedgevale/internal/http1"
 )
 
@@ -20,134 +18,175 @@
 	maxList     = 8 << 20
 )
 
-// Watcher asks discovery for the list and its changes. It keeps one connection.
+// Watcher asks discovery for the list and its changes, over one connection.
 type Watcher struct {
-	addr    string
-	tell    func(List)
-	broken  func()
-	log     *slog.Logger
-	asked   chan struct{}
-	on      atomic.Bool
+	loop   *evloop.Loop
+	addr   string
+	tell   func(List)
+	broken func()
+	log    *slog.Logger
+
+	// For the loop alone.
+	on      bool
 	version int64
-	conn    net.Conn
-	parser  *http1.Parser
-	buf     []byte
+	link    *link // nil: no connection
+	timer   *time.Timer
 }
 
 // NewWatcher returns a Watcher that begins after the version known. Tell gets
 // each answer, broken is called when a watch fails; a new one must then be
-// asked for.
-func NewWatcher(addr string, known List, tell func(List), broken func(), log *slog.Logger) *Watcher {
-	return &Watcher{addr: addr, tell: tell, broken: broken, log: log, asked: make(chan struct{}, 1),
-		version: known.Revision}
+// asked for. Both are called on the loop.
+func NewWatcher(loop *evloop.Loop, addr string, known List, tell func(List), broken func(), log *slog.Logger) *Watcher {
+	return &Watcher{loop: loop, addr: addr, tell: tell, broken: broken, log: log, version: known.Revision}
 }
 
 // Watch asks for the list of workers and all its changes. While a watch goes on
-// it changes nothing.
+// it changes nothing. It may be called from anywhere.
 func (w *Watcher) Watch() {
-	if w.on.CompareAndSwap(false, true) {
-		w.asked <- struct{}{}
-	}
+	w.loop.Do(func() {
+		if !w.on {
+			w.on = true
+			w.ask()
+		}
+	})
 }
 
-// Run works until the context ends.
-func (w *Watcher) Run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { w.asked <- struct{}{} })
-	defer stop()
-	defer w.hangUp()
-	for {
-		<-w.asked
-		for ctx.Err() == nil {
-			l, err := w.ask(ctx)
-			if err != nil {
-				if ctx.Err() == nil {
-					w.log.Warn("watch on discovery broke", "addr", w.addr, "err", err)
-					w.hangUp()
-					w.on.Store(false)
-					w.broken()
-				}
-				break
-			}
-			w.version = l.Revision
-			w.tell(l)
-		}
-		if ctx.Err() != nil {
-			return
-		}
+// ask makes one call of a watch.
+func (w *Watcher) ask() {
+	if w.link == nil {
+		w.link = &link{w: w, parser: http1.NewParser(http1.Response)}
+		l := w.link
+		w.loop.Dial(w.addr, connectWait, l, func(err error) { l.fail(fmt.Errorf("connecting: %w", err)) })
+	} else {
+		w.link.send()
 	}
+	l := w.link
+	w.timer = time.AfterFunc(connectWait+watchWait+answerWait, func() {
+		w.loop.Do(func() { l.late() })
+	})
 }
 
-func (w *Watcher) hangUp() {
-	if w.conn != nil {
-		w.conn.Close()
-		w.conn = nil
+// link is a connection to discovery.
+type link struct {
+	w       *Watcher
+	gc      evloop.Conn
+	parser  *http1.Parser
+	body    []byte
+	asked   bool // an answer is to come
+	due     time.Time
+	dropped bool
+}
+
+var (
+	errLate     = errors.New("no answer")
+	errEnded    = errors.New("the connection ended")
+	errLongList = errors.New("list too long")
+	errUnasked  = errors.New("an answer that nothing was asked for")
+)
+
+// Opened is the loop's.
+func (l *link) Opened(gc evloop.Conn) bool {
+	l.gc = gc
+	if l.dropped {
+		return false
 	}
+	l.send()
+	return true
 }
 
-// ask makes one call of a watch.
-func (w *Watcher) ask(ctx context.Context) (List, error) {
-	if w.conn == nil {
-		c, err := (&net.Dialer{Timeout: connectWait}).DialContext(ctx, "tcp", w.addr)
-		if err != nil {
-			return List{}, fmt.Errorf("connecting: %w", err)
+func (l *link) send() {
+	l.asked, l.body = true, l.body[:0]
+	l.due = time.Now().Add(watchWait + answerWait)
+	out := http1.AppendRequest(nil, "GET", "/v1/endpoints?since="+strconv.FormatInt(l.w.version, 10)+
+		"&timeout_ms="+strconv.FormatInt(watchWait.Milliseconds(), 10))
+	out = http1.AppendField(out, "Host", l.w.addr)
+	_, _ = l.gc.Write(append(out, "\r\n"...)) // a failure closes the connection, and Closed tells
+}
+
+// Traffic is the loop's.
+func (l *link) Traffic(gc evloop.Conn) bool {
+	for !l.dropped {
+		buf, _ := gc.Peek(-1)
+		n, ev, part, err := l.parser.Next(buf)
+		l.body = append(l.body, part...)
+		evloop.Take(gc, n)
+		switch {
+		case err != nil:
+			l.fail(err)
+		case len(l.body) > maxList:
+			l.fail(errLongList)
+		case ev == http1.Headed && !l.asked:
+			l.fail(errUnasked)
+		case ev == http1.Ended && l.parser.Head.Status >= 200:
+			l.answer()
+		case ev == http1.More:
+			return true
 		}
-		w.conn, w.parser, w.buf = c, http1.NewParser(http1.Response), w.buf[:0]
 	}
-	stop := context.AfterFunc(ctx, func() { _ = w.conn.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-	target := "/v1/endpoints?since=" + strconv.FormatInt(w.version, 10) +
-		"&timeout_ms=" + strconv.FormatInt(watchWait.Milliseconds(), 10)
-	out := http1.AppendRequest(nil, "GET", target)
-	out = http1.AppendField(out, "Host", w.addr)
-	out = append(out, "\r\n"...)
-	if err := w.conn.SetDeadline(time.Now().Add(watchWait + answerWait)); err != nil {
-		return List{}, err
+	return true
+}
+
+// Closed is the loop's.
+func (l *link) Closed(evloop.Conn) {
+	switch {
+	case l.asked && l.parser.UntilClose():
+		l.parser.Head.Close = true
+		l.answer()
+	case l.asked:
+		l.fail(errEnded)
+	case l.w.link == l:
+		l.w.link = nil
 	}
-	if _, err := w.conn.Write(out); err != nil {
-		return List{}, fmt.Errorf("asking: %w", err)
+}
+
+func (l *link) late() {
+	if l.asked && time.Now().After(l.due) || l.gc == nil {
+		l.fail(errLate)
 	}
-	status, body, err := w.answer()
-	if err != nil {
-		return List{}, fmt.Errorf("waiting for the answer: %w", err)
+}
+
+// drop forgets the connection and closes it.
+func (l *link) drop() {
+	l.asked, l.dropped = false, true
+	if l.w.link == l {
+		l.w.link = nil
 	}
-	if status != 200 {
-		return List{}, fmt.Errorf("discovery answered %d", status)
+	if l.gc != nil {
+		l.w.loop.Close(l.gc)
 	}
-	return Parse(body)
 }
 
-var errLongList = errors.New("list too long")
+// fail ends the watch; who wants to go on must ask for another.
+func (l *link) fail(err error) {
+	if l.dropped {
+		return
+	}
+	w := l.w
+	l.drop()
+	w.timer.Stop()
+	w.log.Warn("watch on discovery broke", "addr", w.addr, "err", err)
+	w.on = false
+	w.broken()
+}
 
-func (w *Watcher) answer() (status int, body []byte, err error) {
-	for {
-		n, ev, part, err := w.parser.Next(w.buf)
-		if err != nil {
-			return 0, nil, err
-		}
-		body = append(body, part...)
-		w.buf = w.buf[:copy(w.buf, w.buf[n:])]
-		if len(body) > maxList {
-			return 0, nil, errLongList
-		}
-		switch {
-		case ev == http1.Ended && w.parser.Head.Status >= 200:
-			if w.parser.Head.Close {
-				w.hangUp()
-			}
-			return w.parser.Head.Status, body, nil
-		case ev == http1.More:
-			have := len(w.buf)
-			w.buf = append(w.buf, make([]byte, 4096)...)
-			n, err := w.conn.Read(w.buf[have:])
-			w.buf = w.buf[:have+n]
-			if err != nil && n == 0 {
-				if w.parser.UntilClose() && w.parser.Head.Status >= 200 {
-					status := w.parser.Head.Status
-					w.hangUp()
-					return status, body, nil
-				}
-				return 0, nil, err
-			}
-		}
+// answer tells what came and asks on at once, so that the watch continues.
+func (l *link) answer() {
+	w := l.w
+	l.asked = false
+	if status := l.parser.Head.Status; status != 200 {
+		l.fail(fmt.Errorf("discovery answered %d", status))
+		return
+	}
+	list, err := Parse(l.body)
+	if err != nil {
+		l.fail(err)
+		return
+	}
+	w.timer.Stop()
+	if l.parser.Head.Close {
+		l.drop()
 	}
+	w.version = list.Revision
+	w.tell(list)
+	w.ask()
 }
--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,138 @@
+package discovery
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"sedgevale"
+	"sedgevale/internal/evloop"
+)
+
+func await[T any](t *testing.T, from <-chan T) (v T) {
+	t.Helper()
+	select {
+	case v = <-from:
+	case <-time.After(20 * time.Second):
+		t.Fatal("nothing came")
+	}
+	return v
+}
+
+// serve answers calls one after another as told, each with what it asked.
+func serve(t *testing.T, answers <-chan string) (addr string, asked <-chan string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	calls := make(chan string, 16)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for r := bufio.NewReader(c); ; {
+					q, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					calls <- q.RequestURI
+					if a := <-answers; a != "" {
+						_, _ = io.WriteString(c, a)
+						continue
+					}
+					return // breaks the connection
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), calls
+}
+
+func list(revision int, complete bool) string {
+	body := fmt.Sprintf(`{"revision":%d,"complete":%v,"members":[{"id":"w","host_port":"h:1","phase":"ready"}]}`, revision, complete)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// The next call goes out at once, after the version that was told; a failure,
+// of whatever kind, is told and ends the watch until it is asked for again.
+func TestWatch(t *testing.T) {
+	answers := make(chan string)
+	addr, asked := serve(t, answers)
+	told, broken := make(chan List, 4), make(chan bool, 4)
+	log := slog.New(slog.DiscardHandler)
+	loop, err := evloop.New(log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := NewWatcher(loop, addr, List{Revision: 5}, func(l List) { told <- l }, func() { broken <- true }, log)
+	w.Watch()
+	w.Watch() // a second asking changes nothing
+	const target = "/v1/endpoints?since=%d&timeout_ms=10000"
+	next := 5
+	expect := func() {
+		t.Helper()
+		if got, want := await(t, asked), fmt.Sprintf(target, next); got != want {
+			t.Errorf("asked %s, want %s", got, want)
+		}
+	}
+	for _, l := range []struct {
+		revision int
+		complete bool
+	}{{8, true}, {9, false}} {
+		expect()
+		answers <- list(l.revision, l.complete)
+		if got := await(t, told); int(got.Revision) != l.revision || got.Complete != l.complete || !got.Members[0].Ready() {
+			t.Errorf("told %+v", got)
+		}
+		next = l.revision
+	}
+	for _, fault := range []string{"", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", "garbage\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{"} {
+		expect()
+		answers <- fault
+		await(t, broken)
+		w.Watch()
+	}
+	expect()
+	if err := loop.Stop(); err != nil {
+		t.Error(err)
+	}
+	if len(broken) == 1 { // by the end of the loop
+		<-broken
+	}
+	if len(told) > 0 || len(broken) > 0 {
+		t.Error("told more than there was")
+	}
+}
+
+func TestEntries(t *testing.T) {
+	l, err := Parse([]byte(`{"revision":1,"complete":true,"members":[
+		{"id":"a","locality":"x","flavor":"f","cell":3,"phase":"ready","size":2,"up_since_ms":7},
+		{"id":"b","locality":"?","flavor":"?","phase":"gone"}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := Names{Zones: []string{"y", "x"}, Kinds: []string{"f"}}.Entries(l, func(ms int64) time.Duration { return time.Duration(ms) })
+	if want := (sedgevale.WorkerInfo{Worker: "a", Zone: 1, Cell: 3, Weight: 2, StartedAt: 7}); got[0] != want {
+		t.Errorf("%+v", got[0])
+	}
+	if w := got[1]; w.State != sedgevale.Left || w.Zone != 2 || w.Kind != 1 {
+		t.Errorf("unknown names became known ones: %+v", w)
+	}
+	for _, text := range []string{`{`, `{"members":[{"id":"a","phase":"odd"}]}`, `{"members":[{"phase":"ready"}]}`} {
+		if _, err := Parse([]byte(text)); err == nil {
+			t.Errorf("%s: no error", text)
+		}
+	}
+}
--- /dev/null
+++ b/internal/evloop/evloop.go
@@ -0,0 +1,158 @@
+// Package evloop has what both sides need of gnet: a loop for connections that
+// the program itself makes, and a logger that keeps gnet quiet.
+package evloop
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/panjf2000/gnet/v2/pkg/logging"
+	"golang.org/x/sys/unix"
+
+	"sedgevale/internal/inbox"
+)
+
+const readBuffer = 32 << 10
+
+// Conn is gnet's connection.
+type Conn = gnet.Conn
+
+// Peer deals with one connection. Its methods are called on the loop.
+type Peer interface {
+	Opened(Conn) (keep bool)
+	Traffic(Conn) (keep bool)
+	Closed(Conn)
+}
+
+// Loop is an event loop for connections that the program makes.
+type Loop struct {
+	client *gnet.Client
+	loop   gnet.EventLoop
+	box    *inbox.Box[func()]
+}
+
+// New starts a Loop.
+func New(log *slog.Logger) (*Loop, error) {
+	client, err := gnet.NewClient(&handler{}, gnet.WithNumEventLoop(1), gnet.WithReadBufferCap(readBuffer),
+		gnet.WithLogger(Quiet(log)))
+	if err != nil {
+		return nil, fmt.Errorf("event loop: %w", err)
+	}
+	if err := client.Start(); err != nil {
+		return nil, fmt.Errorf("event loop: %w", err)
+	}
+	loop, err := first(client)
+	if err != nil {
+		return nil, fmt.Errorf("event loop: %w", err)
+	}
+	return &Loop{client: client, loop: loop, box: NewBox(loop)}, nil
+}
+
+// NewBox returns a queue of functions that are called on a loop.
+func NewBox(loop gnet.EventLoop) (box *inbox.Box[func()]) {
+	run := gnet.RunnableFunc(func(context.Context) error {
+		for _, f := range box.Take() {
+			f()
+		}
+		return nil
+	})
+	box = inbox.New[func()](func() { _ = loop.Execute(context.Background(), run) })
+	return box
+}
+
+// first finds a client's event loop. gnet names it only by a connection, so a
+// pair of connected sockets serves for one.
+func first(client *gnet.Client) (gnet.EventLoop, error) {
+	fds, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK, 0)
+	if err != nil {
+		return nil, err
+	}
+	defer unix.Close(fds[1])
+	f := os.NewFile(uintptr(fds[0]), "pair")
+	defer f.Close()
+	near, err := net.FileConn(f)
+	if err != nil {
+		return nil, err
+	}
+	c, err := client.EnrollContext(near, nil)
+	if err != nil {
+		return nil, err
+	}
+	return c.EventLoop(), nil
+}
+
+// Do has f called on the loop. It may be called from anywhere.
+func (l *Loop) Do(f func()) { l.box.Put(f) }
+
+// Dial connects off the loop, which must not wait, and hands the connection to
+// the loop. Failed is called on the loop if none is made.
+func (l *Loop) Dial(addr string, timeout time.Duration, p Peer, failed func(error)) {
+	go func() {
+		c, err := net.DialTimeout("tcp", addr, timeout)
+		if err == nil {
+			_, err = l.client.EnrollContext(c, p)
+		}
+		if err != nil {
+			l.Do(func() { failed(err) })
+		}
+	}()
+}
+
+// Close closes a connection at once. It must be called on the loop.
+func (l *Loop) Close(c Conn) { _ = l.loop.Close(c) }
+
+// Stop ends the loop with all its connections.
+func (l *Loop) Stop() error { return l.client.Stop() }
+
+type handler struct{ gnet.BuiltinEventEngine }
+
+func action(keep bool) gnet.Action {
+	if keep {
+		return gnet.None
+	}
+	return gnet.Close
+}
+
+func (*handler) OnOpen(c Conn) ([]byte, gnet.Action) {
+	p, ok := c.Context().(Peer)
+	return nil, action(!ok || p.Opened(c))
+}
+
+func (*handler) OnTraffic(c Conn) gnet.Action {
+	p, ok := c.Context().(Peer)
+	return action(!ok || p.Traffic(c))
+}
+
+func (*handler) OnClose(c Conn, _ error) gnet.Action {
+	if p, ok := c.Context().(Peer); ok {
+		p.Closed(c)
+	}
+	return gnet.None
+}
+
+// Take drops bytes that were read. gnet takes 0 for all that is there.
+func Take(c Conn, n int) {
+	if n > 0 {
+		_, _ = c.Discard(n)
+	}
+}
+
+type quiet struct{ log *slog.Logger }
+
+// Quiet returns a logger for gnet that passes on errors alone.
+func Quiet(log *slog.Logger) logging.Logger { return quiet{log} }
+
+func (quiet) Debugf(string, ...any) {}
+func (quiet) Infof(string, ...any)  {}
+func (quiet) Warnf(string, ...any)  {}
+func (q quiet) Errorf(format string, args ...any) {
+	q.log.Error("event loop", "what", fmt.Sprintf(format, args...))
+}
+func (q quiet) Fatalf(format string, args ...any) {
+	q.log.Error("event loop, fatal", "what", fmt.Sprintf(format, args...))
+}
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -14,10 +14,10 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
-	"github.com/panjf2000/gnet/v2/pkg/logging"
 	"golang.org/x/sys/unix"
 
 	"sedgevale/internal/budget"
+	"sedgevale/internal/evloop"
 	"sedgevale/internal/http1"
 	"sedgevale/internal/inbox"
 )
@@ -85,7 +85,7 @@
 	ended := make(chan error, 1)
 	go func() {
 		ended <- gnet.Run(s, "tcp://"+s.addr, gnet.WithNumEventLoop(s.loops), gnet.WithReusePort(true), gnet.WithReuseAddr(true),
-			gnet.WithReadBufferCap(readBuffer), gnet.WithWriteBufferCap(writeBuffer), gnet.WithLogger(Quiet(s.log)))
+			gnet.WithReadBufferCap(readBuffer), gnet.WithWriteBufferCap(writeBuffer), gnet.WithLogger(evloop.Quiet(s.log)))
 	}()
 	select {
 	case <-s.booted:
@@ -159,14 +159,7 @@
 	defer s.mu.Unlock()
 	l := s.lanes[loop]
 	if l == nil {
-		l = &lane{loop: loop}
-		run := gnet.RunnableFunc(func(context.Context) error {
-			for _, f := range l.box.Take() {
-				f()
-			}
-			return nil
-		})
-		l.box = inbox.New[func()](func() { _ = loop.Execute(context.Background(), run) })
+		l = &lane{loop: loop, box: evloop.NewBox(loop)}
 		s.lanes[loop] = l
 	}
 	return l
@@ -305,9 +298,7 @@
 				c.body = append(c.body, part...)
 			}
 		}
-		if n > 0 { // gnet takes 0 for all
-			_, _ = c.gc.Discard(n)
-		}
+		evloop.Take(c.gc, n)
 		switch {
 		case err != nil:
 			var wrong *http1.Error
@@ -390,6 +381,9 @@
 	return c.gc.OutboundBuffered()
 }
 
+// Closed reports whether the connection is closed. A write can find that out.
+func (c *Conn) Closed() bool { return c.state == closed }
+
 // EndStream ends a stream.
 func (c *Conn) EndStream() { c.finish() }
 
@@ -472,18 +466,3 @@
 	}
 	c.in, c.prev, c.next = nil, nil, nil
 }
-
-type quiet struct{ log *slog.Logger }
-
-// Quiet returns a logger for gnet that passes on errors alone.
-func Quiet(log *slog.Logger) logging.Logger { return quiet{log} }
-
-func (quiet) Debugf(string, ...any) {}
-func (quiet) Infof(string, ...any)  {}
-func (quiet) Warnf(string, ...any)  {}
-func (q quiet) Errorf(format string, args ...any) {
-	q.log.Error("event loop", "what", fmt.Sprintf(format, args...))
-}
-func (q quiet) Fatalf(format string, args ...any) {
-	q.log.Error("event loop, fatal", "what", fmt.Sprintf(format, args...))
-}
--- /dev/null
+++ b/internal/intake/intake_test.go
@@ -0,0 +1,84 @@
+package intake
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"sedgevale"
+	"sedgevale/internal/core"
+	"sedgevale/internal/http1"
+	"sedgevale/internal/httpd"
+)
+
+func rules() *Rules {
+	return &Rules{Clock: core.NewClock(), Classes: []sedgevale.Class{{Name: "free"}, {Name: "key", Effect: sedgevale.Keyed}},
+		Tenants: []sedgevale.Tenant{{Name: "a"}, {Name: "b"}}}
+}
+
+func request(method, target string, fields ...string) *httpd.Request {
+	q := &httpd.Request{Head: &http1.Head{Method: method, Target: target}, Body: []byte("x"), At: time.Now()}
+	for i := 0; i < len(fields); i += 2 {
+		q.Fields = append(q.Fields, http1.Field{Name: fields[i], Value: fields[i+1]})
+	}
+	return q
+}
+
+func TestJob(t *testing.T) {
+	r := rules()
+	q := request("POST", "/key/sub?x=1", "request-id", "r1", "Request-Class", "key", "Tenant", "b", "Affinity-Key", "k",
+		"Request-Timeout", "4999m", "Client-Retry", "1", "Request-Info", "memory=2, slots=1.5", "Idempotency-Key", "once",
+		"Work-Hint", "2500u")
+	j, deadline, err := r.Job(q, "", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if j.ID != "r1" || j.Class != 1 || j.Tenant != 1 || j.Key != "k" || !j.Retry || j.Slots != 1.5 || j.Once != "once" ||
+		j.Hint != 2500*time.Microsecond || j.Target != "/key/sub?x=1" || j.Method != "POST" || string(j.Body) != "x" {
+		t.Errorf("%+v", j)
+	}
+	// The client's time counts from its request, and a little is kept for the way back.
+	if left := deadline - r.Clock.At(q.At); left >= 4999*time.Millisecond || left < 4900*time.Millisecond {
+		t.Errorf("%v left", left)
+	}
+	if _, earlier, _ := r.Earlier(time.Second).Job(q, "", 0); earlier != deadline-time.Second {
+		t.Errorf("%v, and a second earlier %v", deadline, earlier)
+	}
+}
+
+// Guards against refusals that the module did not make: what is malformed gets
+// a status of its own, never 429 or 503.
+func TestJobRejects(t *testing.T) {
+	good := []string{"Request-Id", "r", "Tenant", "a", "Request-Timeout", "1m"}
+	with := func(more ...string) []string { return append(append([]string(nil), good...), more...) }
+	for _, c := range []struct {
+		method, target string
+		fields         []string
+		want           int
+	}{
+		{"POST", "/free", good, 0},
+		{"GET", "/free", good, 405},
+		{"POST", "/other", good, 404},
+		{"POST", "/other", with("Request-Class", "other"), 400},
+		{"POST", "/free", with("Request-Class", "key"), 400},
+		{"POST", "/key", good, 400},
+		{"POST", "/free", with("Tenant", "c"), 400},
+		{"POST", "/free", with("Request-Id", ""), 400},
+		{"POST", "/free", with("Request-Id", "a b"), 400},
+		{"POST", "/free", with("Request-Timeout", "1s"), 400},
+		{"POST", "/free", with("Request-Timeout", "NaNm"), 400},
+		{"POST", "/free", with("Request-Timeout", "-1m"), 400},
+		{"POST", "/free", with("Request-Info", "slots=0"), 400},
+		{"POST", "/free", good[:4], 400},
+	} {
+		_, _, err := rules().Job(request(c.method, c.target, c.fields...), "", 0)
+		var why *Error
+		status := 0
+		if errors.As(err, &why) {
+			status = why.Status
+		}
+		if status != c.want {
+			t.Errorf("%s %s %v: %d (%v), want %d", c.method, c.target, c.fields, status, err, c.want)
+		}
+	}
+}
--- a/internal/sse/job.go
+++ b/internal/sse/job.go
@@ -142,8 +142,16 @@
 }
 
 // attach makes c the job's subscriber, who has had the events up to seq. An
-// earlier subscriber's connection is closed: one client cannot listen twice.
+// earlier subscriber's connection is closed: one client cannot listen twice. It
+// runs on the event loop of c, without the lock: a write that fails closes the
+// connection and calls Gone, which takes the lock.
 func (j *job) attach(c *httpd.Conn, seq int) {
+	begin(c)
+	if c.Closed() {
+		return
+	}
+	j.front.mu.Lock()
+	defer j.front.mu.Unlock()
 	if old := j.sub; old != nil && old != c {
 		old.Post((*httpd.Conn).Abort)
 	}
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -184,9 +184,8 @@
 	}
 	j := &job{front: f, id: work.ID, class: class}
 	f.jobs[j.id] = j
-	begin(c)
-	j.attach(c, 0)
 	f.mu.Unlock()
+	j.attach(c, 0)
 	j.emit("accepted", nil, struct {
 		Request string `json:"request"`
 	}{j.id}, false)
@@ -218,10 +217,10 @@
 		return nil
 	}
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	j := f.jobs[id.request]
-	if j != nil && id.epoch == f.epoch && j.class == class && id.seq <= j.seq {
-		begin(c)
+	known := j != nil && id.epoch == f.epoch && j.class == class && id.seq <= j.seq
+	f.mu.Unlock()
+	if known {
 		j.attach(c, id.seq)
 		return nil
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -1,22 +1,18 @@
 package upstream
 
 import (
-	"net"
-	"os"
 	"strconv"
 	"time"
 
-	"github.com/panjf2000/gnet/v2"
-	"golang.org/x/sys/unix"
-
 	"sedgevale"
+	"sedgevale/internal/evloop"
 	"sedgevale/internal/http1"
 )
 
 // conn is a connection to a worker. It belongs to the loop.
 type conn struct {
 	pool   *Pool
-	gc     gnet.Conn
+	gc     evloop.Conn
 	w      *worker
 	f      *flight // what it carries; nil: it is idle, or only the end of an answer is to come
 	parser *http1.Parser
@@ -28,6 +24,39 @@
 	out    []byte
 }
 
+// Opened is the loop's: a dialled connection is up.
+func (c *conn) Opened(gc evloop.Conn) bool {
+	c.gc = gc
+	c.pool.opt.Budget.Take()
+	f := c.f
+	c.w, c.f = f.w, nil
+	if f.over { // the worker has begun to drain, or nobody waits any more
+		c.dead = true
+		return false
+	}
+	delete(f.w.dialling, f)
+	c.carry(f)
+	return true
+}
+
+// Closed is the loop's.
+func (c *conn) Closed(evloop.Conn) {
+	p := c.pool
+	p.opt.Budget.Release()
+	c.dead = true
+	c.w.forget(c)
+	delete(p.tails, c)
+	f := c.f
+	if f == nil || f.over {
+		return
+	}
+	if c.whole() {
+		p.end(f, sedgevale.Lost, nil, nil)
+	} else {
+		p.end(f, sedgevale.ConnectFailed, nil, nil)
+	}
+}
+
 // carry sends a flight's request.
 func (c *conn) carry(f *flight) {
 	c.f, f.c = f, c
@@ -66,9 +95,9 @@
 // whole reports whether the request's last byte has been written.
 func (c *conn) whole() bool { return !c.broken && c.gc.OutboundBuffered() == 0 }
 
-// read takes an answer apart as it comes. What is malformed ends the attempt
+// Traffic is the loop's. It takes an answer apart as it comes. What is malformed ends the attempt
 // and the connection, nothing else.
-func (c *conn) read() gnet.Action {
+func (c *conn) Traffic(evloop.Conn) bool {
 	for !c.dead {
 		buf, _ := c.gc.Peek(-1)
 		n, ev, body, err := c.parser.Next(buf)
@@ -76,35 +105,33 @@
 			err = c.event(ev, body)
 		}
 		if c.dead {
-			return gnet.None
-		}
-		if n > 0 { // gnet takes 0 for all
-			_, _ = c.gc.Discard(n)
+			return true
 		}
+		evloop.Take(c.gc, n)
 		if err != nil {
-			return c.broke(err)
+			c.broke(err)
+			return true
 		}
 		if ev == http1.More {
-			return gnet.None
+			return true
 		}
 		if ev == http1.Ended && !c.interim() {
 			if !c.finish() {
-				return gnet.None
+				return true
 			}
 		}
 	}
-	return gnet.None
+	return true
 }
 
 func (c *conn) interim() bool { return c.parser.Head.Status < 200 }
 
-func (c *conn) broke(err error) gnet.Action {
+func (c *conn) broke(err error) {
 	if f := c.f; f != nil && !f.over {
 		c.pool.opt.Log.Warn("a worker's answer is malformed", "worker", c.w.id, "err", err)
 		c.pool.end(f, sedgevale.Lost, nil, nil)
 	}
 	c.pool.drop(c)
-	return gnet.None
 }
 
 func (c *conn) event(ev http1.Event, body []byte) error {
@@ -235,26 +262,3 @@
 	errOtherJob = fault("an answer to another job")
 	errNoResult = fault("a job is done without a result")
 )
-
-// socketPair returns two connected sockets.
-func socketPair() (near, far net.Conn, err error) {
-	fds, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK, 0)
-	if err != nil {
-		return nil, nil, err
-	}
-	if near, err = fileConn(fds[0]); err != nil {
-		unix.Close(fds[1])
-		return nil, nil, err
-	}
-	if far, err = fileConn(fds[1]); err != nil {
-		near.Close()
-		return nil, nil, err
-	}
-	return near, far, nil
-}
-
-func fileConn(fd int) (net.Conn, error) {
-	f := os.NewFile(uintptr(fd), "pair")
-	defer f.Close()
-	return net.FileConn(f)
-}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -5,19 +5,14 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
-	"net"
 	"time"
 
-	"github.com/panjf2000/gnet/v2"
-
 	"sedgevale"
 	"sedgevale/internal/budget"
 	"sedgevale/internal/core"
+	"sedgevale/internal/evloop"
 	"sedgevale/internal/http1"
-	"sedgevale/internal/httpd"
-	"sedgevale/internal/inbox"
 )
 
 // Options set a Pool up.
@@ -26,6 +21,7 @@
 	IdleClose   time.Duration // when workers close an idle connection; 0: not told
 	Host        string        // the Host field of what is sent
 	Clock       core.Clock
+	Loop        *evloop.Loop
 	Budget      *budget.Budget
 	Log         *slog.Logger
 }
@@ -47,11 +43,8 @@
 
 // Pool holds the connections to all workers. It implements core.Carrier.
 type Pool struct {
-	gnet.BuiltinEventEngine
-	opt    Options
-	client *gnet.Client
-	box    *inbox.Box[func()]
-	loop   gnet.EventLoop
+	opt  Options
+	loop *evloop.Loop
 
 	// For the loop alone.
 	workers map[string]*worker
@@ -75,64 +68,30 @@
 	over bool
 }
 
-// New starts a Pool.
-func New(opt Options) (*Pool, error) {
+// New returns a Pool.
+func New(opt Options) *Pool {
 	if opt.IdleClose <= 0 {
 		opt.IdleClose = defaultIdle
 	}
 	if opt.DialTimeout <= 0 {
 		opt.DialTimeout = time.Second
 	}
-	p := &Pool{opt: opt, workers: map[string]*worker{}, flights: map[*core.Attempt]*flight{},
+	p := &Pool{opt: opt, loop: opt.Loop, workers: map[string]*worker{}, flights: map[*core.Attempt]*flight{},
 		tails: map[*conn]struct{}{}}
-	var err error
-	p.client, err = gnet.NewClient(p, gnet.WithNumEventLoop(1), gnet.WithReadBufferCap(32<<10),
-		gnet.WithLogger(httpd.Quiet(opt.Log)))
-	if err != nil {
-		return nil, fmt.Errorf("event loop for workers: %w", err)
-	}
-	if err := p.client.Start(); err != nil {
-		return nil, fmt.Errorf("event loop for workers: %w", err)
-	}
-	if p.loop, err = firstLoop(p.client); err != nil {
-		return nil, fmt.Errorf("event loop for workers: %w", err)
-	}
-	run := gnet.RunnableFunc(func(context.Context) error {
-		for _, f := range p.box.Take() {
-			f()
-		}
-		return nil
-	})
-	p.box = inbox.New[func()](func() { _ = p.loop.Execute(context.Background(), run) })
-	opt.Budget.OnShort(func() { p.box.Put(func() { p.closeIdle(closeAtOnce) }) })
-	return p, nil
-}
-
-// firstLoop finds the client's event loop. gnet names it only by a connection,
-// so a pair of connected sockets serves for one.
-func firstLoop(client *gnet.Client) (gnet.EventLoop, error) {
-	near, far, err := socketPair()
-	if err != nil {
-		return nil, err
-	}
-	defer far.Close()
-	c, err := client.EnrollContext(near, nil)
-	if err != nil {
-		return nil, err
-	}
-	return c.EventLoop(), nil
+	opt.Budget.OnShort(func() { p.loop.Do(func() { p.closeIdle(closeAtOnce) }) })
+	return p
 }
 
 // Run closes connections that are idle for too long, until the context ends.
-func (p *Pool) Run(ctx context.Context) error {
+func (p *Pool) Run(ctx context.Context) {
 	tick := time.NewTicker(sweepEvery)
 	defer tick.Stop()
 	for {
 		select {
 		case <-tick.C:
-			p.box.Put(p.sweep)
+			p.loop.Do(p.sweep)
 		case <-ctx.Done():
-			return p.client.Stop()
+			return
 		}
 	}
 }
@@ -140,7 +99,7 @@
 // Members brings the list, or what has changed in it. With whole, who is absent
 // has been removed.
 func (p *Pool) Members(whole bool, members []Member) {
-	p.box.Put(func() {
+	p.loop.Do(func() {
 		if whole {
 			named := make(map[string]bool, len(members))
 			for _, m := range members {
@@ -187,7 +146,7 @@
 
 // Send carries out an attempt.
 func (p *Pool) Send(a *core.Attempt) {
-	p.box.Put(func() {
+	p.loop.Do(func() {
 		f := &flight{a: a, w: p.workers[a.Worker]}
 		p.flights[a] = f
 		p.start(f)
@@ -196,7 +155,7 @@
 
 // Cancel gives an attempt up by closing its connection.
 func (p *Pool) Cancel(a *core.Attempt) {
-	p.box.Put(func() {
+	p.loop.Do(func() {
 		if f := p.flights[a]; f != nil {
 			p.end(f, sedgevale.Cancelled, nil, nil)
 		}
@@ -205,7 +164,7 @@
 
 // Probe asks a worker for its load.
 func (p *Pool) Probe(id string, planner *core.Planner) {
-	p.box.Put(func() {
+	p.loop.Do(func() {
 		f := &flight{p: planner, w: p.workers[id]}
 		if f.w == nil {
 			planner.Probed(id, nil)
@@ -213,14 +172,14 @@
 		}
 		p.start(f)
 		time.AfterFunc(probeWait, func() {
-			p.box.Put(func() { p.end(f, sedgevale.TimedOut, nil, nil) })
+			p.loop.Do(func() { p.end(f, sedgevale.TimedOut, nil, nil) })
 		})
 	})
 }
 
 // CloseIdle closes the connections to a worker that carry nothing.
 func (p *Pool) CloseIdle(id string) {
-	p.box.Put(func() {
+	p.loop.Do(func() {
 		if w := p.workers[id]; w != nil {
 			p.closeAll(w)
 		}
@@ -240,68 +199,8 @@
 		return
 	}
 	w.dialling[f] = struct{}{}
-	addr := w.addr
-	go p.dial(f, addr)
-}
-
-// dial connects off the loop and hands the connection to it.
-func (p *Pool) dial(f *flight, addr string) {
-	nc, err := net.DialTimeout("tcp", addr, p.opt.DialTimeout)
-	if err == nil {
-		_, err = p.client.EnrollContext(nc, &conn{pool: p, f: f, parser: http1.NewParser(http1.Response)})
-	}
-	if err != nil {
-		p.box.Put(func() { p.end(f, sedgevale.ConnectFailed, nil, nil) })
-	}
-}
-
-// OnOpen is gnet's: a dialled connection is up.
-func (p *Pool) OnOpen(gc gnet.Conn) ([]byte, gnet.Action) {
-	c, ok := gc.Context().(*conn)
-	if !ok {
-		return nil, gnet.None
-	}
-	c.gc = gc
-	p.opt.Budget.Take()
-	f := c.f
-	c.w, c.f = f.w, nil
-	if f.over { // the worker has begun to drain, or nobody waits any more
-		c.dead = true
-		return nil, gnet.Close
-	}
-	delete(f.w.dialling, f)
-	c.carry(f)
-	return nil, gnet.None
-}
-
-// OnClose is gnet's.
-func (p *Pool) OnClose(gc gnet.Conn, _ error) gnet.Action {
-	c, ok := gc.Context().(*conn)
-	if !ok || c.gc == nil {
-		return gnet.None
-	}
-	p.opt.Budget.Release()
-	c.dead = true
-	c.w.forget(c)
-	delete(p.tails, c)
-	f := c.f
-	if f == nil || f.over {
-		return gnet.None
-	}
-	if c.whole() {
-		p.end(f, sedgevale.Lost, nil, nil)
-	} else {
-		p.end(f, sedgevale.ConnectFailed, nil, nil)
-	}
-	return gnet.None
-}
-
-// OnTraffic is gnet's.
-func (p *Pool) OnTraffic(gc gnet.Conn) gnet.Action {
-	if c, ok := gc.Context().(*conn); ok {
-		return c.read()
-	}
-	return gnet.None
+	c := &conn{pool: p, f: f, parser: http1.NewParser(http1.Response)}
+	p.loop.Dial(w.addr, p.opt.DialTimeout, c, func(error) { p.end(f, sedgevale.ConnectFailed, nil, nil) })
 }
 
 // end tells how a flight ended. Unless its answer has come whole, its
@@ -332,7 +231,7 @@
 	}
 	c.dead = true
 	c.w.forget(c)
-	_ = p.loop.Close(c.gc)
+	p.loop.Close(c.gc)
 }
 
 func (w *worker) forget(c *conn) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -17,6 +17,7 @@
 	"sedgevale/internal/config"
 	"sedgevale/internal/core"
 	"sedgevale/internal/discovery"
+	"sedgevale/internal/evloop"
 	"sedgevale/internal/front"
 	"sedgevale/internal/httpd"
 	"sedgevale/internal/intake"
@@ -50,6 +51,7 @@
 	settings sedgevale.Settings
 	clock    core.Clock
 	budget   *budget.Budget
+	loop     *evloop.Loop // for workers and discovery
 	pool     *upstream.Pool
 	watcher  *discovery.Watcher
 	planners *core.Set
@@ -75,13 +77,13 @@
 		set.AskForList = false
 	}
 	s := &Scheduler{opt: opt, config: c, settings: set, clock: core.NewClock(), budget: budget.New(c.Limits.Sockets)}
-	s.pool, err = upstream.New(upstream.Options{DialTimeout: config.Seconds(c.Settings.Bounds.DialTimeout),
-		IdleClose: config.Seconds(c.Settings.Bounds.IdleClose), Host: service, Clock: s.clock, Budget: s.budget,
-		Log: opt.Log})
-	if err != nil {
+	if s.loop, err = evloop.New(opt.Log); err != nil {
 		return nil, err
 	}
-	s.watcher = discovery.NewWatcher(c.Discovery, *c.Known, s.told, s.broken, opt.Log)
+	s.pool = upstream.New(upstream.Options{Loop: s.loop, DialTimeout: config.Seconds(c.Settings.Bounds.DialTimeout),
+		IdleClose: config.Seconds(c.Settings.Bounds.IdleClose), Host: service, Clock: s.clock, Budget: s.budget,
+		Log: opt.Log})
+	s.watcher = discovery.NewWatcher(s.loop, c.Discovery, *c.Known, s.told, s.broken, opt.Log)
 	var planners []*core.Planner
 	for i := range many {
 		p, err := core.NewPlanner(set, c.SeedNumber()+uint64(i), s.clock, s.pool, s.watcher.Watch, opt.Log)
@@ -118,10 +120,8 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go s.planners.Run(work)
-	go func() { _ = s.pool.Run(work) }()
-	if s.config.Discovery != "" {
-		go s.watcher.Run(work)
-	}
+	go s.pool.Run(work)
+	defer s.loop.Stop()
 	s.members(sedgevale.ListStale, *s.config.Known)
 	ended := make(chan error, len(s.servers))
 	for _, server := range s.servers {
