Test outcomes, drains during a dial, idle connections, and bounds of streams

The tests of the whole scheduler now run two planners and two event loops. A scheduler can be embedded: its configuration has names outside internal.

--- a/cmd/sedgevale/main.go
+++ b/cmd/sedgevale/main.go
@@ -14,7 +14,6 @@
 
 	"github.com/alecthomas/kong"
 
-	"sedgevale/internal/config"
 	"sedgevale/internal/haproxy"
 	"sedgevale/scheduler"
 )
@@ -32,12 +31,12 @@
 
 func (s serveCmd) Run() error {
 	if s.File == "" {
-		return serve(config.FromEnv)
+		return serve(scheduler.FromEnv)
 	}
-	return serve(func() (*config.Config, error) { return config.ReadOperator(s.File) })
+	return serve(func() (*scheduler.Config, error) { return scheduler.ReadFile(s.File) })
 }
 
-func serve(read func() (*config.Config, error)) error {
+func serve(read func() (*scheduler.Config, error)) error {
 	c, err := read()
 	if err != nil {
 		return err
@@ -88,7 +87,7 @@
 }
 
 func (c checkCmd) Run() error {
-	got, err := config.ReadOperator(c.File)
+	got, err := scheduler.ReadFile(c.File)
 	if err == nil {
 		fmt.Printf("%s: good: %d classes, %d workers\n", c.File, len(got.Settings.Classes), len(got.Known.Members))
 	}
--- a/internal/core/planner_test.go
+++ b/internal/core/planner_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"sedgevale"
+	"sedgevale/internal/testkit"
 )
 
 // carrier notes what it is asked to carry.
@@ -78,21 +79,11 @@
 	return p, c, clock
 }
 
-func await[T any](t *testing.T, from <-chan T) (v T) {
-	t.Helper()
-	select {
-	case v = <-from:
-	case <-time.After(10 * time.Second):
-		t.Fatal("nothing came")
-	}
-	return v
-}
-
 func openNow(t *testing.T, p *Planner) int {
 	t.Helper()
 	n := make(chan int, 1)
 	p.Open(func(open int) { n <- open })
-	return await(t, n)
+	return testkit.Await(t, "an event", n)
 }
 
 // Guards against exchanges that stay on the books when a timer of the module
@@ -101,7 +92,7 @@
 	p, _, clock := begin(t)
 	c := newClient()
 	p.Request(NewExchange(Job{ID: "r", Tenant: -1}, clock.Now()+200*time.Millisecond, c))
-	if a := await(t, c.first); a.Kind != Refused {
+	if a := testkit.Await(t, "an event", c.first); a.Kind != Refused {
 		t.Errorf("answered %v without any worker", a)
 	}
 	if n := openNow(t, p); n != 0 {
@@ -116,12 +107,12 @@
 	c := newClient()
 	deadline := clock.Now() + 300*time.Millisecond
 	p.Request(NewExchange(Job{ID: "r", Class: 1, Tenant: -1}, deadline, c))
-	a := await(t, carry.sent)
-	got := await(t, c.first)
+	a := testkit.Await(t, "an event", carry.sent)
+	got := testkit.Await(t, "an event", c.first)
 	if late := clock.Now() - deadline; got.Kind != Failed || !got.Ran || late > 200*time.Millisecond || late < 0 {
 		t.Errorf("answered %+v, %v after the deadline", got, late)
 	}
-	if await(t, carry.cancelled) != a {
+	if testkit.Await(t, "an event", carry.cancelled) != a {
 		t.Error("another attempt was called off")
 	}
 	p.Ended(a, sedgevale.Served, []byte("late"), nil)
@@ -136,8 +127,8 @@
 	p, carry, clock := begin(t, "v", "w")
 	c := newClient()
 	p.Request(NewExchange(Job{ID: "r", Class: 1, Tenant: -1}, clock.Now()+5*time.Second, c))
-	p.Ended(await(t, carry.sent), sedgevale.Lost, nil, nil)
-	if got := await(t, c.first); got.Kind != Failed || !got.Ran {
+	p.Ended(testkit.Await(t, "an event", carry.sent), sedgevale.Lost, nil, nil)
+	if got := testkit.Await(t, "an event", c.first); got.Kind != Failed || !got.Ran {
 		t.Errorf("answered %+v", got)
 	}
 	openNow(t, p)
@@ -152,15 +143,15 @@
 	p, carry, clock := begin(t, "v", "w")
 	c := newClient()
 	p.Request(NewExchange(Job{ID: "r", Class: 1, Tenant: -1}, clock.Now()+5*time.Second, c))
-	first := await(t, carry.sent)
+	first := testkit.Await(t, "an event", carry.sent)
 	p.Members(sedgevale.ListPatch, []sedgevale.WorkerInfo{{Worker: first.Worker, State: sedgevale.Leaving}})
 	p.Ended(first, sedgevale.NotSent, nil, nil)
-	second := await(t, carry.sent)
+	second := testkit.Await(t, "an event", carry.sent)
 	if second.Worker == first.Worker {
 		t.Error("sent to the worker that drains")
 	}
 	p.Ended(second, sedgevale.Served, []byte("ok"), nil)
-	if got := await(t, c.first); got.Kind != Served || string(got.Result) != "ok" {
+	if got := testkit.Await(t, "an event", c.first); got.Kind != Served || string(got.Result) != "ok" {
 		t.Errorf("answered %+v", got)
 	}
 }
@@ -171,15 +162,15 @@
 	p, carry, clock := begin(t, "w")
 	c := newClient()
 	p.Request(NewExchange(Job{ID: "r", Tenant: -1}, clock.Now()+5*time.Second, c))
-	await(t, carry.sent)
+	testkit.Await(t, "an event", carry.sent)
 	p.box.Put(event{kind: evCall, call: func() { panic("fault") }})
-	if got := await(t, c.first); got.Kind != Failed {
+	if got := testkit.Await(t, "an event", c.first); got.Kind != Failed {
 		t.Errorf("answered %+v", got)
 	}
 	again := newClient()
 	p.Request(NewExchange(Job{ID: "s", Tenant: -1}, clock.Now()+5*time.Second, again))
-	p.Ended(await(t, carry.sent), sedgevale.Served, nil, nil)
-	if got := await(t, again.first); got.Kind != Served {
+	p.Ended(testkit.Await(t, "an event", carry.sent), sedgevale.Served, nil, nil)
+	if got := testkit.Await(t, "an event", again.first); got.Kind != Served {
 		t.Errorf("answered %+v", got)
 	}
 }
@@ -197,6 +188,28 @@
 	}
 }
 
+// Client side and server side meet only in an Exchange.
+func TestSidesAreApart(t *testing.T) {
+	sides := [][]string{{"httpd", "front", "sse", "intake"}, {"upstream", "discovery"}}
+	for i, side := range sides {
+		for _, name := range side {
+			pkgs, err := parser.ParseDir(token.NewFileSet(), "../"+name, nil, parser.ImportsOnly)
+			if err != nil || pkgs[name] == nil {
+				t.Fatalf("%s: %v", name, err)
+			}
+			for file, f := range pkgs[name].Files {
+				for _, imported := range f.Imports {
+					for _, other := range sides[1-i] {
+						if strings.HasSuffix(strings.Trim(imported.Path.Value, `"`), "/internal/"+other) {
+							t.Errorf("%s imports %s", file, other)
+						}
+					}
+				}
+			}
+		}
+	}
+}
+
 // The core deals in requests, attempts and outcomes, and knows no wire.
 func TestCoreKnowsNoWire(t *testing.T) {
 	pkgs, err := parser.ParseDir(token.NewFileSet(), ".", nil, parser.ImportsOnly)
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -12,18 +12,9 @@
 
 	"sedgevale"
 	"sedgevale/internal/evloop"
+	"sedgevale/internal/testkit"
 )
 
-func await[T any](t *testing.T, from <-chan T) (v T) {
-	t.Helper()
-	select {
-	case v = <-from:
-	case <-time.After(20 * time.Second):
-		t.Fatal("nothing came")
-	}
-	return v
-}
-
 // serve answers calls one after another as told, each with what it asked.
 func serve(t *testing.T, answers <-chan string) (addr string, asked <-chan string) {
 	t.Helper()
@@ -82,7 +73,7 @@
 	next := 5
 	expect := func() {
 		t.Helper()
-		if got, want := await(t, asked), fmt.Sprintf(target, next); got != want {
+		if got, want := testkit.Await(t, "an event", asked), fmt.Sprintf(target, next); got != want {
 			t.Errorf("asked %s, want %s", got, want)
 		}
 	}
@@ -92,7 +83,7 @@
 	}{{8, true}, {9, false}} {
 		expect()
 		answers <- list(l.revision, l.complete)
-		if got := await(t, told); int(got.Revision) != l.revision || got.Complete != l.complete || !got.Members[0].Ready() {
+		if got := testkit.Await(t, "an event", told); int(got.Revision) != l.revision || got.Complete != l.complete || !got.Members[0].Ready() {
 			t.Errorf("told %+v", got)
 		}
 		next = l.revision
@@ -101,7 +92,7 @@
 		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{"} {
 		expect()
 		answers <- fault
-		await(t, broken)
+		testkit.Await(t, "an event", broken)
 		w.Watch()
 	}
 	expect()
--- a/internal/http1/parse_test.go
+++ b/internal/http1/parse_test.go
@@ -3,25 +3,16 @@
 import (
 	"bytes"
 	"errors"
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"sedgevale/internal/testkit"
 )
 
-// The same cases each time.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "300", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testkit.Main(m, 300) }
 
 // feed offers the text in parts, cut at the given places, and tells what came.
 func feed(kind Kind, parts ...[]byte) (seen string, err error) {
--- a/internal/httpd/httpd_test.go
+++ b/internal/httpd/httpd_test.go
@@ -13,6 +13,7 @@
 
 	"sedgevale/internal/budget"
 	"sedgevale/internal/http1"
+	"sedgevale/internal/testkit"
 )
 
 // echo answers with the body, and holds back what asks for it.
@@ -27,16 +28,6 @@
 
 func (e echo) Gone(*Conn) { e.gone <- struct{}{} }
 
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func start(t *testing.T, addr string, b *budget.Budget) (*Server, echo) {
 	t.Helper()
 	h := echo{make(chan struct{}, 8)}
@@ -86,7 +77,7 @@
 // its last run closed are still in TIME_WAIT, and against two that share a port
 // without noticing.
 func TestStartsAgainButNotTwice(t *testing.T) {
-	addr := freeAddr(t)
+	addr := testkit.FreeAddr(t)
 	s, _ := start(t, addr, budget.New(0))
 	c, r := dial(t, addr)
 	if _, err := io.WriteString(c, "BAD\r\n\r\n"); err != nil { // the server is the one that closes
@@ -109,7 +100,7 @@
 // Guards against a message that ends without further bytes being left unread,
 // and against the bytes after it being dropped: gnet's Discard(0) drops all.
 func TestRequestsOneAfterAnother(t *testing.T) {
-	addr := freeAddr(t)
+	addr := testkit.FreeAddr(t)
 	s, _ := start(t, addr, budget.New(0))
 	defer stop(t, s)
 	c, r := dial(t, addr)
@@ -133,7 +124,7 @@
 }
 
 func TestMalformedRequestsAreAnswered(t *testing.T) {
-	addr := freeAddr(t)
+	addr := testkit.FreeAddr(t)
 	s, _ := start(t, addr, budget.New(0))
 	defer stop(t, s)
 	for _, c := range []struct {
@@ -159,7 +150,7 @@
 // A client that leaves before its answer is told of; one that had its answer is
 // not. After Drain each answer is the last of its connection.
 func TestGoneAndDrain(t *testing.T) {
-	addr := freeAddr(t)
+	addr := testkit.FreeAddr(t)
 	s, h := start(t, addr, budget.New(0))
 	defer stop(t, s)
 	c, _ := dial(t, addr)
@@ -189,7 +180,7 @@
 // Guards against running out of descriptors, on which accepting fails for good:
 // idle connections are closed, the busy one stays.
 func TestShortOfDescriptors(t *testing.T) {
-	addr := freeAddr(t)
+	addr := testkit.FreeAddr(t)
 	b := budget.New(68) // 4 connections and the reserve
 	s, _ := start(t, addr, b)
 	defer stop(t, s)
--- a/internal/sse/id_test.go
+++ b/internal/sse/id_test.go
@@ -1,23 +1,14 @@
 package sse
 
 import (
-	"flag"
-	"os"
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"sedgevale/internal/testkit"
 )
 
-// The same cases each time.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "200", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testkit.Main(m, 200) }
 
 // Ids come back as they went out, and garbage is told as such: a client may
 // send anything as its last event id.
--- /dev/null
+++ b/internal/sse/job_test.go
@@ -0,0 +1,81 @@
+package sse
+
+import (
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"sedgevale"
+	"sedgevale/internal/core"
+	"sedgevale/internal/intake"
+)
+
+func newFront() *Front {
+	return New(Options{Rules: &intake.Rules{Classes: []sedgevale.Class{{Name: "free"}, {Name: "once", Effect: sedgevale.Unsafe},
+		{Name: "all", Effect: sedgevale.Keyed}, {Name: "cell", Effect: sedgevale.Keyed, Scope: sedgevale.ScopeCell}}},
+		Log: slog.New(slog.DiscardHandler)})
+}
+
+func (f *Front) add(id string) *job {
+	j := &job{front: f, id: id}
+	f.jobs[id] = j
+	return j
+}
+
+// Guards against a second final event, against a stream that grows without
+// bound, and against the loss of what matters in it.
+func TestStreamIsBoundedAndEndsOnce(t *testing.T) {
+	f := newFront()
+	j := f.add("a")
+	j.Started()
+	for i := range 5 * maxEvents {
+		j.Progress(float64(i))
+	}
+	j.Answer(core.Answer{Kind: core.Served, Result: []byte("r")})
+	j.Answer(core.Answer{Kind: core.Failed})
+	j.Progress(1)
+	var all strings.Builder
+	bytes := 0
+	for _, e := range j.events {
+		all.Write(e.text)
+		bytes += len(e.text)
+	}
+	if len(j.events) > maxEvents || bytes != f.bytes || bytes != j.bytes {
+		t.Errorf("%d events, %d bytes counted as %d", len(j.events), bytes, f.bytes)
+	}
+	if s := all.String(); !strings.Contains(s, "event: started") || strings.Count(s, "event: result") != 1 ||
+		strings.Contains(s, "event: failed") || !strings.HasSuffix(s, "data: {\"result\":\"r\"}\n\n") {
+		t.Errorf("the stream is %s", s)
+	}
+}
+
+// Finished jobs are kept for a while, and so many at most; those that run on
+// are always kept.
+func TestRetention(t *testing.T) {
+	f := newFront()
+	f.add("runs")
+	for i := range maxKept + 10 {
+		f.add(randomID()).Answer(core.Answer{Kind: core.Refused, After: time.Duration(i)})
+	}
+	if n := len(f.jobs); n != maxKept+1 {
+		t.Errorf("%d jobs kept", n)
+	}
+	f.retire(time.Now().Add(f.retain))
+	if len(f.jobs) != 1 || f.jobs["runs"] == nil || f.bytes != 0 || len(f.done) != 0 {
+		t.Errorf("%d jobs and %d bytes kept", len(f.jobs), f.bytes)
+	}
+}
+
+// A client is told to post again only what may run twice, or never ran.
+func TestRepeatSafe(t *testing.T) {
+	f := newFront()
+	for class, want := range []bool{true, false, true, false} {
+		if got := f.failure(class, "", true); got.RepeatSafe != want || got.Outcome != "unknown" {
+			t.Errorf("class %d that may have run: %+v", class, got)
+		}
+		if got := f.failure(class, "", false); !got.RepeatSafe || got.Outcome != "not run" {
+			t.Errorf("class %d that never ran: %+v", class, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/testkit/testkit.go
@@ -0,0 +1,49 @@
+// Package testkit is shared by tests.
+package testkit
+
+import (
+	"flag"
+	"net"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+)
+
+// patience is for what must come; no test waits that long when all is well.
+const patience = 20 * time.Second
+
+// Main runs a package's tests with so many rapid checks each, the same ones
+// every time.
+func Main(m *testing.M, checks int) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": strconv.Itoa(checks),
+		"rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// FreeAddr returns a loopback address on which nobody listens.
+func FreeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// Await returns the next value of a channel, or fails the test.
+func Await[T any](t *testing.T, what string, from <-chan T) (v T) {
+	t.Helper()
+	select {
+	case v = <-from:
+	case <-time.After(patience):
+		t.Fatalf("waited in vain for %s", what)
+	}
+	return v
+}
--- a/internal/upstream/line_test.go
+++ b/internal/upstream/line_test.go
@@ -2,24 +2,15 @@
 
 import (
 	"bytes"
-	"flag"
-	"os"
 	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"sedgevale/internal/testkit"
 )
 
-// The same cases each time.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "200", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testkit.Main(m, 200) }
 
 // Lines come out whole however the body is cut into chunks.
 func TestLinesCuts(t *testing.T) {
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,142 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"sedgevale"
+	"sedgevale/internal/budget"
+	"sedgevale/internal/core"
+	"sedgevale/internal/evloop"
+	"sedgevale/internal/testkit"
+)
+
+type client chan core.Answer
+
+func (client) Started()               {}
+func (client) Progress(float64)       {}
+func (c client) Answer(a core.Answer) { c <- a }
+
+// begin runs a pool and a planner that know one worker.
+func begin(t *testing.T, addr string, idle time.Duration) (*Pool, *core.Planner, core.Clock) {
+	t.Helper()
+	log := slog.New(slog.DiscardHandler)
+	loop, err := evloop.New(log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	clock := core.NewClock()
+	pool := New(Options{DialTimeout: time.Minute, IdleClose: idle, Host: "h", Clock: clock, Loop: loop,
+		Budget: budget.New(0), Log: log})
+	planner, err := core.NewPlanner(sedgevale.Settings{MaxAttempts: 3, MayCancel: true, Classes: []sedgevale.Class{
+		{Name: "once", Effect: sedgevale.Unsafe, Aim: 3 * time.Second, Limit: 3 * time.Second}}}, 1, clock, pool,
+		func() {}, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	go planner.Run(ctx)
+	go pool.Run(ctx)
+	t.Cleanup(func() {
+		stop()
+		if err := loop.Stop(); err != nil {
+			t.Error(err)
+		}
+	})
+	pool.Members(true, []Member{{ID: "w", Addr: addr, Ready: true}})
+	planner.Members(sedgevale.ListWhole, []sedgevale.WorkerInfo{{Worker: "w"}})
+	return pool, planner, clock
+}
+
+// deaf returns an address on which new connections never come up: its queue of
+// connections to accept is full.
+func deaf(t *testing.T) string {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { unix.Close(fd) })
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := unix.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	sa, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := (&net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: sa.(*unix.SockaddrInet4).Port}).String()
+	for range 8 {
+		c, err := net.DialTimeout("tcp", addr, 200*time.Millisecond)
+		if err != nil {
+			return addr
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+	t.Skip("this system takes connections beyond the queue")
+	return ""
+}
+
+// Guards against a first byte long after the drain was told: a connection that
+// comes up late is no reason to send. The job never ran, so it is refused.
+func TestDrainEndsWhatIsBeingDialled(t *testing.T) {
+	addr := deaf(t)
+	pool, planner, clock := begin(t, addr, 0)
+	answers := make(client, 1)
+	planner.Request(core.NewExchange(core.Job{ID: "a", Tenant: -1, Method: "POST", Target: "/once"},
+		clock.Now()+3*time.Second, answers))
+	for dialling := 0; dialling == 0; {
+		seen := make(chan int)
+		pool.loop.Do(func() { seen <- len(pool.workers["w"].dialling) })
+		dialling = testkit.Await(t, "the loop", seen)
+	}
+	pool.Members(false, []Member{{ID: "w", Addr: addr}})
+	planner.Members(sedgevale.ListPatch, []sedgevale.WorkerInfo{{Worker: "w", State: sedgevale.Leaving}})
+	if a := testkit.Await(t, "the answer", answers); a.Kind != core.Refused {
+		t.Errorf("%+v", a)
+	}
+}
+
+// Guards against requests that cross a worker's closing of an idle connection:
+// this side closes first.
+func TestIdleConnectionsAreClosedFirst(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	const idle = 3 * time.Second
+	_, planner, clock := begin(t, l.Addr().String(), idle)
+	answers := make(client, 1)
+	planner.Request(core.NewExchange(core.Job{ID: "a", Tenant: -1, Method: "POST", Target: "/once"},
+		clock.Now()+3*time.Second, answers))
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	buf := make([]byte, 4096)
+	if n, err := c.Read(buf); err != nil || !strings.HasPrefix(string(buf[:n]), "POST /once HTTP/1.1\r\n") {
+		t.Errorf("%q, error %v", buf[:n], err)
+	}
+	const line = `{"id":"a","state":"done","result":"r"}`
+	if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 38\r\n\r\n"+line); err != nil || len(line) != 38 {
+		t.Fatal(len(line), err)
+	}
+	if a := testkit.Await(t, "the answer", answers); a.Kind != core.Served || string(a.Result) != "r" {
+		t.Errorf("%+v", a)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(idle))
+	if _, err := c.Read(buf); err != io.EOF {
+		t.Errorf("the idle connection: %v", err)
+	}
+}
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -20,6 +20,7 @@
 
 	"sedgevale/internal/config"
 	"sedgevale/internal/discovery"
+	"sedgevale/internal/testkit"
 	"sedgevale/scheduler"
 )
 
@@ -50,16 +51,6 @@
 
 const patience = 20 * time.Second // for what must come; no test waits that long when all is well
 
-func await[T any](t *testing.T, what string, from <-chan T) (v T) {
-	t.Helper()
-	select {
-	case v = <-from:
-	case <-time.After(patience):
-		t.Fatalf("waited in vain for %s", what)
-	}
-	return v
-}
-
 // run is one job at a worker. The test tells what becomes of it.
 type run struct {
 	worker, id, class, target string
@@ -85,8 +76,9 @@
 	mu     sync.Mutex
 	counts map[string]int // runs by class, and by worker
 	list   discovery.List
-	newer  chan struct{} // closed at the next change
-	told   chan int64    // the versions after which the scheduler has asked again
+	status http.HandlerFunc // answers in place of a job; nil: none
+	newer  chan struct{}    // closed at the next change
+	told   chan int64       // the versions after which the scheduler has asked again
 	addr   string
 }
 
@@ -115,6 +107,14 @@
 func (f *fleet) worker(name string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		body, _ := io.ReadAll(q.Body)
+		f.mu.Lock()
+		status := f.status
+		f.status = nil
+		f.mu.Unlock()
+		if status != nil {
+			status(w, q)
+			return
+		}
 		r := &run{worker: name, id: q.Header.Get("Request-Id"), class: q.URL.Path[1:], target: q.RequestURI,
 			body: string(body), lines: make(chan string, 16), cut: make(chan struct{}), over: q.Context().Done()}
 		f.mu.Lock()
@@ -180,7 +180,7 @@
 	close(f.newer)
 	f.newer = make(chan struct{})
 	f.mu.Unlock()
-	for await(f.t, "the next watch", f.told) < want {
+	for testkit.Await(f.t, "the next watch", f.told) < want {
 	}
 }
 
@@ -190,9 +190,16 @@
 	return f.counts[what]
 }
 
+// answer has the next attempt answered by h, whichever worker gets it.
+func (f *fleet) answer(h http.HandlerFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.status = h
+}
+
 func (f *fleet) next() *run {
 	f.t.Helper()
-	return await(f.t, "a job at a worker", f.runs)
+	return testkit.Await(f.t, "a job at a worker", f.runs)
 }
 
 // settings are those of a small deployment.
@@ -211,16 +218,6 @@
 	return s
 }
 
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // child is a scheduler in a process of its own.
 type child struct {
 	t          *testing.T
@@ -232,10 +229,10 @@
 
 func startChild(t *testing.T, f *fleet) *child {
 	t.Helper()
-	c := &child{t: t, file: filepath.Join(t.TempDir(), "operator.toml"), plain: freeAddr(t), sse: freeAddr(t)}
+	c := &child{t: t, file: filepath.Join(t.TempDir(), "operator.toml"), plain: testkit.FreeAddr(t), sse: testkit.FreeAddr(t)}
 	file := config.File{Name: "test", Listen: c.plain, Discovery: f.addr, Seed: "1f", Settings: settings(t),
 		Limits: config.Limits{MemoryMB: 192, Sockets: 1024}, Workers: f.list.Members,
-		SSE: &config.SSE{Listen: c.sse, Heartbeat: 0.2, Retain: 30}}
+		SSE: &config.SSE{Listen: c.sse, Heartbeat: 0.2, Retain: 30}, Planners: 2, Loops: 2}
 	w, err := os.Create(c.file)
 	if err != nil {
 		t.Fatal(err)
--- a/scheduler/front_test.go
+++ b/scheduler/front_test.go
@@ -14,7 +14,9 @@
 	"testing"
 	"time"
 
+	"sedgevale/internal/discovery"
 	"sedgevale/internal/haproxy"
+	"sedgevale/internal/testkit"
 )
 
 // reply is what a client of the first front gets.
@@ -65,25 +67,25 @@
 	}
 	r.say(`"state":"started"`)
 	r.done("result")
-	if a := await(t, "the answer", got); a.status != 200 || a.body != "result" || a.last {
+	if a := testkit.Await(t, "the answer", got); a.status != 200 || a.body != "result" || a.last {
 		t.Errorf("served: %+v", a)
 	}
 	got = post(c.plain, "/plan-change", job("two")...)
 	f.next().say(`"state":"failed"`)
-	if a := await(t, "the answer", got); a.status != 500 {
+	if a := testkit.Await(t, "the answer", got); a.status != 500 {
 		t.Errorf("failed: %+v", a)
 	}
 	// An answer to another job is nobody's answer, and may hide that this one ran.
 	got = post(c.plain, "/plan-change", job("three")...)
 	f.next().lines <- `{"id":"two","from":"w","state":"done","result":"not yours"}`
-	if a := await(t, "the answer", got); a.status != 500 || strings.Contains(a.body, "not yours") {
+	if a := testkit.Await(t, "the answer", got); a.status != 500 || strings.Contains(a.body, "not yours") {
 		t.Errorf("another's result: %+v", a)
 	}
 	// Garbage from a worker ends that attempt only; the safe job runs again.
 	got = post(c.plain, "/usage-view", job("four")...)
 	f.next().lines <- `{"id":`
 	f.next().done("again")
-	if a := await(t, "the answer", got); a.status != 200 || a.body != "again" {
+	if a := testkit.Await(t, "the answer", got); a.status != 200 || a.body != "again" {
 		t.Errorf("after garbage: %+v", a)
 	}
 	for _, q := range []struct {
@@ -100,7 +102,7 @@
 		{"/usage-view", job(""), 400},
 		{"/bill-pay", job("x"), 400},
 	} {
-		if a := await(t, "the answer", post(c.plain, q.path, q.fields...)); a.status != q.want || !a.last {
+		if a := testkit.Await(t, "the answer", post(c.plain, q.path, q.fields...)); a.status != q.want || !a.last {
 			t.Errorf("%s %v: %+v, want %d", q.path, q.fields, a, q.want)
 		}
 	}
@@ -109,7 +111,7 @@
 // Without workers the module refuses, and says when to come again.
 func TestPlainRefusal(t *testing.T) {
 	c := startChild(t, newFleet(t))
-	a := await(t, "the answer", post(c.plain, "/usage-view", job("one", "Request-Timeout", "900m")...))
+	a := testkit.Await(t, "the answer", post(c.plain, "/usage-view", job("one", "Request-Timeout", "900m")...))
 	if after, err := strconv.ParseFloat(a.after, 64); a.status != 503 || err != nil || after <= 0 || after > 2 {
 		t.Errorf("%+v", a)
 	}
@@ -127,7 +129,7 @@
 		"Request-Timeout: 9000m\r\nContent-Length: 0\r\n\r\n")
 	r := f.next()
 	conn.Close()
-	await(t, "the attempt to be called off", r.over)
+	testkit.Await(t, "the attempt to be called off", r.over)
 }
 
 // Guards against requests lost at a planned restart: what was taken is
@@ -157,11 +159,11 @@
 	}
 	first.done("first")
 	for want, got := range map[string]<-chan reply{"first": before, "second": after} {
-		if a := await(t, "the answer", got); a.status != 200 || a.body != want || !a.last {
+		if a := testkit.Await(t, "the answer", got); a.status != 200 || a.body != want || !a.last {
 			t.Errorf("%s: %+v", want, a)
 		}
 	}
-	if err := await(t, "the program's end", c.exited); err != nil {
+	if err := testkit.Await(t, "the program's end", c.exited); err != nil {
 		t.Errorf("ended with %v", err)
 	}
 	c.cmd = nil
@@ -170,7 +172,7 @@
 // What the importer makes of HAProxy's configuration serves.
 func TestImportedConfigurationServes(t *testing.T) {
 	f := newFleet(t, "w")
-	c := &child{t: t, file: filepath.Join(t.TempDir(), "operator.toml"), plain: freeAddr(t)}
+	c := &child{t: t, file: filepath.Join(t.TempDir(), "operator.toml"), plain: testkit.FreeAddr(t)}
 	c.sse = c.plain // asked for /ready
 	file, _, err := haproxy.Import(strings.NewReader("defaults\n mode http\n timeout connect 1s\n timeout server 9s\n"+
 		"frontend web\n bind "+c.plain+"\n default_backend boxes\n"+
@@ -190,7 +192,43 @@
 	t.Cleanup(c.kill)
 	got := post(c.plain, "/web/page", "Request-Id", "a", "Request-Timeout", "5000m")
 	f.next().done("served")
-	if a := await(t, "the answer", got); a.status != 200 || a.body != "served" {
+	if a := testkit.Await(t, "the answer", got); a.status != 200 || a.body != "served" {
 		t.Errorf("%+v", a)
 	}
 }
+
+// What proves that a job never ran lets even plan-change go out again; what does
+// not ends it.
+func TestPlainOutcomes(t *testing.T) {
+	f := newFleet(t, "v", "w")
+	f.list.Members = append(f.list.Members, discovery.Member{ID: "dead", HostPort: testkit.FreeAddr(t), Locality: "hut",
+		Flavor: "box", Phase: "ready", Size: 1})
+	c := startChild(t, f)
+	for i := range 8 { // some are tried first where nobody listens
+		got := post(c.plain, "/plan-change", job(fmt.Sprint("connect-", i))...)
+		f.next().done("ran")
+		if a := testkit.Await(t, "the answer", got); a.status != 200 {
+			t.Errorf("a worker that refuses connections: %+v", a)
+		}
+	}
+	f.answer(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Not-Started", "1")
+		w.Header().Set("Server-Load", "lat_ms=1,q=9,x0=0")
+		w.WriteHeader(503)
+	})
+	got := post(c.plain, "/plan-change", job("full")...)
+	f.next().done("elsewhere")
+	if a := testkit.Await(t, "the answer", got); a.status != 200 || a.body != "elsewhere" {
+		t.Errorf("turned away unstarted: %+v", a)
+	}
+	for _, status := range []int{500, 503, 418} { // without Not-Started it may have run
+		f.answer(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) })
+		if a := testkit.Await(t, "the answer", post(c.plain, "/plan-change", job(fmt.Sprint("s", status))...)); a.status != 500 {
+			t.Errorf("a worker that answers %d: %+v", status, a)
+		}
+	}
+	f.answer(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(200) }) // ends without a last line
+	if a := testkit.Await(t, "the answer", post(c.plain, "/plan-change", job("short")...)); a.status != 500 {
+		t.Errorf("an answer without a last line: %+v", a)
+	}
+}
--- a/scheduler/stream_test.go
+++ b/scheduler/stream_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"sedgevale/internal/testkit"
 )
 
 // event is one server-sent event.
@@ -86,7 +88,7 @@
 func (s *stream) until(name string) event {
 	s.t.Helper()
 	for {
-		e := await(s.t, name, s.events)
+		e := testkit.Await(s.t, name, s.events)
 		if e.name == name {
 			return e
 		}
@@ -101,7 +103,7 @@
 	s.t.Helper()
 	finals := 0
 	for {
-		e := await(s.t, "the end of the stream", s.events)
+		e := testkit.Await(s.t, "the end of the stream", s.events)
 		if e.name == "" {
 			break
 		}
@@ -256,7 +258,7 @@
 		last.field(t, "repeat_safe") != false {
 		t.Errorf("after %v: %s %s", took, last.name, last.data)
 	}
-	await(t, "the worker's connection to close", r.over)
+	testkit.Await(t, "the worker's connection to close", r.over)
 	if n := f.count("plan-change"); n != 1 {
 		t.Errorf("plan-change ran %d times", n)
 	}
@@ -339,6 +341,6 @@
 			}
 		}
 	}()
-	await(t, "a heartbeat", beat)
+	testkit.Await(t, "a heartbeat", beat)
 	r.done("")
 }
