Make two tests notice what they guard against

Mutants that survived: a resume across runs of the scheduler that ignores the run, and a client's leaving that is not passed to the module. Both are killed now. One still survives: a write to a worker that fails at once counts as not connected; no test makes the kernel refuse the first write.

--- a/scheduler/front_test.go
+++ b/scheduler/front_test.go
@@ -126,7 +126,7 @@
 		t.Fatal(err)
 	}
 	fmt.Fprintf(conn, "POST /plan-change HTTP/1.1\r\nHost: h\r\nRequest-Id: a\r\nTenant: co-op\r\n"+
-		"Request-Timeout: 9000m\r\nContent-Length: 0\r\n\r\n")
+		"Request-Timeout: 60000m\r\nContent-Length: 0\r\n\r\n")
 	r := f.next()
 	conn.Close()
 	testkit.Await(t, "the attempt to be called off", r.over)
--- a/scheduler/stream_test.go
+++ b/scheduler/stream_test.go
@@ -217,7 +217,7 @@
 	c := startChild(t, f)
 	had := map[string]event{}
 	for _, class := range []string{"plan-change", "usage-view"} {
-		s := subscribe(t, "POST", c.sse, class)
+		s := subscribe(t, "POST", c.sse, class, "Request-Id", "id-"+class)
 		f.next().say(`"state":"started"`)
 		had[class] = s.until("started")
 	}
@@ -234,11 +234,17 @@
 			t.Errorf("%s: came back after the final event: %d", class, again.status)
 		}
 	}
-	s := subscribe(t, "POST", c.sse, "usage-view") // the safe one may be posted again
+	// The safe one may be posted again. Its id now stands for two jobs, of which
+	// the first is still not known.
+	s := subscribe(t, "POST", c.sse, "usage-view", "Request-Id", "id-usage-view")
 	f.next().done("second")
 	if last, _ := s.rest(); last.name != "result" {
 		t.Errorf("%s %s", last.name, last.data)
 	}
+	back := subscribe(t, "GET", c.sse, "usage-view", "Last-Event-ID", had["usage-view"].id)
+	if last, _ := back.rest(); last.name != "failed" {
+		t.Errorf("the first job came back as %s %s", last.name, last.data)
+	}
 	if n := f.count("plan-change"); n != 1 {
 		t.Errorf("plan-change ran %d times", n)
 	}
