Read the configuration again at SIGHUP and move the watch on discovery

Cause: cmd/sedgevale/main.go:serve asked for SIGTERM and SIGINT alone, so SIGHUP had its default action; and internal/config/config.go:FromEnv let EDGE_DISCOVERY win over the file, so that reading the file again alone would have asked the old address for good (the environment of a running process cannot change). Ruled out by the log: a panic, or a kill for memory (5 of 64 MB).

Now Serve catches SIGHUP before all else and never gives it back, reads again, and Reload moves the watcher: the new address is asked for the whole list, and until it has answered the old one's last word still counts. A bad file is logged and changes nothing. Limits follow the file.

--- a/cmd/sedgevale/main.go
+++ b/cmd/sedgevale/main.go
@@ -2,15 +2,12 @@
 package main
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"log/slog"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/alecthomas/kong"
 
@@ -19,7 +16,7 @@
 )
 
 type cli struct {
-	Serve   serveCmd   `cmd:"" help:"Schedule jobs until SIGTERM."`
+	Serve   serveCmd   `cmd:"" help:"Schedule jobs until SIGTERM; SIGHUP reads the file again."`
 	Import  importCmd  `cmd:"" help:"Make an operator's file of HAProxy's configuration."`
 	Check   checkCmd   `cmd:"" help:"Check an operator's file."`
 	Version versionCmd `cmd:"" help:"Print the version."`
@@ -30,25 +27,11 @@
 }
 
 func (s serveCmd) Run() error {
-	if s.File == "" {
-		return serve(scheduler.FromEnv)
+	read := scheduler.FromEnv
+	if s.File != "" {
+		read = func() (*scheduler.Config, error) { return scheduler.ReadFile(s.File) }
 	}
-	return serve(func() (*scheduler.Config, error) { return scheduler.ReadFile(s.File) })
-}
-
-func serve(read func() (*scheduler.Config, error)) error {
-	c, err := read()
-	if err != nil {
-		return err
-	}
-	scheduler.Limit(c)
-	s, err := scheduler.New(c, scheduler.Options{Log: slog.New(slog.NewTextHandler(os.Stderr, nil))})
-	if err != nil {
-		return err
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	return s.Run(ctx)
+	return scheduler.Serve(read, slog.New(slog.NewTextHandler(os.Stderr, nil)))
 }
 
 type importCmd struct {
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -14,14 +14,21 @@
 // Budget counts connections against a limit. When few are left it asks for
 // idle ones to be closed; it never asks for busy ones.
 type Budget struct {
-	limit int64
+	limit atomic.Int64
 	used  atomic.Int64
 	mu    sync.Mutex
 	short []func()
 }
 
 // New returns a Budget for so many descriptors; 0 or less means no limit.
-func New(descriptors int) *Budget { return &Budget{limit: int64(descriptors)} }
+func New(descriptors int) *Budget {
+	b := &Budget{}
+	b.Limit(descriptors)
+	return b
+}
+
+// Limit changes the limit; what is over it already stays open.
+func (b *Budget) Limit(descriptors int) { b.limit.Store(int64(descriptors)) }
 
 // OnShort adds a function that closes idle connections. It must not block.
 func (b *Budget) OnShort(f func()) {
@@ -33,8 +40,8 @@
 // Take counts a connection that is open. It reports false where even the
 // reserve is almost gone; the connection must then be closed.
 func (b *Budget) Take() bool {
-	used := b.used.Add(1)
-	if b.limit <= 0 || used <= b.limit-reserve {
+	used, limit := b.used.Add(1), b.limit.Load()
+	if limit <= 0 || used <= limit-reserve {
 		return true
 	}
 	b.mu.Lock()
@@ -43,7 +50,7 @@
 	for _, f := range short {
 		f()
 	}
-	return used <= b.limit-reserve/4
+	return used <= limit-reserve/4
 }
 
 // Release counts a connection that was closed.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -36,8 +36,9 @@
 	Sockets  int     `json:"sockets" toml:"sockets,omitempty"`
 }
 
-// FromEnv reads the platform's configuration. The single variables count before
-// the file.
+// FromEnv reads the platform's configuration. The single variables stand in only
+// for what the file lacks: the file can be replaced while the program runs, the
+// variables cannot.
 func FromEnv() (*Config, error) {
 	path := os.Getenv("EDGE_CONFIG")
 	if path == "" {
@@ -55,8 +56,8 @@
 		name string
 		to   *string
 	}{{"EDGE_NAME", &c.Name}, {"EDGE_LISTEN", &c.Listen}, {"EDGE_DISCOVERY", &c.Discovery}} {
-		if s := os.Getenv(v.name); s != "" {
-			*v.to = s
+		if *v.to == "" {
+			*v.to = os.Getenv(v.name)
 		}
 	}
 	return c, c.Check()
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -15,6 +15,7 @@
 	watchWait   = 10 * time.Second // what a watch may wait; the next goes out at once
 	answerWait  = 3 * time.Second  // beyond that wait, before the watch counts as broken
 	connectWait = time.Second
+	formerWait  = 2 * time.Second // for a last word from an address that was given up
 	maxList     = 8 << 20
 )
 
@@ -29,7 +30,9 @@
 	// For the loop alone.
 	on      bool
 	version int64
+	whole   bool  // the next call asks for the whole list
 	link    *link // nil: no connection
+	former  *link // of the address before; its last answer still counts. nil: none
 	timer   *time.Timer
 }
 
@@ -44,13 +47,39 @@
 // it changes nothing. It may be called from anywhere.
 func (w *Watcher) Watch() {
 	w.loop.Do(func() {
-		if !w.on {
+		if !w.on && w.addr != "" {
 			w.on = true
 			w.ask()
 		}
 	})
 }
 
+// Move has another address asked from now on; with none the list stands as it
+// is. Whoever answers there may count versions differently, so the whole list is
+// asked for first. Until it has come, what the former address still tells counts:
+// it may be news of a drain. It may be called from anywhere.
+func (w *Watcher) Move(addr string) {
+	w.loop.Do(func() {
+		if addr == w.addr {
+			return
+		}
+		if w.timer != nil {
+			w.timer.Stop()
+		}
+		w.former.drop()
+		w.former, w.link = w.link, nil
+		w.addr, w.on, w.whole = addr, addr != "", true
+		if former := w.former; former != nil && former.asked && w.on {
+			time.AfterFunc(formerWait, func() { w.loop.Do(former.drop) })
+		} else {
+			former.drop()
+		}
+		if w.on {
+			w.ask()
+		}
+	})
+}
+
 // ask makes one call of a watch.
 func (w *Watcher) ask() {
 	if w.link == nil {
@@ -96,9 +125,14 @@
 
 func (l *link) send() {
 	l.asked, l.body = true, l.body[:0]
-	l.due = time.Now().Add(watchWait + answerWait)
-	out := http1.AppendRequest(nil, "GET", "/v1/endpoints?since="+strconv.FormatInt(l.w.version, 10)+
-		"&timeout_ms="+strconv.FormatInt(watchWait.Milliseconds(), 10))
+	l.due = time.Now().Add(answerWait)
+	target := "/v1/endpoints"
+	if !l.w.whole {
+		l.due = l.due.Add(watchWait)
+		target += "?since=" + strconv.FormatInt(l.w.version, 10) +
+			"&timeout_ms=" + strconv.FormatInt(watchWait.Milliseconds(), 10)
+	}
+	out := http1.AppendRequest(nil, "GET", target)
 	out = http1.AppendField(out, "Host", l.w.addr)
 	_, _ = l.gc.Write(append(out, "\r\n"...)) // a failure closes the connection, and Closed tells
 }
@@ -145,12 +179,18 @@
 	}
 }
 
-// drop forgets the connection and closes it.
+// drop forgets the connection, if there is one, and closes it.
 func (l *link) drop() {
+	if l == nil || l.dropped {
+		return
+	}
 	l.asked, l.dropped = false, true
 	if l.w.link == l {
 		l.w.link = nil
 	}
+	if l.w.former == l {
+		l.w.former = nil
+	}
 	if l.gc != nil {
 		l.w.loop.Close(l.gc)
 	}
@@ -162,6 +202,10 @@
 		return
 	}
 	w := l.w
+	if l == w.former { // closing is what it was expected to do
+		l.drop()
+		return
+	}
 	l.drop()
 	w.timer.Stop()
 	w.log.Warn("watch on discovery broke", "addr", w.addr, "err", err)
@@ -182,11 +226,18 @@
 		l.fail(err)
 		return
 	}
+	w.version = list.Revision
+	if l == w.former {
+		l.drop()
+		w.tell(list)
+		return
+	}
 	w.timer.Stop()
+	w.whole = false
+	w.former.drop()
 	if l.parser.Head.Close {
 		l.drop()
 	}
-	w.version = list.Revision
 	w.tell(list)
 	w.ask()
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -107,6 +108,47 @@
 	}
 }
 
+// Guards against a watch that stays at an address which is given up, against the
+// loss of what that address tells last, and against a list that is taken to go on
+// from the former one's versions.
+func TestMove(t *testing.T) {
+	log := slog.New(slog.DiscardHandler)
+	loop, err := evloop.New(log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer loop.Stop()
+	told, broken := make(chan List, 4), make(chan bool, 4)
+	oldAnswers, newAnswers := make(chan string), make(chan string)
+	from, askedOld := serve(t, oldAnswers)
+	to, askedNew := serve(t, newAnswers)
+	w := NewWatcher(loop, from, List{Revision: 5}, func(l List) { told <- l }, func() { broken <- true }, log)
+	w.Watch()
+	testkit.Await(t, "a watch", askedOld)
+	w.Move(to)
+	if got := testkit.Await(t, "the first call", askedNew); got != "/v1/endpoints" {
+		t.Errorf("at the new address first asked %s", got)
+	}
+	oldAnswers <- list(900, false)
+	if got := testkit.Await(t, "the last word", told); got.Revision != 900 {
+		t.Errorf("told %+v", got)
+	}
+	newAnswers <- list(7, true)
+	if got := testkit.Await(t, "the whole list", told); got.Revision != 7 || !got.Complete {
+		t.Errorf("told %+v", got)
+	}
+	if got := testkit.Await(t, "the watch", askedNew); !strings.HasPrefix(got, "/v1/endpoints?since=7&") {
+		t.Errorf("then asked %s", got)
+	}
+	w.Move("") // and nobody asks any more
+	w.Watch()
+	w.Move(from)
+	testkit.Await(t, "the first call", askedOld)
+	if len(broken) > 0 || len(askedNew) > 0 {
+		t.Error("a move is not a failure, and an address given up is not asked")
+	}
+}
+
 func TestEntries(t *testing.T) {
 	l, err := Parse([]byte(`{"revision":1,"complete":true,"members":[
 		{"id":"a","locality":"x","flavor":"f","cell":3,"phase":"ready","size":2,"up_since_ms":7},
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -1,6 +1,6 @@
 // Package scheduler is the whole scheduler as a library: it listens to clients,
 // watches the list of workers, and carries jobs to them as the decision module
-// says. A program needs no more than New and Run.
+// says. A program needs no more than Serve.
 package scheduler
 
 import (
@@ -94,6 +94,7 @@
 		planners = append(planners, p)
 	}
 	s.planners = core.NewSet(planners...)
+	s.members(sedgevale.ListStale, *c.Known)
 	rules := &intake.Rules{Clock: s.clock, Classes: set.Classes, Tenants: set.Tenants}
 	s.servers = []*httpd.Server{
 		httpd.New(c.Listen, c.Loops, front.New(rules, s.planners, s.ready.Load), s.budget, opt.Log)}
@@ -123,7 +124,6 @@
 	go s.planners.Run(work)
 	go s.pool.Run(work)
 	defer s.loop.Stop()
-	s.members(sedgevale.ListStale, *s.config.Known)
 	ended := make(chan error, len(s.servers))
 	for _, server := range s.servers {
 		over, err := server.Start()
--- /dev/null
+++ b/scheduler/serve.go
@@ -0,0 +1,85 @@
+package scheduler
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"reflect"
+	"strings"
+	"syscall"
+
+	"sedgevale"
+	"sedgevale/internal/config"
+)
+
+// Serve is all of a program that is nothing but a scheduler. It serves by the
+// configuration that read returns until SIGTERM or SIGINT; at SIGHUP it reads
+// again and goes on by that, or, where it is bad, as before.
+func Serve(read func() (*Config, error), log *slog.Logger) error {
+	// Before all else: a SIGHUP that nobody has asked for ends the process. It is
+	// never given back either, for one may come while the last answers go out.
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	c, err := read()
+	if err != nil {
+		return err
+	}
+	Limit(c)
+	s, err := New(c, Options{Log: log})
+	if err != nil {
+		return err
+	}
+	go func() {
+		for range again {
+			c, err := read()
+			if err == nil {
+				err = s.Reload(c)
+			}
+			if err != nil {
+				log.Error("the new configuration is bad, going on by the old one", "err", err)
+				continue
+			}
+			Limit(c)
+		}
+	}()
+	return s.Run(ctx)
+}
+
+// Reload goes on by a new configuration: by its discovery, or its workers where
+// it names none, and by its limits. Connections, exchanges and all that was
+// learned stay. What only a new start can change stays as it was, and is logged.
+// It may be called from anywhere; a bad configuration changes nothing.
+func (s *Scheduler) Reload(c *config.Config) error {
+	if err := c.Check(); err != nil {
+		return err
+	}
+	s.budget.Limit(c.Limits.Sockets)
+	s.watcher.Move(c.Discovery)
+	if c.Discovery == "" {
+		s.loop.Do(func() { s.members(sedgevale.ListWhole, *c.Known) })
+	}
+	s.opt.Log.Info("configuration read again", "discovery", c.Discovery)
+	if kept := s.fixed(c); len(kept) > 0 {
+		s.opt.Log.Warn("part of the new configuration waits for a new start", "what", strings.Join(kept, ", "))
+	}
+	return nil
+}
+
+// fixed names what of a new configuration a running scheduler does not take over.
+func (s *Scheduler) fixed(c *config.Config) (kept []string) {
+	for _, part := range []struct {
+		name     string
+		old, new any
+	}{
+		{"name", s.config.Name, c.Name}, {"listen", s.config.Listen, c.Listen}, {"settings", s.config.Settings, c.Settings},
+		{"sse", s.config.SSE, c.SSE}, {"planners", s.config.Planners, c.Planners}, {"loops", s.config.Loops, c.Loops},
+	} {
+		if !reflect.DeepEqual(part.old, part.new) {
+			kept = append(kept, part.name)
+		}
+	}
+	return kept
+}
