Close silent clients in 2 s, and idle clients before connections to workers

Descriptors stood at 332 of 384, which is the limit less the reserve. Cause: internal/budget/budget.go:Take asked everybody at once, so each bad client that came (internal/upstream/upstream.go:New, OnShort) closed up to 64 idle connections to workers, while hundreds of idle clients stayed. Dials under way were not counted at all.

Now clients go first, and only so many as are over; a new connection has 2 s for its first whole request, and one just made is never closed unheard; 1 MiB of a refused body is read, not 60 MB.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -12,12 +12,14 @@
 const reserve = 64
 
 // Budget counts connections against a limit. When few are left it asks for
-// idle ones to be closed; it never asks for busy ones.
+// idle ones to be closed; it never asks for busy ones. Clients' go first: to make
+// one again costs its client a moment, but a worker its own time, which jobs need.
 type Budget struct {
 	limit atomic.Int64
 	used  atomic.Int64
 	mu    sync.Mutex
-	short []func()
+	short []func(n int) // close so many idle connections of clients
+	dire  []func(n int) // and of workers
 }
 
 // New returns a Budget for so many descriptors; 0 or less means no limit.
@@ -30,13 +32,22 @@
 // Limit changes the limit; what is over it already stays open.
 func (b *Budget) Limit(descriptors int) { b.limit.Store(int64(descriptors)) }
 
-// OnShort adds a function that closes idle connections. It must not block.
-func (b *Budget) OnShort(f func()) {
+// OnShort adds a function that closes so many idle connections of clients. It
+// must not block.
+func (b *Budget) OnShort(f func(n int)) {
 	b.mu.Lock()
 	b.short = append(b.short, f)
 	b.mu.Unlock()
 }
 
+// OnDire adds a function that closes so many idle connections to workers, which
+// is called once closing those of clients was not enough. It must not block.
+func (b *Budget) OnDire(f func(n int)) {
+	b.mu.Lock()
+	b.dire = append(b.dire, f)
+	b.mu.Unlock()
+}
+
 // Take counts a connection that is open. It reports false where even the
 // reserve is almost gone; the connection must then be closed.
 func (b *Budget) Take() bool {
@@ -45,10 +56,13 @@
 		return true
 	}
 	b.mu.Lock()
-	short := b.short
+	asked := b.short
+	if used > limit-reserve/2 {
+		asked = append(append([]func(int){}, asked...), b.dire...)
+	}
 	b.mu.Unlock()
-	for _, f := range short {
-		f()
+	for _, f := range asked {
+		f(int(used - limit + reserve))
 	}
 	return used <= limit-reserve/4
 }
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -26,10 +27,12 @@
 const (
 	MaxBody      = 64 << 10
 	maxAhead     = MaxBody + http1.MaxHead // bytes a client may send before its turn
-	readTimeout  = 10 * time.Second        // for a request that has begun to come
+	firstWait    = 2 * time.Second         // from connecting, for the first request to come whole
+	readTimeout  = 2 * time.Second         // for a later request that has begun to come
 	lingerFor    = 2 * time.Second         // for a client to read the last answer
-	sweepEvery   = 500 * time.Millisecond
-	closeAtOnce  = 64 // idle connections closed each time that descriptors run short
+	lingerBytes  = 1 << 20                 // of what it still sends meanwhile
+	unheardLeast = 300 * time.Millisecond  // before a connection may be closed unheard, where descriptors run short
+	sweepEvery   = 200 * time.Millisecond
 	readBuffer   = 32 << 10
 	writeBuffer  = 64 << 10
 	eventLoopCap = 64
@@ -72,7 +75,7 @@
 func New(addr string, loops int, handler Handler, b *budget.Budget, log *slog.Logger) *Server {
 	s := &Server{addr: addr, loops: min(max(1, loops), eventLoopCap), handler: handler, budget: b, log: log,
 		booted: make(chan struct{}), lanes: map[gnet.EventLoop]*lane{}}
-	b.OnShort(func() { s.each(func(l *lane) { l.closeIdle(closeAtOnce) }) })
+	b.OnShort(func(n int) { s.each(func(l *lane) { l.closeIdle(n) }) })
 	return s
 }
 
@@ -118,7 +121,7 @@
 func (s *Server) Drain() { s.draining.Store(true) }
 
 // CloseIdle closes the connections that carry no request.
-func (s *Server) CloseIdle() { s.each(func(l *lane) { l.closeIdle(1 << 30) }) }
+func (s *Server) CloseIdle() { s.each(func(l *lane) { l.closeIdle(math.MaxInt) }) }
 
 // Stop ends the server.
 func (s *Server) Stop(ctx context.Context) error {
@@ -149,9 +152,9 @@
 type lane struct {
 	loop gnet.EventLoop
 	box  *inbox.Box[func()]
-	// The connections that are waited for, the longest first: to send a request,
-	// to send the rest of one, to read the last answer.
-	idle, reading, ending list
+	// The connections that are waited for, the longest first: to send anything at
+	// all, to send a further request, to send the rest of one, to read the last answer.
+	fresh, idle, reading, ending list
 }
 
 func (s *Server) laneOf(loop gnet.EventLoop) *lane {
@@ -165,17 +168,31 @@
 	return l
 }
 
+// closeIdle closes so many connections that carry no request: those which may be
+// kept for nothing, then those that have been silent since they were made. A new
+// one is left alone, for its first request is on its way.
 func (l *lane) closeIdle(most int) {
 	for ; most > 0 && l.idle.first != nil; most-- {
 		l.close(l.idle.first)
 	}
+	for c := l.fresh.first; most > 0 && c != nil && time.Since(c.opened) > unheardLeast; c = l.fresh.first {
+		l.close(c)
+		most--
+	}
 }
 
 // sweep closes what has been waited for long enough.
 func (l *lane) sweep() {
 	now := time.Now()
-	for c := l.reading.first; c != nil && now.After(c.until); c = l.reading.first {
-		c.fail(408, "the request did not come in time")
+	for c := l.fresh.first; c != nil && now.After(c.until); c = l.fresh.first {
+		l.close(c)
+	}
+	for c := l.reading.first; c != nil; { // not in the order of their times: a first request counts from connecting
+		next := c.next
+		if now.After(c.until) {
+			c.fail(408, "the request did not come in time")
+		}
+		c = next
 	}
 	for c := l.ending.first; c != nil && now.After(c.until); c = l.ending.first {
 		l.close(c)
@@ -190,10 +207,11 @@
 type connState uint8
 
 const (
-	idle    connState = iota
-	reading           // part of a request has come
-	busy              // the request is the handler's
-	ending            // the last answer is out
+	fresh   connState = iota // nothing has come yet
+	idle                     // between two requests
+	reading                  // part of a request has come
+	busy                     // the request is the handler's
+	ending                   // the last answer is out
 	closed
 )
 
@@ -209,7 +227,10 @@
 	body       []byte
 	state      connState
 	closeAfter bool
+	heard      bool // a request has come whole
+	opened     time.Time
 	until      time.Time
+	discarded  int // after the last answer
 	prev, next *Conn
 	in         *list
 	out        []byte
@@ -217,9 +238,10 @@
 
 // OnOpen is gnet's.
 func (s *Server) OnOpen(gc gnet.Conn) ([]byte, gnet.Action) {
-	c := &Conn{gc: gc, srv: s, lane: s.laneOf(gc.EventLoop()), parser: http1.NewParser(http1.Request)}
+	c := &Conn{gc: gc, srv: s, lane: s.laneOf(gc.EventLoop()), parser: http1.NewParser(http1.Request),
+		opened: time.Now()}
 	gc.SetContext(c)
-	c.lane.idle.push(c)
+	c.setState(fresh)
 	if !s.budget.Take() {
 		// A descriptor more, and accepting fails, which ends the event loop with
 		// all that it holds. This one connection is the lesser loss.
@@ -258,10 +280,15 @@
 	}
 	c.state = to
 	switch to {
+	case fresh:
+		c.until = c.opened.Add(firstWait)
+		c.lane.fresh.push(c)
 	case idle:
 		c.lane.idle.push(c)
 	case reading:
-		c.until = time.Now().Add(readTimeout)
+		if c.heard { // else the time runs since connecting, however the bytes trickle
+			c.until = time.Now().Add(readTimeout)
+		}
 		c.lane.reading.push(c)
 	case ending:
 		c.until = time.Now().Add(lingerFor)
@@ -273,7 +300,11 @@
 func (c *Conn) read() {
 	for c.state != closed {
 		if c.state == ending {
-			_, _ = c.gc.Discard(c.gc.InboundBuffered())
+			n := c.gc.InboundBuffered()
+			_, _ = c.gc.Discard(n)
+			if c.discarded += n; c.discarded > lingerBytes { // it had time to read; the rest is not worth ours
+				c.lane.close(c)
+			}
 			return
 		}
 		if c.state == busy {
@@ -287,7 +318,7 @@
 		if len(buf) == 0 && c.parser.Idle() {
 			return
 		}
-		if c.state == idle {
+		if c.state == idle || c.state == fresh {
 			c.setState(reading)
 		}
 		n, ev, part, err := c.parser.Next(buf)
@@ -318,6 +349,7 @@
 			}
 		case ev == http1.Ended:
 			c.setState(busy)
+			c.heard = true
 			head := c.parser.Head
 			c.closeAfter = head.Close
 			body := c.body
--- a/internal/httpd/httpd_test.go
+++ b/internal/httpd/httpd_test.go
@@ -177,6 +177,79 @@
 	}
 }
 
+// Guards against clients that hold a connection and owe us the rest: one that says
+// nothing is closed, one that sends half a request is told so, both within 3 s of
+// connecting, also when bytes trickle in. One between two requests is left alone.
+func TestClientsThatKeepSilent(t *testing.T) {
+	addr := testkit.FreeAddr(t)
+	s, _ := start(t, addr, budget.New(0))
+	defer stop(t, s)
+	kept, keptR := dial(t, addr)
+	if _, err := io.WriteString(kept, post); err != nil {
+		t.Fatal(err)
+	}
+	answer(t, keptR)
+	began := time.Now()
+	silent, silentR := dial(t, addr)
+	half, halfR := dial(t, addr)
+	trickle, trickleR := dial(t, addr)
+	if _, err := io.WriteString(half, post[:len(post)-1]); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for i := 0; i < 10*len(post); i++ {
+			if _, err := io.WriteString(trickle, "GET / HTTP/1.1\r\nX: "[min(i, 18):][:1]); err != nil {
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+	for _, r := range []*bufio.Reader{halfR, trickleR} {
+		if status, _, last := answer(t, r); status != 408 || !last {
+			t.Errorf("half a request: %d, last %v", status, last)
+		}
+	}
+	if _, err := silentR.ReadByte(); err != io.EOF {
+		t.Errorf("nothing sent: %v", err)
+	}
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("it took %v", took)
+	}
+	silent.Close()
+	if _, err := io.WriteString(kept, post); err != nil {
+		t.Fatal(err)
+	}
+	if status, _, _ := answer(t, keptR); status != 200 {
+		t.Errorf("on the kept connection: %d", status)
+	}
+}
+
+// Guards against the time that it takes to read what is refused anyway: the error
+// goes out at the head, and a body without end is not followed for long.
+func TestHugeBody(t *testing.T) {
+	addr := testkit.FreeAddr(t)
+	s, _ := start(t, addr, budget.New(0))
+	defer stop(t, s)
+	c, r := dial(t, addr)
+	sent := make(chan int, 1)
+	go func() {
+		n, _ := io.WriteString(c, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 60000000\r\n\r\n")
+		for part := make([]byte, 64<<10); n < 60_000_000; {
+			m, err := c.Write(part)
+			if n += m; err != nil {
+				break
+			}
+		}
+		sent <- n
+	}()
+	if status, _, last := answer(t, r); status != 413 || !last {
+		t.Errorf("answered %d, last %v", status, last)
+	}
+	if n := testkit.Await(t, "the end of the body", sent); n >= 60_000_000 {
+		t.Errorf("all %d bytes were read", n)
+	}
+}
+
 // Guards against running out of descriptors, on which accepting fails for good:
 // idle connections are closed, the busy one stays.
 func TestShortOfDescriptors(t *testing.T) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -5,12 +5,14 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"sedgevale"
 	"sedgevale/internal/core"
+	"sedgevale/internal/http1"
 	"sedgevale/internal/httpd"
 )
 
@@ -64,7 +66,10 @@
 	j := core.Job{ID: id, Tenant: -1, Slots: 1, Method: q.Method, Target: q.Target, Body: q.Body}
 	hint, info := "", ""
 	class, tenant := "", ""
-	for _, f := range q.Fields {
+	for i, f := range q.Fields {
+		if given(q.Fields[:i], f.Name) && single(f.Name) {
+			return j, 0, bad("%s is given twice", f.Name)
+		}
 		switch name := f.Name; {
 		case strings.EqualFold(name, "Request-Id"):
 			j.ID = f.Value
@@ -132,6 +137,22 @@
 	return j, r.Clock.At(q.At) + patience - margin - r.margin, nil
 }
 
+// single reports whether a field says something that holds but once: which of two
+// values counts would depend on who reads them.
+func single(name string) bool {
+	for _, s := range []string{"Request-Id", "Request-Class", "Tenant", "Affinity-Key", "Idempotency-Key",
+		"Client-Retry", "Work-Hint", "Request-Info", "Request-Timeout"} {
+		if strings.EqualFold(s, name) {
+			return true
+		}
+	}
+	return false
+}
+
+func given(fields []http1.Field, name string) bool {
+	return slices.ContainsFunc(fields, func(f http1.Field) bool { return strings.EqualFold(f.Name, name) })
+}
+
 // parseTime reads a number and a unit, m for milliseconds or u for microseconds.
 func parseTime(s string) (time.Duration, bool) {
 	if len(s) < 2 {
@@ -145,7 +166,11 @@
 	default:
 		return 0, false
 	}
-	v, err := strconv.ParseFloat(s[:len(s)-1], 64)
+	number := s[:len(s)-1]
+	if strings.Trim(number, "0123456789.") != "" { // no sign, no exponent, no word
+		return 0, false
+	}
+	v, err := strconv.ParseFloat(number, 64)
 	if err != nil || math.IsNaN(v) || v < 0 || v > 1e9 {
 		return 0, false
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -27,7 +27,6 @@
 // Opened is the loop's: a dialled connection is up.
 func (c *conn) Opened(gc evloop.Conn) bool {
 	c.gc = gc
-	c.pool.opt.Budget.Take()
 	f := c.f
 	c.w, c.f = f.w, nil
 	if f.over { // the worker has begun to drain, or nobody waits any more
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -38,7 +38,6 @@
 	idlePart    = 0.6 // of the time after which a worker closes: a request must not cross that
 	probeWait   = time.Second
 	tailWait    = time.Second
-	closeAtOnce = 64
 )
 
 // Pool holds the connections to all workers. It implements core.Carrier.
@@ -78,7 +77,7 @@
 	}
 	p := &Pool{opt: opt, loop: opt.Loop, workers: map[string]*worker{}, flights: map[*core.Attempt]*flight{},
 		tails: map[*conn]struct{}{}}
-	opt.Budget.OnShort(func() { p.loop.Do(func() { p.closeIdle(closeAtOnce) }) })
+	opt.Budget.OnDire(func(n int) { p.loop.Do(func() { p.closeIdle(n) }) })
 	return p
 }
 
@@ -198,9 +197,18 @@
 		c.carry(f)
 		return
 	}
+	// Counted from here on: while workers are silent, dials that wait hold the most.
+	if !p.opt.Budget.Take() {
+		p.opt.Budget.Release()
+		p.end(f, sedgevale.NotSent, nil, nil)
+		return
+	}
 	w.dialling[f] = struct{}{}
 	c := &conn{pool: p, f: f, parser: http1.NewParser(http1.Response)}
-	p.loop.Dial(w.addr, p.opt.DialTimeout, c, func(error) { p.end(f, sedgevale.ConnectFailed, nil, nil) })
+	p.loop.Dial(w.addr, p.opt.DialTimeout, c, func(error) {
+		p.opt.Budget.Release()
+		p.end(f, sedgevale.ConnectFailed, nil, nil)
+	})
 }
 
 // end tells how a flight ended. Unless its answer has come whole, its
