Hold jobs here, where they can still be refused, not in the workers' queues

Cause: dispatcher.go:sample fell back to the worker with the fewest of our slots for its size, whatever its queue, and nearly every job is within its tenant's quota, which is what that fallback asks for; so nothing bounded a worker's queue. With room coming slot by slot a second fault shows: dispatcher.go:release ended a turn when room ran out, so that deficit round robin dealt one job a tenant, whatever their shares. A turn without room now keeps its credit and gives none to others.

Tests: TestBusyWorkersGetNoQueue; TestReleaseIsFairByWork now frees slots one by one.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -55,8 +55,9 @@
 	ringPoints    = 16              // points of a worker on the ring of homes
 	hintTrust     = 0.01            // seconds of running time by which hints are trusted at first
 	waitClip      = 2               // a job's wait counts for so many aims at most in the mean completion
-	holdPart      = 0.12            // a job is held for at most this part of its slack: means hide a spread
+	holdPart      = 0.5             // a job is held for at most this part of its slack: means hide a spread
 	queuePart     = 0.35            // part of the time left that a queue's wait, by a report, may take
+	queueMost     = 1               // jobs of ours that may wait at a worker that we know to be busy
 	modestRoom    = 1.4             // times more for one who sends less than its share of what arrives here
 	quotaRoom     = 1.5             // a dispatcher may have this many times its even part of a tenant's quota
 	rewatchFirst  = 200 * time.Millisecond
@@ -365,28 +366,44 @@
 	if d.settling {
 		return
 	}
-	idle, most := 0, maxTurns*len(d.tenants)
+	idle, most, resume := 0, maxTurns*len(d.tenants), -1
+	for _, p := range d.pools {
+		p.full = false
+	}
 	for ; d.backlog > 0 && idle < len(d.tenants) && most > 0; idle, most = idle+1, most-1 {
 		t := d.tenants[d.turn]
 		if len(t.queue) == 0 {
 			t.deficit = 0
 		} else {
+			had := t.deficit
 			if !d.credited {
 				t.deficit = min(t.deficit, max(4*d.meanWork, t.queue[0].work)) +
 					d.meanWork*t.share*float64(len(d.tenants))
 				d.credited = true
 			}
-			if d.serve(now, t) {
+			sent := d.serve(now, t)
+			if sent {
 				idle = -1
 			}
+			// Guards against turns that end with one job each, as room comes slot by slot: then all
+			// tenants would get alike. Who has credit left goes on when there is room again.
+			if t.blocked && resume < 0 {
+				resume = d.turn
+			} else if t.blocked && !sent {
+				t.deficit = had
+			}
 		}
 		d.turn, d.credited = (d.turn+1)%len(d.tenants), false
 	}
+	if resume >= 0 {
+		d.turn, d.credited = resume, true
+	}
 }
 
 // serve sends what the tenant's credit and sigma allow, and reports whether
 // another turn may send more.
 func (d *Dispatcher) serve(now time.Duration, t *tenant) (sent bool) {
+	t.blocked = false
 	for i, tried := 0, 0; i < min(len(t.queue), scanMost) && tried < scanDepth; i++ {
 		r := t.queue[i]
 		p := d.classes[r.Class].pool
@@ -399,7 +416,8 @@
 			if tried > 1 {
 				continue
 			}
-			return true // another turn brings the credit
+			t.blocked = p.full
+			return sent || !p.full // another turn brings the credit
 		}
 		if !own && t.inflight > 0 && t.inflight+r.Slots > t.sigma {
 			return sent
@@ -409,7 +427,7 @@
 			continue
 		}
 		if w == nil {
-			d.crowded = true
+			d.crowded, t.blocked, p.full = true, true, true
 			if r.looks >= lookRounds { // nothing more will be known in time
 				d.end(now, r)
 			} else if r.Key == "" && len(r.attempts) == 0 {
@@ -421,7 +439,7 @@
 		t.tokens--
 		d.dequeue(r)
 		d.send(now, r, w)
-		sent, i, tried = true, -1, 0
+		sent, t.blocked, i, tried = true, false, -1, 0
 	}
 	return sent
 }
@@ -606,7 +624,7 @@
 			return w
 		}
 		load := (w.held + float64(w.unstarted) - min(0, w.free)) / w.size
-		if own && load < d.fewestLoad {
+		if own && load < d.fewestLoad && d.inTime(now, w, r) {
 			d.fewest, d.fewestLoad = w, load
 		}
 	}
@@ -648,6 +666,20 @@
 	return w.freeAt == 0 || own && now-w.freeAt > d.fresh() || w.free >= r.Slots-0.5
 }
 
+// inTime reports whether a job that finds no slot free at the worker may expect to be in time there.
+// It guards against queues at workers that make all late alike, where held jobs could be refused.
+func (d *Dispatcher) inTime(now time.Duration, w *worker, r *request) bool {
+	if !d.set.TellsStart {
+		return true
+	}
+	if w.unstarted >= queueMost {
+		return false
+	}
+	slots := max(1, d.kindRoom[w.Kind])
+	wait := max(w.held+r.Slots-slots, float64(w.unstarted)+r.Slots) / slots * d.meanWork
+	return wait <= queuePart*(min(r.deadline, r.aim)-now).Seconds()
+}
+
 // mayTry is rule 2 for sends: it alone decides whether the request may have a
 // further attempt, on this worker.
 func (d *Dispatcher) mayTry(now time.Duration, r *request, w *worker) bool {
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -575,7 +575,11 @@
 		}
 	}
 	d.Members(h.now, ListWhole, []WorkerInfo{{Worker: "w", Weight: 1}})
-	// All is within the quotas, so all goes out; the order is what is fair.
+	for i := 0; len(h.sends) < 40; i++ { // one at a time waits there, so each that ends lets another out
+		h.now += ms
+		h.over(d, h.sends[i].id, 0, Served)
+	}
+	// All is within the quotas, so all may go out; the order is what is fair.
 	count := map[byte]int{}
 	for _, s := range h.sends[:40] {
 		count[s.id[0]]++
@@ -585,6 +589,43 @@
 	}
 }
 
+// Guards against a queue at each worker in which all jobs get late alike, while
+// more come: what finds no room is held here, where it can still go elsewhere or
+// be refused in time.
+func TestBusyWorkersGetNoQueue(t *testing.T) {
+	d, h := start(t, settings(), fleet(3)...)
+	for i := range 60 {
+		h.ask(d, fmt.Sprint("r", i), 0)
+	}
+	at := map[string]int{}
+	for _, s := range h.sends {
+		at[s.worker]++
+	}
+	for w, n := range at {
+		if n > 1 {
+			t.Errorf("%d jobs wait at %s", n, w)
+		}
+	}
+	for _, s := range slices.Clone(h.sends) {
+		if err := d.Started(h.now, s.id, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(h.sends) != 6 {
+		t.Errorf("%d jobs sent once the first 3 run, want 3 more", len(h.sends))
+	}
+	h.run(d, h.now+time.Second) // past the aims
+	refused := 0
+	for _, how := range h.ends {
+		if how == "refused" {
+			refused++
+		}
+	}
+	if refused < 50 || len(h.sends)+refused != 60 {
+		t.Errorf("%d sent, %d refused", len(h.sends), refused)
+	}
+}
+
 // A job larger than any credit so far still gets its turn.
 func TestLargeJobIsNotStarved(t *testing.T) {
 	d, h := start(t, settings(), fleet(2)...)
--- a/scheduler/front_test.go
+++ b/scheduler/front_test.go
@@ -144,6 +144,7 @@
 	defer conn.Close()
 	before := post(c.plain, "/plan-change", job("before")...)
 	first := f.next()
+	first.say(`"state":"started"`) // else the worker counts as busy, and nothing more goes there
 	c.signal(syscall.SIGTERM)
 	time.Sleep(200 * time.Millisecond) // the front goes on for so long
 	after := post(c.plain, "/usage-view", job("after")...)
--- a/state.go
+++ b/state.go
@@ -79,6 +79,7 @@
 	waiting  float64   // slots of the queue
 	inflight float64
 	deficit  float64
+	blocked  bool    // its turn ended for lack of room, not of credit
 	arrived  float64 // decayed count of jobs
 	sigma    float64
 	local    float64
@@ -117,6 +118,7 @@
 	limited       int     // active workers with a finite sigma
 	limits        float64 // the sum of those
 	noRoom        bool    // since the last outcome
+	full          bool    // in this release a job found no room
 }
 
 // tally counts events of the last span in parts of it, in constant memory.
