Judge connections apart from workers: late starts, broken ones, bad answers

Causes: dispatcher.go:checkStart marked a worker stuck until a sign came, which cannot come as nothing is sent; learn doubted it for one time-out, and usable then wanted held == 0 while jobs on silent connections held slots until their 5 s were over; 'full' and errors had no consequence, and who keeps no job holds the fewest and draws all. Ruled out: the pool (no silent connection is used again), and forwarding (430 us at the 99th percentile).

Now: a job sent well after that starts before (fifo), or a start overdue where a slot must be free, shows a silent connection: its slots leave the books and what may run twice is sent a copy; running jobs far over their usual time leave the books until their next word. A worker with a sign since is not doubted for a time-out, nor for one broken connection while others go on; doubt is a backoff with one trial each; errors and 'full' bring rest, twice as long each time. Now only where we are alone, or while connections are known to fall silent, and else after 3 mean jobs.

--- a/api.go
+++ b/api.go
@@ -99,6 +99,7 @@
 	AskForList    bool // the list comes only after Host.Watch
 
 	TellsStart bool // workers tell when a job starts
+	InOrder    bool // workers start jobs in the order in which they come
 	MustProbe  bool // load reports come only as answers to Host.Probe, which is allowed
 
 	Further        Budget        // of attempts beyond each request's first
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -49,6 +49,17 @@
 	freshPart     = 0.5                    // a report speaks for this part of a mean job
 	minGrace      = 20 * time.Millisecond  // least wait for a start note before it is late
 	maxGrace      = time.Second
+	promptWait    = 60 * time.Millisecond // for a start note where a slot should be free
+	overtakeGap   = 30 * time.Millisecond // a job sent so much later that starts before has overtaken another
+	lateTimes     = 3                     // mean jobs after which a start is not waited for any more
+	overdueTimes  = 4                     // usual running times after which a job is not counted any more
+	silentLeast   = 1.0                   // decayed count of silent connections for running jobs to be copied
+	silentDecay   = 0.01                  // of that count, a round
+	badGain       = 0.25                  // EWMA weight of one answer in a worker's share of errors
+	badMost       = 0.4                   // a worker with a larger share of errors is left alone
+	restFirst     = 100 * time.Millisecond
+	restMost      = 2 * time.Second
+	paceGain      = 1.0 / 16               // EWMA weight of one job in a worker's pace
 	backoffFirst  = 500 * time.Millisecond // a worker that failed is left alone at first for so long
 	backoffMost   = 8 * time.Second
 	presumeFor    = 5 * time.Second // within it the list tells of a restart
@@ -123,15 +134,17 @@
 
 // Started tells that a job has begun to run.
 func (d *Dispatcher) Started(now time.Duration, id string, n int) error {
-	_, a, err := d.find(id, n)
+	r, a, err := d.find(id, n)
 	if err != nil {
 		return err
 	}
 	d.stoodStill(now)
 	a.w.sign(now)
 	if a.started == 0 {
+		d.writeOff(r, a)
 		a.started = now
-		a.w.unstarted--
+		d.overtaken(now, a)
+		d.writeOn(r, a)
 		d.roomAgain()
 		d.release(now)
 	}
@@ -169,6 +182,8 @@
 		d.checkStart(now, r, n)
 	case kind == tokenLook:
 		d.release(now)
+	case kind == tokenHold && r.queued && now >= r.latest && r.out > 0: // a copy that finds no place
+		d.dequeue(r)
 	case kind == tokenDeadline && !r.stream, kind == tokenHold && r.queued && now >= r.latest:
 		d.end(now, r)
 	}
@@ -189,7 +204,7 @@
 	if res.Closed {
 		d.close(r)
 	}
-	if !r.ended && r.out == 0 {
+	if !r.ended && r.out == 0 && !r.queued {
 		d.again(now, r)
 	}
 	d.forget(r)
@@ -209,7 +224,9 @@
 	w := a.w
 	switch o {
 	case Served:
-		w.suspect, w.backoff = 0, 0
+		if w.bad *= 1 - badGain; w.bad < badMost {
+			w.rest, w.restFor = 0, 0
+		}
 		delete(d.broke, w.Cell)
 		if d.settling { // our own clock stood still
 			return
@@ -227,6 +244,7 @@
 		if a.started > 0 || run < c.run || w.freeAt < now || w.free >= 0.5 {
 			c.run += gain * (run - c.run) // else part of it was the wait for a slot
 			c.hint += gain * (r.Hint.Seconds() - c.hint)
+			w.pace += paceGain * (run/max(1e-6, c.run) - w.pace)
 		}
 		most := waitClip * d.set.Classes[r.Class].Aim.Seconds() // one bad worker must not refuse all
 		c.complete += gain * (min(done, c.run+most) - c.complete)
@@ -242,7 +260,20 @@
 		}
 		w.free, w.freeAt = 0, now
 		d.cut(w, r.Slots)
+		d.rest(now, w)
+	case Errored:
+		if w.bad += badGain * (1 - w.bad); w.bad > badMost {
+			d.cut(w, r.Slots)
+			d.rest(now, w)
+		}
 	case TimedOut, Lost, ConnectFailed:
+		if o == Lost {
+			w.lost++
+		}
+		if d.lives(w, a, o) { // then the connection was at fault
+			d.silent += oneIf(o == TimedOut && !a.late)
+			return
+		}
 		d.cut(w, r.Slots)
 		d.doubt(now, w)
 		if o != TimedOut {
@@ -251,6 +282,16 @@
 	}
 }
 
+// lives reports whether a worker may live though an attempt there got no answer: it has given a sign
+// since, or, where the attempt's connection broke, others there go on or none broke just before. It
+// guards against the exclusion of workers for what single connections do.
+func (d *Dispatcher) lives(w *worker, a *attempt, o Outcome) bool {
+	if o != Lost {
+		return w.lastSign > a.sent
+	}
+	return w.lost == 1 || slices.ContainsFunc(w.out, func(f flight) bool { return !f.r.attempts[f.n].off })
+}
+
 // cut lowers a worker's limit after a failure, at most once a round, from what
 // was out there at the time.
 func (d *Dispatcher) cut(w *worker, slots float64) {
@@ -283,6 +324,12 @@
 	}
 	d.closeAgain(now)
 	d.askAgain()
+	d.silent *= 1 - silentDecay
+	for _, w := range d.workers {
+		if w != nil && d.set.TellsStart && !d.settling {
+			d.overdue(now, w)
+		}
+	}
 	d.shareOut()
 	for _, t := range d.tenants {
 		t.sigma = min(t.local, d.quantile(t))
@@ -344,18 +391,6 @@
 	return wait <= holdPart*d.feasibleFor(now, r).Seconds()
 }
 
-// slack is how long a job of the class can wait when it arrives.
-func (d *Dispatcher) slack(c int) float64 {
-	return d.set.Classes[c].Aim.Seconds() + d.set.Classes[c].Stretch*d.classes[c].run - d.classes[c].complete
-}
-
-// feasibleFor returns how long the request can still wait to be sent: its own
-// running time and the class's mean wait at workers come off the time left.
-func (d *Dispatcher) feasibleFor(now time.Duration, r *request) time.Duration {
-	c := &d.classes[r.Class]
-	return min(r.deadline, r.aim) - now - seconds(r.work/r.Slots+max(0, c.complete-c.run))
-}
-
 func (d *Dispatcher) enqueue(now time.Duration, r *request) {
 	r.latest = now + seconds(holdPart*d.feasibleFor(now, r).Seconds())
 	d.queue(r)
@@ -428,7 +463,7 @@
 		}
 		if w == nil {
 			d.crowded, t.blocked, p.full = true, true, true
-			if r.looks >= lookRounds { // nothing more will be known in time
+			if r.looks >= lookRounds && r.out == 0 { // nothing more will be known in time
 				d.end(now, r)
 			} else if r.Key == "" && len(r.attempts) == 0 {
 				p.noRoom = true
@@ -468,10 +503,16 @@
 	if w.coldUntil > now {
 		w.credit -= r.work
 	}
+	if w.suspect > 0 {
+		w.trial = now
+	}
 	d.host.Send(r.ID, w.Worker, 0)
 	if d.set.TellsStart {
-		slack := (min(r.deadline, r.aim) - now - seconds(d.classes[r.Class].run)) / 2
-		d.timer(min(max(slack, minGrace), maxGrace), tokenStart, r, n)
+		wait := (min(r.deadline, r.aim) - now - seconds(d.classes[r.Class].run)) / 2
+		if w.held <= d.kindRoom[w.Kind] && d.set.InOrder && d.ownEyes() {
+			wait = min(wait, promptWait) // there should be a free slot
+		}
+		d.timer(min(max(wait, minGrace), maxGrace), tokenStart, r, n)
 	}
 }
 
@@ -550,13 +591,6 @@
 	}
 }
 
-// reportsSpeak reports whether a worker's report changes often enough to tell
-// of the next job's slot, not of those before: all who see an old free slot
-// go there at once. How often it changes is measured, not told.
-func (d *Dispatcher) reportsSpeak() bool {
-	return d.metered >= meterLeast && d.metered < speakPart*d.meanWork*d.changes
-}
-
 // askAgain asks a worker in two rounds on end, often at first.
 func (d *Dispatcher) askAgain() {
 	if !d.set.MustProbe || d.metered > meterLeast && d.round%meterRounds > 1 {
@@ -601,15 +635,6 @@
 	return fewest, decided
 }
 
-// waitAt returns how long a job would wait at a worker by its last report.
-func (d *Dispatcher) waitAt(w *worker, r *request) float64 {
-	slots := d.kindRoom[w.Kind]
-	return max(0, w.told.Held+r.Slots-slots-min(0, w.free)) / slots * d.classes[r.Class].run
-}
-
-// fresh is how long a report speaks for: slots change hands as jobs end.
-func (d *Dispatcher) fresh() time.Duration { return seconds(freshPart * d.meanWork) }
-
 func (d *Dispatcher) sample(now time.Duration, r *request, zones [][]*worker, own bool) *worker {
 	var small *worker
 	for w := range d.draw(zones) {
@@ -639,14 +664,14 @@
 
 // usable reports whether the job may go to the worker at all.
 func (d *Dispatcher) usable(now time.Duration, w *worker, r *request, own bool) bool {
-	if !d.classes[r.Class].pool.admits(w) || w.stuck ||
+	if !d.classes[r.Class].pool.admits(w) || now < w.rest || w.bad > badMost && w.held > 0 ||
 		slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.moved && a.w == w }) {
 		return false
 	}
 	if !own && (w.held > 0 && w.held+r.Slots > w.sigma) {
 		return false
 	}
-	if w.suspect > 0 && (now < w.suspect || w.held > 0) {
+	if w.suspect > 0 && now < max(w.suspect, w.trial+w.backoff) {
 		return false
 	}
 	if w.presumed > 0 && now > w.presumed+presumeFor {
@@ -705,19 +730,6 @@
 	return true
 }
 
-// withinBudget reports whether an attempt beyond a request's first keeps the
-// budget of those. Attempts count for a 64th of the span longer and requests
-// for as much less than they must, so it holds in every window.
-func (d *Dispatcher) withinBudget(now time.Duration) bool {
-	b := &d.set.Further
-	if b.Span == 0 {
-		return true
-	}
-	further, _ := d.further.counts(now)
-	_, taken := d.taken.counts(now)
-	return float64(further+1) <= float64(b.Free)+b.Ratio*float64(taken)
-}
-
 // mayRefuse is rule 2 for refusals.
 func (d *Dispatcher) mayRefuse(r *request) bool {
 	c := &d.set.Classes[r.Class]
@@ -871,20 +883,6 @@
 	w.closedAt = now
 }
 
-// closeAgain closes once more half the time after the last notice or outcome.
-func (d *Dispatcher) closeAgain(now time.Duration) {
-	d.leaving = slices.DeleteFunc(d.leaving, func(w *worker) bool {
-		if now < w.closedAt+d.set.CloseOnDrain/2 {
-			return false
-		}
-		w.closedAt = 0
-		if v := d.byName[w.Worker]; v == nil || v.State != Active {
-			d.host.CloseIdle(w.Worker)
-		}
-		return true
-	})
-}
-
 // stoodStill notices, by an overdue round, that this dispatcher had no turn for a while.
 // Until all that came meanwhile has been read nothing is sent: a drain or an outcome may
 // be among it. Times by our own clock say nothing then about workers.
@@ -928,9 +926,18 @@
 	return w.credit > 0 && r.work <= max(d.meanWork, heavy)
 }
 
+// rest leaves a worker alone for a while that answers, but turns jobs away or fails them, twice as long
+// each time until it serves one. It guards against workers that draw all jobs because they keep none.
+func (d *Dispatcher) rest(now time.Duration, w *worker) {
+	if now >= w.rest {
+		w.restFor = min(max(restFirst, 2*w.restFor), restMost)
+		w.rest = now + w.restFor/2 + time.Duration(d.rng.Int64N(int64(w.restFor)))
+	}
+}
+
 // doubt leaves a worker alone for a while after an attempt that was lost there
-// or found no connection, twice as long each time. Then it gets one job at a
-// time until one is served. It guards against crashed workers still listed.
+// or found no connection, twice as long each time. Then it gets one job, and
+// others once that has brought a sign. It guards against crashed workers still listed.
 func (d *Dispatcher) doubt(now time.Duration, w *worker) {
 	if now < w.suspect {
 		return
@@ -976,20 +983,76 @@
 		d.timer(last-now, tokenStart, r, n)
 	}
 	d.cut(a.w, r.Slots)
-	if !d.mayMove(now, r) || a.w.lastSign < a.sent && a.w.held > r.Slots {
-		a.w.stuck = a.w.lastSign < a.sent
-		return
-	}
 	if a.w.lastSign < a.sent {
-		d.doubt(now, a.w) // no sign of this job will come any more
+		d.doubt(now, a.w)
+	}
+	fits := a.w.held <= d.kindRoom[a.w.Kind] && d.ownEyes()
+	if fits {
+		d.writeOff(r, a) // what goes there next tells whether the worker is full or this connection silent
+	}
+	if !d.mayMove(now, r) {
+		if a.w.lastSign < a.sent || fits {
+			d.copy(now, r)
+		}
+		return
 	}
 	a.moved = true
 	r.tenant.tokens++ // the same demand comes again
 	d.host.Cancel(r.ID, n)
 }
 
-// sparse reports whether we hold less than a job a worker, and so know little of each.
-func (d *Dispatcher) sparse() bool { return d.held < float64(d.pools[0].active) }
+// overtaken acts when a worker that starts jobs in order has started one that was sent well after others
+// it has not: their connections have fallen silent. Nothing is expected of those any more, and what
+// may run twice goes elsewhere as well. It guards against slots that seem taken until the time-outs land.
+func (d *Dispatcher) overtaken(now time.Duration, by *attempt) {
+	for i := 0; d.set.InOrder && !d.settling && i < len(by.w.out); i++ {
+		f := by.w.out[i]
+		a := &f.r.attempts[f.n]
+		if a.sent+overtakeGap < by.sent && a.started == 0 && !a.off {
+			d.silent++
+			d.writeOff(f.r, a)
+			d.copy(now, f.r)
+		}
+	}
+}
+
+// overdue looks for jobs that have run for far longer than they should without a sign: their slots are
+// not counted any more. While connections are known to fall silent, a copy goes out before it is too late.
+func (d *Dispatcher) overdue(now time.Duration, w *worker) {
+	for i := range w.out {
+		f := w.out[i]
+		a := &f.r.attempts[f.n]
+		if a.off {
+			continue
+		}
+		if a.started == 0 {
+			if now-a.sent > seconds(lateTimes*d.meanWork) {
+				d.writeOff(f.r, a)
+			}
+			continue
+		}
+		usual := seconds(d.classes[f.r.Class].run * max(0.5, w.pace))
+		since := now - max(a.started, a.noted)
+		if since > overdueTimes*usual+maxGrace/4 {
+			d.writeOff(f.r, a)
+		}
+		if d.silent > silentLeast && since > 2*usual {
+			d.copy(now, f.r)
+		}
+	}
+}
+
+// copy holds a request for a further attempt beside the one that is out, where it may run twice.
+func (d *Dispatcher) copy(now time.Duration, r *request) {
+	if !d.set.ParallelTries || r.ended || r.queued || r.stream || r.out != 1 ||
+		d.set.Classes[r.Class].Effect == Unsafe || len(r.attempts) >= d.set.MaxAttempts ||
+		!d.withinBudget(now) || d.feasibleFor(now, r) <= 0 {
+		return
+	}
+	r.tenant.tokens++ // the same demand comes again
+	d.enqueue(now, r)
+	d.timer(r.latest-now, tokenHold, r, 0)
+}
 
 // mayMove reports whether a job may be called off for another worker: only
 // while most attempts start at once, for else another is no better, and not
--- /dev/null
+++ b/health_test.go
@@ -0,0 +1,163 @@
+package sedgevale
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+func (h *fake) began(d *Dispatcher, id string, n int) {
+	h.t.Helper()
+	if err := d.Started(h.now, id, n); err != nil {
+		h.t.Fatal(err)
+	}
+}
+
+// Guards against the slots that jobs on silent connections seem to hold until
+// their time-outs land, and against the exclusion of the worker, which is well.
+// The first start of a job sent well after tells; what may run twice goes out
+// again, the rest is waited for.
+func TestSilentConnections(t *testing.T) {
+	for class, effect := range []Effect{Safe, Keyed, Unsafe} {
+		set := settings()
+		set.InOrder, set.Peers = true, 2
+		d, h := start(t, set, fleet(1)...)
+		w := d.byName["w0"]
+		h.ask(d, "mute", class)
+		h.now += overtakeGap + ms
+		d.Members(h.now, ListPatch, []WorkerInfo{{Worker: "v", Cell: 5, Weight: 1}}) // the rule on copies allows no other cell
+		d.send(h.now, newRequest(d, h, "other"), w)
+		h.began(d, "other", 0)
+		if w.held != 1 || w.unstarted != 0 {
+			t.Errorf("effect %d: %v slots held, %d to start; the silent one counts", effect, w.held, w.unstarted)
+		}
+		want := 2
+		if effect == Unsafe {
+			want = 1
+		}
+		if h.tries["mute"] != want {
+			t.Errorf("effect %d: %d attempts", effect, h.tries["mute"])
+		}
+		h.over(d, "mute", 0, TimedOut)
+		if w.suspect != 0 || w.sigma != inf {
+			t.Errorf("effect %d: the worker is blamed: until %v, sigma %v", effect, w.suspect, w.sigma)
+		}
+		if w.held != 1 {
+			t.Errorf("effect %d: %v slots held in the end", effect, w.held)
+		}
+	}
+}
+
+func newRequest(d *Dispatcher, h *fake, id string) *request {
+	d.serial++
+	r := &request{Request: Request{ID: id, Slots: 1}, serial: d.serial, tenant: d.tenants[0],
+		deadline: h.now + 5*time.Second, aim: h.now + time.Second}
+	d.requests[id], d.serials[r.serial] = r, r
+	return r
+}
+
+// A late start tells of a silent connection also where nothing is sent after it:
+// the worker is not kept out for good by a job that will never start.
+func TestLateStartDoesNotBlockAWorker(t *testing.T) {
+	set := settings()
+	set.InOrder = true
+	d, h := start(t, set, fleet(1)...)
+	h.ask(d, "mute", 2)
+	h.run(d, h.now+500*ms)
+	if w := d.byName["w0"]; w.held != 0 || w.unstarted != 0 {
+		t.Errorf("%v slots held, %d to start", w.held, w.unstarted)
+	}
+	h.run(d, h.now+time.Second)
+	h.ask(d, "next", 2)
+	if h.tries["next"] != 1 {
+		t.Fatal("nothing goes to the worker any more")
+	}
+	h.began(d, "next", 0)
+	h.began(d, "mute", 0) // it had only been slow
+	if w := d.byName["w0"]; w.held != 2 || w.suspect != 0 {
+		t.Errorf("%v slots held, left alone until %v", w.held, w.suspect)
+	}
+}
+
+// A job that runs for far too long without a word is taken off the books, and
+// put on them again by its next word.
+func TestOverdueJobsAreNotCounted(t *testing.T) {
+	d, h := start(t, settings(), fleet(1)...)
+	d.classes[2].run = 0.1
+	h.ask(d, "long", 2)
+	h.began(d, "long", 0)
+	w := d.byName["w0"]
+	h.run(d, h.now+500*ms)
+	if w.held != 1 {
+		t.Errorf("%v slots held after 5 usual running times", w.held)
+	}
+	h.run(d, h.now+500*ms)
+	if w.held != 0 {
+		t.Errorf("%v slots held after 10", w.held)
+	}
+	if err := d.Progress(h.now, "long", 0, 0.5); err != nil || w.held != 1 {
+		t.Errorf("%v slots held after a word of progress, error %v", w.held, err)
+	}
+	h.over(d, "long", 0, Served)
+	if w.held != 0 || w.unstarted != 0 {
+		t.Errorf("%v slots held in the end, %d to start", w.held, w.unstarted)
+	}
+}
+
+// Guards against workers that are taken for dead because one connection broke
+// while others go on there. When all have broken, the worker is doubted.
+func TestOneBrokenConnection(t *testing.T) {
+	set := settings()
+	set.WarmUp, set.StartCapacity, set.FallMultiple, set.Fall = 20*time.Second, 0.1, 3, 2*time.Second
+	d, h := start(t, set, fleet(2)...)
+	w := d.byName["w0"]
+	for _, id := range []string{"a", "b"} {
+		d.send(h.now, newRequest(d, h, id), w)
+		h.began(d, id, 0)
+	}
+	h.over(d, "a", 0, Lost)
+	if w.suspect != 0 || w.sigma != inf || w.coldUntil != 0 {
+		t.Errorf("one of two: left alone until %v, sigma %v, cold until %v", w.suspect, w.sigma, w.coldUntil)
+	}
+	h.over(d, "b", 0, Lost)
+	if w.suspect <= h.now || w.coldUntil <= h.now {
+		t.Errorf("both: left alone until %v, cold until %v", w.suspect, w.coldUntil)
+	}
+}
+
+// Guards against a worker that fails each job at once, or turns it away, and so
+// always holds the fewest: it would draw all jobs.
+func TestBadAnswersBringRest(t *testing.T) {
+	for _, o := range []Outcome{Errored, Full} {
+		d, h := start(t, settings(), fleet(3)...)
+		failed := 0
+		for i := range 200 {
+			id := fmt.Sprint("r", i)
+			h.ask(d, id, 0)
+			for n := 0; h.ends[id] == "" && n < h.tries[id]; n++ {
+				at := slices.IndexFunc(h.sends, func(s sent) bool { return s.id == id && s.n == n })
+				if h.sends[at].worker == "w0" {
+					failed++
+					h.over(d, id, n, o)
+					continue
+				}
+				h.began(d, id, n)
+				h.now += 5 * ms
+				h.over(d, id, n, Served)
+			}
+			h.now += 5 * ms
+		}
+		if failed == 0 || failed > 20 { // a third of 200 would be even
+			t.Errorf("outcome %d: %d of 200 jobs went to the bad worker", o, failed)
+		}
+		w := d.byName["w0"]
+		w.rest = 0
+		for range 8 {
+			d.learn(h.now, newRequest(d, h, "x"), &attempt{w: w, sent: h.now}, Served)
+		}
+		if w.bad >= badMost || w.restFor != 0 {
+			t.Errorf("outcome %d: after 8 good answers share of errors %v, rests for %v", o, w.bad, w.restFor)
+		}
+	}
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -26,6 +26,7 @@
 	Family    struct {
 		ClassKind    []int     `json:"class_kind" toml:"class_kind,omitempty"`
 		ClassStretch []float64 `json:"class_stretch" toml:"class_stretch,omitempty"`
+		QueueOrder   string    `json:"queue_order" toml:"queue_order,omitempty"`
 		TellsStart   bool      `json:"tells_start" toml:"tells_start,omitempty"`
 	} `json:"family_info" toml:"family_info,omitempty"`
 	Kinds      []string `json:"kinds" toml:"kinds,omitempty"`
@@ -96,6 +97,7 @@
 		MayCancel:     s.Bounds.Cancel,
 		AskForList:    s.Discovery == "ask",
 		TellsStart:    s.Family.TellsStart,
+		InOrder:       s.Family.QueueOrder == "fifo",
 		MustProbe:     s.Bounds.MayProbe && s.Report.Via == "probe",
 
 		FullMayHaveRun: s.Rules.FullMayHaveRun,
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -28,6 +28,7 @@
 		MayCancel:     p.bool("bounds.cancel"),
 		AskForList:    p.m["discovery"] == "ask",
 		TellsStart:    p.bool("family_info.tells_start"),
+		InOrder:       p.m["family_info.queue_order"] == "fifo",
 		StartCapacity: p.float("rules.start_capacity"),
 		WarmUp:        p.seconds("rules.warm_up"),
 		FallMultiple:  p.float("rules.fall_multiple"),
--- a/state.go
+++ b/state.go
@@ -32,20 +32,34 @@
 	suspect   time.Duration // not to be sent to before; 0: trusted
 	backoff   time.Duration
 	lastSign  time.Duration
-	stuck     bool // a job there is overdue to start, and no sign has come since
+	trial     time.Duration // when it was last tried while not trusted
+	lost      int           // connections that broke since the last sign
+	rest      time.Duration // gives bad answers: not to be sent to before
+	restFor   time.Duration
+	bad       float64 // EWMA share of errors
+	pace      float64 // EWMA of its running times over the class's mean
+	out       []flight
 	coldUntil time.Duration
 	presumed  time.Duration // when it was taken for restarted; 0: not
 	credit    float64       // work that a cold worker may be sent
 	creditAt  time.Duration
 }
 
+// flight is an attempt that is out.
+type flight struct {
+	r *request
+	n int
+}
+
 type attempt struct {
 	w       *worker
 	sent    time.Duration
 	started time.Duration
+	noted   time.Duration // its last progress
 	over    bool
 	proven  bool // over, and nothing ran
-	moved   bool // called off for another worker
+	moved   bool // it failed there, or was called off for another worker
+	off     bool // nothing more is expected of it; off the books
 	late    bool // its start is overdue
 }
 
@@ -200,6 +214,7 @@
 	changes    float64       // in that time
 	broke      map[int]sign  // by cell: the last worker there that broke or refused a connection
 	presumed   int           // workers taken for restarted
+	silent     float64       // decayed count of connections that fell silent under an attempt
 	prompt     float64       // share of attempts that started at once
 	moveFrom   time.Duration // when jobs may be called off again
 	further    tally         // attempts beyond each request's first
@@ -344,7 +359,8 @@
 	return r, &r.attempts[n], nil
 }
 
-func (w *worker) sign(now time.Duration) { w.lastSign, w.stuck = now, false }
+// sign notes that the worker is alive.
+func (w *worker) sign(now time.Duration) { w.lastSign, w.lost, w.suspect, w.backoff = now, 0, 0, 0 }
 
 // place puts a worker into the lists of those that may be sent to, or takes it
 // out of them.
@@ -482,11 +498,14 @@
 
 // Progress tells that a job is being worked on.
 func (d *Dispatcher) Progress(now time.Duration, id string, n int, _ float64) error {
-	_, a, err := d.find(id, n)
+	r, a, err := d.find(id, n)
 	if err != nil {
 		return err
 	}
 	a.w.sign(now)
+	if a.noted = now; a.off && a.started > 0 {
+		d.writeOn(r, a)
+	}
 	return nil
 }
 
@@ -503,19 +522,44 @@
 
 // settle takes an attempt off the books.
 func (d *Dispatcher) settle(now time.Duration, r *request, a *attempt, o Outcome) {
+	d.writeOff(r, a)
 	a.over, a.proven = true, d.neverRan(o)
+	a.moved = a.moved || o != NotSent && o != Cancelled && d.pools[0].active > 1
 	r.out--
+	a.w.out = slices.DeleteFunc(a.w.out, func(f flight) bool { return f.r == r && &r.attempts[f.n] == a })
+	if o == Served || o == Errored || o == Full {
+		a.w.sign(now)
+	}
+}
+
+// writeOff takes an attempt off the books of what workers and tenants have in
+// hand, when it ends or before.
+func (d *Dispatcher) writeOff(r *request, a *attempt) {
+	if a.off {
+		return
+	}
+	a.off = true
 	d.classes[r.Class].inflight--
 	r.tenant.inflight -= r.Slots
 	d.hold(a.w, -r.Slots)
 	if a.started == 0 {
 		a.w.unstarted--
 	}
-	if o != ConnectFailed && o != TimedOut && o != NotSent && o != Cancelled {
-		a.w.sign(now)
-	}
 }
 
+// writeOn puts a running attempt on the books that was written off, or that had
+// waited until now.
+func (d *Dispatcher) writeOn(r *request, a *attempt) {
+	a.off = false
+	d.classes[r.Class].inflight++
+	r.tenant.inflight += r.Slots
+	d.hold(a.w, r.Slots)
+}
+
+// ownEyes reports whether a late start tells of a silent connection: nobody else
+// fills the worker's slots, or connections are known to fall silent now.
+func (d *Dispatcher) ownEyes() bool { return d.set.Peers == 1 || d.silent > silentLeast }
+
 func (a alpha) now(jobs uint64) float64 {
 	return a.value * math.Pow(1-alphaGain, float64(jobs-a.at))
 }
@@ -562,7 +606,7 @@
 }
 
 func (d *Dispatcher) newWorker(e *WorkerInfo) *worker {
-	w := &worker{WorkerInfo: *e, places: slices.Repeat([]int{-1}, len(d.pools)), sigma: inf,
+	w := &worker{WorkerInfo: *e, places: slices.Repeat([]int{-1}, len(d.pools)), sigma: inf, pace: 1,
 		index: len(d.workers), cutIn: -1}
 	if i := slices.Index(d.workers, nil); i >= 0 {
 		w.index = i
@@ -584,6 +628,7 @@
 	d.hold(w, r.Slots)
 	w.unstarted++
 	w.free -= r.Slots
+	w.out = append(w.out, flight{r, len(r.attempts) - 1})
 	return len(r.attempts) - 1
 }
 
@@ -796,3 +841,61 @@
 	}
 	return 1
 }
+
+// slack is how long a job of the class can wait when it arrives.
+func (d *Dispatcher) slack(c int) float64 {
+	return d.set.Classes[c].Aim.Seconds() + d.set.Classes[c].Stretch*d.classes[c].run - d.classes[c].complete
+}
+
+// fresh is how long a report speaks for: slots change hands as jobs end.
+func (d *Dispatcher) fresh() time.Duration { return seconds(freshPart * d.meanWork) }
+
+// sparse reports whether we hold less than a job a worker, and so know little of each.
+func (d *Dispatcher) sparse() bool { return d.held < float64(d.pools[0].active) }
+
+// waitAt returns how long a job would wait at a worker by its last report.
+func (d *Dispatcher) waitAt(w *worker, r *request) float64 {
+	slots := d.kindRoom[w.Kind]
+	return max(0, w.told.Held+r.Slots-slots-min(0, w.free)) / slots * d.classes[r.Class].run
+}
+
+// feasibleFor returns how long the request can still wait to be sent: its own
+// running time and the class's mean wait at workers come off the time left.
+func (d *Dispatcher) feasibleFor(now time.Duration, r *request) time.Duration {
+	c := &d.classes[r.Class]
+	return min(r.deadline, r.aim) - now - seconds(r.work/r.Slots+max(0, c.complete-c.run))
+}
+
+// closeAgain closes once more half the time after the last notice or outcome.
+func (d *Dispatcher) closeAgain(now time.Duration) {
+	d.leaving = slices.DeleteFunc(d.leaving, func(w *worker) bool {
+		if now < w.closedAt+d.set.CloseOnDrain/2 {
+			return false
+		}
+		w.closedAt = 0
+		if v := d.byName[w.Worker]; v == nil || v.State != Active {
+			d.host.CloseIdle(w.Worker)
+		}
+		return true
+	})
+}
+
+// withinBudget reports whether an attempt beyond a request's first keeps the
+// budget of those. Attempts count for a 64th of the span longer and requests
+// for as much less than they must, so it holds in every window.
+func (d *Dispatcher) withinBudget(now time.Duration) bool {
+	b := &d.set.Further
+	if b.Span == 0 {
+		return true
+	}
+	further, _ := d.further.counts(now)
+	_, taken := d.taken.counts(now)
+	return float64(further+1) <= float64(b.Free)+b.Ratio*float64(taken)
+}
+
+// reportsSpeak reports whether a worker's report changes often enough to tell
+// of the next job's slot, not of those before: all who see an old free slot
+// go there at once. How often it changes is measured, not told.
+func (d *Dispatcher) reportsSpeak() bool {
+	return d.metered >= meterLeast && d.metered < speakPart*d.meanWork*d.changes
+}
