Presume a restart only after three connections on end that broke

A trace of doubts and presumptions shows s- presumed restarted at 16.99 s and again at 22.02 s, after two lone connections that broke, and from then on 57 and 19 jobs in 5 s where it had 109: it was kept to what a cold worker may get. Cause: dispatcher.go:learn presumed a restart for any Lost or ConnectFailed without another attempt out there. Ruled out: errors and rest (none in the trace). Now a broken or failed connection on its own says nothing; from the second on end, without a sign between, the worker is doubted, from the third it is presumed restarted. A crash under load gives as many at once, and a refused connection costs only a further attempt.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -63,6 +63,7 @@
 	backoffFirst  = 500 * time.Millisecond // a worker that failed is left alone at first for so long
 	backoffMost   = 8 * time.Second
 	presumeFor    = 5 * time.Second // within it the list tells of a restart
+	presumeLeast  = 3               // connections on end that break or fail for a restart to be presumed
 	ringPoints    = 16              // points of a worker on the ring of homes
 	hintTrust     = 0.01            // seconds of running time by which hints are trusted at first
 	waitClip      = 2               // a job's wait counts for so many aims at most in the mean completion
@@ -267,8 +268,8 @@
 			d.rest(now, w)
 		}
 	case TimedOut, Lost, ConnectFailed:
-		if o == Lost {
-			w.lost++
+		if o != TimedOut {
+			w.broken++
 		}
 		if d.lives(w, a, o) { // then the connection was at fault
 			d.silent += oneIf(o == TimedOut && !a.late)
@@ -276,7 +277,7 @@
 		}
 		d.cut(w, r.Slots)
 		d.doubt(now, w)
-		if o != TimedOut {
+		if o != TimedOut && w.broken >= presumeLeast {
 			d.presume(now, w)
 		}
 	}
@@ -286,10 +287,13 @@
 // since, or, where the attempt's connection broke, others there go on or none broke just before. It
 // guards against the exclusion of workers for what single connections do.
 func (d *Dispatcher) lives(w *worker, a *attempt, o Outcome) bool {
-	if o != Lost {
-		return w.lastSign > a.sent
+	switch {
+	case o != TimedOut && w.broken == 1:
+		return true
+	case o == Lost:
+		return slices.ContainsFunc(w.out, func(f flight) bool { return !f.r.attempts[f.n].off })
 	}
-	return w.lost == 1 || slices.ContainsFunc(w.out, func(f flight) bool { return !f.r.attempts[f.n].off })
+	return w.lastSign > a.sent
 }
 
 // cut lowers a worker's limit after a failure, at most once a round, from what
@@ -479,22 +483,6 @@
 	return sent
 }
 
-// withinShare reports whether the tenant has sent less than its quota, or
-// sends less than its share of what arrives here: a dispatcher may have more
-// than its even part of everybody. Where no quota is told, the room counts.
-func (d *Dispatcher) withinShare(now time.Duration, t *tenant) bool {
-	if t.quota == 0 {
-		return t.inflight < t.share*d.room
-	}
-	rate := t.quota
-	if t.arrived <= t.share*d.arrived {
-		rate *= modestRoom
-	}
-	t.tokens = min(max(2, rate), t.tokens+rate*(now-t.tokensAt).Seconds())
-	t.tokensAt = now
-	return t.tokens >= 1
-}
-
 func (d *Dispatcher) send(now time.Duration, r *request, w *worker) {
 	if len(r.attempts) > 0 {
 		d.further.add(now)
--- a/state.go
+++ b/state.go
@@ -33,7 +33,7 @@
 	backoff   time.Duration
 	lastSign  time.Duration
 	trial     time.Duration // when it was last tried while not trusted
-	lost      int           // connections that broke since the last sign
+	broken    int           // connections that broke or failed since the last sign
 	rest      time.Duration // gives bad answers: not to be sent to before
 	restFor   time.Duration
 	bad       float64 // EWMA share of errors
@@ -360,7 +360,7 @@
 }
 
 // sign notes that the worker is alive.
-func (w *worker) sign(now time.Duration) { w.lastSign, w.lost, w.suspect, w.backoff = now, 0, 0, 0 }
+func (w *worker) sign(now time.Duration) { w.lastSign, w.broken, w.suspect, w.backoff = now, 0, 0, 0 }
 
 // place puts a worker into the lists of those that may be sent to, or takes it
 // out of them.
@@ -899,3 +899,19 @@
 func (d *Dispatcher) reportsSpeak() bool {
 	return d.metered >= meterLeast && d.metered < speakPart*d.meanWork*d.changes
 }
+
+// withinShare reports whether the tenant has sent less than its quota, or
+// sends less than its share of what arrives here: a dispatcher may have more
+// than its even part of everybody. Where no quota is told, the room counts.
+func (d *Dispatcher) withinShare(now time.Duration, t *tenant) bool {
+	if t.quota == 0 {
+		return t.inflight < t.share*d.room
+	}
+	rate := t.quota
+	if t.arrived <= t.share*d.arrived {
+		rate *= modestRoom
+	}
+	t.tokens = min(max(2, rate), t.tokens+rate*(now-t.tokensAt).Seconds())
+	t.tokensAt = now
+	return t.tokens >= 1
+}
