Leave clients their connections for 2.5 s after SIGTERM, and end before the kill

Cause of our part: scheduler.go:drain closed all idle connections after 0.7 s, though clients go on using those they have, and waited for jobs up to a second past the longest deadline, 6 s here, where the kill comes after 3.7 s. Now an idle connection stays for 2.5 s and serves one more request, whose answer closes it; what is out after 3.4 s is answered as failed, and the exit is 0.

Also: a watch on discovery that falls silent was noticed after 13 s, and what changed meanwhile counts as told at most 2 s after its wait. Calls now wait 2.5 s and are given up 1.5 s later.

Tests: TestTermination (a connection kept for over 0.7 s), TestAbandon, TestWatch.

--- a/internal/core/exchange.go
+++ b/internal/core/exchange.go
@@ -94,6 +94,7 @@
 	Number   int
 	Deadline time.Duration // when it is no longer waited for, on the Clock
 	Planner  *Planner      // to be told what comes of it
+	Single   bool          // it must not run twice, so nothing can mend a connection that breaks
 
 	timer  *timer
 	over   bool
--- a/internal/core/planner.go
+++ b/internal/core/planner.go
@@ -112,6 +112,20 @@
 	p.box.Put(event{kind: evCall, call: func() { f(len(p.open)) }})
 }
 
+// Abandon answers what is open as failed and calls f with the number of those.
+func (p *Planner) Abandon(f func(int)) {
+	p.box.Put(event{kind: evCall, call: func() {
+		n := 0
+		for _, x := range p.open {
+			if !x.answered {
+				n++
+				x.answer(Answer{Kind: Failed, Reason: "the scheduler ends", Ran: x.mayHaveRun()})
+			}
+		}
+		f(n)
+	}})
+}
+
 // Run works until the context ends.
 func (p *Planner) Run(ctx context.Context) {
 	timer := time.NewTimer(time.Hour)
@@ -291,7 +305,8 @@
 	if x == nil {
 		return
 	}
-	a := &Attempt{Exchange: x, Worker: worker, Number: len(x.attempts), Deadline: x.deadline, Planner: p}
+	a := &Attempt{Exchange: x, Worker: worker, Number: len(x.attempts), Deadline: x.deadline, Planner: p,
+		Single: p.set.Classes[x.Class].Effect == sedgevale.Unsafe}
 	if timeout > 0 {
 		a.Deadline = min(a.Deadline, p.now+timeout)
 	}
--- a/internal/core/planner_test.go
+++ b/internal/core/planner_test.go
@@ -175,6 +175,25 @@
 	}
 }
 
+// Guards against jobs that are lost when the program ends: who still waits is
+// answered, once.
+func TestAbandon(t *testing.T) {
+	p, carry, clock := begin(t, "w")
+	c := newClient()
+	p.Request(NewExchange(Job{ID: "r", Class: 1, Tenant: -1}, clock.Now()+5*time.Second, c))
+	testkit.Await(t, "an event", carry.sent)
+	for _, want := range []int{1, 0} {
+		counted := make(chan int, 1)
+		p.Abandon(func(n int) { counted <- n })
+		if n := testkit.Await(t, "the count", counted); n != want {
+			t.Errorf("%d abandoned, want %d", n, want)
+		}
+	}
+	if got := testkit.Await(t, "an event", c.first); got.Kind != Failed || !got.Ran || c.count() != 1 {
+		t.Errorf("answered %+v, %d times", got, c.count())
+	}
+}
+
 // A start before the program's own is a time of its own; only 0 is long ago.
 func TestClockMapsStarts(t *testing.T) {
 	c := NewClock()
--- a/internal/core/set.go
+++ b/internal/core/set.go
@@ -48,18 +48,24 @@
 }
 
 // Open returns how many exchanges are not over.
-func (s *Set) Open(ctx context.Context) (open int, err error) {
+func (s *Set) Open(ctx context.Context) (int, error) { return s.sum(ctx, (*Planner).Open) }
+
+// Abandon has all exchanges answered that are not yet, as failed, and returns
+// how many those were.
+func (s *Set) Abandon(ctx context.Context) (int, error) { return s.sum(ctx, (*Planner).Abandon) }
+
+func (s *Set) sum(ctx context.Context, ask func(*Planner, func(int))) (sum int, err error) {
 	counts := make(chan int, len(s.planners))
 	for _, p := range s.planners {
-		p.Open(func(n int) { counts <- n })
+		ask(p, func(n int) { counts <- n })
 	}
 	for range s.planners {
 		select {
 		case n := <-counts:
-			open += n
+			sum += n
 		case <-ctx.Done():
 			return 0, ctx.Err()
 		}
 	}
-	return open, nil
+	return sum, nil
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	watchWait   = 10 * time.Second // what a watch may wait; the next goes out at once
-	answerWait  = 3 * time.Second  // beyond that wait, before the watch counts as broken
+	// What a watch may wait; the next goes out at once. Short, since a watch that has
+	// fallen silent is noticed only after it, and drains meanwhile count as told.
+	watchWait   = 2500 * time.Millisecond
+	answerWait  = 1500 * time.Millisecond // beyond that wait, before the watch counts as broken
 	connectWait = time.Second
 	formerWait  = 2 * time.Second // for a last word from an address that was given up
 	maxList     = 8 << 20
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -70,7 +70,7 @@
 	w := NewWatcher(loop, addr, List{Revision: 5}, func(l List) { told <- l }, func() { broken <- true }, log)
 	w.Watch()
 	w.Watch() // a second asking changes nothing
-	const target = "/v1/endpoints?since=%d&timeout_ms=10000"
+	const target = "/v1/endpoints?since=%d&timeout_ms=2500"
 	next := 5
 	expect := func() {
 		t.Helper()
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -67,6 +67,7 @@
 	engine   gnet.Engine
 	booted   chan struct{}
 	draining atomic.Bool
+	clients  atomic.Int64
 	mu       sync.Mutex
 	lanes    map[gnet.EventLoop]*lane
 }
@@ -120,6 +121,9 @@
 // Drain makes each further answer the last of its connection.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// Clients returns how many connections are open.
+func (s *Server) Clients() int { return int(s.clients.Load()) }
+
 // CloseIdle closes the connections that carry no request.
 func (s *Server) CloseIdle() { s.each(func(l *lane) { l.closeIdle(math.MaxInt) }) }
 
@@ -242,6 +246,7 @@
 		opened: time.Now()}
 	gc.SetContext(c)
 	c.setState(fresh)
+	s.clients.Add(1)
 	if !s.budget.Take() {
 		// A descriptor more, and accepting fails, which ends the event loop with
 		// all that it holds. This one connection is the lesser loss.
@@ -258,6 +263,7 @@
 		return gnet.None
 	}
 	s.budget.Release()
+	s.clients.Add(-1)
 	was := c.state
 	c.setState(closed)
 	if was == busy {
--- a/scheduler/front_test.go
+++ b/scheduler/front_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -142,6 +143,24 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
+	late, err := net.Dial("tcp", c.plain) // kept as well, and used when no new ones come any more
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer late.Close()
+	on := func(conn net.Conn, id string) {
+		t.Helper()
+		fmt.Fprintf(conn, "POST /usage-view HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nTenant: co-op\r\n"+
+			"Request-Timeout: 9000m\r\nContent-Length: 0\r\n\r\n", id)
+		f.next().done("third")
+	}
+	on(late, "early")
+	r := bufio.NewReader(late)
+	if a, err := http.ReadResponse(r, nil); err != nil || a.StatusCode != 200 || a.Close {
+		t.Errorf("before: %+v, error %v", a, err)
+	} else if _, err := io.ReadAll(a.Body); err != nil {
+		t.Error(err)
+	}
 	before := post(c.plain, "/plan-change", job("before")...)
 	first := f.next()
 	first.say(`"state":"started"`) // else the worker counts as busy, and nothing more goes there
@@ -149,12 +168,20 @@
 	time.Sleep(200 * time.Millisecond) // the front goes on for so long
 	after := post(c.plain, "/usage-view", job("after")...)
 	f.next().done("second")
-	fmt.Fprintf(conn, "POST /usage-view HTTP/1.1\r\nHost: h\r\nRequest-Id: kept\r\nTenant: co-op\r\n"+
-		"Request-Timeout: 9000m\r\nContent-Length: 0\r\n\r\n")
-	f.next().done("third")
+	on(conn, "kept")
 	if a, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || a.StatusCode != 200 || !a.Close {
 		t.Errorf("on the kept connection: %+v, error %v", a, err)
 	}
+	var timeout net.Error
+	_ = late.SetReadDeadline(time.Now().Add(time.Second))
+	if _, err := r.ReadByte(); !errors.As(err, &timeout) || !timeout.Timeout() {
+		t.Errorf("a connection that clients may still use: %v", err)
+	}
+	_ = late.SetReadDeadline(time.Time{})
+	on(late, "late")
+	if a, err := http.ReadResponse(r, nil); err != nil || a.StatusCode != 200 || !a.Close {
+		t.Errorf("on the kept connection, late: %+v, error %v", a, err)
+	}
 	first.done("first")
 	for want, got := range map[string]<-chan reply{"first": before, "second": after} {
 		if a := testkit.Await(t, "the answer", got); a.status != 200 || a.body != want || !a.last {
--- a/scheduler/reload_test.go
+++ b/scheduler/reload_test.go
@@ -65,6 +65,7 @@
 		onKept(fmt.Sprint("kept-", i+1))
 	}
 
+	conn.Close()
 	c.signal(syscall.SIGTERM)
 	c.logged("stopping")
 	c.signal(syscall.SIGHUP)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -30,6 +30,13 @@
 	// long is listened.
 	lastCalls = 700 * time.Millisecond
 	quietFor  = 50 * time.Millisecond
+	// Clients go on using the connections that they have. Each is good for one more
+	// request, so it stays open for a while yet. Who told us to stop waits for the
+	// longest deadline, or for so long, before it kills; what is open then would be
+	// lost, so it is answered before.
+	keptFor  = 2500 * time.Millisecond
+	patience = 3 * time.Second
+	overtime = 400 * time.Millisecond
 	// Each event loop and planner may sit in a system call; with a processor for
 	// each the others go on at once. One processor was measured to do nearly as
 	// well; see NOTES.md.
@@ -149,24 +156,36 @@
 // drain answers what was taken and what still comes, and returns once all is
 // quiet. Whoever sent the signal sets the last limit.
 func (s *Scheduler) drain(ctx context.Context) error {
+	began := time.Now()
 	s.ready.Store(false)
 	for _, server := range s.servers {
 		server.Drain()
 	}
 	s.opt.Log.Info("stopping: answering what was taken")
 	time.Sleep(lastCalls)
-	for _, server := range s.servers {
-		server.CloseIdle()
-	}
-	for until := time.Now().Add(s.longest()); time.Now().Before(until); {
-		time.Sleep(quietFor)
+	for closed := false; time.Since(began) < min(s.longest(), patience)+overtime; time.Sleep(quietFor) {
 		open, err := s.planners.Open(ctx)
 		if err != nil {
 			return err
 		}
-		if open == 0 {
+		clients := 0
+		for _, server := range s.servers {
+			clients += server.Clients()
+		}
+		if open == 0 && (clients == 0 || closed) {
 			break
 		}
+		if !closed && time.Since(began) > min(s.longest(), keptFor) {
+			closed = true
+			for _, server := range s.servers {
+				server.CloseIdle()
+			}
+		}
+	}
+	if n, err := s.planners.Abandon(ctx); err != nil {
+		return err
+	} else if n > 0 {
+		s.opt.Log.Warn("jobs were still out, their clients were told that they failed", "jobs", n)
 	}
 	time.Sleep(quietFor) // the last answers are on their way to their event loop
 	for _, server := range s.servers {
@@ -178,11 +197,11 @@
 	return nil
 }
 
-// longest is how long a client may wait, and a little more.
+// longest is how long a client may wait.
 func (s *Scheduler) longest() time.Duration {
 	most := time.Second
 	for _, c := range s.settings.Classes {
-		most = max(most, c.Limit+time.Second)
+		most = max(most, c.Limit)
 	}
 	return most
 }
