Send what must not run twice on new connections while kept ones break

Ruled out: too long idle times (the resets hit connections used 50 ms before as well). Now the pool counts attempts whose connection broke before any answer, apart for kept and new connections. While kept ones break, and three times as often as new ones, jobs that must not run twice get a new one; and a kept one is asked for its end before it is used.

Test: TestSingleJobsAvoidConnectionsThatBreak.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -1,9 +1,12 @@
 package upstream
 
 import (
+	"errors"
 	"strconv"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"sedgevale"
 	"sedgevale/internal/evloop"
 	"sedgevale/internal/http1"
@@ -20,6 +23,7 @@
 	dead   bool
 	broken bool // writing fails
 	ended  bool // the whole answer has come
+	uses   int  // attempts carried
 	since  time.Time
 	out    []byte
 }
@@ -50,15 +54,35 @@
 		return
 	}
 	if c.whole() {
+		if c.parser.Idle() {
+			c.wear().broke++
+		}
 		p.end(f, sedgevale.Lost, nil, nil)
 	} else {
 		p.end(f, sedgevale.ConnectFailed, nil, nil)
 	}
 }
 
+func (c *conn) wear() *wear {
+	if c.uses > 1 {
+		return &c.pool.kept
+	}
+	return &c.pool.made
+}
+
+// quiet reports whether nothing has come on an idle connection, not even its end,
+// that the loop has yet to read.
+func (c *conn) quiet() bool {
+	var b [1]byte
+	_, _, err := unix.Recvfrom(c.gc.Fd(), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return errors.Is(err, unix.EAGAIN)
+}
+
 // carry sends a flight's request.
 func (c *conn) carry(f *flight) {
 	c.f, f.c = f, c
+	c.uses++
+	c.wear().used++
 	c.ended = false
 	c.lines.part = nil
 	c.out = c.request(c.out[:0], f)
@@ -249,6 +273,9 @@
 	c.ended = true
 	c.since = time.Now()
 	c.w.idle = append(c.w.idle, c)
+	if len(c.w.idle) > keptMost && c.pool.keptBreak() { // each job that avoids them adds one
+		c.pool.drop(c.w.idle[0])
+	}
 	return true
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -38,6 +38,11 @@
 	idlePart    = 0.6 // of the time after which a worker closes: a request must not cross that
 	probeWait   = time.Second
 	tailWait    = time.Second
+	wearPart    = 0.95 // of what was counted, at the next sweep
+	wearLeast   = 1.5  // kept connections that broke, for them to be avoided
+	wearTimes   = 3    // how much more often than new ones
+	wearDoubt   = 20   // new connections among which one may be thought to break
+	keptMost    = 4    // to one worker, while those are avoided
 )
 
 // Pool holds the connections to all workers. It implements core.Carrier.
@@ -49,6 +54,21 @@
 	workers map[string]*worker
 	flights map[*core.Attempt]*flight
 	tails   map[*conn]struct{} // their attempt is over, the end of the answer is still to come
+	kept    wear               // of connections that had carried an attempt before
+	made    wear               // of new ones
+}
+
+// wear counts attempts on connections, and those whose connection broke before
+// any answer; older ones count less.
+type wear struct{ used, broke float64 }
+
+func (w *wear) age() { w.used, w.broke = w.used*wearPart, w.broke*wearPart }
+
+// keptBreak reports whether connections that were kept break under the next
+// request, and far more often than new ones.
+func (p *Pool) keptBreak() bool {
+	return p.kept.broke >= wearLeast &&
+		p.kept.broke/p.kept.used > wearTimes*(p.made.broke+1)/(p.made.used+wearDoubt)
 }
 
 type worker struct {
@@ -191,11 +211,16 @@
 		p.end(f, sedgevale.NotSent, nil, nil)
 		return
 	}
-	if n := len(w.idle); n > 0 {
+	// What must not run twice has one attempt; it is not risked on a kept connection
+	// while those break.
+	for n := len(w.idle); n > 0 && !(f.a != nil && f.a.Single && p.keptBreak()); n = len(w.idle) {
 		c := w.idle[n-1]
 		w.idle = w.idle[:n-1]
-		c.carry(f)
-		return
+		if c.quiet() {
+			c.carry(f)
+			return
+		}
+		p.drop(c)
 	}
 	// Counted from here on: while workers are silent, dials that wait hold the most.
 	if !p.opt.Budget.Take() {
@@ -255,6 +280,8 @@
 // that are gone.
 func (p *Pool) sweep() {
 	now := time.Now()
+	p.kept.age()
+	p.made.age()
 	for c := range p.tails {
 		if now.Sub(c.since) > tailWait {
 			p.drop(c)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -1,10 +1,13 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -36,7 +39,8 @@
 	pool := New(Options{DialTimeout: time.Minute, IdleClose: idle, Host: "h", Clock: clock, Loop: loop,
 		Budget: budget.New(0), Log: log})
 	planner, err := core.NewPlanner(sedgevale.Settings{MaxAttempts: 3, MayCancel: true, Classes: []sedgevale.Class{
-		{Name: "once", Effect: sedgevale.Unsafe, Aim: 3 * time.Second, Limit: 3 * time.Second}}}, 1, clock, pool,
+		{Name: "once", Effect: sedgevale.Unsafe, Aim: 3 * time.Second, Limit: 3 * time.Second},
+		{Name: "free", Aim: 3 * time.Second, Limit: 3 * time.Second}}}, 1, clock, pool,
 		func() {}, log)
 	if err != nil {
 		t.Fatal(err)
@@ -106,6 +110,66 @@
 	}
 }
 
+// Guards against plan changes that are lost for good because they were written to
+// kept connections which the other side has forgotten: once those are seen to
+// break, what must not run twice goes on a new one. What may is still sent on them.
+func TestSingleJobsAvoidConnectionsThatBreak(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	type arrival struct {
+		id  string
+		nth int // on its connection
+	}
+	arrivals := make(chan arrival, 16)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				r := bufio.NewReader(c)
+				for n := 1; ; n++ {
+					q, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					id := q.Header.Get("Request-Id")
+					arrivals <- arrival{id, n}
+					if n > 1 {
+						_ = c.(*net.TCPConn).SetLinger(0) // a reset
+						c.Close()
+						return
+					}
+					line := fmt.Sprintf(`{"id":%q,"state":"done","result":"r"}`, id)
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(line), line)
+				}
+			}()
+		}
+	}()
+	_, planner, clock := begin(t, l.Addr().String(), 0)
+	for _, job := range []struct {
+		id    string
+		class int
+		want  []int
+	}{{"a", 1, []int{1}}, {"b", 1, []int{2, 1}}, {"c", 1, []int{2, 1}}, {"d", 0, []int{1}}, {"e", 1, []int{2, 2, 1}}} {
+		answers := make(client, 1)
+		planner.Request(core.NewExchange(core.Job{ID: job.id, Class: job.class, Tenant: -1, Method: "POST", Target: "/x"},
+			clock.Now()+3*time.Second, answers))
+		if a := testkit.Await(t, "the answer", answers); a.Kind != core.Served {
+			t.Errorf("%s: %+v", job.id, a)
+		}
+		for _, want := range job.want {
+			if got := testkit.Await(t, "an attempt", arrivals); got != (arrival{job.id, want}) {
+				t.Errorf("%+v, want %s as number %d", got, job.id, want)
+			}
+		}
+	}
+}
+
 // Guards against requests that cross a worker's closing of an idle connection:
 // this side closes first.
 func TestIdleConnectionsAreClosedFirst(t *testing.T) {
