--- a/dispatcher.go
+++ b/dispatcher.go
@@ -59,7 +59,11 @@
 	badMost       = 0.4                   // a worker with a larger share of errors is left alone
 	restFirst     = 100 * time.Millisecond
 	restMost      = 2 * time.Second
-	paceGain      = 1.0 / 16               // EWMA weight of one job in a worker's pace
+	paceGain      = 1.0 / 8                // EWMA weight of one job in a worker's pace
+	baseGain      = 1.0 / 4096             // EWMA weight of one job in its class\'s own running time
+	shortPart     = 0.4                    // of the mean: a job may be so short, and its aim so near
+	waitTrust     = 1.5                    // what a wait at a worker may come to, over the mean
+	paceDecay     = 0.01                   // of a pace a round, towards the mean: slow workers are tried again
 	backoffFirst  = 500 * time.Millisecond // a worker that failed is left alone at first for so long
 	backoffMost   = 8 * time.Second
 	presumeFor    = 5 * time.Second // within it the list tells of a restart
@@ -67,7 +71,7 @@
 	ringPoints    = 16              // points of a worker on the ring of homes
 	hintTrust     = 0.01            // seconds of running time by which hints are trusted at first
 	waitClip      = 2               // a job's wait counts for so many aims at most in the mean completion
-	holdPart      = 0.5             // a job is held for at most this part of its slack: means hide a spread
+	holdPart      = 0.4             // a job is held for at most this part of its slack: means hide a spread
 	queuePart     = 0.35            // part of the time left that a queue's wait, by a report, may take
 	queueMost     = 1               // jobs of ours that may wait at a worker that we know to be busy
 	modestRoom    = 1.4             // times more for one who sends less than its share of what arrives here
@@ -111,6 +115,10 @@
 	}
 	d.meanWork += (r.work - d.meanWork) * max(meanGain, 1/float64(r.serial))
 	c := &d.set.Classes[q.Class]
+	if q.Hint <= 0 {
+		run = k.base // what the client counts is the job's own time, however slow workers are now
+	}
+	r.own = run
 	r.aim = now + c.Aim + seconds(c.Stretch*run)
 	if q.Retry { // the aim counts from the client's first try
 		r.aim -= max(0, c.Limit-q.Left)
@@ -245,6 +253,11 @@
 		if a.started > 0 || run < c.run || w.freeAt < now || w.free >= 0.5 {
 			c.run += gain * (run - c.run) // else part of it was the wait for a slot
 			c.hint += gain * (r.Hint.Seconds() - c.hint)
+			up := max(baseGain, 1/c.runs)
+			if run < c.base {
+				up = max(up, meanGain/4)
+			}
+			c.base += up * (run - c.base)
 			w.pace += paceGain * (run/max(1e-6, c.run) - w.pace)
 		}
 		most := waitClip * d.set.Classes[r.Class].Aim.Seconds() // one bad worker must not refuse all
@@ -326,11 +339,13 @@
 		c := &d.classes[i]
 		c.complete += completeDecay * min(0, c.run-c.complete)
 	}
+	d.quick = d.quickest()
 	d.closeAgain(now)
 	d.askAgain()
 	d.silent *= 1 - silentDecay
 	for _, w := range d.workers {
 		if w != nil && d.set.TellsStart && !d.settling {
+			w.pace += paceDecay * (1 - w.pace)
 			d.overdue(now, w)
 		}
 	}
@@ -629,6 +644,9 @@
 		if !d.usable(now, w, r, own) || !d.mayTry(now, r, w) {
 			continue
 		}
+		if !d.inTime(now, w, r, 0) {
+			continue // too slow for this job
+		}
 		if d.roomy(now, w, r, own) {
 			if d.rng.Float64()*d.largest > w.size {
 				small = w // its size lost the draw; it serves if no other is found
@@ -637,7 +655,7 @@
 			return w
 		}
 		load := (w.held + float64(w.unstarted) - min(0, w.free)) / w.size
-		if own && load < d.fewestLoad && d.inTime(now, w, r) {
+		if own && load < d.fewestLoad && d.mayWait(now, w, r) {
 			d.fewest, d.fewestLoad = w, load
 		}
 	}
@@ -679,9 +697,9 @@
 	return w.freeAt == 0 || own && now-w.freeAt > d.fresh() || w.free >= r.Slots-0.5
 }
 
-// inTime reports whether a job that finds no slot free at the worker may expect to be in time there.
-// It guards against queues at workers that make all late alike, where held jobs could be refused.
-func (d *Dispatcher) inTime(now time.Duration, w *worker, r *request) bool {
+// mayWait reports whether a job that finds no slot free at the worker may wait there. It guards against
+// queues at workers that make all late alike, where held jobs could be refused.
+func (d *Dispatcher) mayWait(now time.Duration, w *worker, r *request) bool {
 	if !d.set.TellsStart {
 		return true
 	}
@@ -689,8 +707,8 @@
 		return false
 	}
 	slots := max(1, d.kindRoom[w.Kind])
-	wait := max(w.held+r.Slots-slots, float64(w.unstarted)+r.Slots) / slots * d.meanWork
-	return wait <= queuePart*(min(r.deadline, r.aim)-now).Seconds()
+	wait := max(w.held+r.Slots-slots, float64(w.unstarted)+r.Slots) / slots * d.meanWork * w.pace
+	return d.inTime(now, w, r, waitTrust*wait)
 }
 
 // mayTry is rule 2 for sends: it alone decides whether the request may have a
@@ -881,14 +899,6 @@
 	}
 }
 
-func (d *Dispatcher) reported(now time.Duration, w *worker, p *Report) {
-	w.free, w.freeAt = p.Free, now
-	d.kindRoom[w.Kind] = max(d.kindRoom[w.Kind], p.Free)
-	if p.Free < 0.5 {
-		d.cut(w, 0)
-	}
-}
-
 // startedAt makes a worker that has just started a cold one (rule 4). It gets credit for a part of the
 // work that warm ones carry for us, which grows as it warms; every dispatcher does so, hence the sum
 // stays below what it can do. A random part of a job is owed at first, so that dispatchers do not all
@@ -979,7 +989,7 @@
 		d.writeOff(r, a) // what goes there next tells whether the worker is full or this connection silent
 	}
 	if !d.mayMove(now, r) {
-		if a.w.lastSign < a.sent || fits {
+		if fits {
 			d.copy(now, r)
 		}
 		return
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -865,12 +865,14 @@
 	}
 }
 
+func inTwo(h *fake) time.Duration { return h.now + 2*time.Second }
+
 // With few jobs a worker the threshold tells nothing of size: the draw does.
 func TestPicksFollowListedSize(t *testing.T) {
 	d, h := start(t, settings(), WorkerInfo{Worker: "large", Weight: 3}, WorkerInfo{Worker: "small", Weight: 1})
 	large := 0
 	for range 2000 {
-		if d.pick(h.now, &request{Request: Request{Slots: 1}}, true).Worker == "large" {
+		if d.pick(h.now, &request{Request: Request{Slots: 1}, deadline: inTwo(h), aim: inTwo(h)}, true).Worker == "large" {
 			large++
 		}
 	}
@@ -889,7 +891,7 @@
 		}
 		return n
 	}
-	r := &request{Request: Request{Slots: 1}}
+	r := &request{Request: Request{Slots: 1}, deadline: inTwo(h), aim: inTwo(h)}
 	if n := far(r); n != 0 {
 		t.Errorf("%d of 1000 first picks outside the own zone while it has room", n)
 	}
--- a/health_test.go
+++ b/health_test.go
@@ -162,3 +162,57 @@
 		}
 	}
 }
+
+// Guards against jobs that all get late at a worker which has become slow, while
+// others have room, and against aims that seem to move away as workers get slower.
+func TestSlowWorkersGetWhatTheyCanDoInTime(t *testing.T) {
+	d, h := start(t, settings(), fleet(3)...)
+	slow, quick := d.byName["w0"], d.byName["w2"]
+	served := func(w *worker, run time.Duration) {
+		d.learn(h.now, newRequest(d, h, "served"), &attempt{w: w, sent: h.now - run, started: h.now - run}, Served)
+	}
+	for range 1000 {
+		served(quick, 100*ms)
+	}
+	for range 20 {
+		served(slow, time.Second)
+		served(quick, 100*ms)
+	}
+	if slow.pace < 3 || quick.pace > 1.1 {
+		t.Errorf("paces %v of a worker ten times as slow, %v of the others", slow.pace, quick.pace)
+	}
+	if c := d.classes[0]; c.run < 0.12 || c.base > 0.12 {
+		t.Errorf("mean running time %v, of the jobs' own %v", c.run, c.base)
+	}
+	slow.pace, d.meanWork = 8, 0.1 // no request has come yet
+	for i := range 50 {
+		id := fmt.Sprint("r", i)
+		h.ask(d, id, 0)
+		if h.last() == "w0" {
+			t.Fatal("a job went where it must be late")
+		}
+		h.began(d, id, 0)
+		h.run(d, h.now+100*ms)
+		h.over(d, id, 0, Served)
+		slow.pace = 8
+	}
+	h.run(d, h.now+time.Minute)
+	if slow.pace > 1.1 {
+		t.Errorf("pace %v after a minute without jobs: it would never be tried again", slow.pace)
+	}
+}
+
+// A job may be shorter than the mean, and its aim nearer: where no hint tells, the
+// wait that it is given is that of a short one.
+func TestWaitIsThatOfAShortJob(t *testing.T) {
+	d, _ := start(t, settings(), fleet(1)...)
+	r := &request{Request: Request{Slots: 1}, own: 0.2, work: 0.2, deadline: time.Hour, aim: 600 * ms}
+	// 200 ms + 2 times its own time, less its own time, for one of 0.4 of 200 ms.
+	if got, want := d.slackAt(0, r, 1), 0.2+shortPart*0.2; got < want-1e-9 || got > want+1e-9 {
+		t.Errorf("slack %v, want %v", got, want)
+	}
+	r.Hint = 200 * ms
+	if got := d.slackAt(0, r, 1); got < 0.4-1e-9 || got > 0.4+1e-9 {
+		t.Errorf("slack %v of a job whose time is known, want 0.4", got)
+	}
+}
--- a/rules_test.go
+++ b/rules_test.go
@@ -267,7 +267,7 @@
 		{"we hold a job a worker", 150 * ms, 8, false},
 	} {
 		d, h := start(t, settings(), fleet(8)...)
-		d.classes[0].run = 0.3 // so that the start is waited for longer
+		d.classes[0].run, d.classes[0].base = 0.3, 0.3 // so that the start is waited for longer
 		h.ask(d, "full", 0)
 		h.now += c.after
 		h.over(d, "full", 0, Full)
--- a/state.go
+++ b/state.go
@@ -69,6 +69,7 @@
 	tenant   *tenant
 	hash     uint64
 	work     float64 // estimated slot seconds
+	own      float64 // estimated running time, by which its aim grows
 	deadline time.Duration
 	aim      time.Duration
 	latest   time.Duration // when it must be sent
@@ -113,6 +114,7 @@
 type class struct {
 	pool     *pool
 	run      float64 // mean running time, seconds
+	base     float64 // the same over long, and lower rather than higher: what aims grow by
 	hint     float64 // mean hint of those
 	complete float64 // mean time from send to answer
 	runs     float64
@@ -214,6 +216,7 @@
 	changes    float64       // in that time
 	broke      map[int]sign  // by cell: the last worker there that broke or refused a connection
 	presumed   int           // workers taken for restarted
+	quick      float64       // pace of the quick workers
 	silent     float64       // decayed count of connections that fell silent under an attempt
 	prompt     float64       // share of attempts that started at once
 	moveFrom   time.Duration // when jobs may be called off again
@@ -450,7 +453,7 @@
 	}
 	d := &Dispatcher{set: set, host: host, rng: rand.New(rand.NewPCG(seed, 0)),
 		requests: map[string]*request{}, serials: map[uint64]*request{}, byName: map[string]*worker{},
-		classes: make([]class, len(set.Classes)), rewatch: rewatchFirst, prompt: 1,
+		classes: make([]class, len(set.Classes)), rewatch: rewatchFirst, prompt: 1, quick: 1,
 		pools: []*pool{{}}, cells: map[int][]*worker{}, broke: map[int]sign{}}
 	for i, c := range set.Classes {
 		d.classes[i].pool = d.poolOf(c.Kinds, c.Zones)
@@ -859,11 +862,37 @@
 	return max(0, w.told.Held+r.Slots-slots-min(0, w.free)) / slots * d.classes[r.Class].run
 }
 
+// slackAt returns how long the request can still wait if a worker of that pace
+// runs it. Its own time is not known where there is no hint; it may be short, and
+// then its aim is near too. For a further attempt the mean is good enough.
+func (d *Dispatcher) slackAt(now time.Duration, r *request, pace float64) float64 {
+	part := shortPart
+	if r.Hint > 0 || len(r.attempts) > 0 {
+		part = 1
+	}
+	return (min(r.deadline, r.aim) - now).Seconds() - (1-part)*d.set.Classes[r.Class].Stretch*r.own - part*pace*r.work/r.Slots
+}
+
+// quickest returns the pace of the second quickest of the workers that may be sent
+// to, 1 at most: that much of its class's mean a job takes at least.
+func (d *Dispatcher) quickest() float64 {
+	first, second := 1.0, 1.0
+	for _, w := range d.workers {
+		if w == nil || w.State != Active || w.pace >= second {
+			continue
+		}
+		if second = w.pace; w.pace < first {
+			first, second = w.pace, first
+		}
+	}
+	return second
+}
+
 // feasibleFor returns how long the request can still wait to be sent: its own
 // running time and the class's mean wait at workers come off the time left.
 func (d *Dispatcher) feasibleFor(now time.Duration, r *request) time.Duration {
 	c := &d.classes[r.Class]
-	return min(r.deadline, r.aim) - now - seconds(r.work/r.Slots+max(0, c.complete-c.run))
+	return seconds(d.slackAt(now, r, d.quick) - max(0, c.complete-c.run))
 }
 
 // closeAgain closes once more half the time after the last notice or outcome.
@@ -915,3 +944,17 @@
 	t.tokensAt = now
 	return t.tokens >= 1
 }
+
+// inTime reports whether a job may expect to be in time at the worker after a wait, by the worker's
+// pace. It guards against workers that have become slow, where all jobs would be late.
+func (d *Dispatcher) inTime(now time.Duration, w *worker, r *request, wait float64) bool {
+	return !d.set.TellsStart || wait <= d.slackAt(now, r, w.pace)
+}
+
+func (d *Dispatcher) reported(now time.Duration, w *worker, p *Report) {
+	w.free, w.freeAt = p.Free, now
+	d.kindRoom[w.Kind] = max(d.kindRoom[w.Kind], p.Free)
+	if p.Free < 0.5 {
+		d.cut(w, 0)
+	}
+}
