--- a/dispatcher.go
+++ b/dispatcher.go
@@ -63,7 +63,7 @@
 	baseGain      = 1.0 / 4096             // EWMA weight of one job in its class\'s own running time
 	shortPart     = 0.4                    // of the mean: a job may be so short, and its aim so near
 	waitTrust     = 1.5                    // what a wait at a worker may come to, over the mean
-	paceDecay     = 0.01                   // of a pace a round, towards the mean: slow workers are tried again
+	paceDecay     = 0.01                   // of a pace a round, towards the mean, to try it again
 	backoffFirst  = 500 * time.Millisecond // a worker that failed is left alone at first for so long
 	backoffMost   = 8 * time.Second
 	presumeFor    = 5 * time.Second // within it the list tells of a restart
