--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -19,36 +19,22 @@
 // serve answers calls one after another as told, each with what it asked.
 func serve(t *testing.T, answers <-chan string) (addr string, asked <-chan string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
 	calls := make(chan string, 16)
-	go func() {
-		for {
-			c, err := l.Accept()
+	return testkit.Accept(t, func(c net.Conn) {
+		defer c.Close()
+		for r := bufio.NewReader(c); ; {
+			q, err := http.ReadRequest(r)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				for r := bufio.NewReader(c); ; {
-					q, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					calls <- q.RequestURI
-					if a := <-answers; a != "" {
-						_, _ = io.WriteString(c, a)
-						continue
-					}
-					return // breaks the connection
-				}
-			}()
+			calls <- q.RequestURI
+			if a := <-answers; a != "" {
+				_, _ = io.WriteString(c, a)
+				continue
+			}
+			return // breaks the connection
 		}
-	}()
-	return l.Addr().String(), calls
+	}), calls
 }
 
 func list(revision int, complete bool) string {
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -37,6 +37,27 @@
 	return l.Addr().String()
 }
 
+// Accept listens on loopback until the test ends and has each connection dealt
+// with in a goroutine of its own.
+func Accept(t *testing.T, deal func(net.Conn)) (addr string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go deal(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
 // Await returns the next value of a channel, or fails the test.
 func Await[T any](t *testing.T, what string, from <-chan T) (v T) {
 	t.Helper()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -114,43 +114,30 @@
 // kept connections which the other side has forgotten: once those are seen to
 // break, what must not run twice goes on a new one. What may is still sent on them.
 func TestSingleJobsAvoidConnectionsThatBreak(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
 	type arrival struct {
 		id  string
 		nth int // on its connection
 	}
 	arrivals := make(chan arrival, 16)
-	go func() {
-		for {
-			c, err := l.Accept()
+	addr := testkit.Accept(t, func(c net.Conn) {
+		r := bufio.NewReader(c)
+		for n := 1; ; n++ {
+			q, err := http.ReadRequest(r)
 			if err != nil {
 				return
 			}
-			go func() {
-				r := bufio.NewReader(c)
-				for n := 1; ; n++ {
-					q, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					id := q.Header.Get("Request-Id")
-					arrivals <- arrival{id, n}
-					if n > 1 {
-						_ = c.(*net.TCPConn).SetLinger(0) // a reset
-						c.Close()
-						return
-					}
-					line := fmt.Sprintf(`{"id":%q,"state":"done","result":"r"}`, id)
-					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(line), line)
-				}
-			}()
+			id := q.Header.Get("Request-Id")
+			arrivals <- arrival{id, n}
+			if n > 1 {
+				_ = c.(*net.TCPConn).SetLinger(0) // a reset
+				c.Close()
+				return
+			}
+			line := fmt.Sprintf(`{"id":%q,"state":"done","result":"r"}`, id)
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(line), line)
 		}
-	}()
-	_, planner, clock := begin(t, l.Addr().String(), 0)
+	})
+	_, planner, clock := begin(t, addr, 0)
 	for _, job := range []struct {
 		id    string
 		class int
