Make three tests notice what they guard against

Three tests did not notice: the resting of workers (the clock ran on without rounds, so nothing was sent at all), the bound on jobs that wait at a worker (sigma held them, as no tenant had a quota) and the time for a first request (the bytes began at once).

--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -593,7 +593,9 @@
 // more come: what finds no room is held here, where it can still go elsewhere or
 // be refused in time.
 func TestBusyWorkersGetNoQueue(t *testing.T) {
-	d, h := start(t, settings(), fleet(3)...)
+	set := settings()
+	set.Tenants = []Tenant{{Share: 1, Quota: 1e6}} // within it, sigma does not bind
+	d, h := start(t, set, fleet(3)...)
 	for i := range 60 {
 		h.ask(d, fmt.Sprint("r", i), 0)
 	}
--- a/health_test.go
+++ b/health_test.go
@@ -131,7 +131,9 @@
 // always holds the fewest: it would draw all jobs.
 func TestBadAnswersBringRest(t *testing.T) {
 	for _, o := range []Outcome{Errored, Full} {
-		d, h := start(t, settings(), fleet(3)...)
+		set := settings()
+		set.Tenants = []Tenant{{Share: 1, Quota: 1e6}} // within it, sigma does not bind
+		d, h := start(t, set, fleet(3)...)
 		failed := 0
 		for i := range 200 {
 			id := fmt.Sprint("r", i)
@@ -144,10 +146,10 @@
 					continue
 				}
 				h.began(d, id, n)
-				h.now += 5 * ms
+				h.run(d, h.now+5*ms)
 				h.over(d, id, n, Served)
 			}
-			h.now += 5 * ms
+			h.run(d, h.now+5*ms)
 		}
 		if failed == 0 || failed > 20 { // a third of 200 would be even
 			t.Errorf("outcome %d: %d of 200 jobs went to the bad worker", o, failed)
--- a/internal/httpd/httpd_test.go
+++ b/internal/httpd/httpd_test.go
@@ -197,6 +197,7 @@
 		t.Fatal(err)
 	}
 	go func() {
+		time.Sleep(1300 * time.Millisecond) // the time runs since connecting, not since the first byte
 		for i := 0; i < 10*len(post); i++ {
 			if _, err := io.WriteString(trickle, "GET / HTTP/1.1\r\nX: "[min(i, 18):][:1]); err != nil {
 				return
