Add the second address with health, cordon and uncordon

Cause: the parts were missing; nothing was ruled out by measurement. internal/ops is a handler on an httpd.Server with a loop and a budget of its own. Planner.orders is read before each event; Dispatcher.Cordon keeps the set that admits asks; Pool.Cordon ends dials.

--- /dev/null
+++ b/cordon_test.go
@@ -0,0 +1,103 @@
+package sedgevale
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// one has a job served, 20 ms after it was sent, and returns where.
+func (h *fake) one(d *Dispatcher) (worker string) {
+	id := fmt.Sprint("job", len(h.sends), h.now)
+	h.ask(d, id, 0)
+	h.run(d, h.now+5*ms)
+	if h.tries[id] > 0 {
+		worker = h.last()
+		_ = d.Started(h.now, id, 0)
+		h.run(d, h.now+20*ms)
+		h.over(d, id, 0, Served)
+	}
+	h.run(d, h.now+25*ms)
+	return worker
+}
+
+// Guards against a cordon that a list undoes: neither a new list nor a worker that
+// vanishes and returns ends it, and a drain of discovery's own outlasts it.
+func TestCordonOverLists(t *testing.T) {
+	a, b := WorkerInfo{Worker: "a", Weight: 1}, WorkerInfo{Worker: "b", Weight: 1}
+	d, h := start(t, settings(), a, b)
+	if d.Cordon(h.now, "stranger", true) || d.Cordon(h.now, "stranger", false) {
+		t.Error("a worker that nobody has named was taken out")
+	}
+	only := func(when, want string) {
+		t.Helper()
+		for range 12 {
+			if w := h.one(d); w != want {
+				t.Fatalf("%s, a job went to %q, want %q", when, w, want)
+			}
+		}
+	}
+	if !d.Cordon(h.now, "a", true) || !d.Cordon(h.now, "a", true) {
+		t.Error("a known worker was not taken out")
+	}
+	only("cordoned twice", "b")
+	d.Members(h.now, ListWhole, []WorkerInfo{a, b})
+	only("listed anew", "b")
+	d.Members(h.now, ListWhole, []WorkerInfo{b})
+	if !d.Cordon(h.now, "a", true) {
+		t.Error("vanished, the worker is still one that was taken out")
+	}
+	d.Members(h.now, ListPatch, []WorkerInfo{{Worker: "a", Weight: 1, StartedAt: h.now}})
+	only("vanished and returned", "b")
+	leaving := a
+	leaving.State = Leaving
+	d.Members(h.now, ListPatch, []WorkerInfo{leaving})
+	if !d.Cordon(h.now, "a", false) {
+		t.Error("the call back was refused")
+	}
+	only("called back while it drains", "b")
+	leaving = b
+	leaving.State = Leaving
+	d.Members(h.now, ListPatch, []WorkerInfo{a, leaving})
+	only("back", "a")
+}
+
+// A worker taken out in an earlier run is out before any list names it.
+func TestKeptOut(t *testing.T) {
+	d, h := start(t, settings(), WorkerInfo{Worker: "b", Weight: 1})
+	d.Keep("a")
+	d.Members(h.now, ListPatch, []WorkerInfo{{Worker: "a", Weight: 1}})
+	for range 12 {
+		if w := h.one(d); w != "b" {
+			t.Fatalf("a job went to %q", w)
+		}
+	}
+	if !d.Cordon(h.now, "a", false) || d.byName["a"].cordoned {
+		t.Error("it was not put back")
+	}
+}
+
+// Guards against a worker that comes back cold and is sent as much as before, and
+// against one that is left unused though it is back.
+func TestCordonedComesBackCold(t *testing.T) {
+	set := settings()
+	set.WarmUp, set.StartCapacity, set.FallMultiple, set.Fall = 20*time.Second, 0.1, 3, 2*time.Second
+	d, h := start(t, set, WorkerInfo{Worker: "a", Weight: 1}, WorkerInfo{Worker: "b", Weight: 1})
+	count := func(span time.Duration) (n int) {
+		for end := h.now + span; h.now < end; {
+			if h.one(d) == "a" {
+				n++
+			}
+		}
+		return n
+	}
+	before := count(4 * time.Second)
+	d.Cordon(h.now, "a", true)
+	if n := count(time.Second); n != 0 {
+		t.Errorf("%d jobs while it was out", n)
+	}
+	d.Cordon(h.now, "a", false)
+	if n := count(4 * time.Second); n == 0 || n > before/2 {
+		t.Errorf("%d jobs in 4 s after it came back cold, %d in 4 s before", n, before)
+	}
+}
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -664,7 +664,7 @@
 
 // admits is placement, and rule 3: it alone decides which workers a class may be sent to.
 func (p *pool) admits(w *worker) bool {
-	return w.State == Active && (p.kinds == nil || slices.Contains(p.kinds, w.Kind)) &&
+	return w.State == Active && !w.cordoned && (p.kinds == nil || slices.Contains(p.kinds, w.Kind)) &&
 		(p.places == nil || slices.Contains(p.places, w.Zone))
 }
 
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -8,9 +8,9 @@
 	"sync/atomic"
 )
 
-// reserve is kept for what is not counted here: pollers, listeners, standard
+// Reserve is kept for what is not counted here: pollers, listeners, standard
 // streams, and dials that hold two descriptors for a moment.
-const reserve = 64
+const Reserve = 64
 
 // Of the limit so much is for idle connections of clients, and so many at least.
 const (
@@ -59,19 +59,19 @@
 // reserve is almost gone; the connection must then be closed.
 func (b *Budget) Take() bool {
 	used, limit := b.used.Add(1), b.limit.Load()
-	if limit <= 0 || used <= limit-reserve {
+	if limit <= 0 || used <= limit-Reserve {
 		return true
 	}
 	b.mu.Lock()
 	asked := b.short
-	if used > limit-reserve/2 {
+	if used > limit-Reserve/2 {
 		asked = append(append([]func(int){}, asked...), b.dire...)
 	}
 	b.mu.Unlock()
 	for _, f := range asked {
-		f(int(used - limit + reserve))
+		f(int(used - limit + Reserve))
 	}
-	return used <= limit-reserve/4
+	return used <= limit-Reserve/4
 }
 
 // Idle is how many idle connections of clients an event loop may keep.
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -5,7 +5,7 @@
 // Guards against a crowd of idle clients that takes the connections to workers
 // away: those cost the workers time to make again, which jobs then lack.
 func TestClientsGoFirst(t *testing.T) {
-	b := New(reserve + 10)
+	b := New(Reserve + 10)
 	clients, workers := 0, 0
 	b.OnShort(func(n int) { clients += n })
 	b.OnDire(func(n int) { workers += n })
@@ -24,8 +24,8 @@
 	}
 	for b.Take() {
 	}
-	if workers == 0 || b.Used() >= reserve+10 {
-		t.Errorf("%d of workers closed, %d used of %d", workers, b.Used(), reserve+10)
+	if workers == 0 || b.Used() >= Reserve+10 {
+		t.Errorf("%d of workers closed, %d used of %d", workers, b.Used(), Reserve+10)
 	}
 	b.Limit(1000)
 	if !b.Take() {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -17,6 +17,7 @@
 type Config struct {
 	Name      string          `json:"name"`
 	Listen    string          `json:"listen"`
+	Ops       string          `json:"ops"`       // the operators' address; empty: none
 	Discovery string          `json:"discovery"` // empty: the list in Known stands
 	Seed      string          `json:"seed"`
 	Limits    Limits          `json:"limits"`
@@ -55,7 +56,7 @@
 	for _, v := range []struct {
 		name string
 		to   *string
-	}{{"EDGE_NAME", &c.Name}, {"EDGE_LISTEN", &c.Listen}, {"EDGE_DISCOVERY", &c.Discovery}} {
+	}{{"EDGE_NAME", &c.Name}, {"EDGE_LISTEN", &c.Listen}, {"EDGE_DISCOVERY", &c.Discovery}, {"EDGE_OPS", &c.Ops}} {
 		if *v.to == "" {
 			*v.to = os.Getenv(v.name)
 		}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -17,6 +17,7 @@
 type File struct {
 	Name      string             `toml:"name"`
 	Listen    string             `toml:"listen"`
+	Ops       string             `toml:"ops,omitempty"`
 	Discovery string             `toml:"discovery,omitempty"`
 	Seed      string             `toml:"seed,omitempty"`
 	Planners  int                `toml:"planners,omitempty"`
@@ -62,7 +63,7 @@
 			w.Phase = "ready"
 		}
 	}
-	return &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Seed: f.Seed, Limits: f.Limits,
+	return &Config{Name: f.Name, Listen: f.Listen, Ops: f.Ops, Discovery: f.Discovery, Seed: f.Seed, Limits: f.Limits,
 		Known: &discovery.List{Complete: true, Members: f.Workers}, Settings: f.Settings,
 		SSE: f.SSE, Planners: f.Planners, Loops: f.Loops}
 }
@@ -87,6 +88,14 @@
 	if err := address("the address to listen on,", c.Listen); err != nil {
 		return err
 	}
+	if c.Ops != "" {
+		if err := address("ops", c.Ops); err != nil {
+			return err
+		}
+		if c.Ops == c.Listen || c.SSE != nil && c.Ops == c.SSE.Listen {
+			return errors.New("ops is an address of clients")
+		}
+	}
 	if c.SSE != nil {
 		if err := address("sse.listen", c.SSE.Listen); err != nil {
 			return err
--- a/internal/core/planner.go
+++ b/internal/core/planner.go
@@ -25,12 +25,14 @@
 
 	d      *sedgevale.Dispatcher
 	box    *inbox.Box[event]
+	orders *inbox.Box[func()] // of operators: taken before each event
 	wake   chan struct{}
 	timers timers
 	serial uint64
 	now    time.Duration
 	open   map[string]*Exchange
 	list   map[string]sedgevale.WorkerInfo // for a fresh Dispatcher
+	out    map[string]bool                 // cordoned, for the same
 }
 
 type kind uint8
@@ -65,13 +67,14 @@
 func NewPlanner(set sedgevale.Settings, seed uint64, clock Clock, carrier Carrier, watch func(),
 	log *slog.Logger) (*Planner, error) {
 	p := &Planner{clock: clock, carrier: carrier, watch: watch, log: log, set: set, seed: seed,
-		wake: make(chan struct{}, 1), open: map[string]*Exchange{}, list: map[string]sedgevale.WorkerInfo{}}
-	p.box = inbox.New[event](func() {
+		wake: make(chan struct{}, 1), open: map[string]*Exchange{}, list: map[string]sedgevale.WorkerInfo{}, out: map[string]bool{}}
+	wake := func() {
 		select {
 		case p.wake <- struct{}{}:
 		default:
 		}
-	})
+	}
+	p.box, p.orders = inbox.New[event](wake), inbox.New[func()](wake)
 	var err error
 	p.d, err = sedgevale.New(set, seed, p)
 	return p, err
@@ -106,6 +109,39 @@
 	p.box.Put(event{kind: evMembers, list: list, entries: entries})
 }
 
+// Cordon takes a worker out or puts it back, before any event that waits to be
+// read. Done is told whether the worker is known.
+func (p *Planner) Cordon(worker string, out bool, done func(known bool)) {
+	p.order(func() {
+		known := p.d.Cordon(p.now, worker, out)
+		if delete(p.out, worker); known && out {
+			p.out[worker] = true
+		}
+		done(known)
+	})
+}
+
+// Keep has a worker out from the start, also one that no list has named yet.
+func (p *Planner) Keep(worker string) {
+	p.order(func() {
+		p.out[worker] = true
+		p.d.Keep(worker)
+	})
+}
+
+// Alive calls f from the Planner's goroutine, to show that it has its turns.
+func (p *Planner) Alive(f func()) { p.order(f) }
+
+func (p *Planner) order(f func()) { p.orders.Put(f) }
+
+// obey carries out what operators have ordered.
+func (p *Planner) obey() {
+	p.now = p.clock.Now()
+	for _, f := range p.orders.Take() {
+		p.guard(f)
+	}
+}
+
 // Open calls f with the number of exchanges that are not over, once all that
 // was handed in before has been read.
 func (p *Planner) Open(f func(int)) {
@@ -132,7 +168,11 @@
 	defer timer.Stop()
 	for ctx.Err() == nil {
 		items := p.box.Take()
+		p.obey()
 		for i := range items {
+			if p.orders.Waiting() {
+				p.obey()
+			}
 			p.guard(func() { p.handle(&items[i]) })
 		}
 		p.guard(p.fire)
@@ -182,6 +222,9 @@
 			entries = append(entries, e)
 		}
 		p.d.Members(p.clock.Now(), sedgevale.ListWhole, entries)
+		for worker := range p.out {
+			p.d.Keep(worker)
+		}
 	}()
 	f()
 }
--- a/internal/core/planner_test.go
+++ b/internal/core/planner_test.go
@@ -251,3 +251,41 @@
 		t.Errorf("only %d files seen", files)
 	}
 }
+
+// Guards against operators who wait behind clients: an order is carried out before
+// events that came earlier.
+func TestOrdersComeFirst(t *testing.T) {
+	p, _, _ := begin(t, "w")
+	hold, known := make(chan struct{}), make(chan bool, 1)
+	p.box.Put(event{kind: evCall, call: func() { <-hold }})
+	events := make(chan string, 200)
+	for range 100 {
+		p.box.Put(event{kind: evCall, call: func() { events <- "client" }})
+	}
+	p.Cordon("w", true, func(is bool) { events <- "order"; known <- is })
+	close(hold)
+	if !testkit.Await(t, "the order", known) {
+		t.Error("the worker is not known")
+	}
+	if first := <-events; first != "order" {
+		t.Error("the order waited behind a client's event")
+	}
+}
+
+// Guards against a cordon that a panic of the module undoes.
+func TestCordonOutlivesPanic(t *testing.T) {
+	p, carry, clock := begin(t, "w", "v")
+	done := make(chan bool, 1)
+	p.Cordon("w", true, func(is bool) { done <- is })
+	testkit.Await(t, "the order", done)
+	p.box.Put(event{kind: evCall, call: func() { panic("fault") }})
+	for i := range 6 {
+		p.Request(NewExchange(Job{ID: string(rune('a' + i)), Tenant: -1}, clock.Now()+time.Second, newClient()))
+		a := testkit.Await(t, "an attempt", carry.sent)
+		if a.Worker != "v" {
+			t.Fatalf("an attempt went to %s", a.Worker)
+		}
+		p.Started(a)
+		p.Ended(a, sedgevale.Served, nil, nil)
+	}
+}
--- a/internal/core/set.go
+++ b/internal/core/set.go
@@ -47,6 +47,34 @@
 	}
 }
 
+// Cordon takes a worker out at all planners, or puts it back, and reports whether
+// it is known.
+func (s *Set) Cordon(ctx context.Context, worker string, out bool) (bool, error) {
+	n, err := s.sum(ctx, func(p *Planner, tell func(int)) {
+		p.Cordon(worker, out, func(known bool) {
+			if known {
+				tell(1)
+			} else {
+				tell(0)
+			}
+		})
+	})
+	return n > 0, err
+}
+
+// Keep has a worker out at all planners from the start.
+func (s *Set) Keep(worker string) {
+	for _, p := range s.planners {
+		p.Keep(worker)
+	}
+}
+
+// Alive returns once each planner has had a turn.
+func (s *Set) Alive(ctx context.Context) error {
+	_, err := s.sum(ctx, func(p *Planner, tell func(int)) { p.Alive(func() { tell(0) }) })
+	return err
+}
+
 // Open returns how many exchanges are not over.
 func (s *Set) Open(ctx context.Context) (int, error) { return s.sum(ctx, (*Planner).Open) }
 
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -124,6 +124,25 @@
 // Clients returns how many connections are open.
 func (s *Server) Clients() int { return int(s.clients.Load()) }
 
+// Alive calls f on each event loop that has served somebody, to show that they have
+// their turns; where none has, at once.
+func (s *Server) Alive(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	left := int64(len(s.lanes))
+	if left == 0 {
+		f()
+		return
+	}
+	for _, l := range s.lanes {
+		l.box.Put(func() {
+			if atomic.AddInt64(&left, -1) == 0 {
+				f()
+			}
+		})
+	}
+}
+
 // CloseIdle closes the connections that carry no request.
 func (s *Server) CloseIdle() { s.each(func(l *lane) { l.closeIdle(math.MaxInt) }) }
 
--- a/internal/inbox/inbox.go
+++ b/internal/inbox/inbox.go
@@ -2,7 +2,10 @@
 // without ever waiting for it.
 package inbox
 
-import "sync"
+import (
+	"sync"
+	"sync/atomic"
+)
 
 // Box is a queue with many senders and one reader. The reader takes all that
 // has come at once, so a burst costs one wake-up.
@@ -10,6 +13,7 @@
 	mu    sync.Mutex
 	items []T
 	spare []T
+	some  atomic.Bool
 	wake  func()
 }
 
@@ -22,6 +26,7 @@
 	b.mu.Lock()
 	first := len(b.items) == 0
 	b.items = append(b.items, item)
+	b.some.Store(true)
 	b.mu.Unlock()
 	if first {
 		b.wake()
@@ -34,7 +39,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	clear(b.spare)
+	b.some.Store(false)
 	items := b.items
 	b.items, b.spare = b.spare[:0], items
 	return items
 }
+
+// Waiting reports whether there are items to take, without waiting for anybody.
+func (b *Box[T]) Waiting() bool { return b.some.Load() }
--- /dev/null
+++ b/internal/ops/cordons.go
@@ -0,0 +1,71 @@
+package ops
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"slices"
+)
+
+// Cordons is the set of workers that operators have taken out, kept in a file so
+// that it outlives the process.
+type Cordons struct {
+	path string
+	set  map[string]bool
+}
+
+// ReadCordons reads the file; one that is not there is an empty set. The set is
+// usable also where an error is returned.
+func ReadCordons(path string) (*Cordons, error) {
+	c := &Cordons{path: path, set: map[string]bool{}}
+	b, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return c, nil
+	}
+	var hosts []string
+	if err == nil {
+		err = json.Unmarshal(b, &hosts)
+	}
+	if err != nil {
+		return c, fmt.Errorf("saved cordons: %w", err)
+	}
+	for _, h := range hosts {
+		c.set[h] = true
+	}
+	return c, nil
+}
+
+// Hosts returns the ids in order.
+func (c *Cordons) Hosts() []string {
+	hosts := make([]string, 0, len(c.set))
+	for h := range c.set {
+		hosts = append(hosts, h)
+	}
+	slices.Sort(hosts)
+	return hosts
+}
+
+// Has reports whether a worker is out.
+func (c *Cordons) Has(host string) bool { return c.set[host] }
+
+// Set takes a worker out or puts it back, and saves the set. The file is replaced
+// whole: a reader finds the old set or the new one.
+func (c *Cordons) Set(host string, out bool) error {
+	if delete(c.set, host); out {
+		c.set[host] = true
+	}
+	b, err := json.Marshal(c.Hosts())
+	if err != nil {
+		return fmt.Errorf("saving cordons: %w", err)
+	}
+	draft := fmt.Sprintf("%s.%d", c.path, os.Getpid())
+	if err := os.WriteFile(draft, b, 0o600); err != nil {
+		return fmt.Errorf("saving cordons: %w", err)
+	}
+	if err := os.Rename(draft, c.path); err != nil {
+		return fmt.Errorf("saving cordons: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/ops/ops_test.go
@@ -0,0 +1,157 @@
+package ops
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"sedgevale/internal/budget"
+	"sedgevale/internal/httpd"
+	"sedgevale/internal/testkit"
+)
+
+// orders notes what it is asked for.
+type orders struct {
+	got  chan string
+	sick error
+}
+
+func (o *orders) Healthy(context.Context) error { return o.sick }
+
+func (o *orders) Cordon(_ context.Context, host string, out bool) error {
+	o.got <- fmt.Sprint(host, " ", out)
+	if host == "stranger" {
+		return ErrUnknown
+	}
+	return nil
+}
+
+func begin(t *testing.T, sick error) (addr string, o *orders) {
+	t.Helper()
+	o = &orders{make(chan string, 8), sick}
+	addr = testkit.FreeAddr(t)
+	s := httpd.New(addr, 1, New(o), budget.New(0), slog.New(slog.DiscardHandler))
+	if _, err := s.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Stop(context.Background()) })
+	return addr, o
+}
+
+func call(t *testing.T, addr, method, path, body string) int {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", method, path, len(body), body)
+	a, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.Body.Close()
+	if !a.Close {
+		t.Errorf("%s %s: the connection goes on", method, path)
+	}
+	return a.StatusCode
+}
+
+// Each call has its yes or no, and what is no call changes nothing.
+func TestCalls(t *testing.T) {
+	addr, o := begin(t, nil)
+	for _, q := range []struct {
+		method, path, body string
+		want               int
+		order              string
+	}{
+		{"GET", "/admin/health", "", 200, ""},
+		{"POST", "/admin/health", "", 405, ""},
+		{"POST", "/admin/cordon", `{"host":"w"}`, 200, "w true"},
+		{"POST", "/admin/uncordon", `{"host":"w","why":"done"}`, 200, "w false"},
+		{"POST", "/admin/cordon", `{"host":"stranger"}`, 404, "stranger true"},
+		{"GET", "/admin/cordon", "", 405, ""},
+		{"POST", "/admin/cordon", `{"host":"w"`, 400, ""},
+		{"POST", "/admin/cordon", `{"host":"w"} more`, 400, ""},
+		{"POST", "/admin/cordon", `{"host":7}`, 400, ""},
+		{"POST", "/admin/cordon", `{"host":""}`, 400, ""},
+		{"POST", "/admin/cordon", `["w"]`, 400, ""},
+		{"POST", "/admin/cordon", "", 400, ""},
+		{"POST", "/admin/quiesce", `{"host":"w"}`, 404, ""},
+	} {
+		if got := call(t, addr, q.method, q.path, q.body); got != q.want {
+			t.Errorf("%s %s %s: %d, want %d", q.method, q.path, q.body, got, q.want)
+		}
+		got := ""
+		select {
+		case got = <-o.got:
+		default:
+		}
+		if got != q.order {
+			t.Errorf("%s %s %s ordered %q, want %q", q.method, q.path, q.body, got, q.order)
+		}
+	}
+	addr, _ = begin(t, errors.New("sick"))
+	if got := call(t, addr, "GET", "/admin/health", ""); got != 503 {
+		t.Errorf("sick, but health is %d", got)
+	}
+}
+
+// Guards against callers that say nothing, or half a call, and delay the others.
+func TestSilentCallersDelayNobody(t *testing.T) {
+	addr, _ := begin(t, nil)
+	for i := range 8 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if i%2 == 0 {
+			fmt.Fprint(c, "POST /admin/cordon HTTP/1.1\r\nContent-Le")
+		}
+	}
+	began := time.Now()
+	if got := call(t, addr, "GET", "/admin/health", ""); got != 200 || time.Since(began) > time.Second {
+		t.Errorf("%d after %v", got, time.Since(began))
+	}
+}
+
+// Cordons outlive the process; a broken file is told and leaves an empty set.
+func TestCordonsAreSaved(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "cordons")
+	c, err := ReadCordons(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, host := range []string{"b", "a", "gone"} {
+		if err := c.Set(host, true); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := c.Set("gone", false); err != nil {
+		t.Fatal(err)
+	}
+	c, err = ReadCordons(path)
+	if got := strings.Join(c.Hosts(), " "); got != "a b" || err != nil || !c.Has("a") || c.Has("gone") {
+		t.Errorf("read %q, error %v", got, err)
+	}
+	if files, _ := filepath.Glob(path + "*"); len(files) != 1 {
+		t.Errorf("files left: %v", files)
+	}
+	if err := os.WriteFile(path, []byte(`["a`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if c, err := ReadCordons(path); err == nil || len(c.Hosts()) != 0 {
+		t.Errorf("of a broken file came %v, error %v", c.Hosts(), err)
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -33,7 +33,7 @@
 	c.gc = gc
 	f := c.f
 	c.w, c.f = f.w, nil
-	if f.over { // the worker has begun to drain, or nobody waits any more
+	if f.over { // the worker has begun to drain or was taken out, or nobody waits any more
 		c.dead = true
 		return false
 	}
@@ -266,7 +266,7 @@
 		return false
 	}
 	c.f = nil
-	if c.parser.Head.Close || !c.w.ready {
+	if c.parser.Head.Close || !c.pool.takes(c.w) {
 		c.pool.drop(c)
 		return false
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -52,6 +52,7 @@
 
 	// For the loop alone.
 	workers map[string]*worker
+	out     map[string]bool // cordoned: nothing is sent there, whatever the list says
 	flights map[*core.Attempt]*flight
 	tails   map[*conn]struct{} // their attempt is over, the end of the answer is still to come
 	kept    wear               // of connections that had carried an attempt before
@@ -95,8 +96,8 @@
 	if opt.DialTimeout <= 0 {
 		opt.DialTimeout = time.Second
 	}
-	p := &Pool{opt: opt, loop: opt.Loop, workers: map[string]*worker{}, flights: map[*core.Attempt]*flight{},
-		tails: map[*conn]struct{}{}}
+	p := &Pool{opt: opt, loop: opt.Loop, workers: map[string]*worker{}, out: map[string]bool{},
+		flights: map[*core.Attempt]*flight{}, tails: map[*conn]struct{}{}}
 	opt.Budget.OnDire(func(n int) { p.loop.Do(func() { p.closeIdle(n) }) })
 	return p
 }
@@ -147,10 +148,31 @@
 	})
 }
 
+// Cordon takes a worker out, or puts it back, whatever the list says of it. Done is
+// called once nothing more goes there.
+func (p *Pool) Cordon(id string, out bool, done func()) {
+	p.loop.Do(func() {
+		delete(p.out, id)
+		if out {
+			p.out[id] = true
+			if w := p.workers[id]; w != nil {
+				p.clear(w)
+			}
+		}
+		done()
+	})
+}
+
+func (p *Pool) takes(w *worker) bool { return w.ready && !p.out[w.id] }
+
 // leave ends what has not been sent yet to a worker that drains or is gone: the
 // rule counts a send from its first byte, which a dial may put off.
 func (p *Pool) leave(w *worker) {
 	w.ready = false
+	p.clear(w)
+}
+
+func (p *Pool) clear(w *worker) {
 	for f := range w.dialling {
 		p.end(f, sedgevale.NotSent, nil, nil)
 	}
@@ -207,7 +229,7 @@
 
 func (p *Pool) start(f *flight) {
 	w := f.w
-	if w == nil || !w.ready {
+	if w == nil || !p.takes(w) {
 		p.end(f, sedgevale.NotSent, nil, nil)
 		return
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -91,8 +91,26 @@
 }
 
 // Guards against a first byte long after the drain was told: a connection that
-// comes up late is no reason to send. The job never ran, so it is refused.
+// comes up late is no reason to send. The job never ran, so it is refused. What
+// an operator takes out is no other.
 func TestDrainEndsWhatIsBeingDialled(t *testing.T) {
+	t.Run("drain", func(t *testing.T) {
+		endsWhatIsBeingDialled(t, func(pool *Pool, planner *core.Planner, addr string) {
+			pool.Members(false, []Member{{ID: "w", Addr: addr}})
+			planner.Members(sedgevale.ListPatch, []sedgevale.WorkerInfo{{Worker: "w", State: sedgevale.Leaving}})
+		})
+	})
+	t.Run("cordon", func(t *testing.T) {
+		endsWhatIsBeingDialled(t, func(pool *Pool, planner *core.Planner, addr string) {
+			planner.Cordon("w", true, func(bool) {})
+			pool.Cordon("w", true, func() {})
+			pool.Members(true, []Member{{ID: "w", Addr: addr, Ready: true}})
+		})
+	})
+}
+
+func endsWhatIsBeingDialled(t *testing.T, leave func(*Pool, *core.Planner, string)) {
+	t.Helper()
 	addr := deaf(t)
 	pool, planner, clock := begin(t, addr, 0)
 	answers := make(client, 1)
@@ -103,8 +121,7 @@
 		pool.loop.Do(func() { seen <- len(pool.workers["w"].dialling) })
 		dialling = testkit.Await(t, "the loop", seen)
 	}
-	pool.Members(false, []Member{{ID: "w", Addr: addr}})
-	planner.Members(sedgevale.ListPatch, []sedgevale.WorkerInfo{{Worker: "w", State: sedgevale.Leaving}})
+	leave(pool, planner, addr)
 	if a := testkit.Await(t, "the answer", answers); a.Kind != core.Refused {
 		t.Errorf("%+v", a)
 	}
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -261,7 +261,7 @@
 func startChild(t *testing.T, f *fleet) *child {
 	t.Helper()
 	c := &child{t: t, file: filepath.Join(t.TempDir(), "operator.toml"), plain: testkit.FreeAddr(t), sse: testkit.FreeAddr(t)}
-	c.config = config.File{Name: "test", Listen: c.plain, Discovery: f.addr, Seed: "1f", Settings: settings(t),
+	c.config = config.File{Name: "test", Listen: c.plain, Ops: testkit.FreeAddr(t), Discovery: f.addr, Seed: "1f", Settings: settings(t),
 		Limits: config.Limits{MemoryMB: 192, Sockets: 1024}, Workers: f.list.Members,
 		SSE: &config.SSE{Listen: c.sse, Heartbeat: 0.2, Retain: 30}, Planners: 2, Loops: 2}
 	c.write()
@@ -273,7 +273,7 @@
 func (c *child) start() {
 	c.t.Helper()
 	c.cmd = exec.Command(os.Args[0])
-	c.cmd.Env = append(os.Environ(), childFile+"="+c.file)
+	c.cmd.Env = append(os.Environ(), childFile+"="+c.file, "TMPDIR="+filepath.Dir(c.file))
 	c.log = make(logLines, 256)
 	c.cmd.Stderr = c.log
 	if err := c.cmd.Start(); err != nil {
--- /dev/null
+++ b/scheduler/ops_test.go
@@ -0,0 +1,93 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+
+	"sedgevale/internal/testkit"
+)
+
+// tell makes a call at the second address.
+func (c *child) tell(method, call, host string) int {
+	c.t.Helper()
+	body := ""
+	if host != "" {
+		body = fmt.Sprintf(`{"host":%q}`, host)
+	}
+	q, err := http.NewRequest(method, "http://"+c.config.Ops+"/admin/"+call, strings.NewReader(body))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	a, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(q)
+	if err != nil {
+		c.t.Errorf("%s: %v", call, err)
+		return 0
+	}
+	a.Body.Close()
+	return a.StatusCode
+}
+
+// Guards against a yes to a cordon that does not hold: nothing more goes to the
+// worker, the next run keeps it out too, and one call back ends it.
+func TestCordon(t *testing.T) {
+	f := newFleet(t, "v", "w")
+	c := startChild(t, f)
+	serve := func(id string) (worker string) {
+		got := post(c.plain, "/usage-view", job(id)...)
+		r := f.next()
+		r.done("")
+		testkit.Await(t, "the answer", got)
+		return r.worker
+	}
+	if got := c.tell("GET", "health", ""); got != 200 {
+		t.Errorf("health is %d", got)
+	}
+	before := post(c.plain, "/plan-change", job("before")...)
+	first := f.next()
+	first.say(`"state":"started"`)
+	host := first.worker
+	for _, call := range []string{"cordon", "cordon"} {
+		if got := c.tell("POST", call, host); got != 200 {
+			t.Errorf("%s of a known worker: %d", call, got)
+		}
+	}
+	if got := c.tell("POST", "cordon", "stranger"); got != 404 {
+		t.Errorf("cordon of an unknown worker: %d", got)
+	}
+	for i := range 6 {
+		if w := serve(fmt.Sprint("out-", i)); w == host {
+			t.Fatalf("a job went to %s, which is out", w)
+		}
+	}
+	f.phase(host, "ready") // discovery lists it anew
+	if w := serve("listed"); w == host {
+		t.Errorf("a job went to %s after it was listed anew", w)
+	}
+	first.done("first")
+	if a := testkit.Await(t, "the answer", before); a.status != 200 || a.body != "first" {
+		t.Errorf("a job that ran there already: %+v", a)
+	}
+	c.kill()
+	c.start()
+	for i := range 6 {
+		if w := serve(fmt.Sprint("again-", i)); w == host {
+			t.Fatalf("after a new start a job went to %s", w)
+		}
+	}
+	if got := c.tell("POST", "uncordon", host); got != 200 {
+		t.Errorf("uncordon: %d", got)
+	}
+	for i := 0; serve(fmt.Sprint("back-", i)) != host; i++ {
+		if i == 50 {
+			t.Fatalf("%s is not used again", host)
+		}
+	}
+	c.signal(syscall.SIGTERM)
+	c.logged("stopping")
+	if got := c.tell("GET", "health", ""); got != 503 {
+		t.Errorf("stopping, but health is %d", got)
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -21,6 +21,7 @@
 	"sedgevale/internal/front"
 	"sedgevale/internal/httpd"
 	"sedgevale/internal/intake"
+	"sedgevale/internal/ops"
 	"sedgevale/internal/sse"
 	"sedgevale/internal/upstream"
 )
@@ -45,6 +46,8 @@
 	service    = "origin.svc"
 	// Kept of a subscriber's time, for its last event's way.
 	streamMargin = 50 * time.Millisecond
+	// Of the descriptors, for operators' calls alone.
+	opsDescriptors = 32
 )
 
 // Options are the choices of who embeds a scheduler.
@@ -54,18 +57,21 @@
 
 // Scheduler is a real scheduler.
 type Scheduler struct {
-	opt      Options
-	config   *config.Config
-	settings sedgevale.Settings
-	clock    core.Clock
-	budget   *budget.Budget
-	loop     *evloop.Loop // for workers and discovery
-	pool     *upstream.Pool
-	watcher  *discovery.Watcher
-	planners *core.Set
-	servers  []*httpd.Server
-	streams  *sse.Front // nil: no second front
-	ready    atomic.Bool
+	opt       Options
+	config    *config.Config
+	settings  sedgevale.Settings
+	clock     core.Clock
+	budget    *budget.Budget
+	loop      *evloop.Loop // for workers and discovery
+	pool      *upstream.Pool
+	watcher   *discovery.Watcher
+	planners  *core.Set
+	servers   []*httpd.Server
+	streams   *sse.Front    // nil: no second front
+	operators *httpd.Server // nil: no second address
+	cordons   *ops.Cordons
+	order     chan struct{} // held by the order that is carried out
+	ready     atomic.Bool
 }
 
 // New returns a scheduler that does nothing yet.
@@ -84,7 +90,9 @@
 	if c.Discovery == "" {
 		set.AskForList = false
 	}
-	s := &Scheduler{opt: opt, config: c, settings: set, clock: core.NewClock(), budget: budget.New(c.Limits.Sockets)}
+	s := &Scheduler{opt: opt, config: c, settings: set, clock: core.NewClock(), budget: budget.New(0),
+		order: make(chan struct{}, 1)}
+	s.limit(c)
 	if s.loop, err = evloop.New(opt.Log); err != nil {
 		return nil, err
 	}
@@ -110,9 +118,28 @@
 			Heartbeat: config.Seconds(c.SSE.Heartbeat), Retain: config.Seconds(c.SSE.Retain), Log: opt.Log})
 		s.servers = append(s.servers, httpd.New(c.SSE.Listen, c.Loops, s.streams, s.budget, opt.Log))
 	}
+	if s.cordons, err = ops.ReadCordons(fileOf(c, "cordons")); err != nil {
+		opt.Log.Warn("the workers that were out are not known", "err", err)
+	}
+	for _, host := range s.cordons.Hosts() {
+		s.pool.Cordon(host, true, func() {})
+		s.planners.Keep(host)
+	}
+	if c.Ops != "" {
+		s.operators = httpd.New(c.Ops, 1, ops.New(s), budget.New(budget.Reserve+opsDescriptors/2), opt.Log)
+	}
 	return s, nil
 }
 
+// limit keeps to a configuration's limit of descriptors. The operators' are kept apart.
+func (s *Scheduler) limit(c *config.Config) {
+	n := c.Limits.Sockets
+	if n > 0 && c.Ops != "" {
+		n = max(1, n-opsDescriptors)
+	}
+	s.budget.Limit(n)
+}
+
 // Limit sets the Go runtime up for the machine: it is for programs that are
 // nothing but a scheduler.
 func Limit(c *config.Config) {
@@ -131,8 +158,12 @@
 	go s.planners.Run(work)
 	go s.pool.Run(work)
 	defer s.loop.Stop()
-	ended := make(chan error, len(s.servers))
-	for _, server := range s.servers {
+	listening := s.servers
+	if s.operators != nil {
+		listening = append([]*httpd.Server{s.operators}, listening...)
+	}
+	ended := make(chan error, len(listening))
+	for _, server := range listening {
 		over, err := server.Start()
 		if err != nil {
 			return err
@@ -147,7 +178,7 @@
 		"workers", len(s.config.Known.Members), "revision", s.config.Known.Revision)
 	select {
 	case err := <-ended:
-		return fmt.Errorf("an event loop for clients ended: %w", err)
+		return fmt.Errorf("an event loop for clients or operators ended: %w", err)
 	case <-ctx.Done():
 	}
 	return s.drain(work)
@@ -188,7 +219,10 @@
 		s.opt.Log.Warn("jobs were still out, their clients were told that they failed", "jobs", n)
 	}
 	time.Sleep(quietFor) // the last answers are on their way to their event loop
-	for _, server := range s.servers {
+	for _, server := range append([]*httpd.Server{s.operators}, s.servers...) {
+		if server == nil {
+			continue
+		}
 		if err := server.Stop(ctx); err != nil {
 			return err
 		}
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -56,7 +56,7 @@
 	if err := c.Check(); err != nil {
 		return err
 	}
-	s.budget.Limit(c.Limits.Sockets)
+	s.limit(c)
 	s.watcher.Move(c.Discovery)
 	if c.Discovery == "" {
 		s.loop.Do(func() { s.members(sedgevale.ListWhole, *c.Known) })
@@ -74,7 +74,8 @@
 		name     string
 		old, new any
 	}{
-		{"name", s.config.Name, c.Name}, {"listen", s.config.Listen, c.Listen}, {"settings", s.config.Settings, c.Settings},
+		{"name", s.config.Name, c.Name}, {"listen", s.config.Listen, c.Listen}, {"ops", s.config.Ops, c.Ops},
+		{"settings", s.config.Settings, c.Settings},
 		{"sse", s.config.SSE, c.SSE}, {"planners", s.config.Planners, c.Planners}, {"loops", s.config.Loops, c.Loops},
 	} {
 		if !reflect.DeepEqual(part.old, part.new) {
--- a/state.go
+++ b/state.go
@@ -23,6 +23,7 @@
 	unstarted int
 	sigma     float64
 	cutIn     int64         // the round of the last cut
+	cordoned  bool          // taken out by an operator, whatever the list says
 	outcomes  bool          // this round had clean outcomes
 	closedAt  time.Duration // when its idle connections were last closed, while it leaves
 	askers    []*request    // they wait for its answer to a probe
@@ -216,6 +217,7 @@
 	changes    float64       // in that time
 	broke      map[int]sign  // by cell: the last worker there that broke or refused a connection
 	presumed   int           // workers taken for restarted
+	cordons    map[string]bool
 	quick      float64       // pace of the quick workers
 	silent     float64       // decayed count of connections that fell silent under an attempt
 	prompt     float64       // share of attempts that started at once
@@ -409,6 +411,54 @@
 	}
 }
 
+// Cordon takes a worker out, or puts it back. While it is out nothing is sent to it, whatever the list
+// says of it meanwhile, also if it vanishes and returns. Put back it counts as cold: it may have been
+// restarted. An unknown worker is reported as false, and nothing changes.
+func (d *Dispatcher) Cordon(now time.Duration, name string, out bool) bool {
+	w := d.byName[name]
+	if w == nil && !d.cordons[name] {
+		return false
+	}
+	if out == d.cordons[name] {
+		return true
+	}
+	d.wake(now)
+	if out {
+		d.Keep(name)
+		return true
+	}
+	delete(d.cordons, name)
+	if w != nil {
+		d.unplace(w)
+		w.cordoned = false
+		d.absolve(w)
+		d.trustAgain(w)
+		if d.set.WarmUp > 0 {
+			d.coolDown(now, w, now)
+		}
+		d.place(w)
+	}
+	d.roomAgain()
+	d.release(now)
+	return true
+}
+
+// Keep takes a worker out, also one that no list has named yet: it was taken out in an earlier run.
+func (d *Dispatcher) Keep(name string) {
+	d.cordons[name] = true
+	if w := d.byName[name]; w != nil && !w.cordoned {
+		d.unplace(w)
+		w.cordoned = true
+		d.place(w)
+	}
+}
+
+// trustAgain forgets what was held against a worker.
+func (d *Dispatcher) trustAgain(w *worker) {
+	w.sigma, w.freeAt, w.pace, w.bad = inf, 0, 1, 0
+	w.suspect, w.backoff, w.trial, w.rest, w.restFor, w.broken = 0, 0, 0, 0, 0, 0
+}
+
 func (d *Dispatcher) drop(w *worker) {
 	delete(d.byName, w.Worker)
 	d.answered(w)
@@ -454,7 +504,7 @@
 	d := &Dispatcher{set: set, host: host, rng: rand.New(rand.NewPCG(seed, 0)),
 		requests: map[string]*request{}, serials: map[uint64]*request{}, byName: map[string]*worker{},
 		classes: make([]class, len(set.Classes)), rewatch: rewatchFirst, prompt: 1, quick: 1,
-		pools: []*pool{{}}, cells: map[int][]*worker{}, broke: map[int]sign{}}
+		pools: []*pool{{}}, cells: map[int][]*worker{}, broke: map[int]sign{}, cordons: map[string]bool{}}
 	for i, c := range set.Classes {
 		d.classes[i].pool = d.poolOf(c.Kinds, c.Zones)
 	}
@@ -610,7 +660,7 @@
 
 func (d *Dispatcher) newWorker(e *WorkerInfo) *worker {
 	w := &worker{WorkerInfo: *e, places: slices.Repeat([]int{-1}, len(d.pools)), sigma: inf, pace: 1,
-		index: len(d.workers), cutIn: -1}
+		index: len(d.workers), cutIn: -1, cordoned: d.cordons[e.Worker]}
 	if i := slices.Index(d.workers, nil); i >= 0 {
 		w.index = i
 		d.workers[i] = w
