--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -24,6 +24,7 @@
 type Budget struct {
 	limit atomic.Int64
 	used  atomic.Int64
+	other atomic.Int64 // descriptors of other processes that share the limit
 	mu    sync.Mutex
 	short []func(n int) // close so many idle connections of clients
 	dire  []func(n int) // and of workers
@@ -39,6 +40,16 @@
 // Limit changes the limit; what is over it already stays open.
 func (b *Budget) Limit(descriptors int) { b.limit.Store(int64(descriptors)) }
 
+// Others tells how many descriptors other processes hold that share the limit.
+func (b *Budget) Others(n int) { b.other.Store(int64(n)) }
+
+func (b *Budget) left() int64 {
+	if limit := b.limit.Load(); limit > 0 {
+		return max(1, limit-b.other.Load())
+	}
+	return 0
+}
+
 // OnShort adds a function that closes so many idle connections of clients. It
 // must not block.
 func (b *Budget) OnShort(f func(n int)) {
@@ -58,7 +69,7 @@
 // Take counts a connection that is open. It reports false where even the
 // reserve is almost gone; the connection must then be closed.
 func (b *Budget) Take() bool {
-	used, limit := b.used.Add(1), b.limit.Load()
+	used, limit := b.used.Add(1), b.left()
 	if limit <= 0 || used <= limit-Reserve {
 		return true
 	}
@@ -76,7 +87,7 @@
 
 // Idle is how many idle connections of clients an event loop may keep.
 func (b *Budget) Idle() int {
-	if limit := b.limit.Load(); limit > 0 {
+	if limit := b.left(); limit > 0 {
 		return int(max(idleLeast, limit/idlePart))
 	}
 	return math.MaxInt
--- a/internal/core/planner.go
+++ b/internal/core/planner.go
@@ -33,6 +33,7 @@
 	open   map[string]*Exchange
 	list   map[string]sedgevale.WorkerInfo // for a fresh Dispatcher
 	out    map[string]bool                 // cordoned, for the same
+	sharing
 }
 
 type kind uint8
@@ -67,7 +68,7 @@
 func NewPlanner(set sedgevale.Settings, seed uint64, clock Clock, carrier Carrier, watch func(),
 	log *slog.Logger) (*Planner, error) {
 	p := &Planner{clock: clock, carrier: carrier, watch: watch, log: log, set: set, seed: seed,
-		wake: make(chan struct{}, 1), open: map[string]*Exchange{}, list: map[string]sedgevale.WorkerInfo{}, out: map[string]bool{}}
+		wake: make(chan struct{}, 1), open: map[string]*Exchange{}, list: map[string]sedgevale.WorkerInfo{}, out: map[string]bool{}, sharing: sharing{partners: map[int]*partner{}}}
 	wake := func() {
 		select {
 		case p.wake <- struct{}{}:
@@ -145,12 +146,12 @@
 // Open calls f with the number of exchanges that are not over, once all that
 // was handed in before has been read.
 func (p *Planner) Open(f func(int)) {
-	p.box.Put(event{kind: evCall, call: func() { f(len(p.open)) }})
+	p.call(func() { f(len(p.open)) })
 }
 
 // Abandon answers what is open as failed and calls f with the number of those.
 func (p *Planner) Abandon(f func(int)) {
-	p.box.Put(event{kind: evCall, call: func() {
+	p.call(func() {
 		n := 0
 		for _, x := range p.open {
 			if !x.answered {
@@ -159,7 +160,7 @@
 			}
 		}
 		f(n)
-	}})
+	})
 }
 
 // Run works until the context ends.
@@ -176,9 +177,9 @@
 			p.guard(func() { p.handle(&items[i]) })
 		}
 		p.guard(p.fire)
-		wait := time.Hour
+		wait := p.share()
 		if len(p.timers) > 0 {
-			wait = max(0, p.timers[0].at-p.clock.Now())
+			wait = min(wait, max(0, p.timers[0].at-p.clock.Now()))
 		}
 		timer.Reset(wait)
 		select {
@@ -245,6 +246,7 @@
 			if !e.a.answered {
 				e.a.client.Started()
 			}
+			p.changed = true
 			p.check(p.d.Started(p.now, e.a.ID, e.a.Number))
 		}
 	case evProgress:
@@ -267,11 +269,12 @@
 
 func (p *Planner) request(x *Exchange) {
 	left := x.deadline - p.now
-	if p.open[x.ID] != nil {
+	if p.open[x.ID] != nil || p.elsewhere(x.ID) {
 		x.answer(Answer{Kind: Failed, Reason: "request id in use"})
 		return
 	}
 	p.open[x.ID] = x
+	p.opened(x.ID)
 	err := p.d.Request(p.now, sedgevale.Request{ID: x.ID, Class: x.Class, Tenant: x.Tenant, Key: x.Key,
 		Left: left, Hint: x.Hint, Slots: x.Slots, Retry: x.Retry})
 	if err != nil {
@@ -293,6 +296,7 @@
 		o == sedgevale.Full && !p.set.FullMayHaveRun
 	x := a.Exchange
 	x.out--
+	p.changed = true
 	x.last = o
 	if o == sedgevale.Served {
 		x.answer(Answer{Kind: Served, Result: result})
@@ -318,6 +322,7 @@
 func (p *Planner) forget(x *Exchange) {
 	if x.answered && x.out == 0 && p.open[x.ID] == x {
 		delete(p.open, x.ID)
+		p.over(x.ID)
 	}
 }
 
@@ -355,6 +360,7 @@
 	}
 	x.attempts = append(x.attempts, a)
 	x.out++
+	p.changed = true
 	a.timer = &timer{at: a.Deadline, attempt: a}
 	p.arm(a.timer)
 	p.carrier.Send(a)
--- a/internal/core/planner_test.go
+++ b/internal/core/planner_test.go
@@ -256,6 +256,7 @@
 // events that came earlier.
 func TestOrdersComeFirst(t *testing.T) {
 	p, _, _ := begin(t, "w")
+	openNow(t, p) // the list has been read
 	hold, known := make(chan struct{}), make(chan bool, 1)
 	p.box.Put(event{kind: evCall, call: func() { <-hold }})
 	events := make(chan string, 200)
@@ -275,6 +276,7 @@
 // Guards against a cordon that a panic of the module undoes.
 func TestCordonOutlivesPanic(t *testing.T) {
 	p, carry, clock := begin(t, "w", "v")
+	openNow(t, p)
 	done := make(chan bool, 1)
 	p.Cordon("w", true, func(is bool) { done <- is })
 	testkit.Await(t, "the order", done)
--- a/internal/core/set.go
+++ b/internal/core/set.go
@@ -75,6 +75,51 @@
 	return err
 }
 
+// Share begins to tell a partner in another process what each planner does, and
+// returns what all of them hand over.
+func (s *Set) Share(ctx context.Context, number int, tell func(planner int, s Shared)) ([]Estate, error) {
+	estates := make([]Estate, len(s.planners))
+	at := 0
+	_, err := s.sum(ctx, func(p *Planner, done func(int)) {
+		i := at
+		at++
+		p.Share(number, func(s Shared) { tell(i, s) }, func(e Estate) {
+			estates[i] = e
+			done(0)
+		})
+	})
+	return estates, err
+}
+
+// Adopt takes over what a partner's planners have handed over, and begins to tell
+// it. Where it has fewer or more of them, each here goes on from one there.
+func (s *Set) Adopt(number int, tell func(planner int, s Shared), estates []Estate) {
+	for i, p := range s.planners {
+		var learned sedgevale.Learned
+		if len(estates) > 0 {
+			learned = estates[i%len(estates)].Learned
+		}
+		p.Adopt(number, func(s Shared) { tell(i, s) }, learned)
+	}
+	for i, e := range estates {
+		s.Beside(number, i, e.Shared)
+	}
+}
+
+// Beside brings what a partner's planner does.
+func (s *Set) Beside(number, planner int, shared Shared) {
+	for _, p := range s.planners {
+		p.Beside(number, planner, shared)
+	}
+}
+
+// Part ends the sharing with a partner that is gone.
+func (s *Set) Part(number int) {
+	for _, p := range s.planners {
+		p.Part(number)
+	}
+}
+
 // Open returns how many exchanges are not over.
 func (s *Set) Open(ctx context.Context) (int, error) { return s.sum(ctx, (*Planner).Open) }
 
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"strconv"
+	"sync"
 	"time"
 
 	"sedgevale/internal/evloop"
@@ -23,13 +24,15 @@
 
 // Watcher asks discovery for the list and its changes, over one connection.
 type Watcher struct {
-	loop   *evloop.Loop
-	addr   string
-	tell   func(List)
-	broken func()
-	log    *slog.Logger
+	loop    *evloop.Loop
+	mu      sync.Mutex
+	current string // addr, for others than the loop
+	tell    func(List)
+	broken  func()
+	log     *slog.Logger
 
 	// For the loop alone.
+	addr    string
 	on      bool
 	version int64
 	whole   bool  // the next call asks for the whole list
@@ -42,7 +45,21 @@
 // each answer, broken is called when a watch fails; a new one must then be
 // asked for. Both are called on the loop.
 func NewWatcher(loop *evloop.Loop, addr string, known List, tell func(List), broken func(), log *slog.Logger) *Watcher {
-	return &Watcher{loop: loop, addr: addr, tell: tell, broken: broken, log: log, version: known.Revision}
+	return &Watcher{loop: loop, addr: addr, current: addr, tell: tell, broken: broken, log: log, version: known.Revision}
+}
+
+// Known has the watch begin after a version that the address has told another
+// process. A version that is from elsewhere says nothing here. It must be called
+// before Watch.
+func (w *Watcher) Known(version int64, addr string) {
+	w.loop.Do(func() { w.version, w.whole = version, addr != w.addr })
+}
+
+// Addr returns the address that is asked.
+func (w *Watcher) Addr() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.current
 }
 
 // Watch asks for the list of workers and all its changes. While a watch goes on
@@ -71,6 +88,9 @@
 		w.former.drop()
 		w.former, w.link = w.link, nil
 		w.addr, w.on, w.whole = addr, addr != "", true
+		w.mu.Lock()
+		w.current = addr
+		w.mu.Unlock()
 		if former := w.former; former != nil && former.asked && w.on {
 			time.AfterFunc(formerWait, func() { w.loop.Do(former.drop) })
 		} else {
--- a/internal/discovery/wire.go
+++ b/internal/discovery/wire.go
@@ -79,3 +79,27 @@
 
 // Ready reports whether the worker takes new jobs.
 func (m *Member) Ready() bool { return phases[m.Phase] == sedgevale.Active }
+
+// With returns the list as it is after a change, or after a whole list. It shares
+// nothing with what was there before.
+func (l List) With(change List, whole bool) List {
+	if whole {
+		l.Members = nil
+	}
+	changed := make(map[string]bool, len(change.Members))
+	for i := range change.Members {
+		changed[change.Members[i].ID] = true
+	}
+	out := List{Revision: change.Revision, Complete: true}
+	for _, m := range l.Members {
+		if !changed[m.ID] {
+			out.Members = append(out.Members, m)
+		}
+	}
+	for _, m := range change.Members {
+		if phases[m.Phase] != sedgevale.Left {
+			out.Members = append(out.Members, m)
+		}
+	}
+	return out
+}
--- a/internal/evloop/evloop.go
+++ b/internal/evloop/evloop.go
@@ -103,6 +103,16 @@
 	}()
 }
 
+// Enrol hands a connection that is up to the loop. Failed is called on the loop if
+// it cannot be taken.
+func (l *Loop) Enrol(c net.Conn, p Peer, failed func(error)) {
+	go func() {
+		if _, err := l.client.EnrollContext(c, p); err != nil {
+			l.Do(func() { failed(err) })
+		}
+	}()
+}
+
 // Close closes a connection at once. It must be called on the loop.
 func (l *Loop) Close(c Conn) { _ = l.loop.Close(c) }
 
--- a/internal/ops/cordons.go
+++ b/internal/ops/cordons.go
@@ -7,12 +7,14 @@
 	"io/fs"
 	"os"
 	"slices"
+	"sync"
 )
 
 // Cordons is the set of workers that operators have taken out, kept in a file so
 // that it outlives the process.
 type Cordons struct {
 	path string
+	mu   sync.Mutex
 	set  map[string]bool
 }
 
@@ -39,6 +41,12 @@
 
 // Hosts returns the ids in order.
 func (c *Cordons) Hosts() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hosts()
+}
+
+func (c *Cordons) hosts() []string {
 	hosts := make([]string, 0, len(c.set))
 	for h := range c.set {
 		hosts = append(hosts, h)
@@ -48,15 +56,21 @@
 }
 
 // Has reports whether a worker is out.
-func (c *Cordons) Has(host string) bool { return c.set[host] }
+func (c *Cordons) Has(host string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.set[host]
+}
 
 // Set takes a worker out or puts it back, and saves the set. The file is replaced
 // whole: a reader finds the old set or the new one.
 func (c *Cordons) Set(host string, out bool) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if delete(c.set, host); out {
 		c.set[host] = true
 	}
-	b, err := json.Marshal(c.Hosts())
+	b, err := json.Marshal(c.hosts())
 	if err != nil {
 		return fmt.Errorf("saving cordons: %w", err)
 	}
--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -39,8 +39,21 @@
 }
 
 // Cordon takes a worker out or puts it back. It returns once that holds and is
-// saved. Orders are carried out one after another.
+// saved, here and in the other process of an upgrade.
 func (s *Scheduler) Cordon(ctx context.Context, host string, out bool) error {
+	if err := s.apply(ctx, host, out); err != nil {
+		return err
+	}
+	if err := s.tellOthers(ctx, host, out, nil); err != nil {
+		return err
+	}
+	s.opt.Log.Info("an operator's order holds", "worker", host, "out", out)
+	return nil
+}
+
+// apply carries out an order in this process. Orders are carried out one after
+// another.
+func (s *Scheduler) apply(ctx context.Context, host string, out bool) error {
 	select {
 	case s.order <- struct{}{}:
 		defer func() { <-s.order }()
@@ -64,11 +77,13 @@
 			return err
 		}
 	}
-	if err := s.cordons.Set(host, out); err != nil {
-		return err
-	}
-	s.opt.Log.Info("an operator's order holds", "worker", host, "out", out)
-	return nil
+	return s.cordons.Set(host, out)
+}
+
+// keep has a worker out from the start.
+func (s *Scheduler) keep(host string) {
+	s.pool.Cordon(host, true, func() {})
+	s.planners.Keep(host)
 }
 
 // carry has the carrier keep to an order.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,7 @@
 	"sedgevale/internal/discovery"
 	"sedgevale/internal/evloop"
 	"sedgevale/internal/front"
+	"sedgevale/internal/handover"
 	"sedgevale/internal/httpd"
 	"sedgevale/internal/intake"
 	"sedgevale/internal/ops"
@@ -52,6 +54,9 @@
 // Options are the choices of who embeds a scheduler.
 type Options struct {
 	Log *slog.Logger // nil: none
+	// Share is called with how many processes serve as this scheduler, this one
+	// included, when that changes. It may be nil and must not block.
+	Share func(processes int)
 }
 
 // Scheduler is a real scheduler.
@@ -69,7 +74,10 @@
 	streams   *sse.Front    // nil: no second front
 	operators *httpd.Server // nil: no second address
 	cordons   *ops.Cordons
-	order     chan struct{} // held by the order that is carried out
+	bonds     bonds
+	listMu    sync.Mutex
+	list      discovery.List // as it stands
+	order     chan struct{}  // held by the order that is carried out
 	ready     atomic.Bool
 }
 
@@ -90,7 +98,7 @@
 		set.AskForList = false
 	}
 	s := &Scheduler{opt: opt, config: c, settings: set, clock: core.NewClock(), budget: budget.New(0),
-		order: make(chan struct{}, 1)}
+		order: make(chan struct{}, 1), bonds: bonds{all: map[*bond]struct{}{}}}
 	s.limit(c)
 	if s.loop, err = evloop.New(opt.Log); err != nil {
 		return nil, err
@@ -121,8 +129,7 @@
 		opt.Log.Warn("the workers that were out are not known", "err", err)
 	}
 	for _, host := range s.cordons.Hosts() {
-		s.pool.Cordon(host, true, func() {})
-		s.planners.Keep(host)
+		s.keep(host)
 	}
 	if c.Ops != "" {
 		s.operators = httpd.New(c.Ops, 1, ops.New(s), budget.New(budget.Reserve+opsDescriptors/2), opt.Log)
@@ -142,34 +149,49 @@
 // Limit sets the Go runtime up for the machine: it is for programs that are
 // nothing but a scheduler.
 func Limit(c *config.Config) {
-	if c.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryPart * float64(c.Limits.MemoryMB) * (1 << 20)))
-	}
+	memory(c, 1)
 	if runtime.GOMAXPROCS(0) < processors {
 		runtime.GOMAXPROCS(processors)
 	}
 }
 
+// memory keeps to one of so many even parts of the machine's memory.
+func memory(c *config.Config, parts int) {
+	if c.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(c.Limits.MemoryMB) / float64(parts) * (1 << 20)))
+	}
+}
+
 // Run serves until the context ends, then answers what it has taken.
 func (s *Scheduler) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	defer s.loop.Stop()
+	before, sockets := s.join()
 	go s.planners.Run(work)
 	go s.pool.Run(work)
-	defer s.loop.Stop()
+	go s.report(work)
 	listening := s.servers
 	if s.operators != nil {
 		listening = append([]*httpd.Server{s.operators}, listening...)
 	}
 	for _, server := range listening {
-		if err := server.Start(nil); err != nil {
+		if err := server.Start(sockets[server.Addr()]); err != nil {
 			return err
 		}
+		delete(sockets, server.Addr())
+	}
+	for _, l := range sockets { // of a front that this configuration lacks
+		l.Close()
 	}
 	if s.streams != nil {
 		go s.streams.Run(work)
 	}
 	s.ready.Store(true)
+	if before != nil {
+		before.send(&handover.Message{Serving: true})
+	}
+	s.await()
 	s.opt.Log.Info("serving", "name", s.config.Name, "listen", s.config.Listen,
 		"workers", len(s.config.Known.Members), "revision", s.config.Known.Revision)
 	<-ctx.Done()
@@ -211,6 +233,11 @@
 		s.opt.Log.Warn("jobs were still out, their clients were told that they failed", "jobs", n)
 	}
 	time.Sleep(quietFor) // the last answers are on their way to their event loop
+	s.bonds.mu.Lock()
+	if s.bonds.host != nil {
+		s.bonds.host.Close()
+	}
+	s.bonds.mu.Unlock()
 	for _, server := range append([]*httpd.Server{s.operators}, s.servers...) {
 		if server == nil {
 			continue
@@ -243,6 +270,9 @@
 }
 
 func (s *Scheduler) members(kind sedgevale.ListKind, l discovery.List) {
+	s.listMu.Lock()
+	s.list = s.list.With(l, kind != sedgevale.ListPatch)
+	s.listMu.Unlock()
 	carriers := make([]upstream.Member, 0, len(l.Members))
 	for _, m := range l.Members {
 		carriers = append(carriers, upstream.Member{ID: m.ID, Addr: m.HostPort, Ready: m.Ready()})
@@ -252,4 +282,11 @@
 	s.planners.Members(kind, names.Entries(l, s.clock.FromUnixMilli))
 }
 
+// listed returns the list of workers as it stands.
+func (s *Scheduler) listed() discovery.List {
+	s.listMu.Lock()
+	defer s.listMu.Unlock()
+	return s.list
+}
+
 func (s *Scheduler) broken() { s.planners.Members(sedgevale.ListBroken, nil) }
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"reflect"
 	"strings"
+	"sync/atomic"
 	"syscall"
 
 	"sedgevale"
@@ -28,7 +29,9 @@
 		return err
 	}
 	Limit(c)
-	s, err := New(c, Options{Log: log})
+	var current atomic.Pointer[Config]
+	current.Store(c)
+	s, err := New(c, Options{Log: log, Share: func(processes int) { memory(current.Load(), processes) }})
 	if err != nil {
 		return err
 	}
@@ -42,7 +45,8 @@
 				log.Error("the new configuration is bad, going on by the old one", "err", err)
 				continue
 			}
-			Limit(c)
+			current.Store(c)
+			s.shareOut()
 		}
 	}()
 	return s.Run(ctx)
--- a/state.go
+++ b/state.go
@@ -23,6 +23,9 @@
 	unstarted int
 	sigma     float64
 	cutIn     int64         // the round of the last cut
+	beside    Load          // of other dispatchers of this scheduler, counted in held and unstarted
+	besides   bool          // that has been told before
+	sent      float64       // work ever sent
 	cordoned  bool          // taken out by an operator, whatever the list says
 	outcomes  bool          // this round had clean outcomes
 	closedAt  time.Duration // when its idle connections were last closed, while it leaves
@@ -461,6 +464,9 @@
 
 func (d *Dispatcher) drop(w *worker) {
 	delete(d.byName, w.Worker)
+	d.hold(w, -w.beside.Held)
+	w.unstarted -= w.beside.Waiting
+	w.beside = Load{}
 	d.answered(w)
 	d.absolve(w)
 	d.workers[w.index] = nil
@@ -681,6 +687,7 @@
 	d.hold(w, r.Slots)
 	w.unstarted++
 	w.free -= r.Slots
+	w.sent += r.work
 	w.out = append(w.out, flight{r, len(r.attempts) - 1})
 	return len(r.attempts) - 1
 }
