Test the upgrade: sockets, orders, ids, dead and hung partners

Tests of two processes of one scheduler, of the link under random cuts and garbage, and of what the module counts of the other.

--- a/internal/core/planner_test.go
+++ b/internal/core/planner_test.go
@@ -291,3 +291,47 @@
 		p.Ended(a, sedgevale.Served, nil, nil)
 	}
 }
+
+// Guards against a job that runs in both processes of an upgrade, and against ids
+// that stay taken when the other has ended it, or is gone.
+func TestIDsOfTheOtherProcess(t *testing.T) {
+	p, carry, clock := begin(t, "w", "v")
+	told := make(chan Shared, 16)
+	estate := make(chan Estate, 1)
+	mine := newClient()
+	p.Request(NewExchange(Job{ID: "mine", Tenant: -1}, clock.Now()+5*time.Second, mine))
+	first := testkit.Await(t, "an attempt", carry.sent)
+	p.Share(1, func(s Shared) { told <- s }, func(e Estate) { estate <- e })
+	if e := testkit.Await(t, "the estate", estate); len(e.Shared.Opened) != 1 || e.Shared.Opened[0] != "mine" ||
+		e.Shared.Out[first.Worker].Held != 1 {
+		t.Errorf("handed over %+v", e.Shared)
+	}
+	p.Beside(1, 0, Shared{Opened: []string{"a", "b", "c"}})
+	p.Beside(1, 0, Shared{Ended: []string{"b"}})
+	ask := func(id string) *client {
+		c := newClient()
+		p.Request(NewExchange(Job{ID: id, Tenant: -1}, clock.Now()+5*time.Second, c))
+		return c
+	}
+	if a := testkit.Await(t, "the answer", ask("a").first); a.Kind != Failed || a.Ran {
+		t.Errorf("a job that is open elsewhere: %+v", a)
+	}
+	ask("b")
+	if a := testkit.Await(t, "an attempt", carry.sent); a.ID != "b" {
+		t.Errorf("%s was sent", a.ID)
+	}
+	for opened := false; !opened; {
+		s := testkit.Await(t, "what the other is told", told)
+		opened = len(s.Opened) > 0 && s.Opened[len(s.Opened)-1] == "b"
+	}
+	p.Ended(first, sedgevale.Served, nil, nil)
+	for ended := false; !ended; {
+		s := testkit.Await(t, "what the other is told", told)
+		ended = len(s.Ended) > 0 && s.Ended[0] == "mine" && s.Out[first.Worker].Held == 0
+	}
+	p.Part(1)
+	ask("c")
+	if a := testkit.Await(t, "an attempt", carry.sent); a.ID != "c" {
+		t.Errorf("%s was sent", a.ID)
+	}
+}
--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,214 @@
+package handover
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sedgevale/internal/core"
+	"sedgevale/internal/discovery"
+	"sedgevale/internal/evloop"
+	"sedgevale/internal/testkit"
+)
+
+func TestMain(m *testing.M) { testkit.Main(m, 100) }
+
+// ends notes what a link brings.
+type ends struct {
+	got  chan *Message
+	lost chan struct{}
+}
+
+func newEnds() ends                        { return ends{make(chan *Message, 64), make(chan struct{})} }
+func (e ends) Message(_ *Link, m *Message) { e.got <- m }
+func (e ends) Lost(*Link)                  { close(e.lost) }
+func listener(t *testing.T) *net.TCPListener {
+	t.Helper()
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// From the first line to the end of the old process: its socket is passed on and
+// accepts, its state comes before all else, both can talk, and its end is noticed.
+func TestTakeOver(t *testing.T) {
+	log := slog.New(slog.DiscardHandler)
+	loop, err := evloop.New(log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer loop.Stop()
+	folder := filepath.Join(t.TempDir(), strings.Repeat("long", 30)) // longer than a socket's address may be
+	if err := os.Mkdir(folder, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(folder, "sock")
+	hello := NewHello("n0", "127.0.0.1:3000")
+	host, err := Listen(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := listener(t)
+	old := newEnds()
+	links := make(chan *Link, 1)
+	go host.Accept(hello, func() []*net.TCPListener { return []*net.TCPListener{l} }, func(s *Session) {
+		link := s.Link(loop, old, log)
+		link.Send(&Message{State: &State{List: discovery.List{Revision: 7}, Cordons: []string{"w"},
+			Planners: []core.Estate{{Shared: core.Shared{Opened: []string{"job"}}}}}})
+		link.Send(&Message{Used: 5})
+		links <- link
+	}, func(err error) { t.Error(err) })
+	s, err := Join(path, hello)
+	if err != nil {
+		t.Fatal(err)
+	}
+	state, err := s.State()
+	if err != nil || state.List.Revision != 7 || state.Cordons[0] != "w" || state.Planners[0].Shared.Opened[0] != "job" {
+		t.Fatalf("handed over %+v, error %v", state, err)
+	}
+	next := newEnds()
+	link := s.Link(loop, next, log)
+	link.Send(&Message{Serving: true})
+	if m := testkit.Await(t, "a message of the old one", next.got); m.Used != 5 {
+		t.Errorf("came %+v", m)
+	}
+	if m := testkit.Await(t, "a message of the new one", old.got); !m.Serving {
+		t.Errorf("came %+v", m)
+	}
+	passed := s.Sockets[l.Addr().String()]
+	if passed == nil {
+		t.Fatalf("passed on: %v", s.Sockets)
+	}
+	defer passed.Close()
+	l.Close()
+	go func() {
+		if c, err := net.Dial("tcp", passed.Addr().String()); err == nil {
+			c.Close()
+		}
+	}()
+	_ = passed.SetDeadline(time.Now().Add(10 * time.Second))
+	if c, err := passed.Accept(); err != nil {
+		t.Errorf("accepting on the socket that was passed on: %v", err)
+	} else {
+		c.Close()
+	}
+	testkit.Await(t, "the link", links).Drop(errors.New("test"))
+	testkit.Await(t, "the end", next.lost)
+	testkit.Await(t, "the end", old.lost)
+	host.Close()
+	if _, err := os.Stat(path); !os.IsNotExist(err) {
+		t.Errorf("the socket is left: %v", err)
+	}
+}
+
+// Guards against a start that a partner prevents: one that is not there, has died,
+// says nothing, says what makes no sense, or is another scheduler.
+func TestPartnersThatAreNone(t *testing.T) {
+	hello := NewHello("n0", "127.0.0.1:3000")
+	path := filepath.Join(t.TempDir(), "sock")
+	if _, err := Join(path, hello); !errors.Is(err, ErrNobody) {
+		t.Errorf("without a socket: %v", err)
+	}
+	host, err := Listen(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	host.l.Close() // as if it had been killed: the file stays
+	if _, err := Join(path, hello); !errors.Is(err, ErrNobody) {
+		t.Errorf("with the socket of a dead process: %v", err)
+	}
+	for what, line := range map[string]string{"silent": "", "garbage": "\x00\x01\n", "ends": "{}",
+		"other": `{"version":1,"name":"n1","listen":"127.0.0.1:3000"}` + "\n",
+		"newer": `{"version":2,"name":"n0","listen":"127.0.0.1:3000"}` + "\n"} {
+		l, err := net.Listen("unix", filepath.Join(t.TempDir(), "s"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			c, err := l.Accept()
+			if err == nil {
+				fmt.Fprint(c, line)
+				if what != "silent" {
+					_, _ = c.Read(make([]byte, 1<<10))
+					c.Close()
+				}
+			}
+		}()
+		began := time.Now()
+		if _, err := Join(l.Addr().String(), hello); err == nil || errors.Is(err, ErrNobody) || time.Since(began) > 3*time.Second {
+			t.Errorf("%s: %v after %v", what, err, time.Since(began))
+		}
+		l.Close()
+	}
+	// A second host takes the path over, and the first one's end leaves it alone.
+	first, err := Listen(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := Listen(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first.Close()
+	if _, err := os.Stat(path); err != nil {
+		t.Errorf("the first host's end removed the second's socket: %v", err)
+	}
+	second.Close()
+}
+
+// However the bytes are cut, the messages come whole and in order; garbage ends the
+// link and nothing else.
+func TestLinkCuts(t *testing.T) {
+	log := slog.New(slog.DiscardHandler)
+	loop, err := evloop.New(log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer loop.Stop()
+	rapid.Check(t, func(t *rapid.T) {
+		h := newEnds()
+		l := &Link{loop: loop, handler: h, log: log}
+		n := rapid.IntRange(1, 8).Draw(t, "messages")
+		var all []byte
+		for i := range n {
+			b, err := json.Marshal(&Message{Used: i + 1, Order: &Order{Host: rapid.StringN(0, 8, 32).Draw(t, "host")}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			all = append(append(all, b...), '\n')
+		}
+		all = append(all, `{"used":99`...) // not whole
+		for rest := all; len(rest) > 0; {
+			at := rapid.IntRange(1, len(rest)).Draw(t, "cut")
+			l.take(rest[:at])
+			rest = rest[at:]
+		}
+		for i := range n {
+			if len(h.got) == 0 {
+				t.Fatalf("only %d messages of %d", i, n)
+			}
+			if m := <-h.got; m.Used != i+1 {
+				t.Fatalf("message %d is %+v", i+1, m)
+			}
+		}
+		if len(h.got) != 0 || l.dead {
+			t.Fatalf("%d messages more, lost %v", len(h.got), l.dead)
+		}
+		l.take(append(rapid.SliceOfN(rapid.Byte(), 0, 50).Draw(t, "garbage"), "\x00\n"...)) // a zero byte is no JSON
+		if !l.dead {
+			t.Fatal("garbage did not end the link")
+		}
+	})
+}
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -270,7 +270,8 @@
 	return c
 }
 
-func (c *child) start() {
+// launch starts the process and does not wait.
+func (c *child) launch() {
 	c.t.Helper()
 	c.cmd = exec.Command(os.Args[0])
 	c.cmd.Env = append(os.Environ(), childFile+"="+c.file, "TMPDIR="+filepath.Dir(c.file))
@@ -280,7 +281,13 @@
 		c.t.Fatal(err)
 	}
 	c.exited = make(chan error, 1)
-	go func() { c.exited <- c.cmd.Wait() }()
+	cmd, exited := c.cmd, c.exited
+	go func() { exited <- cmd.Wait() }()
+}
+
+func (c *child) start() {
+	c.t.Helper()
+	c.launch()
 	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
 		a, err := http.Get("http://" + c.sse + "/ready")
 		if err != nil {
--- /dev/null
+++ b/scheduler/upgrade_test.go
@@ -0,0 +1,217 @@
+package scheduler_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"sedgevale/internal/testkit"
+)
+
+// beside starts another process of the same scheduler, with a second address of
+// its own, and waits until it says that it is healthy.
+func (c *child) beside() *child {
+	c.t.Helper()
+	next := &child{t: c.t, file: filepath.Join(filepath.Dir(c.file), testkit.FreeAddr(c.t)+".toml"),
+		plain: c.plain, sse: c.sse, config: c.config}
+	next.config.Ops = testkit.FreeAddr(c.t)
+	next.write()
+	next.launch()
+	c.t.Cleanup(next.kill)
+	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		if conn, err := net.Dial("tcp", next.config.Ops); err == nil {
+			conn.Close()
+			if next.tell("GET", "health", "") == 200 {
+				return next
+			}
+		}
+	}
+	c.t.Fatal("the new process is not healthy")
+	return nil
+}
+
+// clients send jobs, each on a new connection, until they are stopped, and return
+// how many failed.
+func clients(f *fleet, addr string) (stop func() (sent, failed int)) {
+	end, counts := make(chan struct{}), make(chan [2]int)
+	go func() {
+		sent, failed := 0, 0
+		for i := 0; ; i++ {
+			select {
+			case <-end:
+				counts <- [2]int{sent, failed}
+				return
+			default:
+			}
+			sent++
+			if a := <-post(addr, "/usage-view", job(fmt.Sprint("door-", i))...); a.err != nil || a.status != 200 {
+				failed++
+			}
+		}
+	}()
+	return func() (int, int) {
+		close(end)
+		n := <-counts
+		return n[0], n[1]
+	}
+}
+
+// Guards against all that an upgrade can break: connections that are refused or
+// reset, a new process that fails or ends with the old one, a cordon that gets lost,
+// an id that is taken twice, and an open job without its answer.
+func TestUpgrade(t *testing.T) {
+	f := newFleet(t, "u", "v", "w")
+	c := startChild(t, f)
+	conn, err := net.Dial("tcp", c.plain)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	kept := bufio.NewReader(conn)
+	if got := c.tell("POST", "cordon", "u"); got != 200 {
+		t.Fatalf("cordon: %d", got)
+	}
+	open := post(c.plain, "/plan-change", job("open")...)
+	first := f.next()
+	first.say(`"state":"started"`)
+	onKept := func(id string) (last bool) {
+		t.Helper()
+		fmt.Fprintf(conn, "POST /bill-pay HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nTenant: co-op\r\nIdempotency-Key: k\r\n"+
+			"Request-Timeout: 9000m\r\nContent-Length: 0\r\n\r\n", id)
+		a, err := http.ReadResponse(kept, nil)
+		if err != nil || a.StatusCode != 200 {
+			t.Fatalf("%s: %+v, error %v", id, a, err)
+		}
+		a.Body.Close()
+		return a.Close
+	}
+	ran := make(chan string, 4096) // where, of all but the open job
+	go func() {
+		for r := range f.runs {
+			ran <- r.worker
+			r.done("")
+		}
+	}()
+	onKept("kept-1")
+	stop := clients(f, c.plain)
+	next := c.beside()
+	c.logged("the new process accepts clients")
+	if a := testkit.Await(t, "the answer", post(c.plain, "/plan-change", job("open")...)); a.status != 500 {
+		t.Errorf("the id of a job that the old process has open: %+v", a)
+	}
+	// Each process hears of the other's orders, and may still be told any.
+	if got := next.tell("POST", "cordon", "v"); got != 200 {
+		t.Errorf("cordon at the new process: %d", got)
+	}
+	if onKept("kept-2") {
+		t.Error("the old process lets go of a client though it was not told to end")
+	}
+	c.signal(syscall.SIGTERM)
+	c.logged("stopping")
+	if !onKept("kept-3") {
+		t.Error("the old process keeps a client though it ends")
+	}
+	first.done("first")
+	if a := testkit.Await(t, "the answer", open); a.status != 200 || a.body != "first" {
+		t.Errorf("open since before: %+v", a)
+	}
+	if err := testkit.Await(t, "the old process's end", c.exited); err != nil {
+		t.Errorf("the old process ended with %v", err)
+	}
+	c.cmd = nil
+	next.logged("this one is alone")
+	if got := next.tell("POST", "uncordon", "u"); got != 200 {
+		t.Errorf("uncordon at the new process: %d", got)
+	}
+	for back := false; !back; {
+		switch testkit.Await(t, "a job", ran) {
+		case "v":
+			// Up to here some may have run there before it was taken out.
+		case "u":
+			back = true
+		}
+	}
+	if sent, failed := stop(); failed > 0 || sent < 10 {
+		t.Errorf("%d of %d jobs failed at the door", failed, sent)
+	}
+	select {
+	case err := <-next.exited:
+		t.Errorf("the new process ended with the old one: %v", err)
+	default:
+	}
+}
+
+// Guards against workers that either process uses though they were taken out at the
+// other, or by one that is gone.
+func TestCordonsGoOver(t *testing.T) {
+	f := newFleet(t, "u", "v", "w")
+	c := startChild(t, f)
+	for _, host := range []string{"u", "v"} {
+		if got := c.tell("POST", "cordon", host); got != 200 {
+			t.Fatalf("cordon: %d", got)
+		}
+	}
+	next := c.beside()
+	if got := c.tell("POST", "uncordon", "v"); got != 200 {
+		t.Fatalf("uncordon at the old process: %d", got)
+	}
+	if got := c.tell("POST", "cordon", "w"); got != 200 {
+		t.Fatalf("cordon at the old process: %d", got)
+	}
+	c.kill()
+	next.logged("this one is alone")
+	for i := range 8 {
+		got := post(c.plain, "/usage-view", job(fmt.Sprint("job-", i))...)
+		r := f.next()
+		r.done("")
+		if testkit.Await(t, "the answer", got); r.worker != "v" {
+			t.Fatalf("a job went to %s", r.worker)
+		}
+	}
+}
+
+// Guards against a new process that takes the clients with it when it dies: the old
+// one serves on, also the next that is started.
+func TestNewProcessDies(t *testing.T) {
+	f := newFleet(t, "w")
+	c := startChild(t, f)
+	next := c.beside()
+	c.logged("the new process accepts clients")
+	next.kill()
+	c.logged("this one is alone")
+	serve := func(id string) {
+		t.Helper()
+		got := post(c.plain, "/usage-view", job(id)...)
+		f.next().done("")
+		if a := testkit.Await(t, "the answer", got); a.status != 200 {
+			t.Errorf("%s: %+v", id, a)
+		}
+	}
+	serve("alone")
+	c.kill()
+	left, err := filepath.Glob(filepath.Join(filepath.Dir(c.file), "sedgevale-*.sock"))
+	if err != nil || len(left) != 1 { // else the next start has no leftover to deal with
+		t.Errorf("left are %v, error %v", left, err)
+	}
+	c.start()
+	serve("after-the-dead")
+}
+
+// Guards against a start that a hung partner prevents.
+func TestPartnerHangs(t *testing.T) {
+	f := newFleet(t, "w")
+	c := startChild(t, f)
+	c.signal(syscall.SIGSTOP)
+	defer c.signal(syscall.SIGCONT)
+	began := time.Now()
+	next := c.beside()
+	if took := time.Since(began); took > 5*time.Second {
+		t.Errorf("healthy after %v", took)
+	}
+	next.logged("hands nothing over")
+}
