Hand over copies of what was learned, not the module's own slices

Seen: the race detector, 4 of 6 runs of TestUpgrade: Learned returned kindSize and kindRoom themselves, which the planner went on writing while they were sent.

--- a/sharing.go
+++ b/sharing.go
@@ -4,6 +4,7 @@
 // takes over from the other. Nothing here decides.
 
 import (
+	"slices"
 	"time"
 )
 
@@ -122,7 +123,7 @@
 
 // Learned returns what this dispatcher has learned.
 func (d *Dispatcher) Learned(now time.Duration) Learned {
-	l := Learned{Size: d.kindSize, Room: d.kindRoom, Jobs: d.room, Work: d.meanWork, Carry: d.carry, Arrived: d.arrived,
+	l := Learned{Size: slices.Clone(d.kindSize), Room: slices.Clone(d.kindRoom), Jobs: d.room, Work: d.meanWork, Carry: d.carry, Arrived: d.arrived,
 		Prompt: d.prompt, Silent: d.silent, Metered: d.metered, Changes: d.changes}
 	for i := range d.classes {
 		c := &d.classes[i]
