--- a/dispatcher.go
+++ b/dispatcher.go
@@ -105,8 +105,9 @@
 	d.taken.add(now)
 	q.Slots = max(1, q.Slots)
 	d.serial++
-	r := &request{Request: q, serial: d.serial, tenant: d.tenants[max(0, q.Tenant)], deadline: now + q.Left}
-	k := &d.classes[q.Class]
+	k := d.classes[q.Class]
+	r := &request{Request: q, class: k, serial: d.serial, tenant: d.tenants[max(0, q.Tenant)]}
+	r.deadline = now + q.Left
 	run := k.run
 	r.work = q.Slots * run
 	if q.Hint > 0 { // a hint is in the time of a usual core, ours in that of the workers met
@@ -114,7 +115,7 @@
 		r.work = q.Slots * run * (k.run + hintTrust) / (k.hint + hintTrust)
 	}
 	d.meanWork += (r.work - d.meanWork) * max(meanGain, 1/float64(r.serial))
-	c := &d.set.Classes[q.Class]
+	c := &k.Class
 	if q.Hint <= 0 {
 		run = k.base // what the client counts is the job's own time, however slow workers are now
 	}
@@ -240,7 +241,7 @@
 		if d.settling { // our own clock stood still
 			return
 		}
-		c := &d.classes[r.Class]
+		c := r.class
 		run, done := (now - a.sent).Seconds(), (now - a.sent).Seconds()
 		if a.started > 0 {
 			run = (now - a.started).Seconds()
@@ -260,7 +261,7 @@
 			c.base += up * (run - c.base)
 			w.pace += paceGain * (run/max(1e-6, c.run) - w.pace)
 		}
-		most := waitClip * d.set.Classes[r.Class].Aim.Seconds() // one bad worker must not refuse all
+		most := waitClip * r.class.Aim.Seconds() // one bad worker must not refuse all
 		c.complete += gain * (min(done, c.run+most) - c.complete)
 		d.served += r.Slots * run
 		d.touch(w)
@@ -335,8 +336,7 @@
 	d.touched = d.touched[:0]
 	d.carry += 0.05 * (d.served/roundEvery.Seconds()/max(1e-9, d.pools[0].weight) - d.carry)
 	d.served = 0
-	for i := range d.classes {
-		c := &d.classes[i]
+	for _, c := range d.kept {
 		c.complete += completeDecay * min(0, c.run-c.complete)
 	}
 	d.quick = d.quickest()
@@ -397,14 +397,14 @@
 	wait := 0.0
 	if behind {
 		for c, work := range r.tenant.backlog {
-			if d.slack(c) <= d.slack(r.Class) {
+			if d.kept[c].slack() <= r.class.slack() {
 				wait += work
 			}
 		}
 		wait /= max(minSigma, min(r.tenant.sigma, max(1, d.room))*d.poolPart(r))
 	}
 	// Guards against refusing a class for good on a mean that no job renews.
-	if wait == 0 && d.classes[r.Class].inflight == 0 {
+	if wait == 0 && r.class.inflight == 0 {
 		return now < min(r.deadline, r.aim)
 	}
 	return wait <= holdPart*d.feasibleFor(now, r).Seconds()
@@ -460,7 +460,7 @@
 	t.blocked = false
 	for i, tried := 0, 0; i < min(len(t.queue), scanMost) && tried < scanDepth; i++ {
 		r := t.queue[i]
-		p := d.classes[r.Class].pool
+		p := r.class.pool
 		own := d.withinShare(now, t)
 		if !r.queued || p.noRoom && !own || r.looking > 0 && now < r.lookTill {
 			continue
@@ -511,7 +511,7 @@
 	}
 	d.host.Send(r.ID, w.Worker, 0)
 	if d.set.TellsStart {
-		wait := (min(r.deadline, r.aim) - now - seconds(d.classes[r.Class].run)) / 2
+		wait := (min(r.deadline, r.aim) - now - seconds(r.class.run)) / 2
 		if w.held <= d.kindRoom[w.Kind] && d.set.InOrder && d.ownEyes() {
 			wait = min(wait, promptWait) // there should be a free slot
 		}
@@ -545,9 +545,9 @@
 // reach returns where to look for a worker first, and then: the own zone and
 // all, or, once a keyed job may have run, only the group that drops a repeat.
 func (d *Dispatcher) reach(r *request) (near, all [][]*worker) {
-	all = d.classes[r.Class].pool.zones
+	all = r.class.pool.zones
 	if w := d.mayHaveRun(r); w != nil {
-		switch d.set.Classes[r.Class].Scope {
+		switch r.class.Scope {
 		case ScopeCell:
 			all = [][]*worker{d.cells[w.Cell]}
 		case ScopeZone:
@@ -670,7 +670,7 @@
 
 // usable reports whether the job may go to the worker at all.
 func (d *Dispatcher) usable(now time.Duration, w *worker, r *request, own bool) bool {
-	if !d.classes[r.Class].pool.admits(w) || now < w.rest || w.bad > badMost && w.held > 0 ||
+	if !r.class.pool.admits(w) || now < w.rest || w.bad > badMost && w.held > 0 ||
 		slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.moved && a.w == w }) {
 		return false
 	}
@@ -691,7 +691,7 @@
 	if d.set.TellsStart && w.unstarted > 0 {
 		return false
 	}
-	if p := d.classes[r.Class].pool; w.held >= thresholdOver+p.held/max(1e-9, p.weight)*w.size {
+	if p := r.class.pool; w.held >= thresholdOver+p.held/max(1e-9, p.weight)*w.size {
 		return false
 	}
 	return w.freeAt == 0 || own && now-w.freeAt > d.fresh() || w.free >= r.Slots-0.5
@@ -718,7 +718,7 @@
 		len(r.attempts) > 0 && !d.withinBudget(now) {
 		return false
 	}
-	c := &d.set.Classes[r.Class]
+	c := r.class
 	for i := range r.attempts {
 		a := &r.attempts[i]
 		if a.w == w && !a.over {
@@ -738,7 +738,7 @@
 
 // mayRefuse is rule 2 for refusals.
 func (d *Dispatcher) mayRefuse(r *request) bool {
-	c := &d.set.Classes[r.Class]
+	c := r.class
 	if c.Effect == Safe || c.Effect == Keyed && c.Scope == ScopeAll {
 		return true
 	}
@@ -794,7 +794,7 @@
 
 // again holds a request whose attempts all failed for another one, or ends it.
 func (d *Dispatcher) again(now time.Duration, r *request) {
-	c := &d.set.Classes[r.Class]
+	c := r.class
 	uncertain := false
 	for i := range r.attempts {
 		uncertain = uncertain || !r.attempts[i].proven
@@ -972,7 +972,7 @@
 		return
 	}
 	a.late = true
-	if d.set.MayCancel && d.set.Classes[r.Class].LateShare < lateLeast && !r.stream && d.sparse() {
+	if d.set.MayCancel && r.class.LateShare < lateLeast && !r.stream && d.sparse() {
 		last := min(r.deadline, r.aim) - seconds(r.work/r.Slots)
 		if now >= last {
 			d.end(now, r) // it would only hold up others
@@ -1029,7 +1029,7 @@
 			}
 			continue
 		}
-		usual := seconds(d.classes[f.r.Class].run * max(0.5, w.pace))
+		usual := seconds(f.r.class.run * max(0.5, w.pace))
 		since := now - max(a.started, a.noted)
 		if since > overdueTimes*usual+maxGrace/4 {
 			d.writeOff(f.r, a)
@@ -1043,7 +1043,7 @@
 // copy holds a request for a further attempt beside the one that is out, where it may run twice.
 func (d *Dispatcher) copy(now time.Duration, r *request) {
 	if !d.set.ParallelTries || r.ended || r.queued || r.stream || r.out != 1 ||
-		d.set.Classes[r.Class].Effect == Unsafe || len(r.attempts) >= d.set.MaxAttempts ||
+		r.class.Effect == Unsafe || len(r.attempts) >= d.set.MaxAttempts ||
 		!d.withinBudget(now) || d.feasibleFor(now, r) <= 0 {
 		return
 	}
@@ -1056,7 +1056,7 @@
 // while most attempts start at once, for else another is no better, and not
 // while workers are full, which called off jobs may be that still run.
 func (d *Dispatcher) mayMove(now time.Duration, r *request) bool {
-	return d.set.MayCancel && d.set.Classes[r.Class].Effect != Unsafe && !r.stream && r.out == 1 &&
+	return d.set.MayCancel && r.class.Effect != Unsafe && !r.stream && r.out == 1 &&
 		len(r.attempts) < min(1+moveMost, d.set.MaxAttempts) && d.prompt > promptLeast &&
 		now >= d.moveFrom && d.sparse() && d.withinBudget(now) && d.feasibleFor(now, r) > 0
 }
@@ -1065,7 +1065,7 @@
 // in each zone, the first worker that follows its hash on a ring, the own zone's first.
 // All dispatchers know the same rings, so they agree without talking.
 func (d *Dispatcher) pickHome(now time.Duration, r *request) *worker {
-	for _, w := range d.homes(d.classes[r.Class].pool, r.hash) {
+	for _, w := range d.homes(r.class.pool, r.hash) {
 		if d.usable(now, w, r, false) && d.roomy(now, w, r, true) && d.mayTry(now, r, w) {
 			return w
 		}
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -647,7 +647,7 @@
 
 func TestRefusedEarlyWhenItCannotBeInTime(t *testing.T) {
 	d, h := start(t, settings(), fleet(1)...)
-	d.classes[0] = class{pool: d.pools[0], run: 0.1, complete: 0.1, runs: 10, inflight: 1}
+	*d.classes[0] = class{Class: d.classes[0].Class, pool: d.pools[0], run: 0.1, complete: 0.1, runs: 10, inflight: 1}
 	d.tenants[0].backlog[0], d.room, d.pools[0].noRoom = 10, 1, true
 	h.ask(d, "late", 0)
 	if h.ends["late"] != "refused" {
@@ -664,7 +664,7 @@
 // since no outcome came to lower it.
 func TestRefusalsEndByThemselves(t *testing.T) {
 	d, h := start(t, settings(), fleet(2)...)
-	d.classes[0] = class{pool: d.pools[0], run: 0.1, complete: 3, runs: 1000}
+	*d.classes[0] = class{Class: d.classes[0].Class, pool: d.pools[0], run: 0.1, complete: 3, runs: 1000}
 	h.ask(d, "trial", 0)
 	if h.tries["trial"] != 1 {
 		t.Fatal("no job is let through to renew the mean")
@@ -695,7 +695,7 @@
 	}
 	d.workers[2].held, d.held = 20, d.held+17 // mean 6.5: threshold 7.5
 	for range 100 {
-		if w := d.pick(h.now, &request{Request: Request{Slots: 1}}, true); w == d.workers[2] {
+		if w := d.pick(h.now, &request{class: d.classes[0], Request: Request{Slots: 1}}, true); w == d.workers[2] {
 			t.Fatal("picked a worker above the threshold")
 		}
 	}
@@ -874,7 +874,7 @@
 	d, h := start(t, settings(), WorkerInfo{Worker: "large", Weight: 3}, WorkerInfo{Worker: "small", Weight: 1})
 	large := 0
 	for range 2000 {
-		if d.pick(h.now, &request{Request: Request{Slots: 1}, deadline: inTwo(h), aim: inTwo(h)}, true).Worker == "large" {
+		if d.pick(h.now, &request{class: d.classes[0], Request: Request{Slots: 1}, deadline: inTwo(h), aim: inTwo(h)}, true).Worker == "large" {
 			large++
 		}
 	}
@@ -893,7 +893,7 @@
 		}
 		return n
 	}
-	r := &request{Request: Request{Slots: 1}, deadline: inTwo(h), aim: inTwo(h)}
+	r := &request{class: d.classes[0], Request: Request{Slots: 1}, deadline: inTwo(h), aim: inTwo(h)}
 	if n := far(r); n != 0 {
 		t.Errorf("%d of 1000 first picks outside the own zone while it has room", n)
 	}
@@ -907,7 +907,7 @@
 // counts is the hint.
 func TestHintedJobIsJudgedByItsOwnTime(t *testing.T) {
 	d, h := start(t, settings(), fleet(2)...)
-	d.classes[0] = class{pool: d.pools[0], run: 1, hint: 1, complete: 1.05, runs: 1000, inflight: 1}
+	*d.classes[0] = class{Class: d.classes[0].Class, pool: d.pools[0], run: 1, hint: 1, complete: 1.05, runs: 1000, inflight: 1}
 	_ = d.Request(h.now, Request{ID: "short", Left: 5 * time.Second, Hint: 10 * ms})
 	if h.tries["short"] != 1 {
 		t.Errorf("short job: %q", h.ends["short"])
@@ -916,7 +916,7 @@
 
 func TestOneLongWaitCountsForTwoAims(t *testing.T) {
 	d, h := start(t, settings(), fleet(2)...)
-	d.classes[0] = class{pool: d.pools[0], run: 0.1, complete: 0.1, runs: 1000}
+	*d.classes[0] = class{Class: d.classes[0].Class, pool: d.pools[0], run: 0.1, complete: 0.1, runs: 1000}
 	h.ask(d, "r", 0)
 	h.run(d, h.now+4*time.Second)
 	_ = d.Started(h.now, "r", 0)
@@ -935,7 +935,7 @@
 	d.meanWork, d.carry = 0.1, 1
 	w := d.byName["w0"]
 	w.coldUntil, w.credit, w.creditAt = h.now+8*time.Second, -1, h.now-time.Second
-	d.coldRoom(h.now, w, &request{})
+	d.coldRoom(h.now, w, &request{class: d.classes[0]})
 	if want := -1 + 0.5*0.5/3; math.Abs(w.credit-want) > 1e-9 {
 		t.Errorf("credit %v after a second, want %v", w.credit, want)
 	}
--- a/health_test.go
+++ b/health_test.go
@@ -51,7 +51,7 @@
 
 func newRequest(d *Dispatcher, h *fake, id string) *request {
 	d.serial++
-	r := &request{Request: Request{ID: id, Slots: 1}, serial: d.serial, tenant: d.tenants[0],
+	r := &request{class: d.classes[0], Request: Request{ID: id, Slots: 1}, serial: d.serial, tenant: d.tenants[0],
 		deadline: h.now + 5*time.Second, aim: h.now + time.Second}
 	d.requests[id], d.serials[r.serial] = r, r
 	return r
@@ -208,7 +208,7 @@
 // wait that it is given is that of a short one.
 func TestWaitIsThatOfAShortJob(t *testing.T) {
 	d, _ := start(t, settings(), fleet(1)...)
-	r := &request{Request: Request{Slots: 1}, own: 0.2, work: 0.2, deadline: time.Hour, aim: 600 * ms}
+	r := &request{class: d.classes[0], Request: Request{Slots: 1}, own: 0.2, work: 0.2, deadline: time.Hour, aim: 600 * ms}
 	// 200 ms + 2 times its own time, less its own time, for one of 0.4 of 200 ms.
 	if got, want := d.slackAt(0, r, 1), 0.2+shortPart*0.2; got < want-1e-9 || got > want+1e-9 {
 		t.Errorf("slack %v, want %v", got, want)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,7 +8,9 @@
 	"fmt"
 	"hash/fnv"
 	"os"
+	"slices"
 	"strconv"
+	"strings"
 
 	"sedgevale/internal/discovery"
 )
@@ -28,6 +30,8 @@
 	SSE      *SSE `json:"-"`
 	Planners int  `json:"-"`
 	Loops    int  `json:"-"`
+
+	keys map[string]bool // that the platform's file has; nil: not of such a file
 }
 
 // Limits are the machine's.
@@ -70,9 +74,58 @@
 	if err := json.Unmarshal(b, &c); err != nil {
 		return nil, err
 	}
+	var tree any
+	if err := json.Unmarshal(b, &tree); err != nil {
+		return nil, err
+	}
+	c.keys = map[string]bool{}
+	keysOf(tree, "", c.keys)
 	return &c, nil
 }
 
+// keysOf collects the paths of an object's keys. Of a list it has those which all
+// of its objects share.
+func keysOf(v any, path string, into map[string]bool) {
+	switch v := v.(type) {
+	case map[string]any:
+		for k, inner := range v {
+			into[path+k] = true
+			keysOf(inner, path+k+".", into)
+		}
+	case []any:
+		counts := map[string]int{}
+		for _, inner := range v {
+			one := map[string]bool{}
+			keysOf(inner, path, one)
+			for k := range one {
+				counts[k]++
+			}
+		}
+		for k, n := range counts {
+			if n == len(v) {
+				into[k] = true
+			}
+		}
+	}
+}
+
+// Follows returns an error unless this configuration can take the place of the one
+// before: it must have each key that that one has, but for what tells of workers.
+// A file that lacks one was cut, or is not ours.
+func (c *Config) Follows(before *Config) error {
+	var missing []string
+	for k := range before.keys {
+		if !c.keys[k] && !strings.HasPrefix(k, "known.members.") {
+			missing = append(missing, k)
+		}
+	}
+	if len(missing) > 0 {
+		slices.Sort(missing)
+		return fmt.Errorf("keys are missing: %s", strings.Join(missing, ", "))
+	}
+	return nil
+}
+
 // Check returns an error for a configuration that cannot serve.
 func (c *Config) Check() error {
 	switch {
@@ -82,6 +135,8 @@
 		return errors.New("no list of known workers")
 	case len(c.Settings.Classes) == 0:
 		return errors.New("no class in the settings")
+	case c.keys["settings.bounds.max_attempts"] && c.Settings.Bounds.MaxAttempts <= 0, c.Settings.Bounds.MaxAttempts < 0:
+		return errors.New("max_attempts must be above 0")
 	}
 	if err := c.Known.Check(); err != nil {
 		return err
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -76,6 +76,60 @@
 	}
 }
 
+// Guards against a file that is taken though it is not whole: one that is empty or
+// cut short, that lacks a key, or in which a deadline or the number of attempts is no
+// number above 0.
+func TestFollows(t *testing.T) {
+	before, err := Parse([]byte(platform))
+	if err != nil {
+		t.Fatal(err)
+	}
+	take := func(text string) error {
+		c, err := Parse([]byte(text))
+		if err == nil {
+			err = c.Check()
+		}
+		if err == nil {
+			err = c.Follows(before)
+		}
+		return err
+	}
+	class := platform[strings.Index(platform, `{"dedup_scope"`):strings.Index(platform, `],`+"\n"+`"discovery"`)]
+	second := strings.Replace(class, "bill-pay", "bill-pay-ii", 1)
+	for _, good := range []string{
+		platform,
+		strings.Replace(platform, class, class+","+second, 1),
+		strings.Replace(platform, class, second, 1),
+		strings.Replace(platform, `"max_attempts":6`, `"max_attempts":1,"more":true`, 1),
+		strings.Replace(platform, `"flavor":"old-box",`, "", 1),
+	} {
+		if err := take(good); err != nil {
+			t.Errorf("a good file: %v", err)
+		}
+	}
+	bad := []string{"", "{}", "[]", "null", strings.Replace(platform, class, class+","+class, 1),
+		strings.Replace(platform, class, class+","+strings.Replace(second, `"effect":"guarded",`, "", 1), 1)}
+	for n := len(platform) - 1; n > 0; n -= 7 {
+		bad = append(bad, platform[:n])
+	}
+	for _, key := range []string{`"name":"n0",`, `"listen":"127.0.0.1:3000",`, `"discovery":"127.0.0.1:8500",`, `"seed":"92094eb940cf389a",`,
+		`"memory_mb":192,`, `"max_attempts":6,`, `"dedup_scope":"cell",`, `"hard_limit":5.0,`, `"tells_start":true`, `"class_kind":[-1],`,
+		`"peers_total":2,`} {
+		bad = append(bad, strings.Replace(strings.Replace(platform, key, "", 1), ",}", "}", 1))
+	}
+	for _, key := range []string{`"hard_limit":5.0`, `"max_attempts":6`, `"promise":0.1`} {
+		name, _, _ := strings.Cut(key, ":")
+		for _, v := range []string{"0", "-5", `"5"`, "null", "true", "[1]", "{}", "1e999"} {
+			bad = append(bad, strings.Replace(platform, key, name+":"+v, 1))
+		}
+	}
+	for _, text := range bad {
+		if err := take(text); err == nil || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%v for %s", err, text)
+		}
+	}
+}
+
 // The file that the project ships can be served.
 func TestShippedOperatorFile(t *testing.T) {
 	c, err := ReadOperator("../../deploy/operator.toml")
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -51,6 +51,9 @@
 		return nil, fmt.Errorf("%s: unknown keys: %s", path, strings.Join(names, ", "))
 	}
 	c := f.config()
+	if meta.IsDefined("settings", "bounds", "max_attempts") && f.Settings.Bounds.MaxAttempts <= 0 {
+		return nil, fmt.Errorf("%s: max_attempts must be above 0", path)
+	}
 	if err := c.Check(); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"sedgevale"
@@ -138,6 +139,9 @@
 		if c.Name == "" {
 			return m, fmt.Errorf("class %d has no name", i)
 		}
+		if slices.ContainsFunc(s.Classes[:i], func(other Class) bool { return other.Name == c.Name }) {
+			return m, fmt.Errorf("class %q is there twice", c.Name)
+		}
 		if k.Stretch == 0 && i < len(s.Family.ClassStretch) {
 			k.Stretch = s.Family.ClassStretch[i]
 		}
--- a/internal/core/exchange.go
+++ b/internal/core/exchange.go
@@ -12,7 +12,7 @@
 // Job is what a client asks for.
 type Job struct {
 	ID     string
-	Class  int
+	Class  *sedgevale.Class // as it was when the job came; it is not changed
 	Tenant int
 	Key    string // what the job is about; may be empty
 	Slots  float64
--- a/internal/core/planner.go
+++ b/internal/core/planner.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"sedgevale"
@@ -273,9 +274,14 @@
 		x.answer(Answer{Kind: Failed, Reason: "request id in use"})
 		return
 	}
+	class := p.classOf(x)
+	if class < 0 {
+		x.answer(Answer{Kind: Failed, Reason: "the class is gone"})
+		return
+	}
 	p.open[x.ID] = x
 	p.opened(x.ID)
-	err := p.d.Request(p.now, sedgevale.Request{ID: x.ID, Class: x.Class, Tenant: x.Tenant, Key: x.Key,
+	err := p.d.Request(p.now, sedgevale.Request{ID: x.ID, Class: class, Tenant: x.Tenant, Key: x.Key,
 		Left: left, Hint: x.Hint, Slots: x.Slots, Retry: x.Retry})
 	if err != nil {
 		p.log.Error("decision module did not take a request", "err", err)
@@ -284,6 +290,26 @@
 	p.forget(x)
 }
 
+// classOf returns the index of a job's class in the settings, or -1: a job can
+// cross new settings, by which its class is another or none.
+func (p *Planner) classOf(x *Exchange) int {
+	return slices.IndexFunc(p.set.Classes, func(c sedgevale.Class) bool { return x.Class != nil && c.Name == x.Class.Name })
+}
+
+// Retune goes on by new settings, which are not changed any more. Jobs under way
+// keep their class.
+func (p *Planner) Retune(set sedgevale.Settings) {
+	p.call(func() {
+		if err := p.d.Retune(set); err != nil {
+			p.log.Error("decision module refused new settings", "err", err)
+			return
+		}
+		set.Tenants, set.Zone, set.Peers, set.Weights, set.AskForList =
+			p.set.Tenants, p.set.Zone, p.set.Peers, p.set.Weights, p.set.AskForList
+		p.set = set
+	})
+}
+
 func (p *Planner) ended(a *Attempt, o sedgevale.Outcome, result []byte, report *sedgevale.Report) {
 	if a.over {
 		return
@@ -354,7 +380,7 @@
 		return
 	}
 	a := &Attempt{Exchange: x, Worker: worker, Number: len(x.attempts), Deadline: x.deadline, Planner: p,
-		Single: p.set.Classes[x.Class].Effect == sedgevale.Unsafe}
+		Single: x.Class.Effect == sedgevale.Unsafe}
 	if timeout > 0 {
 		a.Deadline = min(a.Deadline, p.now+timeout)
 	}
--- a/internal/core/planner_test.go
+++ b/internal/core/planner_test.go
@@ -91,7 +91,7 @@
 func TestRefusedByTimerIsForgotten(t *testing.T) {
 	p, _, clock := begin(t)
 	c := newClient()
-	p.Request(NewExchange(Job{ID: "r", Tenant: -1}, clock.Now()+200*time.Millisecond, c))
+	p.Request(NewExchange(Job{ID: "r", Class: &classes()[0], Tenant: -1}, clock.Now()+200*time.Millisecond, c))
 	if a := testkit.Await(t, "an event", c.first); a.Kind != Refused {
 		t.Errorf("answered %v without any worker", a)
 	}
@@ -106,7 +106,7 @@
 	p, carry, clock := begin(t, "w")
 	c := newClient()
 	deadline := clock.Now() + 300*time.Millisecond
-	p.Request(NewExchange(Job{ID: "r", Class: 1, Tenant: -1}, deadline, c))
+	p.Request(NewExchange(Job{ID: "r", Class: &classes()[1], Tenant: -1}, deadline, c))
 	a := testkit.Await(t, "an event", carry.sent)
 	got := testkit.Await(t, "an event", c.first)
 	if late := clock.Now() - deadline; got.Kind != Failed || !got.Ran || late > 200*time.Millisecond || late < 0 {
@@ -126,7 +126,7 @@
 func TestUnsafeJobIsNotRepeated(t *testing.T) {
 	p, carry, clock := begin(t, "v", "w")
 	c := newClient()
-	p.Request(NewExchange(Job{ID: "r", Class: 1, Tenant: -1}, clock.Now()+5*time.Second, c))
+	p.Request(NewExchange(Job{ID: "r", Class: &classes()[1], Tenant: -1}, clock.Now()+5*time.Second, c))
 	p.Ended(testkit.Await(t, "an event", carry.sent), sedgevale.Lost, nil, nil)
 	if got := testkit.Await(t, "an event", c.first); got.Kind != Failed || !got.Ran {
 		t.Errorf("answered %+v", got)
@@ -142,7 +142,7 @@
 func TestNotSentGoesElsewhere(t *testing.T) {
 	p, carry, clock := begin(t, "v", "w")
 	c := newClient()
-	p.Request(NewExchange(Job{ID: "r", Class: 1, Tenant: -1}, clock.Now()+5*time.Second, c))
+	p.Request(NewExchange(Job{ID: "r", Class: &classes()[1], Tenant: -1}, clock.Now()+5*time.Second, c))
 	first := testkit.Await(t, "an event", carry.sent)
 	p.Members(sedgevale.ListPatch, []sedgevale.WorkerInfo{{Worker: first.Worker, State: sedgevale.Leaving}})
 	p.Ended(first, sedgevale.NotSent, nil, nil)
@@ -161,14 +161,14 @@
 func TestPanicFailsWhatIsOpenAndGoesOn(t *testing.T) {
 	p, carry, clock := begin(t, "w")
 	c := newClient()
-	p.Request(NewExchange(Job{ID: "r", Tenant: -1}, clock.Now()+5*time.Second, c))
+	p.Request(NewExchange(Job{ID: "r", Class: &classes()[0], Tenant: -1}, clock.Now()+5*time.Second, c))
 	testkit.Await(t, "an event", carry.sent)
 	p.box.Put(event{kind: evCall, call: func() { panic("fault") }})
 	if got := testkit.Await(t, "an event", c.first); got.Kind != Failed {
 		t.Errorf("answered %+v", got)
 	}
 	again := newClient()
-	p.Request(NewExchange(Job{ID: "s", Tenant: -1}, clock.Now()+5*time.Second, again))
+	p.Request(NewExchange(Job{ID: "s", Class: &classes()[0], Tenant: -1}, clock.Now()+5*time.Second, again))
 	p.Ended(testkit.Await(t, "an event", carry.sent), sedgevale.Served, nil, nil)
 	if got := testkit.Await(t, "an event", again.first); got.Kind != Served {
 		t.Errorf("answered %+v", got)
@@ -180,7 +180,7 @@
 func TestAbandon(t *testing.T) {
 	p, carry, clock := begin(t, "w")
 	c := newClient()
-	p.Request(NewExchange(Job{ID: "r", Class: 1, Tenant: -1}, clock.Now()+5*time.Second, c))
+	p.Request(NewExchange(Job{ID: "r", Class: &classes()[1], Tenant: -1}, clock.Now()+5*time.Second, c))
 	testkit.Await(t, "an event", carry.sent)
 	for _, want := range []int{1, 0} {
 		counted := make(chan int, 1)
@@ -282,7 +282,7 @@
 	testkit.Await(t, "the order", done)
 	p.box.Put(event{kind: evCall, call: func() { panic("fault") }})
 	for i := range 6 {
-		p.Request(NewExchange(Job{ID: string(rune('a' + i)), Tenant: -1}, clock.Now()+time.Second, newClient()))
+		p.Request(NewExchange(Job{ID: string(rune('a' + i)), Class: &classes()[0], Tenant: -1}, clock.Now()+time.Second, newClient()))
 		a := testkit.Await(t, "an attempt", carry.sent)
 		if a.Worker != "v" {
 			t.Fatalf("an attempt went to %s", a.Worker)
@@ -299,7 +299,7 @@
 	told := make(chan Shared, 16)
 	estate := make(chan Estate, 1)
 	mine := newClient()
-	p.Request(NewExchange(Job{ID: "mine", Tenant: -1}, clock.Now()+5*time.Second, mine))
+	p.Request(NewExchange(Job{ID: "mine", Class: &classes()[0], Tenant: -1}, clock.Now()+5*time.Second, mine))
 	first := testkit.Await(t, "an attempt", carry.sent)
 	p.Share(1, func(s Shared) { told <- s }, func(e Estate) { estate <- e })
 	if e := testkit.Await(t, "the estate", estate); len(e.Shared.Opened) != 1 || e.Shared.Opened[0] != "mine" ||
@@ -310,7 +310,7 @@
 	p.Beside(1, 0, Shared{Ended: []string{"b"}})
 	ask := func(id string) *client {
 		c := newClient()
-		p.Request(NewExchange(Job{ID: id, Tenant: -1}, clock.Now()+5*time.Second, c))
+		p.Request(NewExchange(Job{ID: id, Class: &classes()[0], Tenant: -1}, clock.Now()+5*time.Second, c))
 		return c
 	}
 	if a := testkit.Await(t, "the answer", ask("a").first); a.Kind != Failed || a.Ran {
@@ -335,3 +335,33 @@
 		t.Errorf("%s was sent", a.ID)
 	}
 }
+
+// Guards against a job under way that gets another class, by an index into the new
+// list: it is repeated by the class that it came with.
+func TestRetuneKeepsTheClassOfJobs(t *testing.T) {
+	p, carry, clock := begin(t, "w", "v")
+	once, free := newClient(), newClient()
+	p.Request(NewExchange(Job{ID: "once", Class: &classes()[1], Tenant: -1}, clock.Now()+5*time.Second, once))
+	first := testkit.Await(t, "an attempt", carry.sent)
+	p.Request(NewExchange(Job{ID: "free", Class: &classes()[0], Tenant: -1}, clock.Now()+5*time.Second, free))
+	second := testkit.Await(t, "an attempt", carry.sent)
+	swapped := []sedgevale.Class{classes()[1], classes()[0], {Name: "new", Aim: time.Second, Limit: 5 * time.Second}}
+	p.Retune(sedgevale.Settings{Classes: swapped[1:], MaxAttempts: 3, MayCancel: true}) // once is gone
+	p.Ended(first, sedgevale.Lost, nil, nil)
+	if a := testkit.Await(t, "the answer", once.first); a.Kind != Failed {
+		t.Errorf("what must not run twice: %+v", a)
+	}
+	p.Ended(second, sedgevale.Lost, nil, nil)
+	if a := testkit.Await(t, "another attempt", carry.sent); a.ID != "free" {
+		t.Errorf("sent again was %s", a.ID)
+	}
+	gone, added := newClient(), newClient()
+	p.Request(NewExchange(Job{ID: "late", Class: &classes()[1], Tenant: -1}, clock.Now()+5*time.Second, gone))
+	if a := testkit.Await(t, "the answer", gone.first); a.Kind != Failed || a.Ran {
+		t.Errorf("a class that is gone: %+v", a)
+	}
+	p.Request(NewExchange(Job{ID: "new", Class: &swapped[2], Tenant: -1}, clock.Now()+300*time.Millisecond, added))
+	if a := testkit.Await(t, "the answer or none", added.first); a.Reason == "the class is gone" {
+		t.Errorf("a new class: %+v", a)
+	}
+}
--- a/internal/core/set.go
+++ b/internal/core/set.go
@@ -120,6 +120,13 @@
 	}
 }
 
+// Retune has all planners go on by new settings.
+func (s *Set) Retune(set sedgevale.Settings) {
+	for _, p := range s.planners {
+		p.Retune(set)
+	}
+}
+
 // Open returns how many exchanges are not over.
 func (s *Set) Open(ctx context.Context) (int, error) { return s.sum(ctx, (*Planner).Open) }
 
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"sedgevale"
@@ -19,14 +20,33 @@
 // margin is kept of the time that a client waits, for the answer's way back.
 const margin = 10 * time.Millisecond
 
-// Rules are what requests are read by.
+// Rules are what requests are read by. They may be used by several goroutines.
 type Rules struct {
-	Clock   core.Clock
+	clock  core.Clock
+	terms  *atomic.Pointer[Terms]
+	margin time.Duration // beyond margin
+}
+
+// Terms are those of the settings that requests are read by. They are not changed,
+// only replaced whole.
+type Terms struct {
 	Classes []sedgevale.Class
 	Tenants []sedgevale.Tenant
-	margin  time.Duration // beyond margin
 }
 
+// New returns rules by those terms.
+func New(clock core.Clock, t *Terms) *Rules {
+	r := &Rules{clock: clock, terms: &atomic.Pointer[Terms]{}}
+	r.terms.Store(t)
+	return r
+}
+
+// Retune replaces the terms, also of rules made by Earlier.
+func (r *Rules) Retune(t *Terms) { r.terms.Store(t) }
+
+// At returns the time of a request on the clock of the deadlines.
+func (r *Rules) At(t time.Time) time.Duration { return r.clock.At(t) }
+
 // Earlier returns rules by which a client's time ends earlier by so much.
 func (r *Rules) Earlier(by time.Duration) *Rules {
 	out := *r
@@ -44,26 +64,30 @@
 
 func bad(format string, args ...any) error { return &Error{400, fmt.Sprintf(format, args...)} }
 
-// Class returns the index of the class that a path stands for, or -1.
-func (r *Rules) Class(target string) int {
+// Name returns the name of the class that a path stands for.
+func Name(target string) string {
 	path, _, _ := strings.Cut(target, "?")
 	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
-	return r.named(name)
+	return name
 }
 
-func (r *Rules) named(name string) int {
-	for i := range r.Classes {
-		if r.Classes[i].Name == name {
-			return i
+// Class returns the class of that name, or nil.
+func (r *Rules) Class(name string) *sedgevale.Class { return r.terms.Load().class(name) }
+
+func (t *Terms) class(name string) *sedgevale.Class {
+	for i := range t.Classes {
+		if t.Classes[i].Name == name {
+			return &t.Classes[i]
 		}
 	}
-	return -1
+	return nil
 }
 
 // Job reads a request, and until when its client waits. An id and a time-out
 // are asked for unless they are given here for a request that has none.
 func (r *Rules) Job(q *httpd.Request, id string, patience time.Duration) (core.Job, time.Duration, error) {
 	j := core.Job{ID: id, Tenant: -1, Slots: 1, Method: q.Method, Target: q.Target, Body: q.Body}
+	terms := r.terms.Load()
 	hint, info := "", ""
 	class, tenant := "", ""
 	for i, f := range q.Fields {
@@ -95,11 +119,11 @@
 			patience = d
 		}
 	}
-	j.Class = r.Class(q.Target)
-	if class != "" && r.named(class) != j.Class || class != "" && j.Class < 0 {
+	j.Class = terms.class(Name(q.Target))
+	if class != "" && (j.Class == nil || class != j.Class.Name) {
 		return j, 0, bad("Request-Class is unknown or not that of the path")
 	}
-	if j.Class < 0 {
+	if j.Class == nil {
 		return j, 0, &Error{404, "no such class"}
 	}
 	switch {
@@ -109,15 +133,15 @@
 		return j, 0, bad("Request-Id must be one word")
 	case patience <= 0:
 		return j, 0, bad("Request-Timeout is missing")
-	case j.Once == "" && r.Classes[j.Class].Effect == sedgevale.Keyed:
+	case j.Once == "" && j.Class.Effect == sedgevale.Keyed:
 		return j, 0, bad("this class needs an Idempotency-Key")
 	}
-	for i := range r.Tenants {
-		if r.Tenants[i].Name == tenant {
+	for i := range terms.Tenants {
+		if terms.Tenants[i].Name == tenant {
 			j.Tenant = i
 		}
 	}
-	if j.Tenant < 0 && len(r.Tenants) > 0 {
+	if j.Tenant < 0 && len(terms.Tenants) > 0 {
 		return j, 0, bad("unknown Tenant")
 	}
 	if d, ok := parseTime(hint); ok {
@@ -134,7 +158,7 @@
 		}
 		j.Slots = v
 	}
-	return j, r.Clock.At(q.At) + patience - margin - r.margin, nil
+	return j, r.clock.At(q.At) + patience - margin - r.margin, nil
 }
 
 // single reports whether a field says something that holds but once: which of two
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -12,8 +12,8 @@
 )
 
 func rules() *Rules {
-	return &Rules{Clock: core.NewClock(), Classes: []sedgevale.Class{{Name: "free"}, {Name: "key", Effect: sedgevale.Keyed}},
-		Tenants: []sedgevale.Tenant{{Name: "a"}, {Name: "b"}}}
+	return New(core.NewClock(), &Terms{Classes: []sedgevale.Class{{Name: "free"}, {Name: "key", Effect: sedgevale.Keyed}},
+		Tenants: []sedgevale.Tenant{{Name: "a"}, {Name: "b"}}})
 }
 
 func request(method, target string, fields ...string) *httpd.Request {
@@ -33,12 +33,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if j.ID != "r1" || j.Class != 1 || j.Tenant != 1 || j.Key != "k" || !j.Retry || j.Slots != 1.5 || j.Once != "once" ||
+	if j.ID != "r1" || j.Class == nil || j.Class.Name != "key" || j.Tenant != 1 || j.Key != "k" || !j.Retry || j.Slots != 1.5 || j.Once != "once" ||
 		j.Hint != 2500*time.Microsecond || j.Target != "/key/sub?x=1" || j.Method != "POST" || string(j.Body) != "x" {
 		t.Errorf("%+v", j)
 	}
 	// The client's time counts from its request, and a little is kept for the way back.
-	if left := deadline - r.Clock.At(q.At); left >= 4999*time.Millisecond || left < 4900*time.Millisecond {
+	if left := deadline - r.At(q.At); left >= 4999*time.Millisecond || left < 4900*time.Millisecond {
 		t.Errorf("%v left", left)
 	}
 	if _, earlier, _ := r.Earlier(time.Second).Job(q, "", 0); earlier != deadline-time.Second {
@@ -82,3 +82,24 @@
 		}
 	}
 }
+
+// New terms count for the next request, for all rules that came of one; a job keeps
+// the class that it was read by.
+func TestRetune(t *testing.T) {
+	r := rules()
+	earlier := r.Earlier(time.Second)
+	q := request("POST", "/free", "Request-Id", "r", "Tenant", "a", "Request-Timeout", "9000m")
+	before, _, err := r.Job(q, "", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Retune(&Terms{Classes: []sedgevale.Class{{Name: "new"}, {Name: "free", Effect: sedgevale.Unsafe}},
+		Tenants: []sedgevale.Tenant{{Name: "a"}}})
+	after, _, err := earlier.Job(q, "", 0)
+	if err != nil || after.Class.Effect != sedgevale.Unsafe || before.Class.Effect != sedgevale.Safe {
+		t.Errorf("before %+v, after %+v, error %v", before.Class, after.Class, err)
+	}
+	if r.Class("key") != nil || r.Class("new") == nil {
+		t.Error("the classes are the old ones")
+	}
+}
--- a/internal/sse/job.go
+++ b/internal/sse/job.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"sedgevale"
 	"sedgevale/internal/core"
 	"sedgevale/internal/httpd"
 )
@@ -21,7 +22,7 @@
 type job struct {
 	front   *Front
 	id      string
-	class   int
+	class   *sedgevale.Class // as it was when the job came
 	events  []event
 	seq     int
 	bytes   int
@@ -61,7 +62,7 @@
 			RetryAfter float64 `json:"retry_after"`
 		}{a.Reason, a.After.Seconds()}, true)
 	case core.Failed:
-		j.emit("failed", nil, j.front.failure(j.class, a.Reason, a.Ran), true)
+		j.emit("failed", nil, failureOf(j.class, a.Reason, a.Ran), true)
 	}
 }
 
@@ -74,7 +75,7 @@
 		return
 	}
 	j.seq++
-	id := eventID{f.epoch, j.seq, final, f.rules.Classes[j.class].Name, j.id}
+	id := eventID{f.epoch, j.seq, final, j.class.Name, j.id}
 	e := event{j.seq, name == "progress", format(id, name, fields, data)}
 	j.events = append(j.events, e)
 	j.bytes += len(e.text)
--- a/internal/sse/job_test.go
+++ b/internal/sse/job_test.go
@@ -12,13 +12,11 @@
 )
 
 func newFront() *Front {
-	return New(Options{Rules: &intake.Rules{Classes: []sedgevale.Class{{Name: "free"}, {Name: "once", Effect: sedgevale.Unsafe},
-		{Name: "all", Effect: sedgevale.Keyed}, {Name: "cell", Effect: sedgevale.Keyed, Scope: sedgevale.ScopeCell}}},
-		Log: slog.New(slog.DiscardHandler)})
+	return New(Options{Rules: intake.New(core.NewClock(), &intake.Terms{}), Log: slog.New(slog.DiscardHandler)})
 }
 
 func (f *Front) add(id string) *job {
-	j := &job{front: f, id: id}
+	j := &job{front: f, id: id, class: &sedgevale.Class{Name: "free"}}
 	f.jobs[id] = j
 	return j
 }
@@ -69,13 +67,21 @@
 
 // A client is told to post again only what may run twice, or never ran.
 func TestRepeatSafe(t *testing.T) {
-	f := newFront()
-	for class, want := range []bool{true, false, true, false} {
-		if got := f.failure(class, "", true); got.RepeatSafe != want || got.Outcome != "unknown" {
-			t.Errorf("class %d that may have run: %+v", class, got)
+	for _, c := range []struct {
+		class *sedgevale.Class
+		want  bool
+	}{
+		{&sedgevale.Class{Name: "free"}, true},
+		{&sedgevale.Class{Name: "once", Effect: sedgevale.Unsafe}, false},
+		{&sedgevale.Class{Name: "all", Effect: sedgevale.Keyed}, true},
+		{&sedgevale.Class{Name: "cell", Effect: sedgevale.Keyed, Scope: sedgevale.ScopeCell}, false},
+		{nil, false}, // the class is gone
+	} {
+		if got := failureOf(c.class, "", true); got.RepeatSafe != c.want || got.Outcome != "unknown" {
+			t.Errorf("%+v, which may have run: %+v", c.class, got)
 		}
-		if got := f.failure(class, "", false); !got.RepeatSafe || got.Outcome != "not run" {
-			t.Errorf("class %d that never ran: %+v", class, got)
+		if got := failureOf(c.class, "", false); !got.RepeatSafe || got.Outcome != "not run" {
+			t.Errorf("%+v, which never ran: %+v", c.class, got)
 		}
 	}
 }
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -130,10 +130,11 @@
 		front.Ready(c, q, f.ready())
 		return
 	}
-	class := f.rules.Class(q.Target)
+	name := intake.Name(q.Target)
+	class := f.rules.Class(name)
 	var err error
 	switch {
-	case class < 0:
+	case class == nil && (q.Method != "GET" || !f.has(name)):
 		err = &intake.Error{Status: 404, Text: "no such class"}
 	case q.Method != "POST" && q.Method != "GET":
 		c.RespondLast(405, []http1.Field{{Name: "Allow", Value: "GET, POST"}}, []byte("only GET and POST\n"))
@@ -143,7 +144,7 @@
 	case q.Method == "POST":
 		err = f.post(c, q, class)
 	default:
-		err = f.resume(c, q, class)
+		err = f.resume(c, q, name, class)
 	}
 	if err != nil {
 		front.Reject(c, err)
@@ -170,19 +171,19 @@
 }
 
 // post takes a job in.
-func (f *Front) post(c *httpd.Conn, q *httpd.Request, class int) error {
-	limit := f.rules.Classes[class].Limit
+func (f *Front) post(c *httpd.Conn, q *httpd.Request, class *sedgevale.Class) error {
+	limit := class.Limit
 	work, deadline, err := f.rules.Job(q, randomID(), limit)
 	if err != nil {
 		return err
 	}
-	deadline = min(deadline, f.rules.Clock.At(q.At)+limit)
+	deadline = min(deadline, f.rules.At(q.At)+limit)
 	f.mu.Lock()
 	if f.jobs[work.ID] != nil {
 		f.mu.Unlock()
 		return &intake.Error{Status: 409, Text: "this Request-Id is known; GET with it, or with Last-Event-ID, resumes"}
 	}
-	j := &job{front: f, id: work.ID, class: class}
+	j := &job{front: f, id: work.ID, class: work.Class}
 	f.jobs[j.id] = j
 	f.mu.Unlock()
 	j.attach(c, 0)
@@ -193,6 +194,18 @@
 	return nil
 }
 
+// has reports whether there are jobs of a class by that name, which may be gone by now.
+func (f *Front) has(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, j := range f.jobs {
+		if j.class.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
 func begin(c *httpd.Conn) {
 	c.BeginStream([]http1.Field{{Name: "Content-Type", Value: "text/event-stream"},
 		{Name: "Cache-Control", Value: "no-store"}})
@@ -201,8 +214,7 @@
 var errNoID = errors.New("nothing to resume: send Last-Event-ID, or the Request-Id of a job")
 
 // resume goes on with a stream after the last event that the client has had.
-func (f *Front) resume(c *httpd.Conn, q *httpd.Request, class int) error {
-	name := f.rules.Classes[class].Name
+func (f *Front) resume(c *httpd.Conn, q *httpd.Request, name string, class *sedgevale.Class) error {
 	id := eventID{epoch: f.epoch, class: name, request: q.Get("Request-Id")}
 	if last := q.Get("Last-Event-ID"); last != "" {
 		var ok bool
@@ -218,7 +230,7 @@
 	}
 	f.mu.Lock()
 	j := f.jobs[id.request]
-	known := j != nil && id.epoch == f.epoch && j.class == class && id.seq <= j.seq
+	known := j != nil && id.epoch == f.epoch && j.class.Name == name && id.seq <= j.seq
 	f.mu.Unlock()
 	if known {
 		j.attach(c, id.seq)
@@ -232,7 +244,7 @@
 	}
 	begin(c)
 	id = eventID{f.epoch, id.seq + 1, true, name, id.request}
-	c.Write(format(id, "failed", nil, f.failure(class, reason, true)))
+	c.Write(format(id, "failed", nil, failureOf(class, reason, true)))
 	c.EndStream()
 	return nil
 }
@@ -243,12 +255,13 @@
 	RepeatSafe bool   `json:"repeat_safe"` // the client may post the job again
 }
 
-func (f *Front) failure(class int, reason string, ran bool) failure {
-	c := &f.rules.Classes[class]
+// failureOf says what a client may do. A class that is gone is taken for one that
+// must not run twice.
+func failureOf(c *sedgevale.Class, reason string, ran bool) failure {
 	out := failure{reason, "not run", true}
 	if ran {
 		out.Outcome = "unknown"
-		out.RepeatSafe = c.Effect == sedgevale.Safe || c.Effect == sedgevale.Keyed && c.Scope == sedgevale.ScopeAll
+		out.RepeatSafe = c != nil && (c.Effect == sedgevale.Safe || c.Effect == sedgevale.Keyed && c.Scope == sedgevale.ScopeAll)
 	}
 	return out
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -90,18 +90,27 @@
 
 // New returns a Pool.
 func New(opt Options) *Pool {
-	if opt.IdleClose <= 0 {
-		opt.IdleClose = defaultIdle
-	}
-	if opt.DialTimeout <= 0 {
-		opt.DialTimeout = time.Second
-	}
+	opt.times(opt.DialTimeout, opt.IdleClose)
 	p := &Pool{opt: opt, loop: opt.Loop, workers: map[string]*worker{}, out: map[string]bool{},
 		flights: map[*core.Attempt]*flight{}, tails: map[*conn]struct{}{}}
 	opt.Budget.OnDire(func(n int) { p.loop.Do(func() { p.closeIdle(n) }) })
 	return p
 }
 
+// Retune takes other times over.
+func (p *Pool) Retune(dialTimeout, idleClose time.Duration) {
+	p.loop.Do(func() { p.opt.times(dialTimeout, idleClose) })
+}
+
+func (o *Options) times(dialTimeout, idleClose time.Duration) {
+	if o.IdleClose = idleClose; o.IdleClose <= 0 {
+		o.IdleClose = defaultIdle
+	}
+	if o.DialTimeout = dialTimeout; o.DialTimeout <= 0 {
+		o.DialTimeout = time.Second
+	}
+}
+
 // Run closes connections that are idle for too long, until the context ends.
 func (p *Pool) Run(ctx context.Context) {
 	tick := time.NewTicker(sweepEvery)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -27,6 +27,11 @@
 func (client) Progress(float64)       {}
 func (c client) Answer(a core.Answer) { c <- a }
 
+var classes = []sedgevale.Class{
+	{Name: "once", Effect: sedgevale.Unsafe, Aim: 3 * time.Second, Limit: 3 * time.Second},
+	{Name: "free", Aim: 3 * time.Second, Limit: 3 * time.Second},
+}
+
 // begin runs a pool and a planner that know one worker.
 func begin(t *testing.T, addr string, idle time.Duration) (*Pool, *core.Planner, core.Clock) {
 	t.Helper()
@@ -38,9 +43,7 @@
 	clock := core.NewClock()
 	pool := New(Options{DialTimeout: time.Minute, IdleClose: idle, Host: "h", Clock: clock, Loop: loop,
 		Budget: budget.New(0), Log: log})
-	planner, err := core.NewPlanner(sedgevale.Settings{MaxAttempts: 3, MayCancel: true, Classes: []sedgevale.Class{
-		{Name: "once", Effect: sedgevale.Unsafe, Aim: 3 * time.Second, Limit: 3 * time.Second},
-		{Name: "free", Aim: 3 * time.Second, Limit: 3 * time.Second}}}, 1, clock, pool,
+	planner, err := core.NewPlanner(sedgevale.Settings{MaxAttempts: 3, MayCancel: true, Classes: classes}, 1, clock, pool,
 		func() {}, log)
 	if err != nil {
 		t.Fatal(err)
@@ -114,7 +117,7 @@
 	addr := deaf(t)
 	pool, planner, clock := begin(t, addr, 0)
 	answers := make(client, 1)
-	planner.Request(core.NewExchange(core.Job{ID: "a", Tenant: -1, Method: "POST", Target: "/once"},
+	planner.Request(core.NewExchange(core.Job{ID: "a", Class: &classes[0], Tenant: -1, Method: "POST", Target: "/once"},
 		clock.Now()+3*time.Second, answers))
 	for dialling := 0; dialling == 0; {
 		seen := make(chan int)
@@ -161,7 +164,7 @@
 		want  []int
 	}{{"a", 1, []int{1}}, {"b", 1, []int{2, 1}}, {"c", 1, []int{2, 1}}, {"d", 0, []int{1}}, {"e", 1, []int{2, 2, 1}}} {
 		answers := make(client, 1)
-		planner.Request(core.NewExchange(core.Job{ID: job.id, Class: job.class, Tenant: -1, Method: "POST", Target: "/x"},
+		planner.Request(core.NewExchange(core.Job{ID: job.id, Class: &classes[job.class], Tenant: -1, Method: "POST", Target: "/x"},
 			clock.Now()+3*time.Second, answers))
 		if a := testkit.Await(t, "the answer", answers); a.Kind != core.Served {
 			t.Errorf("%s: %+v", job.id, a)
@@ -185,7 +188,7 @@
 	const idle = 3 * time.Second
 	_, planner, clock := begin(t, l.Addr().String(), idle)
 	answers := make(client, 1)
-	planner.Request(core.NewExchange(core.Job{ID: "a", Tenant: -1, Method: "POST", Target: "/once"},
+	planner.Request(core.NewExchange(core.Job{ID: "a", Class: &classes[0], Tenant: -1, Method: "POST", Target: "/once"},
 		clock.Now()+3*time.Second, answers))
 	c, err := l.Accept()
 	if err != nil {
--- /dev/null
+++ b/retune_test.go
@@ -0,0 +1,97 @@
+package sedgevale
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// Guards against jobs under way that change their class with the settings, against
+// attempts beyond a lower number, and against work that stays on the books of a class
+// which is gone.
+func TestRetune(t *testing.T) {
+	set := settings()
+	d, h := start(t, set, fleet(3)...)
+	h.ask(d, "once", 2)
+	h.ask(d, "free", 0)
+	h.ask(d, "many", 0)
+	learned := 0.25
+	d.classes[0].run = learned
+	next := set
+	next.MaxAttempts = 1
+	next.Classes = []Class{{Name: "new", Aim: 200 * ms, Limit: 5 * time.Second, Kinds: []int{7}}, set.Classes[0]}
+	next.Classes[1].Effect, next.Classes[1].Stretch = Unsafe, 9 // stricter
+	if err := d.Retune(Settings{}); err == nil || len(d.classes) != 3 {
+		t.Error("settings without a class were taken")
+	}
+	if err := d.Retune(next); err != nil {
+		t.Fatal(err)
+	}
+	if k := d.classes[1]; k.run != learned || k.Effect != Unsafe || len(d.kept) != 4 {
+		t.Errorf("the class goes on as %+v, %d are kept", k, len(d.kept))
+	}
+	h.over(d, "once", 0, Lost)
+	if h.ends["once"] != "failed" {
+		t.Errorf("what must not run twice, and whose class is gone, was %q", h.ends["once"])
+	}
+	h.over(d, "free", 0, Lost)
+	if h.ends["free"] != "refused" || h.tries["free"] != 1 { // 1 attempt now; by its class it is harmless to try again
+		t.Errorf("was %q after %d attempts", h.ends["free"], h.tries["free"])
+	}
+	next.MaxAttempts = 4
+	if err := d.Retune(next); err != nil {
+		t.Fatal(err)
+	}
+	h.over(d, "many", 0, Lost)
+	if h.tries["many"] != 2 {
+		t.Errorf("a job that came as harmless to repeat had %d attempts", h.tries["many"])
+	}
+	h.ask(d, "strict", 1)
+	h.over(d, "strict", 0, Lost)
+	if h.ends["strict"] != "failed" || h.tries["strict"] != 1 {
+		t.Errorf("a job of the stricter class was %q after %d attempts", h.ends["strict"], h.tries["strict"])
+	}
+	d.Members(h.now, ListPatch, []WorkerInfo{{Worker: "special", Kind: 7, Weight: 1}})
+	h.ask(d, "new", 0)
+	if h.last() != "special" {
+		t.Errorf("the new class went to %s", h.last())
+	}
+	h.over(d, "new", 0, Served)
+	h.over(d, "many", 1, Served)
+	h.run(d, h.now+10*time.Second)
+	if err := d.Retune(next); err != nil {
+		t.Fatal(err)
+	}
+	if len(d.kept) != 2 || d.held != 0 || len(d.requests) != 0 {
+		t.Errorf("%d classes are kept, %v slots booked, %d requests open", len(d.kept), d.held, len(d.requests))
+	}
+	for _, tn := range d.tenants {
+		if len(tn.backlog) != 2 || slices.Max(tn.backlog) > 1e-9 {
+			t.Errorf("work held: %v", tn.backlog)
+		}
+	}
+}
+
+// Held jobs stay held, with their work on the books of their former class.
+func TestRetuneWithHeldJobs(t *testing.T) {
+	set := settings()
+	d, h := start(t, set)
+	for i := range 3 {
+		h.ask(d, string(rune('a'+i)), i)
+	}
+	d.classes[1].run = 0.5
+	set.Classes = slices.Clone(set.Classes[:1])
+	set.Classes[0].Aim = time.Second
+	if err := d.Retune(set); err != nil {
+		t.Fatal(err)
+	}
+	if len(d.kept) != 4 || d.backlog != 3 {
+		t.Errorf("%d classes are kept for %d held jobs", len(d.kept), d.backlog)
+	}
+	d.Members(h.now, ListWhole, fleet(3))
+	for _, id := range []string{"a", "b", "c"} {
+		if h.tries[id] != 1 {
+			t.Errorf("%s was sent %d times", id, h.tries[id])
+		}
+	}
+}
--- a/rules_test.go
+++ b/rules_test.go
@@ -347,7 +347,7 @@
 	if len(tn.known) != knownMost || tn.known[knownMost-1] != d.workers[4] {
 		t.Fatalf("%d known, the last %s", len(tn.known), tn.known[len(tn.known)-1].Worker)
 	}
-	d.learn(h.now, &request{tenant: tn, Request: Request{Slots: 1}}, &attempt{w: d.workers[4]}, Full)
+	d.learn(h.now, &request{class: d.classes[0], tenant: tn, Request: Request{Slots: 1}}, &attempt{w: d.workers[4]}, Full)
 	for i := range 20 {
 		h.probes = nil
 		_ = d.Request(h.now, Request{ID: fmt.Sprint("r", i), Left: 5 * time.Second, Hint: 200 * ms})
@@ -403,7 +403,7 @@
 		return n
 	}
 	fails := func(d *Dispatcher, h *fake, worker int, o Outcome) {
-		r := &request{tenant: d.tenants[0], Request: Request{Slots: 1}}
+		r := &request{class: d.classes[0], tenant: d.tenants[0], Request: Request{Slots: 1}}
 		for range presumeLeast { // fewer may be single connections
 			d.learn(h.now, r, &attempt{w: d.workers[worker]}, o)
 		}
@@ -424,7 +424,7 @@
 	}
 	h.run(d, h.now+presumeFor+ms)
 	for _, w := range d.workers {
-		d.usable(h.now, w, &request{Request: Request{Slots: 1}}, true)
+		d.usable(h.now, w, &request{class: d.classes[0], Request: Request{Slots: 1}}, true)
 	}
 	if n := cold(d, h); n != 1 || d.presumed != 0 {
 		t.Errorf("%d cold without news, %d presumed", n, d.presumed)
@@ -468,7 +468,7 @@
 	seen := map[time.Duration]bool{}
 	for range 50 {
 		for _, left := range []time.Duration{time.Second, 0, 0} {
-			r := &request{deadline: h.now + left, aim: h.now + left}
+			r := &request{class: d.classes[0], deadline: h.now + left, aim: h.now + left}
 			after := d.comeBack(h.now, r)
 			if after <= 0 || after > set.MaxRetryAfter {
 				t.Fatalf("come back after %v", after)
@@ -480,7 +480,7 @@
 		t.Errorf("%d different times of 150", len(seen))
 	}
 	d.set.MaxRetryAfter = 0
-	if after := d.comeBack(h.now, &request{}); after != 0 {
+	if after := d.comeBack(h.now, &request{class: d.classes[0]}); after != 0 {
 		t.Errorf("advice of %v where none is heeded", after)
 	}
 }
--- a/scheduler/reload_test.go
+++ b/scheduler/reload_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"sedgevale/internal/testkit"
+	"sedgevale/scheduler"
 )
 
 // Guards against a program that SIGHUP ends, with all that it holds; against a
@@ -79,3 +80,79 @@
 	}
 	c.cmd = nil
 }
+
+// Retuning under way: classes appear, become stricter and vanish, fewer attempts are
+// allowed, jobs that came before keep their class, also on the second front, and a
+// bad file leaves all as it was.
+func TestRetune(t *testing.T) {
+	f := newFleet(t, "v", "w")
+	c := startChild(t, f)
+	s := subscribe(t, "POST", c.sse, "usage-view", "Request-Id", "stream")
+	streamed := f.next()
+	streamed.say(`"state":"started"`)
+	old := post(c.plain, "/usage-view", job("old")...)
+	first := f.next()
+	first.say(`"state":"started"`)
+
+	classes := c.config.Settings.Classes
+	strict := classes[0]
+	strict.Effect = "single_shot"
+	added := classes[0]
+	added.Name = "usage-view-ii"
+	c.config.Settings.Classes = append([]scheduler.Class{added, strict}, classes[2]) // plan-change is gone
+	c.config.Settings.Bounds.MaxAttempts = 2
+	c.write()
+	c.signal(syscall.SIGHUP)
+	c.logged("configuration read again")
+	if a := testkit.Await(t, "the answer", post(c.plain, "/plan-change", job("gone")...)); a.status != 404 {
+		t.Errorf("a class that is gone: %+v", a)
+	}
+	got := post(c.plain, "/usage-view-ii", job("new")...)
+	f.next().done("new")
+	if a := testkit.Await(t, "the answer", got); a.status != 200 || a.body != "new" {
+		t.Errorf("a new class: %+v", a)
+	}
+	got = post(c.plain, "/usage-view", job("strict")...)
+	close(f.next().cut)
+	if a := testkit.Await(t, "the answer", got); a.status != 500 {
+		t.Errorf("a class that must not run twice any more: %+v", a)
+	}
+	close(first.cut)
+	f.next().done("again") // it came when it might
+	if a := testkit.Await(t, "the answer", old); a.status != 200 || a.body != "again" {
+		t.Errorf("a job that came before: %+v", a)
+	}
+	// Of what its attempts allow, a job of the class that is new has two.
+	got = post(c.plain, "/usage-view-ii", job("twice")...)
+	close(f.next().cut)
+	close(f.next().cut)
+	if a := testkit.Await(t, "the answer", got); a.status != 503 {
+		t.Errorf("a third attempt: %+v", a)
+	}
+
+	c.config.Settings.Classes = append([]scheduler.Class(nil), c.config.Settings.Classes...)
+	c.config.Settings.Classes[0].Name, c.config.Settings.Classes[0].HardLimit = "other", -5
+	good := c.config.Discovery
+	c.config.Discovery = testkit.FreeAddr(t)
+	c.write()
+	c.signal(syscall.SIGHUP)
+	c.logged("the new configuration is bad")
+	c.config.Discovery = good
+	f.phase("w", "ready") // still asked
+	got = post(c.plain, "/usage-view-ii", job("kept")...)
+	f.next().done("kept")
+	if a := testkit.Await(t, "the answer", got); a.status != 200 {
+		t.Errorf("after a bad file: %+v", a)
+	}
+
+	s.leave()
+	c.config.Settings.Classes = classes[1:]
+	c.write()
+	c.signal(syscall.SIGHUP)
+	c.logged("configuration read again")
+	s = subscribe(t, "GET", c.sse, "usage-view", "Request-Id", "stream")
+	streamed.done("streamed")
+	if last, _ := s.rest(); last.name != "result" {
+		t.Errorf("a stream whose class is gone ended in %+v", last)
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -62,8 +62,10 @@
 // Scheduler is a real scheduler.
 type Scheduler struct {
 	opt       Options
-	config    *config.Config
-	settings  sedgevale.Settings
+	config    *config.Config                     // of the start
+	current   *config.Config                     // read last, for Reload alone
+	settings  atomic.Pointer[sedgevale.Settings] // in force; not changed, only replaced
+	rules     *intake.Rules
 	clock     core.Clock
 	budget    *budget.Budget
 	loop      *evloop.Loop // for workers and discovery
@@ -97,8 +99,9 @@
 	if c.Discovery == "" {
 		set.AskForList = false
 	}
-	s := &Scheduler{opt: opt, config: c, settings: set, clock: core.NewClock(), budget: budget.New(0),
+	s := &Scheduler{opt: opt, config: c, current: c, clock: core.NewClock(), budget: budget.New(0),
 		order: make(chan struct{}, 1), bonds: bonds{all: map[*bond]struct{}{}}}
+	s.settings.Store(&set)
 	s.limit(c)
 	if s.loop, err = evloop.New(opt.Log); err != nil {
 		return nil, err
@@ -117,11 +120,11 @@
 	}
 	s.planners = core.NewSet(planners...)
 	s.members(sedgevale.ListStale, *c.Known)
-	rules := &intake.Rules{Clock: s.clock, Classes: set.Classes, Tenants: set.Tenants}
+	s.rules = intake.New(s.clock, &intake.Terms{Classes: set.Classes, Tenants: set.Tenants})
 	s.servers = []*httpd.Server{
-		httpd.New(c.Listen, c.Loops, front.New(rules, s.planners, s.ready.Load), s.budget, opt.Log)}
+		httpd.New(c.Listen, c.Loops, front.New(s.rules, s.planners, s.ready.Load), s.budget, opt.Log)}
 	if c.SSE != nil {
-		s.streams = sse.New(sse.Options{Rules: rules.Earlier(streamMargin), Planners: s.planners, Ready: s.ready.Load,
+		s.streams = sse.New(sse.Options{Rules: s.rules.Earlier(streamMargin), Planners: s.planners, Ready: s.ready.Load,
 			Heartbeat: config.Seconds(c.SSE.Heartbeat), Retain: config.Seconds(c.SSE.Retain), Log: opt.Log})
 		s.servers = append(s.servers, httpd.New(c.SSE.Listen, c.Loops, s.streams, s.budget, opt.Log))
 	}
@@ -253,7 +256,7 @@
 // longest is how long a client may wait.
 func (s *Scheduler) longest() time.Duration {
 	most := time.Second
-	for _, c := range s.settings.Classes {
+	for _, c := range s.settings.Load().Classes {
 		most = max(most, c.Limit)
 	}
 	return most
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -12,6 +12,7 @@
 
 	"sedgevale"
 	"sedgevale/internal/config"
+	"sedgevale/internal/intake"
 )
 
 // Serve is all of a program that is nothing but a scheduler. It serves by the
@@ -53,19 +54,34 @@
 }
 
 // Reload goes on by a new configuration: by its discovery, or its workers where
-// it names none, and by its limits. Connections, exchanges and all that was
-// learned stay. What only a new start can change stays as it was, and is logged.
-// It may be called from anywhere; a bad configuration changes nothing.
+// it names none, by its limits, and by its settings but for those that fixed names.
+// Connections, exchanges and all that was learned stay, and jobs under way keep
+// their class. It is checked whole before anything changes, so a bad one changes
+// nothing. It must not be called twice at a time.
 func (s *Scheduler) Reload(c *config.Config) error {
 	if err := c.Check(); err != nil {
 		return err
 	}
+	if err := c.Follows(s.current); err != nil {
+		return err
+	}
+	set, err := c.Settings.Module(max(1, s.config.Planners))
+	if err != nil {
+		return err
+	}
+	s.current = c
+	set.Tenants = s.settings.Load().Tenants
+	s.settings.Store(&set)
+	s.planners.Retune(set)
+	s.rules.Retune(&intake.Terms{Classes: set.Classes, Tenants: set.Tenants})
+	s.pool.Retune(config.Seconds(c.Settings.Bounds.DialTimeout), config.Seconds(c.Settings.Bounds.IdleClose))
 	s.limit(c)
 	s.watcher.Move(c.Discovery)
 	if c.Discovery == "" {
 		s.loop.Do(func() { s.members(sedgevale.ListWhole, *c.Known) })
 	}
-	s.opt.Log.Info("configuration read again", "discovery", c.Discovery)
+	s.opt.Log.Info("configuration read again", "discovery", c.Discovery, "classes", len(set.Classes),
+		"max_attempts", set.MaxAttempts)
 	if kept := s.fixed(c); len(kept) > 0 {
 		s.opt.Log.Warn("part of the new configuration waits for a new start", "what", strings.Join(kept, ", "))
 	}
@@ -79,7 +95,10 @@
 		old, new any
 	}{
 		{"name", s.config.Name, c.Name}, {"listen", s.config.Listen, c.Listen}, {"ops", s.config.Ops, c.Ops},
-		{"settings", s.config.Settings, c.Settings},
+		{"realms", s.config.Settings.Realms, c.Settings.Realms},
+		{"kinds", s.config.Settings.Kinds, c.Settings.Kinds}, {"zones", s.config.Settings.Zones, c.Settings.Zones},
+		{"zone", s.config.Settings.Zone, c.Settings.Zone}, {"peers_total", s.config.Settings.PeersTotal, c.Settings.PeersTotal},
+		{"weights", s.config.Settings.Weights, c.Settings.Weights},
 		{"sse", s.config.SSE, c.SSE}, {"planners", s.config.Planners, c.Planners}, {"loops", s.config.Loops, c.Loops},
 	} {
 		if !reflect.DeepEqual(part.old, part.new) {
--- a/sharing.go
+++ b/sharing.go
@@ -125,9 +125,8 @@
 func (d *Dispatcher) Learned(now time.Duration) Learned {
 	l := Learned{Size: slices.Clone(d.kindSize), Room: slices.Clone(d.kindRoom), Jobs: d.room, Work: d.meanWork, Carry: d.carry, Arrived: d.arrived,
 		Prompt: d.prompt, Silent: d.silent, Metered: d.metered, Changes: d.changes}
-	for i := range d.classes {
-		c := &d.classes[i]
-		l.Classes = append(l.Classes, LearnedClass{d.set.Classes[i].Name, c.run, c.base, c.hint, c.complete, c.runs})
+	for _, c := range d.classes {
+		l.Classes = append(l.Classes, LearnedClass{c.Name, c.run, c.base, c.hint, c.complete, c.runs})
 	}
 	for i, t := range d.set.Tenants {
 		v := d.tenants[i]
@@ -152,9 +151,9 @@
 // classes, tenants and workers that are known here.
 func (d *Dispatcher) Adopt(now time.Duration, l Learned) {
 	d.wake(now)
-	for i := range d.classes {
+	for _, k := range d.classes {
 		for _, c := range l.Classes {
-			if k := &d.classes[i]; c.Name == d.set.Classes[i].Name {
+			if c.Name == k.Name {
 				k.run, k.base, k.hint, k.complete, k.runs = c.Run, c.Base, c.Hint, c.Complete, c.Runs
 			}
 		}
--- a/state.go
+++ b/state.go
@@ -69,6 +69,7 @@
 
 type request struct {
 	Request
+	class    *class
 	serial   uint64
 	tenant   *tenant
 	hash     uint64
@@ -94,7 +95,7 @@
 	tokens   float64 // of those, not yet sent
 	tokensAt time.Duration
 	queue    queue
-	backlog  []float64 // work held, by class
+	backlog  []float64 // work held, by a class's index
 	waiting  float64   // slots of the queue
 	inflight float64
 	deficit  float64
@@ -115,7 +116,11 @@
 	used  bool
 }
 
+// class is a class of jobs and what was learned of it. Jobs point to it: it stays as
+// it is for those under way when the settings change.
 type class struct {
+	Class
+	index    int // in tenant.backlog and Dispatcher.kept
 	pool     *pool
 	run      float64 // mean running time, seconds
 	base     float64 // the same over long, and lower rather than higher: what aims grow by
@@ -190,7 +195,8 @@
 	serials    map[uint64]*request
 	serial     uint64
 	tenants    []*tenant
-	classes    []class
+	classes    []*class // by the settings' index
+	kept       []*class // those, and former ones that jobs under way still have
 	byName     map[string]*worker
 	workers    []*worker // by index; nil: free index
 	pools      []*pool
@@ -295,7 +301,7 @@
 func (d *Dispatcher) dequeue(r *request) {
 	t := r.tenant
 	r.queued = false
-	t.backlog[r.Class] = max(0, t.backlog[r.Class]-r.work)
+	t.backlog[r.class.index] = max(0, t.backlog[r.class.index]-r.work)
 	t.waiting -= r.Slots
 	d.backlog--
 	for len(t.queue) > 0 && !t.queue[0].queued {
@@ -509,12 +515,9 @@
 	}
 	d := &Dispatcher{set: set, host: host, rng: rand.New(rand.NewPCG(seed, 0)),
 		requests: map[string]*request{}, serials: map[uint64]*request{}, byName: map[string]*worker{},
-		classes: make([]class, len(set.Classes)), rewatch: rewatchFirst, prompt: 1, quick: 1,
+		rewatch: rewatchFirst, prompt: 1, quick: 1,
 		pools: []*pool{{}}, cells: map[int][]*worker{}, broke: map[int]sign{}, cordons: map[string]bool{}}
-	for i, c := range set.Classes {
-		d.classes[i].pool = d.poolOf(c.Kinds, c.Zones)
-	}
-	d.further.part, d.taken.part = max(1, set.Further.Span/tallyParts), max(1, set.Further.Span/tallyParts)
+	d.tallies()
 	shares := 0.0
 	for _, t := range set.Tenants {
 		shares += t.Share
@@ -527,10 +530,11 @@
 		d.tenants = []*tenant{{share: 1}}
 	}
 	for _, t := range d.tenants {
-		t.sigma, t.local, t.backlog = inf, inf, make([]float64, len(set.Classes))
+		t.sigma, t.local = inf, inf
 		t.tokens = t.quota
 	}
-	d.set.MaxAttempts = min(max(1, set.MaxAttempts), 31) // a timer's token has 5 bits for it
+	d.set.MaxAttempts = attemptsOf(set)
+	d.classify(set.Classes)
 	return d, nil
 }
 
@@ -598,7 +602,7 @@
 		return
 	}
 	a.off = true
-	d.classes[r.Class].inflight--
+	r.class.inflight--
 	r.tenant.inflight -= r.Slots
 	d.hold(a.w, -r.Slots)
 	if a.started == 0 {
@@ -610,7 +614,7 @@
 // waited until now.
 func (d *Dispatcher) writeOn(r *request, a *attempt) {
 	a.off = false
-	d.classes[r.Class].inflight++
+	r.class.inflight++
 	r.tenant.inflight += r.Slots
 	d.hold(a.w, r.Slots)
 }
@@ -681,7 +685,7 @@
 func (d *Dispatcher) book(now time.Duration, r *request, w *worker) int {
 	r.attempts = append(r.attempts, attempt{w: w, sent: now})
 	r.out++
-	d.classes[r.Class].inflight++
+	r.class.inflight++
 	r.tenant.inflight += r.Slots
 	r.tenant.use(w)
 	d.hold(w, r.Slots)
@@ -696,7 +700,7 @@
 // have run, or nil.
 func (d *Dispatcher) mayHaveRun(r *request) *worker {
 	for i := range r.attempts {
-		if a := &r.attempts[i]; !a.proven && d.set.Classes[r.Class].Effect == Keyed {
+		if a := &r.attempts[i]; !a.proven && r.class.Effect == Keyed {
 			return a.w
 		}
 	}
@@ -887,7 +891,7 @@
 
 func (d *Dispatcher) queue(r *request) {
 	r.queued = true
-	r.tenant.backlog[r.Class] += r.work
+	r.tenant.backlog[r.class.index] += r.work
 	r.tenant.waiting += r.Slots
 	d.backlog++
 	heap.Push(&r.tenant.queue, r)
@@ -896,16 +900,14 @@
 // poolPart is the part of all workers that is open to the request's class; it
 // is all while none is.
 func (d *Dispatcher) poolPart(r *request) float64 {
-	if p := d.classes[r.Class].pool; p.weight > 0 {
+	if p := r.class.pool; p.weight > 0 {
 		return p.weight / d.pools[0].weight
 	}
 	return 1
 }
 
 // slack is how long a job of the class can wait when it arrives.
-func (d *Dispatcher) slack(c int) float64 {
-	return d.set.Classes[c].Aim.Seconds() + d.set.Classes[c].Stretch*d.classes[c].run - d.classes[c].complete
-}
+func (c *class) slack() float64 { return c.Aim.Seconds() + c.Stretch*c.run - c.complete }
 
 // fresh is how long a report speaks for: slots change hands as jobs end.
 func (d *Dispatcher) fresh() time.Duration { return seconds(freshPart * d.meanWork) }
@@ -916,7 +918,7 @@
 // waitAt returns how long a job would wait at a worker by its last report.
 func (d *Dispatcher) waitAt(w *worker, r *request) float64 {
 	slots := d.kindRoom[w.Kind]
-	return max(0, w.told.Held+r.Slots-slots-min(0, w.free)) / slots * d.classes[r.Class].run
+	return max(0, w.told.Held+r.Slots-slots-min(0, w.free)) / slots * r.class.run
 }
 
 // slackAt returns how long the request can still wait if a worker of that pace
@@ -927,7 +929,7 @@
 	if r.Hint > 0 || len(r.attempts) > 0 {
 		part = 1
 	}
-	return (min(r.deadline, r.aim) - now).Seconds() - (1-part)*d.set.Classes[r.Class].Stretch*r.own - part*pace*r.work/r.Slots
+	return (min(r.deadline, r.aim) - now).Seconds() - (1-part)*r.class.Stretch*r.own - part*pace*r.work/r.Slots
 }
 
 // quickest returns the pace of the second quickest of the workers that may be sent
@@ -948,7 +950,7 @@
 // feasibleFor returns how long the request can still wait to be sent: its own
 // running time and the class's mean wait at workers come off the time left.
 func (d *Dispatcher) feasibleFor(now time.Duration, r *request) time.Duration {
-	c := &d.classes[r.Class]
+	c := r.class
 	return seconds(d.slackAt(now, r, d.quick) - max(0, c.complete-c.run))
 }
 
