Carry progress streams over an upgrade

The old process tells the new one each event of its streams (sse/mirror.go); resume finds them there, their ids are taken, and what the old one leaves open ends in one failed event. TestStreamsGoOver fails without Mirror, Take or Part.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -19,6 +19,7 @@
 
 	"sedgevale/internal/core"
 	"sedgevale/internal/discovery"
+	"sedgevale/internal/sse"
 )
 
 const (
@@ -72,6 +73,8 @@
 	Order   *Order `json:"order,omitempty"`
 	Done    uint64 `json:"done,omitempty"` // the order of that number holds
 	Used    int    `json:"used,omitempty"` // descriptors
+
+	Stream *sse.Stream `json:"stream,omitempty"` // of the old process
 }
 
 // Session is a connection to the other process before it becomes a Link.
--- a/internal/sse/job.go
+++ b/internal/sse/job.go
@@ -22,6 +22,8 @@
 type job struct {
 	front   *Front
 	id      string
+	epoch   string           // of the run that took it
+	partner int              // the process that has it, in an upgrade; 0: this one
 	class   *sedgevale.Class // as it was when the job came
 	events  []event
 	seq     int
@@ -74,19 +76,8 @@
 	if j.final {
 		return
 	}
-	j.seq++
-	id := eventID{f.epoch, j.seq, final, j.class.Name, j.id}
-	e := event{j.seq, name == "progress", format(id, name, fields, data)}
-	j.events = append(j.events, e)
-	j.bytes += len(e.text)
-	f.bytes += len(e.text)
-	j.trim()
-	if final {
-		j.final, j.ended = true, time.Now()
-		f.done = append(f.done, j)
-		f.retire(j.ended)
-	}
-	j.wake()
+	id := eventID{j.epoch, j.seq + 1, final, j.class.Name, j.id}
+	j.add(event{id.seq, name == "progress", format(id, name, fields, data)}, final)
 }
 
 // trim keeps the stream bounded: of many progress events the oldest tell least.
--- a/internal/sse/job_test.go
+++ b/internal/sse/job_test.go
@@ -16,7 +16,7 @@
 }
 
 func (f *Front) add(id string) *job {
-	j := &job{front: f, id: id, class: &sedgevale.Class{Name: "free"}}
+	j := &job{front: f, id: id, epoch: f.epoch, class: &sedgevale.Class{Name: "free"}}
 	f.jobs[id] = j
 	return j
 }
@@ -85,3 +85,40 @@
 		}
 	}
 }
+
+// Guards against streams that an upgrade loses, repeats or leaves without an end: what
+// was there and what comes later is told, each event once, and where the other process
+// ends without a word, one final event follows.
+func TestMirror(t *testing.T) {
+	old, next := newFront(), newFront()
+	j, lost := old.add("a"), old.add("lost")
+	j.Started()
+	lost.Started()
+	old.Mirror(1, func(s *Stream) {
+		next.Take(1, s)
+		next.Take(1, s) // no harm if it comes twice
+	})
+	j.Progress(0.5)
+	j.Answer(core.Answer{Kind: core.Served, Result: []byte("r")})
+	text := func(j *job) (all string) {
+		for _, e := range j.events {
+			all += string(e.text)
+		}
+		return all
+	}
+	if got := next.jobs["a"]; got == nil || text(got) != text(j) || !got.final || got.seq != j.seq || got.epoch != old.epoch {
+		t.Errorf("mirrored is %+v", got)
+	}
+	next.Part(1)
+	next.Part(1)
+	got := next.jobs["lost"]
+	if s := text(got); !got.final || strings.Count(s, "event: failed") != 1 || !strings.Contains(s, `"repeat_safe":true`) ||
+		!strings.Contains(s, old.epoch+":2.end:free:lost") || strings.Count(text(next.jobs["a"]), "event: ") != 3 {
+		t.Errorf("what the other did not end: %s", s)
+	}
+	old.Part(1)
+	old.add("later").Started()
+	if next.jobs["later"] != nil || next.bytes != len(text(got))+len(text(j)) {
+		t.Errorf("told after the end, or %d bytes counted", next.bytes)
+	}
+}
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -55,13 +55,16 @@
 	jobs  map[string]*job
 	done  []*job // finished, the oldest first
 	bytes int
+
+	mirrors map[int]func(*Stream) // by partner
 }
 
 // New returns a Front. Its epoch is new with each: ids of an earlier run are
 // known as such.
 func New(o Options) *Front {
 	f := &Front{rules: o.Rules, planners: o.Planners, ready: o.Ready, heartbeat: o.Heartbeat, retain: o.Retain,
-		log: o.Log, epoch: randomID(), jobs: map[string]*job{}}
+		log: o.Log, epoch: randomID(), jobs: map[string]*job{},
+		mirrors: map[int]func(*Stream){}}
 	if f.heartbeat <= 0 {
 		f.heartbeat = 10 * time.Second
 	}
@@ -183,7 +186,7 @@
 		f.mu.Unlock()
 		return &intake.Error{Status: 409, Text: "this Request-Id is known; GET with it, or with Last-Event-ID, resumes"}
 	}
-	j := &job{front: f, id: work.ID, class: work.Class}
+	j := &job{front: f, id: work.ID, epoch: f.epoch, class: work.Class}
 	f.jobs[j.id] = j
 	f.mu.Unlock()
 	j.attach(c, 0)
@@ -215,7 +218,7 @@
 
 // resume goes on with a stream after the last event that the client has had.
 func (f *Front) resume(c *httpd.Conn, q *httpd.Request, name string, class *sedgevale.Class) error {
-	id := eventID{epoch: f.epoch, class: name, request: q.Get("Request-Id")}
+	id := eventID{class: name, request: q.Get("Request-Id")} // of whichever run has it
 	if last := q.Get("Last-Event-ID"); last != "" {
 		var ok bool
 		if id, ok = parseID(last); !ok || id.class != name {
@@ -230,7 +233,7 @@
 	}
 	f.mu.Lock()
 	j := f.jobs[id.request]
-	known := j != nil && id.epoch == f.epoch && j.class.Name == name && id.seq <= j.seq
+	known := j != nil && (id.epoch == "" || id.epoch == j.epoch) && j.class.Name == name && id.seq <= j.seq
 	f.mu.Unlock()
 	if known {
 		j.attach(c, id.seq)
@@ -239,7 +242,7 @@
 	// Another run of the scheduler took the job, or it is too long ago. Nobody
 	// knows here what became of it, and nothing is run again.
 	reason := "the job is no longer known"
-	if id.epoch != f.epoch {
+	if id.epoch != "" && id.epoch != f.epoch {
 		reason = "the scheduler has restarted since; what became of the job is unknown"
 	}
 	begin(c)
--- a/scheduler/upgrade.go
+++ b/scheduler/upgrade.go
@@ -10,6 +10,7 @@
 	"sedgevale"
 	"sedgevale/internal/core"
 	"sedgevale/internal/handover"
+	"sedgevale/internal/sse"
 )
 
 const (
@@ -140,9 +141,12 @@
 	}
 	state := &handover.State{List: s.listed(), Discovery: s.watcher.Addr(), Cordons: s.cordons.Hosts(), Planners: estates}
 	b.begin(link, &handover.Message{State: state})
+	if s.streams != nil {
+		s.streams.Mirror(b.number, func(st *sse.Stream) { b.send(&handover.Message{Stream: st}) })
+	}
 	s.shareOut()
 	if b.isLost() { // its end may have come before the planners knew of it
-		s.planners.Part(b.number)
+		s.part(b)
 		return
 	}
 	s.opt.Log.Info("handing over to a new process", "workers", len(state.List.Members), "cordons", len(state.Cordons))
@@ -193,6 +197,9 @@
 	if m.Share != nil {
 		s.planners.Beside(b.number, m.Share.Planner, m.Share.Shared)
 	}
+	if m.Stream != nil && s.streams != nil {
+		s.streams.Take(b.number, m.Stream)
+	}
 	if m.Order != nil {
 		go b.obey(m.Order)
 	}
@@ -233,7 +240,7 @@
 	serving := b.serving
 	b.mu.Unlock()
 	close(b.gone)
-	s.planners.Part(b.number)
+	s.part(b)
 	s.shareOut()
 	if serving {
 		for _, server := range s.servers {
@@ -242,6 +249,14 @@
 	}
 }
 
+// part ends all sharing with a process that is gone.
+func (s *Scheduler) part(b *bond) {
+	s.planners.Part(b.number)
+	if s.streams != nil {
+		s.streams.Part(b.number)
+	}
+}
+
 // shareOut keeps this process to its share of the machine: all that the others
 // leave of the descriptors, and an even part of the memory.
 func (s *Scheduler) shareOut() {
--- a/scheduler/upgrade_test.go
+++ b/scheduler/upgrade_test.go
@@ -175,6 +175,47 @@
 	}
 }
 
+// Guards against streams that an upgrade breaks: a client that has lost its connection
+// goes on at the new process, by its last event's id, with a job that the old one has;
+// the id cannot be had again, and each stream has one final event.
+func TestStreamsGoOver(t *testing.T) {
+	f := newFleet(t, "v", "w")
+	c := startChild(t, f)
+	s := subscribe(t, "POST", c.sse, "plan-change", "Request-Id", "moved")
+	r := f.next()
+	r.say(`"state":"started"`)
+	last := s.until("started")
+	orphan := subscribe(t, "POST", c.sse, "plan-change", "Request-Id", "orphan")
+	f.next().say(`"state":"started"`)
+	before := orphan.until("started")
+	next := c.beside()
+	c.logged("the new process accepts clients")
+	s.leave()
+	again := subscribe(t, "POST", c.sse, "plan-change", "Request-Id", "moved")
+	if again.status != 409 {
+		t.Errorf("posted again: %d", again.status)
+	}
+	s = subscribe(t, "GET", c.sse, "plan-change", "Last-Event-ID", last.id)
+	r.say(`"state":"running","share":0.5`)
+	if e := s.until("progress"); e.field(t, "share") != 0.5 {
+		t.Errorf("progress is %s", e.data)
+	}
+	r.done("moved")
+	if end, names := s.rest(); end.name != "result" || end.field(t, "result") != "moved" || len(names) != 1 {
+		t.Errorf("the stream went on with %v and %s", names, end.data)
+	}
+	c.kill()
+	next.logged("this one is alone")
+	orphan = subscribe(t, "GET", c.sse, "plan-change", "Last-Event-ID", before.id)
+	if end, names := orphan.rest(); end.name != "failed" || end.field(t, "outcome") != "unknown" ||
+		end.field(t, "repeat_safe") != false || len(names) != 1 {
+		t.Errorf("the stream of a job that the old process had went on with %v and %s", names, end.data)
+	}
+	if n := f.count("plan-change"); n != 2 {
+		t.Errorf("%d runs of two jobs", n)
+	}
+}
+
 // Guards against a new process that takes the clients with it when it dies: the old
 // one serves on, also the next that is started.
 func TestNewProcessDies(t *testing.T) {
