--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -27,7 +27,8 @@
 const (
 	MaxBody      = 64 << 10
 	maxAhead     = MaxBody + http1.MaxHead // bytes a client may send before its turn
-	firstWait    = 2 * time.Second         // from connecting, for the first request to come whole
+	firstWait    = 2 * time.Second         // from connecting, for the first byte
+	slowWait     = 2500 * time.Millisecond // from connecting, for the first request to come whole: some need 2 s
 	readTimeout  = 2 * time.Second         // for a later request that has begun to come
 	lingerFor    = 2 * time.Second         // for a client to read the last answer
 	lingerBytes  = 1 << 20                 // of what it still sends meanwhile
@@ -342,7 +343,8 @@
 	case idle:
 		c.lane.idle.push(c)
 	case reading:
-		if c.heard { // else the time runs since connecting, however the bytes trickle
+		c.until = c.opened.Add(slowWait) // however the bytes trickle
+		if c.heard {
 			c.until = time.Now().Add(readTimeout)
 		}
 		c.lane.reading.push(c)
--- a/internal/httpd/httpd_test.go
+++ b/internal/httpd/httpd_test.go
@@ -261,6 +261,17 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 	}()
+	slow, slowR := dial(t, addr) // a usual client that needs 2 s to write; it may
+	if _, err := io.WriteString(slow, post[:20]); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2200 * time.Millisecond)
+	if _, err := io.WriteString(slow, post[20:]); err != nil {
+		t.Fatal(err)
+	}
+	if status, _, _ := answer(t, slowR); status != 200 {
+		t.Errorf("a slow request: %d", status)
+	}
 	for _, r := range []*bufio.Reader{halfR, trickleR} {
 		if status, _, last := answer(t, r); status != 408 || !last {
 			t.Errorf("half a request: %d, last %v", status, last)
