Start a new process by the old one's configuration where the file is bad

A file that the old process had turned down at SIGHUP ended the next one with 1, before it could join. The configuration in force now goes over as it was read (State.Source, config.FromSource); TestUpgradeByABadFile fails without it.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -31,6 +31,8 @@
 	Planners int  `json:"-"`
 	Loops    int  `json:"-"`
 
+	Source []byte `json:"-"` // the platform's file; nil: not of such a file
+
 	keys map[string]bool // that the platform's file has; nil: not of such a file
 }
 
@@ -53,10 +55,21 @@
 	if err != nil {
 		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
 	}
-	c, err := Parse(b)
+	c, err := FromSource(b)
 	if err != nil {
 		return nil, fmt.Errorf("EDGE_CONFIG %s: %w", path, err)
 	}
+	return c, nil
+}
+
+// FromSource reads and checks a platform's configuration that has been read from a
+// file, here or by another process.
+func FromSource(b []byte) (*Config, error) {
+	c, err := Parse(b)
+	if err != nil {
+		return nil, err
+	}
+	c.Source = b
 	for _, v := range []struct {
 		name string
 		to   *string
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -46,6 +46,7 @@
 
 // State is what the old process hands over.
 type State struct {
+	Source    []byte         `json:"source,omitempty"` // the configuration it serves by, of the platform
 	List      discovery.List `json:"list"`
 	Discovery string         `json:"discovery"` // where that list is from
 	Cordons   []string       `json:"cordons,omitempty"`
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -32,6 +32,10 @@
 		os.Exit(m.Run())
 	}
 	read := func() (*config.Config, error) { return config.ReadOperator(path) }
+	if strings.HasSuffix(path, ".json") {
+		os.Setenv("EDGE_CONFIG", path)
+		read = config.FromEnv
+	}
 	if err := scheduler.Serve(read, slog.New(slog.NewTextHandler(os.Stderr, nil))); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
@@ -246,7 +250,14 @@
 		c.t.Fatal(err)
 	}
 	defer w.Close()
-	if err := c.config.Write(w); err != nil {
+	if strings.HasSuffix(c.file, ".json") { // as the platform does
+		f := &c.config
+		err = json.NewEncoder(w).Encode(config.Config{Name: f.Name, Listen: f.Listen, Ops: f.Ops, Discovery: f.Discovery,
+			Seed: f.Seed, Limits: f.Limits, Known: &discovery.List{Complete: true, Members: f.Workers}, Settings: f.Settings})
+	} else {
+		err = c.config.Write(w)
+	}
+	if err != nil {
 		c.t.Fatal(err)
 	}
 }
@@ -274,7 +285,8 @@
 func (c *child) launch() {
 	c.t.Helper()
 	c.cmd = exec.Command(os.Args[0])
-	c.cmd.Env = append(os.Environ(), childFile+"="+c.file, "TMPDIR="+filepath.Dir(c.file))
+	c.cmd.Env = append(os.Environ(), childFile+"="+c.file, "TMPDIR="+filepath.Dir(c.file),
+		"EDGE_NAME="+c.config.Name, "EDGE_LISTEN="+c.plain, "EDGE_OPS="+c.config.Ops)
 	c.log = make(logLines, 256)
 	c.cmd.Stderr = c.log
 	if err := c.cmd.Start(); err != nil {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -63,7 +63,7 @@
 type Scheduler struct {
 	opt       Options
 	config    *config.Config                     // of the start
-	current   *config.Config                     // read last, for Reload alone
+	current   atomic.Pointer[config.Config]      // read last
 	settings  atomic.Pointer[sedgevale.Settings] // in force; not changed, only replaced
 	rules     *intake.Rules
 	clock     core.Clock
@@ -99,9 +99,10 @@
 	if c.Discovery == "" {
 		set.AskForList = false
 	}
-	s := &Scheduler{opt: opt, config: c, current: c, clock: core.NewClock(), budget: budget.New(0),
+	s := &Scheduler{opt: opt, config: c, clock: core.NewClock(), budget: budget.New(0),
 		order: make(chan struct{}, 1), bonds: bonds{all: map[*bond]struct{}{}}}
 	s.settings.Store(&set)
+	s.current.Store(c)
 	s.limit(c)
 	if s.loop, err = evloop.New(opt.Log); err != nil {
 		return nil, err
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -27,7 +27,10 @@
 	defer stop()
 	c, err := read()
 	if err != nil {
-		return err
+		if c = inherited(); c == nil {
+			return err
+		}
+		log.Error("the configuration is bad, going on by that of the process that serves", "err", err)
 	}
 	Limit(c)
 	var current atomic.Pointer[Config]
@@ -62,14 +65,14 @@
 	if err := c.Check(); err != nil {
 		return err
 	}
-	if err := c.Follows(s.current); err != nil {
+	if err := c.Follows(s.current.Load()); err != nil {
 		return err
 	}
 	set, err := c.Settings.Module(max(1, s.config.Planners))
 	if err != nil {
 		return err
 	}
-	s.current = c
+	s.current.Store(c)
 	set.Tenants = s.settings.Load().Tenants
 	s.settings.Store(&set)
 	s.planners.Retune(set)
--- a/scheduler/upgrade.go
+++ b/scheduler/upgrade.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
 
 	"sedgevale"
+	"sedgevale/internal/config"
 	"sedgevale/internal/core"
 	"sedgevale/internal/handover"
 	"sedgevale/internal/sse"
@@ -107,6 +109,29 @@
 	return b, session.Sockets
 }
 
+// inherited returns the configuration of the process that serves, or nil: a file
+// that it has turned down must not stop the next one.
+func inherited() *config.Config {
+	me := &config.Config{Name: os.Getenv("EDGE_NAME"), Listen: os.Getenv("EDGE_LISTEN")}
+	session, err := handover.Join(fileOf(me, "sock"), handover.NewHello(me.Name, me.Listen))
+	if err != nil {
+		return nil
+	}
+	defer session.Close()
+	state, err := session.State()
+	if err != nil || state.Source == nil {
+		return nil
+	}
+	c, err := config.FromSource(state.Source)
+	if err != nil {
+		return nil
+	}
+	if ops := os.Getenv("EDGE_OPS"); ops != "" { // the file's is the other's
+		c.Ops = ops
+	}
+	return c
+}
+
 // await waits for the next process, from now on.
 func (s *Scheduler) await() {
 	host, err := handover.Listen(fileOf(s.config, "sock"))
@@ -139,7 +164,7 @@
 		link.Drop(err)
 		return
 	}
-	state := &handover.State{List: s.listed(), Discovery: s.watcher.Addr(), Cordons: s.cordons.Hosts(), Planners: estates}
+	state := &handover.State{Source: s.current.Load().Source, List: s.listed(), Discovery: s.watcher.Addr(), Cordons: s.cordons.Hosts(), Planners: estates}
 	b.begin(link, &handover.Message{State: state})
 	if s.streams != nil {
 		s.streams.Mirror(b.number, func(st *sse.Stream) { b.send(&handover.Message{Stream: st}) })
--- a/scheduler/upgrade_test.go
+++ b/scheduler/upgrade_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"syscall"
 	"testing"
@@ -243,6 +244,41 @@
 	serve("after-the-dead")
 }
 
+// Guards against a new process that cannot start since the file was replaced by a bad
+// one, which the old process has turned down: it goes on by the old one's settings.
+func TestUpgradeByABadFile(t *testing.T) {
+	f := newFleet(t, "w")
+	c := &child{t: t, file: filepath.Join(t.TempDir(), "config.json"), plain: testkit.FreeAddr(t)}
+	c.sse = c.plain // asked for /ready
+	set := settings(t)
+	set.Classes[0].Name = "served-by"
+	c.config.Name, c.config.Listen, c.config.Ops = "test", c.plain, testkit.FreeAddr(t)
+	c.config.Discovery, c.config.Settings, c.config.Workers = f.addr, set, f.list.Members
+	c.write()
+	c.start()
+	t.Cleanup(c.kill)
+	if err := os.WriteFile(c.file, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c.signal(syscall.SIGHUP)
+	c.logged("the new configuration is bad")
+	next := &child{t: t, file: c.file, plain: c.plain, config: c.config}
+	next.config.Ops = testkit.FreeAddr(t)
+	next.launch()
+	t.Cleanup(next.kill)
+	next.logged("going on by that of the process that serves")
+	c.logged("the new process accepts clients")
+	c.kill()
+	got := post(c.plain, "/served-by", job("one")...)
+	f.next().done("")
+	if a := testkit.Await(t, "the answer", got); a.status != 200 {
+		t.Errorf("%+v", a)
+	}
+	if got := next.tell("GET", "health", ""); got != 200 {
+		t.Errorf("health is %d", got)
+	}
+}
+
 // Guards against a start that a hung partner prevents.
 func TestPartnerHangs(t *testing.T) {
 	f := newFleet(t, "w")
