--- a/dispatcher.go
+++ b/dispatcher.go
@@ -918,7 +918,7 @@
 	rate := part * max(least, d.carry*w.size)
 	// A heavier job than usual must leave room for others, also where our part is twice the mean.
 	heavy := d.set.FallMultiple / 4 * rate * float64(d.set.Peers) * d.set.Fall.Seconds()
-	rate *= min(1, d.set.FallMultiple/3) // a third of the multiple at most, for chance and bursts
+	rate *= min(1.5, d.set.FallMultiple/2) // half of the multiple at most, for chance and bursts
 	w.credit = min(w.credit+rate*(now-w.creditAt).Seconds(), rate*d.set.Fall.Seconds()/4)
 	w.creditAt = now
 	return w.credit > 0 && r.work <= max(d.meanWork, heavy)
