Give tests addresses that nobody else can get, and share their last steps

Seen: TestStreamsGoOver once found its second address equal to the first; a port that is free is given again, or to an outgoing connection. FreeAddr now counts loopback hosts of its own. Tests for the shared limit and for lists with changes added.

--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -32,3 +32,32 @@
 		t.Error("a higher limit does not count")
 	}
 }
+
+// Guards against two processes of one scheduler that each use up the whole limit.
+func TestOthersShareTheLimit(t *testing.T) {
+	b := New(Reserve + 100)
+	closed := 0
+	b.OnShort(func(n int) { closed = n })
+	b.Others(95)
+	for range 5 {
+		if !b.Take() {
+			t.Error("no room within the limit")
+		}
+	}
+	if closed != 0 {
+		t.Errorf("%d closed within the limit", closed)
+	}
+	if b.Take(); closed != 1 {
+		t.Errorf("one over the limit %d are closed", closed)
+	}
+	idle := b.Idle()
+	b.Others(0)
+	if b.Idle() <= idle {
+		t.Errorf("alone %d idle clients may stay, %d before", b.Idle(), idle)
+	}
+	for range 95 - 1 {
+		if closed = 0; !b.Take() || closed != 0 {
+			t.Fatal("no room though the other is gone")
+		}
+	}
+}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -155,3 +155,19 @@
 		}
 	}
 }
+
+// The list that is handed over is what changes have made of it, and shares nothing
+// with the one before.
+func TestListWithChanges(t *testing.T) {
+	l := List{}.With(List{Revision: 1, Members: []Member{{ID: "a", Phase: "ready"}, {ID: "b", Phase: "ready"}}}, true)
+	m := l.With(List{Revision: 2, Members: []Member{{ID: "a", Phase: "draining"}, {ID: "c", Phase: "ready"}, {ID: "b", Phase: "gone"}}}, false)
+	if len(m.Members) != 2 || m.Members[0].Phase != "draining" || m.Members[1].ID != "c" || m.Revision != 2 || !m.Complete {
+		t.Errorf("changed: %+v", m)
+	}
+	if l.Members[0].Phase != "ready" || l.Revision != 1 {
+		t.Errorf("the list before has changed: %+v", l)
+	}
+	if w := m.With(List{Revision: 3, Members: []Member{{ID: "d", Phase: "ready"}}}, true); len(w.Members) != 1 {
+		t.Errorf("a whole list: %+v", w)
+	}
+}
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -3,9 +3,11 @@
 
 import (
 	"flag"
+	"fmt"
 	"net"
 	"os"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -26,10 +28,15 @@
 	os.Exit(m.Run())
 }
 
-// FreeAddr returns a loopback address on which nobody listens.
+var given atomic.Uint32
+
+// FreeAddr returns a loopback address on which nobody listens, and a new one each
+// time. The host is this process's and this call's alone, since the port is free for
+// anybody until it is used: a connection from 127.0.0.1 or the next call might get it.
 func FreeAddr(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid, n := os.Getpid(), given.Add(1)
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>8&127, pid&255, 1+n%250))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -313,6 +313,15 @@
 	c.t.Fatal("the scheduler is not ready")
 }
 
+// ended waits for the program to end by itself, with 0.
+func (c *child) ended() {
+	c.t.Helper()
+	if err := testkit.Await(c.t, "the program's end", c.exited); err != nil {
+		c.t.Errorf("ended with %v", err)
+	}
+	c.cmd = nil
+}
+
 func (c *child) kill() {
 	if c.cmd != nil {
 		_ = c.cmd.Process.Kill()
--- a/scheduler/front_test.go
+++ b/scheduler/front_test.go
@@ -188,10 +188,7 @@
 			t.Errorf("%s: %+v", want, a)
 		}
 	}
-	if err := testkit.Await(t, "the program's end", c.exited); err != nil {
-		t.Errorf("ended with %v", err)
-	}
-	c.cmd = nil
+	c.ended()
 }
 
 // What the importer makes of HAProxy's configuration serves.
--- a/scheduler/reload_test.go
+++ b/scheduler/reload_test.go
@@ -75,10 +75,7 @@
 	if a := testkit.Await(t, "the answer", before); a.status != 200 || a.body != "first" {
 		t.Errorf("open since before: %+v", a)
 	}
-	if err := testkit.Await(t, "the program's end", c.exited); err != nil {
-		t.Errorf("ended with %v", err)
-	}
-	c.cmd = nil
+	c.ended()
 }
 
 // Retuning under way: classes appear, become stricter and vanish, fewer attempts are
--- a/scheduler/upgrade_test.go
+++ b/scheduler/upgrade_test.go
@@ -121,10 +121,7 @@
 	if a := testkit.Await(t, "the answer", open); a.status != 200 || a.body != "first" {
 		t.Errorf("open since before: %+v", a)
 	}
-	if err := testkit.Await(t, "the old process's end", c.exited); err != nil {
-		t.Errorf("the old process ended with %v", err)
-	}
-	c.cmd = nil
+	c.ended()
 	next.logged("this one is alone")
 	if got := next.tell("POST", "uncordon", "u"); got != 200 {
 		t.Errorf("uncordon at the new process: %d", got)
