Let workers put back warm up from the restart that the list has told of

Seen: a worker that was restarted while out counted as cold from the call back, though discovery had told of its restart seconds before; it was sent too little for as long. Cordon now takes the later of the restart it knows and, without one, the call.

--- a/cordon_test.go
+++ b/cordon_test.go
@@ -101,3 +101,27 @@
 		t.Errorf("%d jobs in 4 s after it came back cold, %d in 4 s before", n, before)
 	}
 }
+
+// A restart that the list has told of while the worker was out says since when it warms up.
+func TestCordonedWarmsFromItsRestart(t *testing.T) {
+	set := settings()
+	set.WarmUp, set.StartCapacity, set.FallMultiple, set.Fall = 20*time.Second, 0.1, 3, 2*time.Second
+	a, b := WorkerInfo{Worker: "a", Weight: 1}, WorkerInfo{Worker: "b", Weight: 1, StartedAt: time.Hour - time.Minute}
+	d, h := start(t, set, a, b)
+	for _, w := range []string{"a", "b"} {
+		d.Cordon(h.now, w, true)
+	}
+	restarted := h.now + time.Second
+	a.StartedAt = restarted
+	h.run(d, h.now+5*time.Second)
+	d.Members(h.now, ListPatch, []WorkerInfo{a})
+	for _, w := range []string{"a", "b"} {
+		d.Cordon(h.now, w, false)
+	}
+	if got := d.byName["a"].coldUntil; got != restarted+set.WarmUp {
+		t.Errorf("cold until %v after its restart", got-restarted)
+	}
+	if got := d.byName["b"].coldUntil; got != h.now+set.WarmUp {
+		t.Errorf("cold until %v after it came back", got-h.now)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -26,6 +26,7 @@
 	beside    Load          // of other dispatchers of this scheduler, counted in held and unstarted
 	besides   bool          // that has been told before
 	sent      float64       // work ever sent
+	outAt     time.Duration // when it was taken out
 	cordoned  bool          // taken out by an operator, whatever the list says
 	outcomes  bool          // this round had clean outcomes
 	closedAt  time.Duration // when its idle connections were last closed, while it leaves
@@ -421,8 +422,9 @@
 }
 
 // Cordon takes a worker out, or puts it back. While it is out nothing is sent to it, whatever the list
-// says of it meanwhile, also if it vanishes and returns. Put back it counts as cold: it may have been
-// restarted. An unknown worker is reported as false, and nothing changes.
+// says of it meanwhile, also if it vanishes and returns. Put back it counts as cold: from now, or from
+// the restart that the list has told of meanwhile. An unknown worker is reported as false, and nothing
+// changes.
 func (d *Dispatcher) Cordon(now time.Duration, name string, out bool) bool {
 	w := d.byName[name]
 	if w == nil && !d.cordons[name] {
@@ -434,6 +436,9 @@
 	d.wake(now)
 	if out {
 		d.Keep(name)
+		if w != nil {
+			w.outAt = now
+		}
 		return true
 	}
 	delete(d.cordons, name)
@@ -443,7 +448,11 @@
 		d.absolve(w)
 		d.trustAgain(w)
 		if d.set.WarmUp > 0 {
-			d.coolDown(now, w, now)
+			from := now
+			if w.StartedAt > w.outAt { // the list has told of its restart
+				from = min(now, w.StartedAt)
+			}
+			d.coolDown(now, w, from)
 		}
 		d.place(w)
 	}
