--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -100,7 +100,7 @@
 		set.AskForList = false
 	}
 	s := &Scheduler{opt: opt, config: c, clock: core.NewClock(), budget: budget.New(0),
-		order: make(chan struct{}, 1), bonds: bonds{all: map[*bond]struct{}{}}}
+		order: make(chan struct{}, 1), bonds: bonds{all: map[*bond]struct{}{}, more: make(chan struct{}, 1)}}
 	s.settings.Store(&set)
 	s.current.Store(c)
 	s.limit(c)
--- a/scheduler/upgrade.go
+++ b/scheduler/upgrade.go
@@ -51,6 +51,7 @@
 	mu   sync.Mutex
 	all  map[*bond]struct{}
 	last int
+	more chan struct{}  // holds a token once there is another
 	host *handover.Host // nil: not waiting for another process
 }
 
@@ -60,6 +61,10 @@
 	s.bonds.last++
 	b := &bond{s: s, number: s.bonds.last, gone: make(chan struct{}), waits: map[uint64]chan struct{}{}}
 	s.bonds.all[b] = struct{}{}
+	select {
+	case s.bonds.more <- struct{}{}:
+	default:
+	}
 	return b
 }
 
@@ -297,25 +302,35 @@
 	}
 }
 
-// report tells the others how many descriptors are in use here, until the context
-// ends.
+// report tells the others how many descriptors are in use here, as long as there
+// are others, until the context ends. Alone it does not wake up.
 func (s *Scheduler) report(ctx context.Context) {
-	tick := time.NewTicker(tellEvery)
-	defer tick.Stop()
-	last := 0
 	for {
 		select {
-		case <-tick.C:
+		case <-s.bonds.more:
 		case <-ctx.Done():
 			return
 		}
-		all, used := s.others(), s.used()
-		if len(all) > 0 && used != last {
-			for _, b := range all {
-				b.send(&handover.Message{Used: used})
+		tick := time.NewTicker(tellEvery)
+		for last := 0; ; {
+			select {
+			case <-tick.C:
+			case <-ctx.Done():
+				tick.Stop()
+				return
+			}
+			all, used := s.others(), s.used()
+			if len(all) == 0 {
+				break
+			}
+			if used != last {
+				for _, b := range all {
+					b.send(&handover.Message{Used: used})
+				}
 			}
+			last = used
 		}
-		last = used
+		tick.Stop()
 	}
 }
 
