--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -299,8 +299,8 @@
 	c.setState(fresh)
 	s.clients.Add(1)
 	if !s.budget.Take() {
-		// A descriptor more, and accepting fails, which ends the event loop with
-		// all that it holds. This one connection is the lesser loss.
+		// A descriptor more, and neither accepting nor dialling works, for anybody.
+		// This one connection is the lesser loss.
 		s.log.Error("no descriptors left, closing a new connection", "open", s.budget.Used())
 		return nil, gnet.Close
 	}
