--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run
+.PHONY: build test lint run torture powercut
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -10,5 +10,21 @@
 	test -z "$$(gofmt -l .)"
 	go vet ./...
 
+# Stand-in boxes and a scheduler with a journal, until Ctrl-C; both end together.
 run: build
-	bin/sedgevale serve -f deploy/operator.toml
+	@mkdir -p logs
+	@{ cat deploy/operator.toml; printf '\n[journal]\ndir = "logs/journal"\n'; } > logs/run.toml
+	@bin/sedgevale standin -f logs/run.toml & boxes=$$!; trap 'kill $$boxes 2>/dev/null' EXIT; \
+		trap 'kill $$serve 2>/dev/null' INT TERM; bin/sedgevale serve -f logs/run.toml & serve=$$!; \
+		wait $$serve; wait $$serve
+
+# A real scheduler killed KILLS times under load; its journal is held against the boxes' ledgers.
+KILLS ?= 1000
+SEED ?= 1
+torture:
+	go test -count=1 -timeout 0 -v ./internal/torture -run TestKills -args -kills $(KILLS) -seed $(SEED)
+
+# Power cuts over a disk in memory that fails.
+SEEDS ?= 10000
+powercut:
+	go test -count=1 -timeout 0 -v ./internal/joblog/store -run TestPowerCuts -args -seeds $(SEEDS)
--- a/cmd/sedgevale/main.go
+++ b/cmd/sedgevale/main.go
@@ -19,6 +19,8 @@
 	Serve   serveCmd   `cmd:"" help:"Schedule jobs until SIGTERM; SIGHUP reads the file again."`
 	Import  importCmd  `cmd:"" help:"Make an operator's file of HAProxy's configuration."`
 	Check   checkCmd   `cmd:"" help:"Check an operator's file."`
+	Journal journalCmd `cmd:"" help:"Ask the journal of one-shot jobs."`
+	Standin standinCmd `cmd:"" help:"Play the workers that an operator's file names, to try things out."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
@@ -92,6 +94,18 @@
 	k := kong.Parse(&cli{}, kong.Name("sedgevale"), kong.Description("A job scheduler for a fleet of workers."))
 	if err := k.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "sedgevale:", err)
-		os.Exit(1)
+		code := 1
+		if s := (status{}); errors.As(err, &s) {
+			code = s.code
+		}
+		os.Exit(code)
 	}
 }
+
+// status is an error with an exit status of its own.
+type status struct {
+	code int
+	error
+}
+
+func (s status) Unwrap() error { return s.error }
--- /dev/null
+++ b/cmd/sedgevale/standin.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"sedgevale/internal/standin"
+	"sedgevale/scheduler"
+)
+
+type standinCmd struct {
+	File  string        `short:"f" required:"" type:"existingfile" help:"Operator's file whose workers are played."`
+	Seed  uint64        `default:"1" help:"For what is drawn at random."`
+	Work  time.Duration `default:"100ms" help:"How long a job takes on average."`
+	Fault []string      `placeholder:"POINT=SHARE" help:"Fail at a point for a share of the jobs: turn-away, cut-early, error, cut-begun, garbage, hang, cut-done, failed."`
+}
+
+// Run plays the workers of an operator's file until SIGTERM or SIGINT.
+func (c standinCmd) Run() error {
+	file, err := scheduler.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	faults := standin.Faults{}
+	for _, f := range c.Fault {
+		if err := faults.ParseFault(f); err != nil {
+			return err
+		}
+	}
+	if c.Work <= 0 {
+		return fmt.Errorf("--work %v must be above 0", c.Work)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	shelves := map[int]*standin.Shelf{}
+	for _, m := range file.Known.Members {
+		if shelves[m.Cell] == nil {
+			shelves[m.Cell] = standin.NewShelf(0)
+		}
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(m.ID))
+		box := standin.NewBox(standin.BoxOptions{ID: m.ID, Slots: int(m.Size), Faults: faults, Seed: c.Seed ^ h.Sum64(),
+			Shelf: shelves[m.Cell], Work: func(_ string, r *rand.Rand) time.Duration {
+				return time.Duration(min(10, r.ExpFloat64()) * float64(c.Work))
+			}})
+		if _, err := box.Listen(m.HostPort); err != nil {
+			return fmt.Errorf("box %s: %w", m.ID, err)
+		}
+		defer box.Close()
+		fmt.Printf("box %s listens on %s\n", m.ID, m.HostPort)
+	}
+	<-ctx.Done()
+	return nil
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -27,9 +27,10 @@
 	Settings  Settings        `json:"settings"`
 
 	// Of an operator's file alone.
-	SSE      *SSE `json:"-"`
-	Planners int  `json:"-"`
-	Loops    int  `json:"-"`
+	SSE      *SSE     `json:"-"`
+	Journal  *Journal `json:"-"`
+	Planners int      `json:"-"`
+	Loops    int      `json:"-"`
 
 	Source []byte `json:"-"` // the platform's file; nil: not of such a file
 
--- /dev/null
+++ b/internal/config/journal.go
@@ -0,0 +1,95 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+)
+
+// Journal sets up the journal of one-shot jobs; see docs/JOURNAL.md. Times are in
+// seconds.
+type Journal struct {
+	Dir       string   `toml:"dir"`
+	Classes   []string `toml:"classes,omitempty"`    // none: all whose effect is not free
+	Sync      string   `toml:"sync,omitempty"`       // SyncGroup or SyncNone
+	KeyFile   string   `toml:"key_file,omitempty"`   // none: "key" in Dir
+	Keep      float64  `toml:"keep_s,omitempty"`     // 0: a week
+	MaxMB     int      `toml:"max_mb,omitempty"`     // 0: 256
+	ReserveMB int      `toml:"reserve_mb,omitempty"` // 0: 8
+	OnFull    string   `toml:"on_full,omitempty"`    // RefuseOnFull or ServeOnFull
+}
+
+// The words of a Journal; the first of each is the default.
+const (
+	SyncGroup    = "group" // a record counts once it is on the disk
+	SyncNone     = "none"  // once it is the operating system's: the machine's end can take it
+	RefuseOnFull = "refuse"
+	ServeOnFull  = "serve"
+)
+
+const (
+	journalKeep    = 7 * 24 * 3600
+	journalMax     = 256
+	journalReserve = 8
+	journalLeast   = 4
+)
+
+func (j *Journal) defaults() {
+	if j.Keep == 0 {
+		j.Keep = journalKeep
+	}
+	if j.MaxMB == 0 {
+		j.MaxMB = journalMax
+	}
+	if j.ReserveMB == 0 {
+		j.ReserveMB = journalReserve
+	}
+	if j.Sync == "" {
+		j.Sync = SyncGroup
+	}
+	if j.OnFull == "" {
+		j.OnFull = RefuseOnFull
+	}
+}
+
+func (c *Config) checkJournal() error {
+	j := c.Journal
+	j.defaults() // also for programs that embed a scheduler and set what they care for
+	switch {
+	case j.Dir == "":
+		return errors.New("journal.dir is missing")
+	case j.Sync != SyncGroup && j.Sync != SyncNone:
+		return fmt.Errorf("journal.sync is %q: %q or %q", j.Sync, SyncGroup, SyncNone)
+	case j.OnFull != RefuseOnFull && j.OnFull != ServeOnFull:
+		return fmt.Errorf("journal.on_full is %q: %q or %q", j.OnFull, RefuseOnFull, ServeOnFull)
+	case j.Keep < 0 || j.Keep > 1e9:
+		return errors.New("journal.keep_s must be between 0 and 1e9")
+	case j.MaxMB < journalLeast || j.MaxMB > 1<<20:
+		return fmt.Errorf("journal.max_mb must be at least %d", journalLeast)
+	case j.ReserveMB < 0 || j.ReserveMB > j.MaxMB/2:
+		return errors.New("journal.reserve_mb must be at most half of max_mb")
+	}
+	for _, name := range j.Classes {
+		if !slices.ContainsFunc(c.Settings.Classes, func(k Class) bool { return k.Name == name }) {
+			return fmt.Errorf("journal.classes: no class %q in the settings", name)
+		}
+	}
+	if len(c.JournalClasses()) == 0 {
+		return errors.New("journal.classes: no class of the settings is to be recorded")
+	}
+	return nil
+}
+
+// JournalClasses returns the classes whose jobs are recorded.
+func (c *Config) JournalClasses() []string {
+	if len(c.Journal.Classes) > 0 {
+		return c.Journal.Classes
+	}
+	var names []string
+	for _, k := range c.Settings.Classes {
+		if k.Effect != "free" {
+			names = append(names, k.Name)
+		}
+	}
+	return names
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -24,6 +24,7 @@
 	Loops     int                `toml:"loops,omitempty"`
 	Limits    Limits             `toml:"limits"`
 	SSE       *SSE               `toml:"sse,omitempty"`
+	Journal   *Journal           `toml:"journal,omitempty"`
 	Settings  Settings           `toml:"settings"`
 	Workers   []discovery.Member `toml:"workers"`
 }
@@ -68,7 +69,7 @@
 	}
 	return &Config{Name: f.Name, Listen: f.Listen, Ops: f.Ops, Discovery: f.Discovery, Seed: f.Seed, Limits: f.Limits,
 		Known: &discovery.List{Complete: true, Members: f.Workers}, Settings: f.Settings,
-		SSE: f.SSE, Planners: f.Planners, Loops: f.Loops}
+		SSE: f.SSE, Journal: f.Journal, Planners: f.Planners, Loops: f.Loops}
 }
 
 // Write writes the file.
@@ -110,6 +111,11 @@
 			return errors.New("times of sse must not be negative")
 		}
 	}
+	if c.Journal != nil {
+		if err := c.checkJournal(); err != nil {
+			return err
+		}
+	}
 	if c.Planners < 0 || c.Loops < 0 {
 		return errors.New("planners and loops must not be negative")
 	}
--- a/internal/core/exchange.go
+++ b/internal/core/exchange.go
@@ -11,13 +11,14 @@
 
 // Job is what a client asks for.
 type Job struct {
-	ID     string
-	Class  *sedgevale.Class // as it was when the job came; it is not changed
-	Tenant int
-	Key    string // what the job is about; may be empty
-	Slots  float64
-	Hint   time.Duration
-	Retry  bool
+	ID         string
+	Class      *sedgevale.Class // as it was when the job came; it is not changed
+	Tenant     int
+	TenantName string
+	Key        string // what the job is about; may be empty
+	Slots      float64
+	Hint       time.Duration
+	Retry      bool
 
 	// Handed to the worker as they are; the core does not look into them.
 	Method, Target string
@@ -62,6 +63,8 @@
 	out      int
 	answered bool
 	last     sedgevale.Outcome // of the attempt that ended last
+	journal  Journal           // nil: the job is not recorded
+	record   uint64            // its number there
 }
 
 // NewExchange returns an Exchange for a job whose client waits up to the
@@ -73,19 +76,15 @@
 func (x *Exchange) answer(a Answer) {
 	if !x.answered {
 		x.answered = true
+		if x.journal != nil {
+			x.journal.Answered(x.record, a)
+		}
 		x.client.Answer(a)
 	}
 }
 
 // mayHaveRun reports whether an attempt may have run.
-func (x *Exchange) mayHaveRun() bool {
-	for _, a := range x.attempts {
-		if !a.over || !a.unseen {
-			return true
-		}
-	}
-	return false
-}
+func (x *Exchange) mayHaveRun() bool { return x.ran(nil) }
 
 // Attempt is one sending of an Exchange to a worker.
 type Attempt struct {
@@ -97,6 +96,7 @@
 	Single   bool          // it must not run twice, so nothing can mend a connection that breaks
 
 	timer  *timer
+	held   bool // not given to the carrier yet: its intent is not on record
 	over   bool
 	unseen bool // over, and it never ran
 }
--- /dev/null
+++ b/internal/core/journal_test.go
@@ -0,0 +1,164 @@
+package core
+
+import (
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"sedgevale"
+	"sedgevale/internal/testkit"
+)
+
+// book is a Journal that keeps the class "once" and lets the test say when an intent is
+// durable.
+type book struct {
+	mu      sync.Mutex
+	last    uint64
+	full    bool
+	notes   []string
+	intents chan func(bool)
+}
+
+func (b *book) Take(j *Job) (uint64, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if j.Class.Name != "once" {
+		return 0, true
+	}
+	if b.full {
+		return 0, false
+	}
+	b.last++
+	return b.last, true
+}
+
+func (b *book) note(s string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.notes = append(b.notes, s)
+}
+
+func (b *book) Intent(_ uint64, _ int, _, worker string, done func(bool)) {
+	b.note("intent " + worker)
+	b.intents <- done
+}
+func (b *book) Sent(uint64, int)    { b.note("sent") }
+func (b *book) Started(uint64, int) { b.note("started") }
+func (b *book) Ended(_ uint64, _ int, o sedgevale.Outcome, unseen bool) {
+	if unseen {
+		b.note("ended unseen")
+	} else {
+		b.note("ended")
+	}
+}
+func (b *book) Answered(_ uint64, a Answer) {
+	b.note([]string{"served", "refused", "failed"}[a.Kind])
+}
+func (b *book) Gone(uint64) { b.note("gone") }
+
+func (b *book) said(t *testing.T, want ...string) {
+	t.Helper()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !slices.Equal(b.notes, want) {
+		t.Errorf("on record: %q, want %q", b.notes, want)
+	}
+}
+
+func recorded(t *testing.T) (*Planner, *carrier, Clock, *book) {
+	t.Helper()
+	p, carry, clock := begin(t, "w")
+	b := &book{intents: make(chan func(bool), 16)}
+	p.call(func() { p.Record(b) })
+	return p, carry, clock, b
+}
+
+func once(id string, deadline time.Duration, c Client) *Exchange {
+	return NewExchange(Job{ID: id, Class: &classes()[1], Tenant: -1}, deadline, c)
+}
+
+// Guards the order of things: nothing goes to a worker before the intent is durable,
+// others go on meanwhile, and each step is told once.
+func TestIntentComesFirst(t *testing.T) {
+	p, carry, clock, b := recorded(t)
+	c, free := newClient(), newClient()
+	p.Request(once("r", clock.Now()+5*time.Second, c))
+	durable := testkit.Await(t, "an intent", b.intents)
+	p.Request(NewExchange(Job{ID: "free", Class: &classes()[0], Tenant: -1}, clock.Now()+5*time.Second, free))
+	if a := testkit.Await(t, "a send", carry.sent); a.ID != "free" || a.Recorded() {
+		t.Fatalf("%s was sent first", a.ID)
+	}
+	durable(true)
+	a := testkit.Await(t, "a send", carry.sent)
+	if a.ID != "r" || !a.Recorded() {
+		t.Fatalf("%s was sent", a.ID)
+	}
+	p.Sent(a)
+	p.Started(a)
+	p.Ended(a, sedgevale.Served, []byte("x"), nil)
+	if got := testkit.Await(t, "an answer", c.first); got.Kind != Served {
+		t.Errorf("answered %+v", got)
+	}
+	openNow(t, p)
+	b.said(t, "intent w", "sent", "started", "ended", "served")
+}
+
+// Guards against an answer that comes too late, or never, because the disk does, and
+// against sending once the client has been refused.
+func TestIntentNotDurableInTime(t *testing.T) {
+	p, carry, clock, b := recorded(t)
+	c := newClient()
+	deadline := clock.Now() + 300*time.Millisecond
+	p.Request(once("r", deadline, c))
+	durable := testkit.Await(t, "an intent", b.intents)
+	got := testkit.Await(t, "an answer", c.first)
+	if late := clock.Now() - deadline; got.Kind != Refused || late < 0 || late > 200*time.Millisecond {
+		t.Errorf("answered %+v, %v after the deadline", got, late)
+	}
+	durable(true)
+	if n := openNow(t, p); n != 0 || len(carry.sent) != 0 || c.count() != 1 {
+		t.Errorf("%d open, %d sent, %d answers", n, len(carry.sent), c.count())
+	}
+	b.said(t, "intent w", "refused", "ended unseen")
+}
+
+// Guards against a job that goes out though its intent cannot be written, and against one
+// that is taken in while the journal is full.
+func TestNoRoomForAnIntent(t *testing.T) {
+	p, carry, clock, b := recorded(t)
+	c := newClient()
+	p.Request(once("r", clock.Now()+5*time.Second, c))
+	testkit.Await(t, "an intent", b.intents)(false)
+	if got := testkit.Await(t, "an answer", c.first); got.Kind != Refused {
+		t.Errorf("answered %+v", got)
+	}
+	b.mu.Lock()
+	b.full = true
+	b.mu.Unlock()
+	c = newClient()
+	p.Request(once("s", clock.Now()+5*time.Second, c))
+	if got := testkit.Await(t, "an answer", c.first); got.Kind != Refused {
+		t.Errorf("answered %+v while the journal is full", got)
+	}
+	free := newClient()
+	p.Request(NewExchange(Job{ID: "free", Class: &classes()[0], Tenant: -1}, clock.Now()+5*time.Second, free))
+	if a := testkit.Await(t, "a send", carry.sent); a.ID != "free" {
+		t.Errorf("%s was sent", a.ID)
+	}
+	b.said(t, "intent w", "refused", "ended unseen")
+}
+
+// Guards against a client's leaving, or a fault of the module, that sends what is held.
+func TestHeldAttemptIsCalledOff(t *testing.T) {
+	p, carry, clock, b := recorded(t)
+	p.Request(once("r", clock.Now()+5*time.Second, newClient()))
+	durable := testkit.Await(t, "an intent", b.intents)
+	p.call(func() { panic("a fault") })
+	openNow(t, p)
+	durable(true)
+	if n := openNow(t, p); n != 0 || len(carry.sent) != 0 {
+		t.Errorf("%d open, %d sent", n, len(carry.sent))
+	}
+	b.said(t, "intent w", "ended unseen", "failed")
+}
--- a/internal/core/planner.go
+++ b/internal/core/planner.go
@@ -24,16 +24,17 @@
 	set     sedgevale.Settings
 	seed    uint64
 
-	d      *sedgevale.Dispatcher
-	box    *inbox.Box[event]
-	orders *inbox.Box[func()] // of operators: taken before each event
-	wake   chan struct{}
-	timers timers
-	serial uint64
-	now    time.Duration
-	open   map[string]*Exchange
-	list   map[string]sedgevale.WorkerInfo // for a fresh Dispatcher
-	out    map[string]bool                 // cordoned, for the same
+	d       *sedgevale.Dispatcher
+	box     *inbox.Box[event]
+	orders  *inbox.Box[func()] // of operators: taken before each event
+	wake    chan struct{}
+	timers  timers
+	serial  uint64
+	now     time.Duration
+	open    map[string]*Exchange
+	list    map[string]sedgevale.WorkerInfo // for a fresh Dispatcher
+	out     map[string]bool                 // cordoned, for the same
+	journal Journal                         // nil: none
 	sharing
 }
 
@@ -42,6 +43,8 @@
 const (
 	evRequest kind = iota
 	evGone
+	evIntended
+	evSent
 	evStarted
 	evProgress
 	evEnded
@@ -58,6 +61,7 @@
 	report  *sedgevale.Report
 	result  []byte
 	share   float64
+	ok      bool
 	worker  string
 	list    sedgevale.ListKind
 	entries []sedgevale.WorkerInfo
@@ -204,8 +208,11 @@
 		for _, x := range p.open {
 			for _, a := range x.attempts {
 				if !a.over {
-					a.over = true
+					a.over, a.unseen = true, a.held
 					p.carrier.Cancel(a)
+					if a.record != 0 {
+						p.journal.Ended(a.record, a.Number, sedgevale.Cancelled, a.unseen)
+					}
 				}
 			}
 			x.answer(Answer{Kind: Failed, Reason: "internal error", Ran: x.mayHaveRun()})
@@ -239,11 +246,23 @@
 	case evGone:
 		if !e.x.answered {
 			e.x.answered = true
+			if e.x.journal != nil {
+				e.x.journal.Gone(e.x.record)
+			}
 			p.d.Gone(p.now, e.x.ID)
 			p.forget(e.x)
 		}
+	case evIntended:
+		p.intended(e.a, e.ok)
+	case evSent:
+		if !e.a.over {
+			p.journal.Sent(e.a.record, e.a.Number)
+		}
 	case evStarted:
 		if !e.a.over {
+			if e.a.record != 0 {
+				p.journal.Started(e.a.record, e.a.Number)
+			}
 			if !e.a.answered {
 				e.a.client.Started()
 			}
@@ -279,6 +298,10 @@
 		x.answer(Answer{Kind: Failed, Reason: "the class is gone"})
 		return
 	}
+	if !p.take(x) {
+		x.answer(Answer{Kind: Refused, After: min(fullAfter, p.set.MaxRetryAfter), Reason: "it cannot be recorded"})
+		return
+	}
 	p.open[x.ID] = x
 	p.opened(x.ID)
 	err := p.d.Request(p.now, sedgevale.Request{ID: x.ID, Class: class, Tenant: x.Tenant, Key: x.Key,
@@ -318,8 +341,11 @@
 	if a.timer.index >= 0 { // else it would keep the request's body until the deadline
 		heap.Remove(&p.timers, a.timer.index)
 	}
-	a.unseen = o == sedgevale.ConnectFailed || o == sedgevale.NotSent ||
+	a.unseen = a.held || o == sedgevale.ConnectFailed || o == sedgevale.NotSent ||
 		o == sedgevale.Full && !p.set.FullMayHaveRun
+	if a.record != 0 {
+		p.journal.Ended(a.record, a.Number, o, a.unseen)
+	}
 	x := a.Exchange
 	x.out--
 	p.changed = true
@@ -366,7 +392,10 @@
 		switch {
 		case t.attempt == nil:
 			p.d.Timer(p.now, t.token)
-		case !t.attempt.over:
+		case t.attempt.over:
+		case t.attempt.held:
+			p.turnBack(t.attempt)
+		default:
 			p.carrier.Cancel(t.attempt)
 			p.ended(t.attempt, sedgevale.TimedOut, nil, nil)
 		}
@@ -389,7 +418,7 @@
 	p.changed = true
 	a.timer = &timer{at: a.Deadline, attempt: a}
 	p.arm(a.timer)
-	p.carrier.Send(a)
+	p.carry(a)
 }
 
 // Refuse is called by the Dispatcher.
@@ -410,8 +439,14 @@
 
 // Cancel is called by the Dispatcher.
 func (p *Planner) Cancel(id string, attempt int) {
-	if x := p.open[id]; x != nil && attempt < len(x.attempts) && !x.attempts[attempt].over {
-		p.carrier.Cancel(x.attempts[attempt])
+	x := p.open[id]
+	if x == nil || attempt >= len(x.attempts) || x.attempts[attempt].over {
+		return
+	}
+	if a := x.attempts[attempt]; a.held { // the carrier does not have it
+		p.Ended(a, sedgevale.NotSent, nil, nil)
+	} else {
+		p.carrier.Cancel(a)
 	}
 }
 
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -138,7 +138,7 @@
 	}
 	for i := range terms.Tenants {
 		if terms.Tenants[i].Name == tenant {
-			j.Tenant = i
+			j.Tenant, j.TenantName = i, terms.Tenants[i].Name
 		}
 	}
 	if j.Tenant < 0 && len(terms.Tenants) > 0 {
--- /dev/null
+++ b/internal/joblog/store/key.go
@@ -0,0 +1,75 @@
+package store
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"sedgevale/internal/joblog"
+)
+
+// KeyFile is the name of the key in a journal's directory, where no other is named.
+const KeyFile = "key"
+
+// KeyPath returns where the key of a journal is.
+func KeyPath(dir, keyFile string) string {
+	if keyFile != "" {
+		return keyFile
+	}
+	return join(dir, KeyFile)
+}
+
+// ReadKey reads a key: hexadecimal digits of at least 32 bytes, in a file that nobody
+// but its owner may read.
+func ReadKey(path string) (secret []byte, err error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("the journal's key: %w", err)
+	}
+	defer f.Close()
+	info, err := f.Stat()
+	if err != nil {
+		return nil, fmt.Errorf("the journal's key: %w", err)
+	}
+	if info.Mode().Perm()&0o077 != 0 {
+		return nil, fmt.Errorf("the journal's key %s may be read or written by others (mode %04o): chmod 600 it",
+			path, info.Mode().Perm())
+	}
+	text := make([]byte, 4097)
+	n, _ := f.Read(text)
+	secret, err = hex.DecodeString(strings.TrimSpace(string(text[:n])))
+	if err != nil || len(secret) < joblog.MinKey { // the text is not shown: it may be most of a secret
+		return nil, fmt.Errorf("the journal's key %s must be at least %d hexadecimal digits", path, 2*joblog.MinKey)
+	}
+	return secret, nil
+}
+
+// MakeKey reads a key and makes it first if there is none, but not for a journal that
+// has records: those were written with the one that is missing.
+func MakeKey(path string, used bool) ([]byte, error) {
+	secret, err := ReadKey(path)
+	if !errors.Is(err, os.ErrNotExist) {
+		return secret, err
+	}
+	if used {
+		return nil, fmt.Errorf("%w; the journal has records that were written with it: put it back, or begin in an empty directory", err)
+	}
+	secret = make([]byte, joblog.MinKey)
+	_, _ = rand.Read(secret) // never fails
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
+	if errors.Is(err, os.ErrExist) { // the other process of an upgrade was first
+		return ReadKey(path)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("the journal's key: %w", err)
+	}
+	_, err = f.WriteString(hex.EncodeToString(secret) + "\n")
+	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
+		_ = os.Remove(path)
+		return nil, fmt.Errorf("the journal's key: %w", err)
+	}
+	return secret, nil
+}
--- /dev/null
+++ b/internal/joblog/store/lane.go
@@ -0,0 +1,377 @@
+package store
+
+import (
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"sedgevale/internal/joblog"
+)
+
+// lane is the segments that one process writes. It is for one goroutine and waits for
+// the disk.
+//
+// After a failed write or sync the file is not written any more: whether its pages will
+// ever reach the disk is then unknown. The next segment follows on the last record that
+// is surely durable, and what came after that is written there again. Cutting the file
+// back instead was tried: a power cut can undo the cut and keep the half of what was
+// written over it, which looks like records that somebody has altered.
+type lane struct {
+	fs    FS
+	dir   string
+	key   *joblog.Key
+	limit int64 // bytes of a segment
+	run   [16]byte
+
+	file    File // nil: the next write begins a segment
+	number  uint64
+	off     int64      // bytes written and good
+	durable int64      // of those, surely on the disk
+	chain   joblog.Mac // on which the next frame follows, in this file
+	tip     joblog.Mac // of the last record, whichever segment has it
+	seq     uint64     // of the last record
+	last    int64      // time of the last record
+
+	durTip joblog.Mac // the same at the last good sync
+	durSeq uint64
+	pend   []joblog.Record // written since, or to be written again
+	behind bool            // pend is of the process before, whose run was
+	before [16]byte
+
+	book     *joblog.Book      // open jobs, and those that an operator must look at
+	first    map[uint64]uint64 // by serial: the segment with the oldest record of such a job
+	segments []segment         // sealed
+	stale    []string          // files that do not count any more
+	buf      []byte
+	doubts   func(Problem)
+}
+
+// recovery is what was found at the start.
+type recovery struct {
+	open     [joblog.Unknown + 1]int // by verdict: jobs that the process before had open
+	kept     int                     // jobs that wait for an operator
+	problems []Problem
+	clean    bool
+}
+
+// openLane reads what there is and gets ready to go on after it. It writes nothing.
+func openLane(fsys FS, dir string, key *joblog.Key, limit int64, doubts func(Problem)) (*lane, recovery, error) {
+	l := &lane{fs: fsys, dir: dir, key: key, limit: limit, book: joblog.NewBook(), first: map[uint64]uint64{}, doubts: doubts}
+	_, _ = rand.Read(l.run[:])
+	var rec recovery
+	got, err := readLane(fsys, dir, key, visitor{
+		run:    func() { l.died() },
+		record: func(r *joblog.Record, number uint64) { l.learn(r, number) },
+		gap:    l.book.MarkGap,
+	})
+	if err != nil {
+		return nil, rec, err
+	}
+	rec.open = l.died()
+	rec.kept, rec.problems, rec.clean = len(l.book.Jobs), got.problems, got.closed || len(got.segments) == 0
+	l.number, l.seq, l.tip, l.segments = got.number, got.seq, got.tip, got.segments
+	l.stale = got.stale
+	// What the process before had not synced may be gone at the next power cut though it
+	// can be read now, so it is written again.
+	l.durSeq, l.durTip, l.pend = got.durSeq, got.durTip, got.after
+	l.before, l.behind = got.run, len(got.after) > 0
+	return l, rec, nil
+}
+
+// died closes the books of a process that is gone, and forgets what nobody need look at.
+func (l *lane) died() [joblog.Unknown + 1]int {
+	counts := l.book.Died()
+	for serial, j := range l.book.Jobs {
+		l.forget(serial, j)
+	}
+	return counts
+}
+
+func (l *lane) forget(serial uint64, j *joblog.Job) {
+	if j.Done() {
+		l.book.Drop(serial)
+		delete(l.first, serial)
+	}
+}
+
+// learn keeps the book. A record that does not fit was counted there.
+func (l *lane) learn(r *joblog.Record, number uint64) {
+	j, _ := l.book.Apply(r)
+	if j == nil {
+		return
+	}
+	if _, ok := l.first[j.Serial]; !ok || r.Kind == joblog.Kept {
+		l.first[j.Serial] = number
+	}
+	l.forget(j.Serial, j)
+}
+
+// write appends records; they are not durable yet. After an error none of them is in
+// the journal.
+func (l *lane) write(recs []joblog.Record) error {
+	if l.file != nil && l.off > l.limit {
+		if err := l.sync(); err != nil {
+			return err
+		}
+		l.seal()
+	}
+	if l.file == nil {
+		if err := l.next(); err != nil {
+			return err
+		}
+	}
+	buf, chain, n := l.frames(l.buf[:0], l.chain, l.durable, recs)
+	l.buf = buf
+	if cap(l.buf) > 1<<20 {
+		l.buf = nil
+	}
+	if err := l.put(buf); err != nil {
+		return err
+	}
+	if n > 0 {
+		l.chain, l.tip, l.seq = chain, chain, l.seq+n
+	}
+	l.pend = append(l.pend, recs...)
+	for i := range recs {
+		l.last = max(l.last, recs[i].At)
+		l.learn(&recs[i], l.number)
+	}
+	return nil
+}
+
+// frames encodes records. One that cannot be is left out: nothing that was read from a
+// client may keep the others from being written.
+func (l *lane) frames(buf []byte, chain joblog.Mac, durable int64, recs []joblog.Record) ([]byte, joblog.Mac, uint64) {
+	n := uint64(0)
+	for i := range recs {
+		var err error
+		if buf, chain, err = l.key.AppendFrame(buf, chain, durable, &recs[i]); err != nil {
+			l.doubts(Problem{join(l.dir, segmentName(l.number)), l.off, "a record was left out: " + err.Error(), false})
+			continue
+		}
+		n++
+	}
+	return buf, chain, n
+}
+
+// put appends to the file, whole or not at all.
+func (l *lane) put(b []byte) error {
+	n, err := l.file.Write(b)
+	if err == nil && n < len(b) {
+		err = io.ErrShortWrite
+	}
+	if err == nil {
+		l.off += int64(n)
+		return nil
+	}
+	l.distrust()
+	return err
+}
+
+// next begins a segment that follows on the last durable record.
+func (l *lane) next() (err error) {
+	l.number++ // also if it fails: a file that is half made is left behind, or was
+	// It gets its name once it is whole: half of it would hide what it is to replace.
+	path := l.path() + halfEnding
+	f, err := l.fs.Create(path)
+	if err != nil {
+		return err
+	}
+	run := l.run
+	if l.behind {
+		run = l.before
+	}
+	h := joblog.Header{Number: l.number, Run: run, First: l.durSeq + 1, Prev: l.durTip}
+	buf, mac := l.key.AppendHeader(nil, h)
+	buf, chain, n := l.frames(buf, mac, 0, l.pend)
+	if w, werr := f.Write(buf); werr != nil || w < len(buf) {
+		err = werr
+		if err == nil {
+			err = io.ErrShortWrite
+		}
+	}
+	if err == nil {
+		err = f.Sync()
+	}
+	if err == nil {
+		err = l.fs.Rename(path, l.path())
+	}
+	if err == nil {
+		err = l.fs.SyncDir(l.dir)
+	}
+	if err != nil {
+		_ = f.Close()
+		_ = l.fs.Remove(path) // where this fails too, the next start does it
+		return err
+	}
+	l.file, l.off = f, int64(len(buf))
+	l.chain, l.tip, l.seq = chain, l.durTip, l.durSeq+n
+	if n > 0 {
+		l.tip = chain
+	}
+	l.synced()
+	if l.behind {
+		l.behind = false
+		l.seal()
+		return l.next()
+	}
+	return nil
+}
+
+func (l *lane) synced() {
+	l.durable, l.durSeq, l.durTip = l.off, l.seq, l.tip
+	clear(l.pend)
+	l.pend = l.pend[:0]
+}
+
+// sync makes all that was written durable.
+func (l *lane) sync() error {
+	if l.file == nil {
+		if len(l.pend) == 0 {
+			return nil
+		}
+		return l.next()
+	}
+	if err := l.file.Sync(); err != nil {
+		l.distrust()
+		return err
+	}
+	l.synced()
+	return nil
+}
+
+// seal ends a segment that is durable.
+func (l *lane) seal() {
+	if err := l.file.Close(); err != nil {
+		l.doubts(Problem{l.path(), l.off, "closing it: " + err.Error(), false})
+	}
+	l.file = nil
+	l.segments = append(l.segments, segment{l.number, l.path(), l.off, l.last})
+	l.last = 0
+}
+
+func (l *lane) path() string { return join(l.dir, segmentName(l.number)) }
+
+// distrust gives the file up. What was durable is read again, since a disk that fails
+// a sync may have lost more than that.
+func (l *lane) distrust() {
+	_ = l.file.Close()
+	l.file = nil
+	l.segments = append(l.segments, segment{l.number, l.path(), l.off, l.last})
+	if err := l.verify(); err != nil {
+		l.doubts(Problem{l.path(), 0, "it was durable and cannot be read back: " + err.Error(), false})
+	}
+	l.tip, l.seq, l.last = l.durTip, l.durSeq, 0
+}
+
+var errShrunk = errors.New("records are missing")
+
+func (l *lane) verify() error {
+	b, err := l.fs.ReadFile(l.path())
+	if err != nil {
+		return err
+	}
+	_, mac, err := l.key.ReadHeader(b)
+	if err != nil {
+		return err
+	}
+	at := int64(joblog.HeaderSize)
+	for at < l.durable {
+		f, err := l.key.ReadFrame(b[at:], mac)
+		if err != nil {
+			return fmt.Errorf("at %d: %w", at, err)
+		}
+		mac, at = f.Mac, at+int64(f.Size)
+	}
+	if at != l.durable {
+		return errShrunk
+	}
+	return nil
+}
+
+// bytes returns how much the segments hold.
+func (l *lane) bytes() (n int64) {
+	if l.file != nil {
+		n = l.off
+	}
+	for _, s := range l.segments {
+		n += s.bytes
+	}
+	return n
+}
+
+// prune drops the oldest segment, if it is sealed. What it says of jobs that must be
+// kept is written again first. Only once that is durable, and that the segment is
+// dropped on purpose, the file goes.
+func (l *lane) prune(now time.Time) error {
+	if len(l.segments) == 0 {
+		return nil
+	}
+	s := l.segments[0]
+	var recs []joblog.Record
+	for serial, number := range l.first {
+		if j := l.book.Jobs[serial]; j != nil && number <= s.number {
+			whole := *j
+			whole.Attempts = append([]joblog.Attempt(nil), j.Attempts...)
+			recs = append(recs, joblog.Record{Kind: joblog.Kept, Serial: serial, At: now.UnixMicro(), Whole: &whole})
+		}
+	}
+	// The records before the next segment go, whichever that is.
+	dropped, err := l.lastBefore(1)
+	if err != nil {
+		return err
+	}
+	recs = append(recs, joblog.Record{Kind: joblog.Pruned, At: now.UnixMicro(), Count: dropped})
+	if err := l.write(recs); err != nil {
+		return err
+	}
+	if err := l.sync(); err != nil {
+		return err
+	}
+	defer func() { _ = l.fs.SyncDir(l.dir) }() // where it fails, the file may come back
+	l.segments = l.segments[1:]                // also if it cannot be removed: nothing in it counts any more
+	l.stale = append(l.stale, s.path)
+	l.clean()
+	return nil
+}
+
+// clean removes files that do not count any more, the oldest first.
+func (l *lane) clean() {
+	for len(l.stale) > 0 {
+		if err := l.fs.Remove(l.stale[0]); err != nil && !missing(err) {
+			return // another time
+		}
+		l.stale = l.stale[1:]
+	}
+}
+
+// lastBefore returns the sequence number of the last record before a segment.
+func (l *lane) lastBefore(i int) (uint64, error) {
+	path := l.path()
+	if i < len(l.segments) {
+		path = l.segments[i].path
+	} else if l.file == nil { // all was sealed; what comes next follows on the last
+		return l.durSeq, nil
+	}
+	b, err := l.fs.ReadFile(path)
+	if err != nil {
+		return 0, err
+	}
+	h, _, err := l.key.ReadHeader(b)
+	return h.First - 1, err
+}
+
+// close ends the lane in order.
+func (l *lane) close(now time.Time) error {
+	err := l.write([]joblog.Record{{Kind: joblog.Closed, At: now.UnixMicro()}})
+	if err == nil {
+		err = l.sync()
+	}
+	if l.file != nil {
+		err = errors.Join(err, l.file.Close())
+		l.file = nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/joblog/store/powercut_test.go
@@ -0,0 +1,205 @@
+package store_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"sedgevale/internal/joblog"
+	"sedgevale/internal/joblog/store"
+	"sedgevale/internal/standin"
+)
+
+// CI plays some hundred seeds; `make powercut` plays as many as SEEDS says.
+var powerSeeds = flag.Int("seeds", 300, "power cuts: seeds to play")
+
+var secret = []byte("0123456789abcdef0123456789abcdef")
+
+// world is a scheduler and its boxes, reduced to what the journal is told, on a disk
+// that fails and loses its power.
+type world struct {
+	r      *rand.Rand
+	disk   *standin.Disk
+	ledger *standin.Ledger
+	store  *store.Store
+	now    time.Time
+	jobs   int
+	out    []*flight
+	early  bool            // a mutation: it is sent before the intent is durable
+	over   map[string]bool // served, and answered
+}
+
+type flight struct {
+	id, box string
+	serial  uint64
+	begun   bool
+}
+
+func (w *world) open(t *testing.T) {
+	s, err := store.OpenStepped(store.Options{FS: w.disk, Dir: "j", Secret: secret, Sync: true, Keep: time.Minute,
+		MaxBytes: 64 << 10, Reserve: 4 << 10, Segment: 2 << 10, Now: func() time.Time { return w.now }})
+	if err != nil {
+		t.Fatalf("a journal that does not open: %v", err)
+	}
+	w.store = s
+}
+
+// step is one of the things that happen, drawn at random.
+func (w *world) step() {
+	w.now = w.now.Add(time.Duration(w.r.IntN(20)-2) * time.Millisecond) // it steps back, too
+	switch n := w.r.IntN(20); {
+	case n < 5:
+		w.take()
+	case n < 9:
+		w.store.Batch()
+	case n < 13:
+		w.store.Sync()
+	case n < 14:
+		w.store.Tend()
+	case n < 15 && w.r.IntN(10) == 0:
+		w.now = w.now.Add(40 * time.Second) // segments grow old
+	default:
+		w.progress()
+	}
+}
+
+func (w *world) take() {
+	if w.store.Full() {
+		return
+	}
+	w.jobs++
+	f := &flight{id: fmt.Sprintf("job-%d", w.jobs), box: fmt.Sprintf("box-%d", w.r.IntN(3)), serial: w.store.Serial()}
+	w.store.Put(joblog.Record{Kind: joblog.Taken, Serial: f.serial, At: w.now.UnixMicro(), Job: f.id, Class: "once"}, nil)
+	begin := func(err error) {
+		if err != nil {
+			w.put(f, joblog.Answered, uint8(joblog.Refused), false)
+			return
+		}
+		f.begun = true
+		w.ledger.Begin(f.id, "once", f.box)
+		w.put(f, joblog.Sent, 0, false)
+		w.out = append(w.out, f)
+	}
+	intent := joblog.Record{Kind: joblog.Intent, Serial: f.serial, At: w.now.UnixMicro(), Job: f.id, Worker: f.box}
+	if w.early {
+		begin(nil)
+		w.store.Put(intent, nil)
+		return
+	}
+	w.store.Put(intent, begin)
+}
+
+func (w *world) put(f *flight, kind joblog.Kind, code uint8, unseen bool) {
+	w.store.Put(joblog.Record{Kind: kind, Serial: f.serial, At: w.now.UnixMicro(), Code: code, Unseen: unseen}, nil)
+}
+
+// progress has one of the jobs that are out go on.
+func (w *world) progress() {
+	if len(w.out) == 0 {
+		return
+	}
+	i := w.r.IntN(len(w.out))
+	f := w.out[i]
+	w.out = append(w.out[:i], w.out[i+1:]...)
+	switch w.r.IntN(8) {
+	case 0:
+		w.put(f, joblog.Ended, uint8(joblog.OutTimedOut), false)
+		w.put(f, joblog.Answered, uint8(joblog.Failed), false)
+	case 1:
+		w.put(f, joblog.Started, 0, false)
+		w.out = append(w.out, f)
+	default:
+		w.ledger.Finish(f.id, f.box)
+		w.put(f, joblog.Ended, uint8(joblog.OutServed), false)
+		w.put(f, joblog.Answered, uint8(joblog.Served), false)
+		w.over[f.id] = true
+	}
+}
+
+// play runs a world over some cuts and returns what its journal says that is not so.
+func play(t *testing.T, seed uint64, early bool) (breaches []string, jobs, unknown int) {
+	w := &world{r: rand.New(rand.NewPCG(seed, 1)), ledger: standin.NewLedger(), now: time.UnixMicro(1e15), early: early,
+		over: map[string]bool{}}
+	w.disk = standin.NewDisk(seed, []int64{1 << 20, 24 << 10, 10 << 10}[w.r.IntN(3)])
+	faults := []standin.Op{standin.OpWrite, standin.OpShort, standin.OpSync, standin.OpCreate,
+		standin.OpSyncDir, standin.OpRename, standin.OpRemove}
+	w.open(t)
+	for range 3 {
+		for range 40 + w.r.IntN(120) {
+			if w.r.IntN(30) == 0 { // another fault, or none
+				w.disk.Fail(faults[w.r.IntN(len(faults))], []float64{0, 0.3, 1}[w.r.IntN(3)])
+			}
+			if w.r.IntN(60) == 0 {
+				for _, op := range faults {
+					w.disk.Fail(op, 0)
+				}
+			}
+			w.step()
+		}
+		if w.r.IntN(4) == 0 {
+			w.disk = w.disk.Kill()
+		} else {
+			w.disk = w.disk.Cut()
+		}
+		w.out = nil
+		view, err := store.Read(w.disk, "j", secret, "")
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		var dropped func(string) bool
+		if len(view.Lanes) > 0 && view.Lanes[0].Pruned > 0 {
+			dropped = func(id string) bool { return w.over[id] }
+		}
+		breaches = append(breaches, standin.Audit(w.ledger, view.Jobs, all, all, all, dropped)...)
+		for _, p := range view.Problems {
+			if !p.Torn {
+				breaches = append(breaches, "taken for damage: "+p.String())
+			}
+		}
+		w.open(t)
+	}
+	view, err := store.Read(w.disk.Kill(), "j", secret, "")
+	if err != nil {
+		t.Fatalf("seed %d: %v", seed, err)
+	}
+	for _, j := range view.Jobs {
+		if v, _, _ := j.Verdict(); v == joblog.Unknown {
+			unknown++
+		}
+	}
+	return breaches, w.jobs, unknown
+}
+
+func all(string) bool { return true }
+
+// Guards the order of intent and sending, and that nothing durable is lost or wrongly
+// told, over power cuts, kills, full disks, and writes, syncs and names that fail.
+func TestPowerCuts(t *testing.T) {
+	jobs, unknown, bad := 0, 0, 0
+	for seed := range *powerSeeds {
+		breaches, n, u := play(t, uint64(seed), false)
+		jobs, unknown = jobs+n, unknown+u
+		for _, b := range breaches {
+			if bad++; bad <= 10 {
+				t.Errorf("seed %d: %s", seed, b)
+			}
+		}
+	}
+	t.Logf("%d seeds, %d jobs, %d unknown, %d violations", *powerSeeds, jobs, unknown, bad)
+}
+
+// The check has teeth: a scheduler that sends before its intent is durable is caught.
+func TestPowerCutsCatchEarlySending(t *testing.T) {
+	caught := 0
+	for seed := range 50 {
+		if breaches, _, _ := play(t, uint64(seed), true); len(breaches) > 0 {
+			caught++
+		}
+	}
+	if caught < 10 {
+		t.Errorf("sending before the intent was noticed in %d of 50 seeds", caught)
+	}
+	t.Logf("caught in %d of 50 seeds", caught)
+}
--- /dev/null
+++ b/internal/joblog/store/store.go
@@ -0,0 +1,561 @@
+// Package store keeps a journal of one-shot jobs on a disk: in append-only segments
+// whose records are chained by a keyed hash, written by one goroutine that commits in
+// groups. Nobody who hands a record in ever waits for the disk.
+package store
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"sedgevale/internal/inbox"
+	"sedgevale/internal/joblog"
+)
+
+// Options set a Store up.
+type Options struct {
+	FS       FS // nil: the operating system's
+	Dir      string
+	Secret   []byte        // of the key
+	Owner    Owner         // who writes
+	Sync     bool          // false: what was written counts as durable, though the machine's end can take it
+	Keep     time.Duration // jobs that are over are dropped after so long
+	MaxBytes int64         // of the journal; 0: no bound
+	Reserve  int64         // bytes kept for records that close open jobs
+	Log      *slog.Logger
+	Segment  int64 // bytes; 0: a sixteenth of MaxBytes, 1 to 16 MiB
+	Now      func() time.Time
+}
+
+// Owner is the process that writes a lane, as others find it in the lock.
+type Owner struct {
+	PID  int    `json:"pid"`
+	Name string `json:"name"`          // of the scheduler: the two processes of an upgrade share it
+	Ops  string `json:"ops,omitempty"` // where it takes operators' calls
+}
+
+func (o Owner) String() string { return fmt.Sprintf("scheduler %q (process %d)", o.Name, o.PID) }
+
+const (
+	maxLanes   = 8
+	tickEvery  = 100 * time.Millisecond
+	lazySync   = 20 * time.Millisecond // records that nobody waits for are durable after so long
+	sweepEvery = time.Minute
+	heldMost   = 1 << 16 // records kept in memory while the disk takes none
+	ledgerMin  = 1 << 20
+	ledgerMax  = 16 << 20
+)
+
+// ErrNoRoom is told to who waits for a record that cannot be written.
+var ErrNoRoom = errors.New("the journal has no room")
+
+// ErrEnded is told to who waits when the Store closes.
+var ErrEnded = errors.New("the journal is closed")
+
+type entry struct {
+	rec  joblog.Record
+	done func(error) // once the record is durable, or cannot be; may be nil
+	call func()      // in place of a record
+}
+
+// Store is a journal that is written. Its methods do not wait for the disk unless they
+// say so.
+type Store struct {
+	opt   Options
+	lock  io.Closer
+	box   *inbox.Box[entry]
+	wake  chan struct{}
+	ended chan struct{}
+	lane  *lane
+
+	mu      sync.Mutex
+	serial  uint64
+	full    bool
+	stats   Stats
+	closing bool
+
+	// For the loop alone.
+	space   joblog.Space
+	held    []joblog.Record
+	dropped uint64
+	waiting []func(error)
+	swept   time.Time
+	dirty   time.Time // since when something is written and not durable
+	reserve bool      // the reserved file is there
+	failing bool      // the last write or sync failed
+}
+
+// Stats are counts since the start.
+type Stats struct {
+	Records, Syncs, Failures, Dropped uint64
+	Bytes                             int64 // on the disk
+	Kept                              int   // jobs open or waiting for an operator
+	Held                              int   // records that could not be written yet
+}
+
+// Open opens a journal and takes a lane of it. Two processes of the same scheduler have
+// a lane each; a directory that another scheduler uses is an error.
+func Open(o Options) (*Store, error) {
+	s, err := open(o)
+	if err == nil {
+		go s.run()
+	}
+	return s, err
+}
+
+// open does all of that but run.
+func open(o Options) (*Store, error) {
+	if o.FS == nil {
+		o.FS = OS{}
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	if o.Segment <= 0 {
+		o.Segment = min(max(o.MaxBytes/16, ledgerMin), ledgerMax)
+	}
+	key, err := joblog.NewKey(o.Secret)
+	if err != nil {
+		return nil, fmt.Errorf("journal %s: %w", o.Dir, err)
+	}
+	dir, lock, err := takeLane(o)
+	if err != nil {
+		return nil, fmt.Errorf("journal %s: %w", o.Dir, err)
+	}
+	s := &Store{opt: o, lock: lock, wake: make(chan struct{}, 1), ended: make(chan struct{}),
+		space: joblog.Space{Reserve: o.Reserve, Most: o.MaxBytes}}
+	var rec recovery
+	if s.lane, rec, err = openLane(o.FS, dir, key, o.Segment, s.doubt); err != nil {
+		lock.Close()
+		return nil, fmt.Errorf("journal %s: %w", o.Dir, err)
+	}
+	s.serial = s.lane.book.Last
+	s.box = inbox.New[entry](func() {
+		select {
+		case s.wake <- struct{}{}:
+		default:
+		}
+	})
+	for _, p := range rec.problems {
+		if !p.Torn {
+			o.Log.Error("the journal is damaged", "at", p.String())
+		}
+	}
+	o.Log.Info("journal open", "dir", dir, "after_crash", !rec.clean, "open_ran", rec.open[joblog.Ran],
+		"open_did_not_run", rec.open[joblog.DidNotRun], "open_unknown", rec.open[joblog.Unknown], "to_settle", rec.kept)
+	s.measure()
+	return s, nil
+}
+
+// takeLane takes the first lane that no process has.
+func takeLane(o Options) (dir string, lock io.Closer, err error) {
+	me, err := json.Marshal(o.Owner)
+	if err != nil {
+		return "", nil, err
+	}
+	for i := range maxLanes {
+		dir = join(o.Dir, laneName(i))
+		if err := o.FS.MkdirAll(dir); err != nil {
+			return "", nil, err
+		}
+		lock, text, err := o.FS.Lock(join(dir, lockName), string(me))
+		if err == nil {
+			return dir, lock, nil
+		}
+		if !errors.Is(err, ErrLocked) {
+			return "", nil, err
+		}
+		owner := parseOwner(text)
+		if owner.Name != o.Owner.Name || owner.PID == o.Owner.PID {
+			return "", nil, fmt.Errorf("%w, %s: give each scheduler a directory of its own", ErrLocked, owner)
+		}
+	}
+	return "", nil, fmt.Errorf("%w: all %d lanes are taken", ErrLocked, maxLanes)
+}
+
+func parseOwner(text string) (o Owner) {
+	_ = json.Unmarshal([]byte(text), &o) // who wrote it may not have finished: then nobody is named
+	return o
+}
+
+func laneName(i int) string { return fmt.Sprintf("lane-%d", i) }
+
+// lanes returns the lanes that are there, in order.
+func lanes(fsys FS, dir string) (out []string, err error) {
+	names, err := fsys.ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	for _, n := range names {
+		if strings.HasPrefix(n, "lane-") {
+			out = append(out, join(dir, n))
+		}
+	}
+	slices.Sort(out)
+	return out, nil
+}
+
+// Used reports whether a directory has a journal's records.
+func Used(fsys FS, dir string) bool {
+	all, err := lanes(fsys, dir)
+	if err != nil {
+		return false
+	}
+	for _, lane := range all {
+		names, _ := fsys.ReadDir(lane)
+		if slices.ContainsFunc(names, func(n string) bool { _, ok := segmentNumber(n); return ok }) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Store) doubt(p Problem) { s.opt.Log.Error("the journal is damaged", "at", p.String()) }
+
+// Serial returns a number for a job, which no other job of this lane has or had.
+func (s *Store) Serial() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.serial++
+	return s.serial
+}
+
+// Full reports whether no new job should be taken.
+func (s *Store) Full() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.full
+}
+
+// Put hands a record in. Done, which may be nil, is called from the Store's goroutine
+// once the record is durable, or with an error once it cannot be.
+func (s *Store) Put(r joblog.Record, done func(error)) {
+	r.Clip()
+	s.box.Put(entry{rec: r, done: done})
+}
+
+// Stats returns the counts.
+func (s *Store) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stats
+}
+
+// Close writes what there is and ends the lane. It waits for the disk.
+func (s *Store) Close() {
+	s.mu.Lock()
+	was := s.closing
+	s.closing = true
+	s.mu.Unlock()
+	if !was {
+		s.box.Put(entry{})
+	}
+	<-s.ended
+}
+
+func (s *Store) run() {
+	defer close(s.ended)
+	tick := time.NewTimer(tickEvery)
+	defer tick.Stop()
+	checked := time.Time{}
+	for {
+		wait := tickEvery
+		if !s.dirty.IsZero() {
+			wait = min(wait, lazySync)
+		}
+		tick.Reset(wait)
+		select {
+		case <-s.wake:
+		case <-tick.C:
+		}
+		end := s.batch(s.box.Take())
+		now := s.opt.Now()
+		if len(s.waiting) > 0 || !s.dirty.IsZero() && (now.Sub(s.dirty) >= lazySync || now.Before(s.dirty)) {
+			s.sync()
+		}
+		if since := now.Sub(checked); since >= tickEvery || since < 0 {
+			checked = now
+			s.tend(now)
+		}
+		if end {
+			s.finish()
+			return
+		}
+	}
+}
+
+// batch writes what has come in, and reports whether the end was asked for.
+func (s *Store) batch(items []entry) (end bool) {
+	if len(items) == 0 && len(s.held) == 0 {
+		return false
+	}
+	recs := s.held
+	s.held = nil
+	var done []func(error)
+	for i := range items {
+		e := &items[i]
+		switch {
+		case e.call != nil:
+			defer e.call()
+		case e.rec.Kind == 0:
+			end = true
+		default:
+			recs = append(recs, e.rec)
+			if e.done != nil {
+				done = append(done, e.done)
+			}
+		}
+	}
+	if len(recs) == 0 {
+		return end
+	}
+	if s.dropped > 0 {
+		recs = append([]joblog.Record{{Kind: joblog.Gap, At: s.opt.Now().UnixMicro(), Count: s.dropped}}, recs...)
+	}
+	err := s.lane.write(recs)
+	if err != nil && s.reserve { // what closes open jobs may use what was reserved for it
+		s.release()
+		err = s.lane.write(recs)
+	}
+	if err != nil {
+		s.failed(err)
+		s.hold(recs)
+		for _, f := range done {
+			f(fmt.Errorf("%w: %w", ErrNoRoom, err))
+		}
+		return end
+	}
+	s.works()
+	s.dropped = 0
+	s.waiting = append(s.waiting, done...)
+	if s.dirty.IsZero() {
+		s.dirty = s.opt.Now()
+	}
+	s.mu.Lock()
+	s.stats.Records += uint64(len(recs))
+	s.mu.Unlock()
+	return end
+}
+
+// hold keeps what could not be written, but for intents, whose attempts are not made,
+// and beyond the bound.
+func (s *Store) hold(recs []joblog.Record) {
+	for _, r := range recs {
+		switch {
+		case r.Kind == joblog.Intent, r.Kind == joblog.Gap:
+		case len(s.held) >= heldMost:
+			s.dropped++
+		default:
+			s.held = append(s.held, r)
+		}
+	}
+}
+
+// failed notes that a write or sync failed.
+func (s *Store) failed(err error) {
+	s.mu.Lock()
+	s.stats.Failures++
+	s.mu.Unlock()
+	if !s.failing {
+		s.failing = true
+		s.opt.Log.Error("the journal cannot be written", "dir", s.lane.dir, "err", err)
+	}
+	s.space.Failed(s.opt.Now())
+	s.tellFull()
+}
+
+// works notes that the disk takes what is written.
+func (s *Store) works() {
+	if s.failing {
+		s.failing = false
+		s.opt.Log.Info("the journal is written again", "dir", s.lane.dir, "missing", s.dropped)
+	}
+}
+
+func (s *Store) sync() {
+	if s.opt.Sync {
+		if err := s.lane.sync(); err != nil {
+			s.failed(err) // those who wait go on waiting: it is tried again in another file
+			return
+		}
+		s.works()
+		s.mu.Lock()
+		s.stats.Syncs++
+		s.mu.Unlock()
+	} else {
+		s.lane.synced()
+	}
+	s.dirty = time.Time{}
+	for i, f := range s.waiting {
+		f(nil)
+		s.waiting[i] = nil
+	}
+	s.waiting = s.waiting[:0]
+}
+
+// tend looks after the room, and drops what is old.
+func (s *Store) tend(now time.Time) {
+	s.measure()
+	if !s.space.Full() && !s.reserve && s.opt.Reserve > 0 {
+		if err := s.makeReserve(); err != nil {
+			s.failed(fmt.Errorf("the reserve: %w", err))
+			return
+		}
+	}
+	if now.Sub(s.swept) >= sweepEvery || now.Before(s.swept) {
+		s.swept = now
+		s.sweep(now)
+	}
+	l := s.lane
+	l.clean()
+	if len(l.segments) == 0 || s.failing {
+		return
+	}
+	oldest := l.segments[0]
+	old := s.opt.Keep > 0 && now.UnixMicro()-oldest.last > s.opt.Keep.Microseconds()
+	if !old && (s.opt.MaxBytes <= 0 || l.bytes() < s.opt.MaxBytes-s.opt.MaxBytes/8) {
+		return
+	}
+	if err := l.prune(now); err != nil {
+		s.failed(err)
+	}
+	if s.dirty.IsZero() {
+		s.dirty = now
+	}
+}
+
+// sweep drops lanes that no process has, once all in them is old and nothing waits for
+// an operator. The process before an upgrade leaves one.
+func (s *Store) sweep(now time.Time) {
+	if s.opt.Keep <= 0 {
+		return
+	}
+	all, err := lanes(s.opt.FS, s.opt.Dir)
+	if err != nil {
+		return
+	}
+	for _, dir := range all {
+		if dir == s.lane.dir {
+			continue
+		}
+		lock, _, err := s.opt.FS.Lock(join(dir, lockName), `{"name":"retention"}`)
+		if err != nil {
+			continue
+		}
+		l, _, err := openLane(s.opt.FS, dir, s.lane.key, s.opt.Segment, s.doubt)
+		if err == nil && len(l.book.Jobs) == 0 && !slices.ContainsFunc(l.segments, func(g segment) bool {
+			return now.UnixMicro()-g.last <= s.opt.Keep.Microseconds()
+		}) {
+			for _, g := range l.segments { // the oldest first: what is left is still one chain
+				if err := s.opt.FS.Remove(g.path); err != nil {
+					s.opt.Log.Warn("a segment of the journal is not dropped", "file", g.path, "err", err)
+					break
+				}
+			}
+		}
+		lock.Close()
+	}
+}
+
+// measure takes in how much room there is.
+func (s *Store) measure() {
+	free, err := s.opt.FS.Free(s.opt.Dir)
+	if err != nil {
+		free = -1
+	}
+	l := s.lane
+	stuck := int64(len(l.book.Jobs)) * keptSize
+	s.space.Observe(s.opt.Now(), free, l.bytes(), stuck)
+	s.mu.Lock()
+	s.stats.Bytes, s.stats.Kept, s.stats.Held = l.bytes(), len(l.book.Jobs), len(s.held)
+	s.mu.Unlock()
+	s.tellFull()
+}
+
+// keptSize is about what a job takes that waits for an operator, on the disk.
+const keptSize = 512
+
+func (s *Store) tellFull() {
+	full := s.space.Full()
+	s.mu.Lock()
+	changed := s.full != full
+	s.full = full
+	s.mu.Unlock()
+	switch {
+	case changed && full:
+		s.opt.Log.Warn("the journal is full: new jobs are not recorded", "dir", s.lane.dir, "bytes", s.lane.bytes())
+	case changed:
+		s.opt.Log.Info("the journal has room again", "dir", s.lane.dir, "bytes", s.lane.bytes())
+	}
+}
+
+// makeReserve writes a file that is removed when room is needed. Its bytes are written,
+// not only counted: a hole takes no room.
+func (s *Store) makeReserve() error {
+	path := join(s.lane.dir, reserveName)
+	if err := s.opt.FS.Remove(path); err != nil && !missing(err) {
+		return err
+	}
+	f, err := s.opt.FS.Create(path)
+	if err != nil {
+		return err
+	}
+	chunk := make([]byte, 256<<10)
+	for left := s.opt.Reserve; left > 0 && err == nil; left -= int64(len(chunk)) {
+		var n int
+		if n, err = f.Write(chunk[:min(left, int64(len(chunk)))]); err == nil && int64(n) < min(left, int64(len(chunk))) {
+			err = io.ErrShortWrite
+		}
+	}
+	if err == nil {
+		err = f.Sync()
+	}
+	if err = errors.Join(err, f.Close()); err != nil {
+		_ = s.opt.FS.Remove(path)
+		return err
+	}
+	s.reserve = true
+	return nil
+}
+
+func (s *Store) release() {
+	s.reserve = false
+	if err := s.opt.FS.Remove(join(s.lane.dir, reserveName)); err != nil {
+		s.opt.Log.Error("the journal's reserve cannot be given back", "err", err)
+	}
+}
+
+// finish ends the lane.
+func (s *Store) finish() {
+	s.batch(s.box.Take())
+	if len(s.held) == 0 && s.dropped == 0 {
+		if err := s.lane.close(s.opt.Now()); err != nil {
+			s.failed(err)
+		} else {
+			for _, f := range s.waiting {
+				f(nil)
+			}
+			s.waiting = nil
+		}
+	} else {
+		s.opt.Log.Error("the journal ends with records unwritten", "records", uint64(len(s.held))+s.dropped)
+	}
+	for _, f := range s.waiting {
+		f(ErrEnded)
+	}
+	if s.reserve {
+		s.release()
+	}
+	if err := s.lock.Close(); err != nil {
+		s.opt.Log.Error("the journal's lock", "err", err)
+	}
+}
--- /dev/null
+++ b/internal/joblog/store/store_test.go
@@ -0,0 +1,418 @@
+package store_test
+
+import (
+	"bytes"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"sedgevale/internal/joblog"
+	"sedgevale/internal/joblog/store"
+	"sedgevale/internal/standin"
+	"sedgevale/internal/testkit"
+)
+
+// desk is a stepped Store on a disk in memory.
+type desk struct {
+	t    *testing.T
+	disk *standin.Disk
+	s    *store.Store
+	now  time.Time
+	log  bytes.Buffer
+	opt  store.Options
+}
+
+func newDesk(t *testing.T, room int64, change func(*store.Options)) *desk {
+	d := &desk{t: t, disk: standin.NewDisk(1, room), now: time.UnixMicro(1e15)}
+	d.opt = store.Options{FS: d.disk, Dir: "j", Secret: secret, Sync: true, Keep: time.Hour, Reserve: 4 << 10, Segment: 4 << 10,
+		Owner: store.Owner{PID: 1, Name: "a"}, Now: func() time.Time { return d.now }, Log: slog.New(slog.NewTextHandler(&d.log, nil))}
+	if change != nil {
+		change(&d.opt)
+	}
+	d.open()
+	return d
+}
+
+func (d *desk) open() {
+	d.t.Helper()
+	d.opt.FS = d.disk
+	var err error
+	if d.s, err = store.OpenStepped(d.opt); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+// step does all that a Store does in a turn.
+func (d *desk) step() {
+	d.now = d.now.Add(50 * time.Millisecond)
+	d.s.Batch()
+	d.s.Sync()
+	d.s.Tend()
+}
+
+// begin hands in a job with an intent and returns what becomes of that.
+func (d *desk) begin(id string) (serial uint64, got func() error) {
+	serial = d.s.Serial()
+	at := d.now.UnixMicro()
+	out := errors.New("still waiting")
+	d.s.Put(joblog.Record{Kind: joblog.Taken, Serial: serial, At: at, Job: id, Class: "once"}, nil)
+	d.s.Put(joblog.Record{Kind: joblog.Intent, Serial: serial, At: at, Job: id, Worker: "box"}, func(err error) { out = err })
+	return serial, func() error { return out }
+}
+
+// end hands in that a job ran and was answered.
+func (d *desk) end(serial uint64) {
+	at := d.now.UnixMicro()
+	d.s.Put(joblog.Record{Kind: joblog.Ended, Serial: serial, At: at, Code: uint8(joblog.OutServed)}, nil)
+	d.s.Put(joblog.Record{Kind: joblog.Answered, Serial: serial, At: at, Code: uint8(joblog.Served)}, nil)
+}
+
+func (d *desk) view() *store.View {
+	d.t.Helper()
+	v, err := store.Read(d.disk.Kill(), "j", secret, "")
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return v
+}
+
+func (d *desk) verdict(id string) string {
+	d.t.Helper()
+	for _, j := range d.view().Jobs {
+		if j.ID == id {
+			v, _, _ := j.Verdict()
+			return v.String()
+		}
+	}
+	return "absent"
+}
+
+// Guards the full disk: a new job is turned back, what closes an open one is written from
+// the reserve, and all is well again once there is room.
+func TestFullDisk(t *testing.T) {
+	d := newDesk(t, 64<<10, nil)
+	open, got := d.begin("open")
+	d.step()
+	d.step()
+	if got() != nil || d.s.Full() {
+		t.Fatalf("intent: %v, full %v", got(), d.s.Full())
+	}
+	d.disk.WriteFile("other", make([]byte, 1<<20)) // somebody else fills the disk
+	d.step()
+	if !d.s.Full() {
+		t.Fatal("there is no room, and new jobs are still taken")
+	}
+	late, got := d.begin("late") // it had been taken just before
+	d.end(open)
+	d.step()
+	if err := got(); !errors.Is(err, store.ErrNoRoom) {
+		t.Errorf("an intent with no room: %v", err)
+	}
+	d.s.Put(joblog.Record{Kind: joblog.Answered, Serial: late, At: 1, Code: uint8(joblog.Refused)}, nil)
+	for range 5 {
+		d.step()
+	}
+	if !d.s.Full() || d.s.Stats().Held == 0 {
+		t.Errorf("full %v, held %d", d.s.Full(), d.s.Stats().Held)
+	}
+	d.disk.Room(4 << 20)
+	for range 30 {
+		d.step()
+	}
+	if d.s.Full() || d.s.Stats().Held != 0 {
+		t.Errorf("with room again: full %v, held %d", d.s.Full(), d.s.Stats().Held)
+	}
+	if _, got := d.begin("next"); got() == nil {
+		t.Error("done at once")
+	} else if d.step(); got() != nil {
+		t.Errorf("with room again: %v", got())
+	}
+	if a, b := d.verdict("open"), d.verdict("late"); a != "ran" || b != "did_not_run" {
+		t.Errorf("what was open %s, what was turned back %s", a, b)
+	}
+	if n := strings.Count(d.log.String(), "is full"); n != 1 {
+		t.Errorf("%d lines say that it is full", n)
+	}
+}
+
+// Guards the reserve: with it given up, records that close jobs find room on a disk that
+// has none for others.
+func TestReserve(t *testing.T) {
+	d := newDesk(t, 64<<10, nil)
+	open, _ := d.begin("open")
+	d.step()
+	d.step() // the reserve is made
+	free, _ := d.disk.Free("j")
+	d.disk.WriteFile("other", make([]byte, free))
+	d.end(open)
+	d.s.Batch()
+	d.s.Sync()
+	if got := d.verdict("open"); got != "ran" {
+		t.Errorf("with the disk full the job's end is not on record: %s", got)
+	}
+}
+
+// Guards against an intent that counts as durable after a failed sync, and against its
+// loss once the disk works again.
+func TestFailedSync(t *testing.T) {
+	d := newDesk(t, 1<<20, nil)
+	_, first := d.begin("first")
+	d.step()
+	d.disk.Fail(standin.OpSync, 1)
+	_, second := d.begin("second")
+	for range 3 {
+		d.step()
+	}
+	if first() != nil || second() == nil {
+		t.Fatalf("before the fault %v, in it %v", first(), second())
+	}
+	if !strings.Contains(d.log.String(), "cannot be written") {
+		t.Error("no line says so")
+	}
+	d.disk.Fail(standin.OpSync, 0)
+	d.step()
+	if err := second(); err != nil {
+		t.Errorf("after the fault: %v", err)
+	}
+	d.disk = d.disk.Cut()
+	v := d.view()
+	if len(v.Jobs) != 2 || v.Damaged() {
+		t.Errorf("%d jobs after a power cut, problems %v", len(v.Jobs), v.Problems)
+	}
+}
+
+// Guards retention: old jobs go, open ones and those of unknown fate stay until they are
+// settled, memory stays flat, and what is dropped on purpose is no damage.
+func TestRetention(t *testing.T) {
+	d := newDesk(t, 8<<20, func(o *store.Options) { o.Keep, o.MaxBytes = time.Minute, 1<<20 })
+	doubt, _ := d.begin("doubt")
+	d.s.Put(joblog.Record{Kind: joblog.Ended, Serial: doubt, At: 1, Code: uint8(joblog.OutLost)}, nil)
+	d.s.Put(joblog.Record{Kind: joblog.Answered, Serial: doubt, At: 1, Code: uint8(joblog.Failed)}, nil)
+	open, _ := d.begin("open")
+	for i := range 2000 {
+		serial, _ := d.begin(fmt.Sprint("many-", i))
+		d.end(serial)
+		d.step()
+		if n := d.s.Known(); n > 2 {
+			t.Fatalf("%d jobs are in memory after %d", n, i)
+		}
+	}
+	d.now = d.now.Add(2 * time.Minute)
+	for range 200 {
+		d.step()
+	}
+	v := d.view()
+	if len(v.Jobs) > 60 || v.Damaged() {
+		t.Errorf("%d jobs are left, problems %v", len(v.Jobs), v.Problems)
+	}
+	if a, b := d.verdict("doubt"), d.verdict("open"); a != "unknown" || b == "absent" {
+		t.Errorf("a job of unknown fate is %s, an open one %s", a, b)
+	}
+	d.end(open)
+	d.step()
+	if got := d.verdict("open"); got != "ran" {
+		t.Errorf("carried on and ended: %s", got)
+	}
+	d.s.Finish()
+	n, err := store.SettleIn(d.opt, "doubt", joblog.Ran, "ann", "seen on the box")
+	if n != 1 || err != nil {
+		t.Fatalf("settled %d, %v", n, err)
+	}
+	if got := d.verdict("doubt"); got != "ran" {
+		t.Errorf("settled as ran: %s", got)
+	}
+	if _, err := store.SettleIn(d.opt, "doubt", joblog.Ran, "ann", "again"); !errors.Is(err, store.ErrNothingToSettle) {
+		t.Errorf("settled twice: %v", err)
+	}
+	d.open()
+	if n := d.s.Known(); n != 0 {
+		t.Errorf("%d jobs wait after all were settled", n)
+	}
+}
+
+// Guards against a journal whose files are taken away, swapped or altered: each leaves a
+// sign, and the rest is still read.
+func TestVerifyFindsWhatIsMissing(t *testing.T) {
+	fresh := func() *desk {
+		d := newDesk(t, 8<<20, nil)
+		for i := range 200 {
+			serial, _ := d.begin(fmt.Sprint("job-", i))
+			d.end(serial)
+			d.step()
+		}
+		d.s.Finish()
+		return d
+	}
+	names := func(d *desk) (out []string) {
+		all, _ := d.disk.ReadDir("j/lane-0")
+		for _, n := range all {
+			if strings.HasSuffix(n, ".seg") {
+				out = append(out, "j/lane-0/"+n)
+			}
+		}
+		return out
+	}
+	d := fresh()
+	if v := d.view(); v.Damaged() || len(v.Problems) > 0 || !v.Lanes[0].Closed || len(v.Jobs) != 200 {
+		t.Fatalf("untouched: %+v, %v", v.Lanes, v.Problems)
+	}
+	for what, harm := range map[string]func(d *desk, files []string){
+		"first removed":  func(d *desk, f []string) { _ = d.disk.Remove(f[0]) },
+		"middle removed": func(d *desk, f []string) { _ = d.disk.Remove(f[len(f)/2]) },
+		"byte changed": func(d *desk, f []string) {
+			b, _ := d.disk.ReadFile(f[1])
+			b[len(b)/2] ^= 4
+			d.disk.WriteFile(f[1], b)
+		},
+		"cut short": func(d *desk, f []string) {
+			b, _ := d.disk.ReadFile(f[1])
+			d.disk.WriteFile(f[1], b[:len(b)-200])
+		},
+		"swapped": func(d *desk, f []string) {
+			a, _ := d.disk.ReadFile(f[1])
+			b, _ := d.disk.ReadFile(f[2])
+			d.disk.WriteFile(f[1], b)
+			d.disk.WriteFile(f[2], a)
+		},
+	} {
+		d := fresh()
+		harm(d, names(d))
+		if v := d.view(); !v.Damaged() || len(v.Jobs) < 100 {
+			t.Errorf("%s: problems %v, %d jobs", what, v.Problems, len(v.Jobs))
+		}
+		d.open() // it goes on all the same, and says so
+		if !strings.Contains(d.log.String(), "damaged") {
+			t.Errorf("%s: no line says so", what)
+		}
+	}
+	d = fresh()
+	files := names(d)
+	last, _ := d.disk.ReadFile(files[len(files)-1])
+	d.disk.WriteFile(files[len(files)-1], last[:len(last)-5])
+	if v := d.view(); v.Damaged() || v.Lanes[0].Closed || len(v.Problems) != 1 {
+		t.Errorf("a torn tail: %+v, %v", v.Lanes, v.Problems)
+	}
+}
+
+// Guards against two schedulers in one directory; the two processes of an upgrade have a
+// lane each, and a question finds the jobs of both.
+func TestLanes(t *testing.T) {
+	d := newDesk(t, 8<<20, nil)
+	other := d.opt
+	other.Owner = store.Owner{PID: 2, Name: "b"}
+	if _, err := store.OpenStepped(other); !errors.Is(err, store.ErrLocked) || !strings.Contains(err.Error(), `"a"`) {
+		t.Errorf("another scheduler: %v", err)
+	}
+	other.Owner = store.Owner{PID: 2, Name: "a"}
+	second, err := store.OpenStepped(other)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, _ := d.begin("same") // one id at both, within moments
+	d.end(first)
+	d.step()
+	s := d.s
+	d.s = second
+	d.begin("same")
+	d.step()
+	v := d.view()
+	if len(v.Jobs) != 2 || len(v.Lanes) != 2 || v.Lanes[0].Dir == v.Lanes[1].Dir {
+		t.Errorf("%d jobs, lanes %+v", len(v.Jobs), v.Lanes)
+	}
+	s.Finish()
+	d.s.Finish()
+	d.opt.Owner = store.Owner{PID: 3, Name: "b"}
+	d.open() // free again
+}
+
+// Guards against records that an operator cannot read any more: a missing key is no
+// reason to make another, and one that others may read is no key.
+func TestKeyFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "key")
+	if _, err := store.MakeKey(path, true); !errors.Is(err, os.ErrNotExist) || !strings.Contains(err.Error(), "put it back") {
+		t.Errorf("missing for a journal with records: %v", err)
+	}
+	made, err := store.MakeKey(path, false)
+	if err != nil || len(made) < joblog.MinKey {
+		t.Fatalf("%d bytes, %v", len(made), err)
+	}
+	if again, err := store.MakeKey(path, true); err != nil || !bytes.Equal(made, again) {
+		t.Errorf("read again: %v", err)
+	}
+	if info, _ := os.Stat(path); info.Mode().Perm() != 0o600 {
+		t.Errorf("mode %v", info.Mode())
+	}
+	if err := os.Chmod(path, 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := store.ReadKey(path); err == nil || !strings.Contains(err.Error(), "chmod 600") {
+		t.Errorf("readable by all: %v", err)
+	}
+	for _, bad := range []string{"", "zz", "00ff", strings.Repeat("0", 63)} {
+		p := filepath.Join(t.TempDir(), "key")
+		if err := os.WriteFile(p, []byte(bad), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := store.ReadKey(p); err == nil || bad != "" && strings.Contains(err.Error(), bad) {
+			t.Errorf("%q: %v", bad, err)
+		}
+	}
+	d := newDesk(t, 1<<20, nil)
+	d.begin("j")
+	d.step()
+	wrong := bytes.Repeat([]byte{1}, 32)
+	if _, err := store.Read(d.disk, "j", wrong, ""); !errors.Is(err, joblog.ErrKey) {
+		t.Errorf("another key: %v", err)
+	}
+	d.disk = d.disk.Kill()
+	d.opt.FS, d.opt.Secret = d.disk, wrong
+	if _, err := store.OpenStepped(d.opt); !errors.Is(err, joblog.ErrKey) {
+		t.Errorf("opened with another key: %v", err)
+	}
+	if strings.Contains(d.log.String(), hex.EncodeToString(secret)) {
+		t.Error("the key is in the log")
+	}
+}
+
+// A question about one id finds it as a reading of all does, also on a real disk that is
+// written meanwhile, and a Store that is closed in order says so.
+func TestAskOnDisk(t *testing.T) {
+	dir := t.TempDir()
+	s, err := store.Open(store.Options{Dir: dir, Secret: secret, Sync: true, MaxBytes: 64 << 20, Reserve: 1 << 20})
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 300)
+	for i := range 300 {
+		serial := s.Serial()
+		s.Put(joblog.Record{Kind: joblog.Taken, Serial: serial, At: int64(i + 1), Job: fmt.Sprint("job-", i), Class: "once"}, nil)
+		s.Put(joblog.Record{Kind: joblog.Intent, Serial: serial, At: int64(i + 1), Job: fmt.Sprint("job-", i), Worker: "box"},
+			func(err error) { done <- err })
+	}
+	for range 300 {
+		if err := testkit.Await(t, "an intent", done); err != nil {
+			t.Fatal(err)
+		}
+	}
+	v, err := store.Read(store.OS{}, dir, secret, "job-77")
+	if err != nil || len(v.Jobs) != 1 || v.Jobs[0].ID != "job-77" || !v.Jobs[0].Live || len(v.Jobs[0].Attempts) != 1 {
+		t.Fatalf("%+v, %v", v, err)
+	}
+	if n, err := s.Settle("job-77", joblog.Ran, "ann", "why"); n != 0 || !errors.Is(err, store.ErrNothingToSettle) {
+		t.Errorf("an open job was settled: %d, %v", n, err)
+	}
+	s.Close()
+	if v, err = store.Read(store.OS{}, dir, secret, ""); err != nil || len(v.Jobs) != 300 || !v.Lanes[0].Closed || v.Lanes[0].Live {
+		t.Fatalf("%d jobs, %+v, %v", len(v.Jobs), v.Lanes, err)
+	}
+	if !slices.IsSortedFunc(v.Jobs, func(a, b store.Found) int { return int(a.TakenAt - b.TakenAt) }) {
+		t.Error("not by their time")
+	}
+}
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -28,13 +28,19 @@
 }
 
 // Front is an httpd.Handler.
-type Front struct{ scheduler Scheduler }
+type Front struct {
+	scheduler Scheduler
+	journal   Journal // nil: none
+}
 
-// New returns a Front.
-func New(s Scheduler) *Front { return &Front{s} }
+// New returns a Front. Journal may be nil.
+func New(s Scheduler, journal Journal) *Front { return &Front{s, journal} }
 
 // Serve is called with each request.
 func (f *Front) Serve(c *httpd.Conn, q *httpd.Request) {
+	if f.askJournal(c, q) {
+		return
+	}
 	method, do := "POST", f.scheduler.Healthy
 	switch q.Target {
 	case "/admin/health":
@@ -71,7 +77,7 @@
 	switch {
 	case err == nil:
 		c.RespondLast(200, nil, []byte("yes\n"))
-	case errors.Is(err, ErrUnknown):
+	case notFound(err):
 		c.RespondLast(404, nil, []byte("no: "+err.Error()+"\n"))
 	default:
 		c.RespondLast(503, nil, []byte("no: "+err.Error()+"\n"))
--- /dev/null
+++ b/internal/standin/clients.go
@@ -0,0 +1,106 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Mix is a class of jobs and how much of the load it is.
+type Mix struct {
+	Class string
+	Part  float64 // of the sum of all parts
+	Keyed bool    // jobs carry an Idempotency-Key
+}
+
+// Clients are a closed loop of clients: each sends a job, waits for its answer, thinks,
+// and sends the next.
+type Clients struct {
+	Target  string // address of the scheduler
+	Number  int
+	Mix     []Mix
+	Tenants []string
+	Think   time.Duration // on average
+	Timeout time.Duration // as the client tells it
+	Prefix  string        // of the jobs' ids
+	Seed    uint64
+}
+
+// Told is what a client was told of a job.
+type Told struct {
+	Job, Class string
+	Asked, At  time.Time
+	Status     int // 0: no whole answer
+	Body       string
+}
+
+// Run sends jobs until the context ends and returns what was told of each.
+func (c Clients) Run(ctx context.Context) []Told {
+	var mu sync.Mutex
+	var all []Told
+	var wg sync.WaitGroup
+	for n := range c.Number {
+		wg.Go(func() {
+			r := rand.New(rand.NewPCG(c.Seed, uint64(n)))
+			transport := &http.Transport{DisableCompression: true}
+			defer transport.CloseIdleConnections()
+			h := &http.Client{Transport: transport}
+			for k := 0; ctx.Err() == nil; k++ {
+				t := c.one(h, r, fmt.Sprintf("%s-%d-%d", c.Prefix, n, k))
+				mu.Lock()
+				all = append(all, t)
+				mu.Unlock()
+				select {
+				case <-time.After(time.Duration(r.ExpFloat64() * float64(c.Think))):
+				case <-ctx.Done():
+				}
+			}
+		})
+	}
+	wg.Wait()
+	return all
+}
+
+func (c Clients) one(h *http.Client, r *rand.Rand, id string) Told {
+	sum := 0.0
+	for _, m := range c.Mix {
+		sum += m.Part
+	}
+	kind, at := c.Mix[0], r.Float64()*sum
+	for _, m := range c.Mix {
+		if kind = m; at < m.Part {
+			break
+		}
+		at -= m.Part
+	}
+	t := Told{Job: id, Class: kind.Class, Asked: time.Now()}
+	// What was sent stays sent: the context of the run does not end it.
+	q, err := http.NewRequest(http.MethodPost, "http://"+c.Target+"/"+kind.Class, bytes.NewReader([]byte("job "+id)))
+	if err != nil {
+		return t
+	}
+	q.Header.Set("Request-Id", id)
+	q.Header.Set("Request-Class", kind.Class)
+	q.Header.Set("Tenant", c.Tenants[r.IntN(len(c.Tenants))])
+	q.Header.Set("Request-Timeout", fmt.Sprintf("%dm", c.Timeout.Milliseconds()))
+	q.GetBody = nil // else the library sends it again by itself
+	if kind.Keyed {
+		q.Header.Set("Idempotency-Key", "key-"+id)
+	}
+	a, err := h.Do(q)
+	if err != nil {
+		t.At = time.Now()
+		return t
+	}
+	defer a.Body.Close()
+	body, err := io.ReadAll(a.Body)
+	if t.At = time.Now(); err == nil {
+		t.Status, t.Body = a.StatusCode, string(body)
+	}
+	return t
+}
--- /dev/null
+++ b/internal/standin/discovery.go
@@ -0,0 +1,112 @@
+package standin
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Member is an entry of the list of workers, as discovery tells it.
+type Member struct {
+	ID       string  `json:"id"`
+	HostPort string  `json:"host_port"`
+	Locality string  `json:"locality"`
+	Flavor   string  `json:"flavor"`
+	Cell     int     `json:"cell"`
+	Phase    string  `json:"phase"`
+	Size     float64 `json:"size"`
+	UpSince  int64   `json:"up_since_ms"`
+}
+
+// Discovery tells schedulers the list of workers: whole, or as a watch on changes.
+type Discovery struct {
+	mu       sync.Mutex
+	revision int64
+	members  []Member
+	changed  map[string]int64 // the revision of a member's last change
+	newer    chan struct{}    // closed at the next change
+	server   *http.Server
+}
+
+// maxWatch is how long a watch may wait at most.
+const maxWatch = time.Minute
+
+// NewDiscovery returns a Discovery that does not listen yet.
+func NewDiscovery(members ...Member) *Discovery {
+	d := &Discovery{revision: 1, members: members, changed: map[string]int64{}, newer: make(chan struct{})}
+	for _, m := range members {
+		d.changed[m.ID] = 1
+	}
+	d.server = &http.Server{Handler: d}
+	return d
+}
+
+// Listen serves on an address, "127.0.0.1:0" for any, and returns it.
+func (d *Discovery) Listen(addr string) (string, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return "", err
+	}
+	go func() { _ = d.server.Serve(l) }() // ends with Close
+	return l.Addr().String(), nil
+}
+
+// Close ends it at once, as when it goes down: watches break.
+func (d *Discovery) Close() error { return d.server.Close() }
+
+// Set changes a member, adds one, or, with the phase "gone", removes one.
+func (d *Discovery) Set(m Member) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.revision++
+	d.changed[m.ID] = d.revision
+	if i := slices.IndexFunc(d.members, func(o Member) bool { return o.ID == m.ID }); i >= 0 {
+		d.members[i] = m
+	} else {
+		d.members = append(d.members, m)
+	}
+	close(d.newer)
+	d.newer = make(chan struct{})
+}
+
+// ServeHTTP answers GET /v1/endpoints.
+func (d *Discovery) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	if q.Method != http.MethodGet || q.URL.Path != "/v1/endpoints" {
+		http.NotFound(w, q)
+		return
+	}
+	since, err := strconv.ParseInt(q.FormValue("since"), 10, 64)
+	whole := err != nil
+	wait, _ := strconv.Atoi(q.FormValue("timeout_ms")) // 0 where it is missing: no wait
+	d.mu.Lock()
+	newer, current := d.newer, d.revision
+	d.mu.Unlock()
+	if !whole && current <= since {
+		timer := time.NewTimer(min(time.Duration(wait)*time.Millisecond, maxWatch))
+		defer timer.Stop()
+		select {
+		case <-newer:
+		case <-timer.C:
+		case <-q.Context().Done():
+			return
+		}
+	}
+	d.mu.Lock()
+	out := struct {
+		Revision int64    `json:"revision"`
+		Complete bool     `json:"complete"`
+		Members  []Member `json:"members"`
+	}{d.revision, whole, []Member{}}
+	for _, m := range d.members {
+		if whole && m.Phase != "gone" || !whole && d.changed[m.ID] > since {
+			out.Members = append(out.Members, m)
+		}
+	}
+	d.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(out) // a scheduler that is gone does not hear it
+}
--- /dev/null
+++ b/internal/standin/disk.go
@@ -0,0 +1,350 @@
+package standin
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"math/rand/v2"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+
+	"sedgevale/internal/joblog/store"
+)
+
+// Disk is a file system in memory that fails as real ones do. It is a store.FS. A power
+// cut takes what was not synced: each such write may be there, or not, or in part, in
+// any order, by sectors; names that were made or removed since the directory was synced may be so
+// or not. After a failed sync the writes that it was for are never on the disk, though
+// they can still be read, as on Linux.
+type Disk struct {
+	mu    sync.Mutex
+	rand  *rand.Rand
+	names map[string]*inode // as a process sees them
+	disk  map[string]*inode // durable
+	locks map[string]string
+	room  int64
+	fail  map[Op]float64
+}
+
+// Op is an operation that can be made to fail.
+type Op string
+
+// The operations.
+const (
+	OpWrite   Op = "write"   // fails with EIO, nothing written
+	OpShort   Op = "short"   // writes a part and fails with ENOSPC
+	OpSync    Op = "sync"    // fails with EIO
+	OpCreate  Op = "create"  // fails with EIO
+	OpSyncDir Op = "syncdir" // fails with EIO
+	OpRename  Op = "rename"  // fails with EIO
+	OpRemove  Op = "remove"  // fails with EIO
+)
+
+type inode struct {
+	data []byte // as a process sees it
+	disk []byte // durable
+	wait []change
+}
+
+// change is a write.
+type change struct {
+	at   int
+	data []byte
+}
+
+func (c change) apply(b []byte) []byte {
+	for len(b) < c.at+len(c.data) {
+		b = append(b, 0)
+	}
+	copy(b[c.at:], c.data)
+	return b
+}
+
+// NewDisk returns an empty Disk with so much room, in bytes.
+func NewDisk(seed uint64, room int64) *Disk {
+	return &Disk{rand: rand.New(rand.NewPCG(seed, 0xd15c)), names: map[string]*inode{}, disk: map[string]*inode{},
+		locks: map[string]string{}, room: room, fail: map[Op]float64{}}
+}
+
+// Fail makes an operation fail that often, from 0 to 1.
+func (d *Disk) Fail(op Op, share float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fail[op] = share
+}
+
+// Room sets how many bytes the disk holds.
+func (d *Disk) Room(n int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.room = n
+}
+
+func (d *Disk) fails(op Op) bool { return d.fail[op] > 0 && d.rand.Float64() < d.fail[op] }
+
+func (d *Disk) used() (n int64) {
+	for _, f := range d.names {
+		n += int64(len(f.data))
+	}
+	return n
+}
+
+// Cut returns the disk as it is after a power cut, without faults. The old one must not
+// be used any more.
+func (d *Disk) Cut() *Disk {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	after := &Disk{rand: d.rand, names: map[string]*inode{}, disk: map[string]*inode{}, locks: map[string]string{},
+		room: d.room, fail: map[Op]float64{}}
+	paths := map[string]bool{}
+	for p := range d.names {
+		paths[p] = true
+	}
+	for p := range d.disk {
+		paths[p] = true
+	}
+	var sorted []string
+	for p := range paths {
+		sorted = append(sorted, p)
+	}
+	slices.Sort(sorted) // or the seed would not tell the outcome
+	for _, p := range sorted {
+		f := d.disk[p]
+		if now := d.names[p]; now != f && d.rand.IntN(2) == 0 {
+			f = now
+		}
+		if f == nil {
+			continue
+		}
+		b := d.left(f)
+		g := &inode{data: b, disk: slices.Clone(b)}
+		after.names[p], after.disk[p] = g, g
+	}
+	return after
+}
+
+// sector is what a disk writes whole or not at all.
+const sector = 512
+
+// left draws what is left of a file: of each sector the content after some number of the
+// writes that wait, and likewise the file's length.
+func (d *Disk) left(f *inode) []byte {
+	versions := [][]byte{slices.Clone(f.disk)}
+	for _, c := range f.wait {
+		versions = append(versions, c.apply(slices.Clone(versions[len(versions)-1])))
+	}
+	draw := func() []byte {
+		if d.rand.IntN(2) == 0 {
+			return versions[len(versions)-1]
+		}
+		return versions[d.rand.IntN(len(versions))]
+	}
+	b := make([]byte, len(draw()))
+	for at := 0; at < len(b); at += sector {
+		if v := draw(); at < len(v) {
+			copy(b[at:min(at+sector, len(b))], v[at:])
+		}
+	}
+	return b
+}
+
+// Kill returns the disk as the next process sees it after this one was killed.
+func (d *Disk) Kill() *Disk {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return &Disk{rand: d.rand, names: d.names, disk: d.disk, locks: map[string]string{}, room: d.room, fail: map[Op]float64{}}
+}
+
+// MkdirAll does nothing: directories are made by what is in them.
+func (d *Disk) MkdirAll(string) error { return nil }
+
+// Create is store.FS's.
+func (d *Disk) Create(path string) (store.File, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.names[path] != nil {
+		return nil, &fs.PathError{Op: "open", Path: path, Err: fs.ErrExist}
+	}
+	if d.fails(OpCreate) {
+		return nil, &fs.PathError{Op: "open", Path: path, Err: syscall.EIO}
+	}
+	f := &inode{}
+	d.names[path] = f
+	return &handle{d, f}, nil
+}
+
+// ReadFile is store.FS's.
+func (d *Disk) ReadFile(path string) ([]byte, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f := d.names[path]
+	if f == nil {
+		return nil, &fs.PathError{Op: "open", Path: path, Err: fs.ErrNotExist}
+	}
+	return slices.Clone(f.data), nil
+}
+
+// WriteFile changes a file behind the journal's back, durably.
+func (d *Disk) WriteFile(path string, b []byte) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f := &inode{data: b, disk: slices.Clone(b)}
+	d.names[path], d.disk[path] = f, f
+}
+
+// ReadDir is store.FS's.
+func (d *Disk) ReadDir(dir string) ([]string, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	seen := map[string]bool{}
+	for p := range d.names {
+		if rest, ok := strings.CutPrefix(p, dir+string(filepath.Separator)); ok {
+			name, _, _ := strings.Cut(rest, string(filepath.Separator))
+			seen[name] = true
+		}
+	}
+	var names []string
+	for n := range seen {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+// Remove is store.FS's.
+func (d *Disk) Remove(path string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.names[path] == nil {
+		return &fs.PathError{Op: "remove", Path: path, Err: fs.ErrNotExist}
+	}
+	if d.fails(OpRemove) {
+		return &fs.PathError{Op: "remove", Path: path, Err: syscall.EIO}
+	}
+	delete(d.names, path)
+	return nil
+}
+
+// Rename is store.FS's.
+func (d *Disk) Rename(from, to string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.names[from] == nil || d.fails(OpRename) {
+		return &fs.PathError{Op: "rename", Path: from, Err: syscall.EIO}
+	}
+	d.names[to] = d.names[from]
+	delete(d.names, from)
+	return nil
+}
+
+// SyncDir is store.FS's.
+func (d *Disk) SyncDir(dir string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.fails(OpSyncDir) {
+		return &fs.PathError{Op: "sync", Path: dir, Err: syscall.EIO}
+	}
+	for p := range d.disk {
+		if filepath.Dir(p) == dir && d.names[p] == nil {
+			delete(d.disk, p)
+		}
+	}
+	for p, f := range d.names {
+		if filepath.Dir(p) == dir {
+			d.disk[p] = f
+		}
+	}
+	return nil
+}
+
+// Free is store.FS's.
+func (d *Disk) Free(string) (int64, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return max(0, d.room-d.used()), nil
+}
+
+// Lock is store.FS's.
+func (d *Disk) Lock(path, me string) (io.Closer, string, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if owner, ok := d.locks[path]; ok {
+		return nil, owner, store.ErrLocked
+	}
+	d.locks[path] = me
+	return unlock{d, path}, "", nil
+}
+
+// Locked is store.FS's.
+func (d *Disk) Locked(path string) (string, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	owner, ok := d.locks[path]
+	return owner, ok
+}
+
+type unlock struct {
+	d    *Disk
+	path string
+}
+
+func (u unlock) Close() error {
+	u.d.mu.Lock()
+	defer u.d.mu.Unlock()
+	delete(u.d.locks, u.path)
+	return nil
+}
+
+type handle struct {
+	d *Disk
+	f *inode
+}
+
+var errClosed = errors.New("closed")
+
+func (h *handle) Write(b []byte) (int, error) {
+	h.d.mu.Lock()
+	defer h.d.mu.Unlock()
+	if h.f == nil {
+		return 0, errClosed
+	}
+	if h.d.fails(OpWrite) {
+		return 0, fmt.Errorf("write: %w", syscall.EIO)
+	}
+	n, err := len(b), error(nil)
+	if free := h.d.room - h.d.used(); int64(n) > free {
+		n, err = int(max(0, free)), fmt.Errorf("write: %w", syscall.ENOSPC)
+	}
+	if h.d.fails(OpShort) {
+		n, err = h.d.rand.IntN(n+1), fmt.Errorf("write: %w", syscall.ENOSPC)
+	}
+	c := change{len(h.f.data), slices.Clone(b[:n])}
+	if n > 0 {
+		h.f.data = c.apply(h.f.data)
+		h.f.wait = append(h.f.wait, c)
+	}
+	return n, err
+}
+
+func (h *handle) Sync() error {
+	h.d.mu.Lock()
+	defer h.d.mu.Unlock()
+	wait := h.f.wait
+	h.f.wait = nil
+	if h.d.fails(OpSync) {
+		return fmt.Errorf("sync: %w", syscall.EIO) // the writes are lost, and marked as done
+	}
+	for _, c := range wait {
+		h.f.disk = c.apply(h.f.disk)
+	}
+	return nil
+}
+
+func (h *handle) Close() error {
+	h.f = nil
+	return nil
+}
--- /dev/null
+++ b/internal/torture/kill_test.go
@@ -0,0 +1,315 @@
+// Package torture kills a real scheduler again and again and holds what its journal
+// says against what the boxes say. It has tests alone.
+package torture
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"sedgevale/internal/joblog"
+	"sedgevale/internal/joblog/store"
+	"sedgevale/internal/standin"
+	"sedgevale/internal/testkit"
+	"sedgevale/scheduler"
+)
+
+var (
+	kills = flag.Int("kills", 24, "how often to kill the scheduler")
+	seed  = flag.Uint64("seed", 1, "for what is drawn at random")
+)
+
+// serveFile names the operator's file by which this test binary is a scheduler.
+const serveFile = "SEDGEVALE_TORTURE_SERVE"
+
+func TestMain(m *testing.M) {
+	path := os.Getenv(serveFile)
+	if path == "" {
+		os.Exit(m.Run())
+	}
+	read := func() (*scheduler.Config, error) { return scheduler.ReadFile(path) }
+	if err := scheduler.Serve(read, slog.New(slog.NewTextHandler(os.Stderr, nil))); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+const operatorFile = `
+name = "tortured"
+listen = %q
+discovery = %q
+[journal]
+dir = %q
+keep_s = 5
+max_mb = 16
+reserve_mb = 1
+[settings]
+discovery = "ask"
+kinds = ["box"]
+zones = ["hut"]
+peers_total = 1
+[settings.bounds]
+cancel = true
+dial_timeout = 0.2
+idle_close = 15
+max_attempts = 4
+max_retry_after = 2
+parallel_tries = true
+retry_after = true
+[settings.family_info]
+class_stretch = [2, 2, 2]
+queue_order = "fifo"
+tells_start = true
+[settings.report]
+via = "answers"
+[settings.rules]
+start_capacity = 0.13
+warm_up = 22
+fall_multiple = 3
+fall = 2
+[[settings.classes]]
+name = "usage-view"
+effect = "free"
+promise = 0.5
+hard_limit = 2
+[[settings.classes]]
+name = "plan-change"
+effect = "single_shot"
+promise = 0.5
+hard_limit = 2
+[[settings.classes]]
+name = "bill-pay"
+effect = "guarded"
+dedup_scope = "cell"
+window = 7.5
+promise = 0.5
+hard_limit = 2
+[[settings.realms]]
+name = "valley"
+share = 0.6
+[[settings.realms]]
+name = "east"
+share = 0.4
+`
+
+// arena is the boxes and the journal, which outlive each scheduler.
+type arena struct {
+	t      *testing.T
+	rand   *rand.Rand
+	boxes  []*standin.Box
+	ledger *standin.Ledger
+	file   string
+	dir    string
+	listen string
+	log    *bytes.Buffer
+	cycle  int
+
+	jobs, recorded, died, failed, settled int
+	verdicts                              [joblog.Unknown + 1]int
+}
+
+func newArena(t *testing.T) *arena {
+	a := &arena{t: t, rand: rand.New(rand.NewPCG(*seed, 7)), ledger: standin.NewLedger(), dir: filepath.Join(t.TempDir(), "journal"),
+		listen: testkit.FreeAddr(t), log: &bytes.Buffer{}}
+	shelf := standin.NewShelf(0)
+	var members []standin.Member
+	for i := range 3 {
+		faults := standin.Faults{}
+		for _, p := range standin.Points {
+			if p != standin.Hang { // a run of a thousand kills would wait for each
+				faults[p] = 0.001
+			}
+		}
+		b := standin.NewBox(standin.BoxOptions{ID: fmt.Sprintf("box-%d", i), Slots: 8, Faults: faults, Seed: *seed + uint64(i),
+			Shelf: shelf, Ledger: a.ledger, Work: func(_ string, r *rand.Rand) time.Duration {
+				return 300*time.Microsecond + time.Duration(r.Int64N(int64(1200*time.Microsecond)))
+			}})
+		addr, err := b.Listen("127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { b.Close() })
+		a.boxes = append(a.boxes, b)
+		members = append(members, standin.Member{ID: fmt.Sprintf("box-%d", i), HostPort: addr, Locality: "hut", Flavor: "box",
+			Phase: "ready", Size: 8})
+	}
+	d := standin.NewDiscovery(members...)
+	addr, err := d.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { d.Close() })
+	a.file = filepath.Join(t.TempDir(), "operator.toml")
+	if err := os.WriteFile(a.file, fmt.Appendf(nil, operatorFile, a.listen, addr, a.dir), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+// start starts a scheduler.
+func (a *arena) start() *exec.Cmd {
+	c := exec.Command(os.Args[0])
+	c.Env = append(os.Environ(), serveFile+"="+a.file, "TMPDIR="+filepath.Dir(a.file))
+	a.log.Reset()
+	c.Stderr = a.log
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := c.Start(); err != nil {
+		a.t.Fatal(err)
+	}
+	return c
+}
+
+// ready waits until the scheduler serves.
+func (a *arena) ready() {
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(2 * time.Millisecond) {
+		if q, err := http.Get("http://" + a.listen + "/ready"); err == nil {
+			_, _ = io.Copy(io.Discard, q.Body)
+			q.Body.Close()
+			if q.StatusCode == http.StatusOK {
+				return
+			}
+		}
+	}
+	a.t.Fatalf("cycle %d: the scheduler does not get ready:\n%s", a.cycle, a.log)
+}
+
+// round starts a scheduler, loads it, and kills it at a random moment. Now and then that
+// moment comes before it serves.
+func (a *arena) round() {
+	a.cycle++
+	prefix := fmt.Sprintf("c%d", a.cycle)
+	c := a.start()
+	var told []standin.Told
+	var killed time.Time
+	kill := func() {
+		killed = time.Now()
+		_ = c.Process.Kill()
+		_ = c.Wait()
+	}
+	if a.rand.IntN(10) == 0 {
+		time.Sleep(time.Duration(a.rand.IntN(40)) * time.Millisecond)
+		kill()
+	} else {
+		a.ready()
+		ctx, stop := context.WithCancel(context.Background())
+		time.AfterFunc(time.Duration(100+a.rand.IntN(700))*time.Millisecond, func() {
+			kill()
+			stop()
+		})
+		told = standin.Clients{Target: a.listen, Number: 12, Tenants: []string{"valley", "east"}, Think: 2 * time.Millisecond,
+			Timeout: 2 * time.Second, Prefix: prefix, Seed: a.rand.Uint64(),
+			Mix: []standin.Mix{{Class: "usage-view", Part: 0.44}, {Class: "plan-change", Part: 0.31},
+				{Class: "bill-pay", Part: 0.25, Keyed: true}}}.Run(ctx)
+	}
+	for _, b := range a.boxes {
+		b.Quiet()
+	}
+	a.check(prefix+"-", told, killed)
+	a.ledger.Forget()
+	if a.cycle%20 == 0 {
+		a.settle()
+	}
+}
+
+// check holds the journal against the ledgers and against what clients were told.
+func (a *arena) check(prefix string, told []standin.Told, killed time.Time) {
+	a.jobs += len(told)
+	if !store.Used(store.OS{}, a.dir) { // killed before it ever wrote
+		if len(a.ledger.Jobs()) > 0 {
+			a.t.Errorf("cycle %d: there is no journal, and boxes have begun jobs", a.cycle)
+		}
+		return
+	}
+	view := a.read()
+	if view.Damaged() {
+		a.t.Errorf("cycle %d: damaged: %v", a.cycle, view.Problems)
+	}
+	mine := func(id string) bool { return strings.HasPrefix(id, prefix) }
+	for _, breach := range standin.Audit(a.ledger, view.Jobs, func(class string) bool { return class != "usage-view" },
+		func(class string) bool { return class == "plan-change" }, mine, nil) {
+		a.t.Errorf("cycle %d: %s", a.cycle, breach)
+	}
+	answered := map[string]standin.Told{}
+	for _, t := range told {
+		answered[t.Job] = t
+	}
+	for _, j := range view.Jobs {
+		if !mine(j.ID) {
+			continue
+		}
+		a.recorded++
+		v, reason, _ := j.Verdict()
+		a.verdicts[v]++
+		if v != joblog.Unknown {
+			continue
+		}
+		if strings.Contains(reason, "the scheduler died") {
+			a.died++
+		} else {
+			a.failed++
+		}
+		if t := answered[j.ID]; t.Status == http.StatusOK && killed.Sub(t.At) > 100*time.Millisecond {
+			a.t.Errorf("cycle %d: job %s is unknown (%s), but it was answered %v before the kill", a.cycle, j.ID, reason, killed.Sub(t.At))
+		}
+	}
+}
+
+func (a *arena) read() *store.View {
+	secret, err := store.ReadKey(store.KeyPath(a.dir, ""))
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	view, err := store.Read(store.OS{}, a.dir, secret, "")
+	if err != nil {
+		a.t.Fatalf("cycle %d: %v", a.cycle, err)
+	}
+	return view
+}
+
+// settle does what operators do with jobs of unknown fate.
+func (a *arena) settle() {
+	secret, err := store.ReadKey(store.KeyPath(a.dir, ""))
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	for _, j := range a.read().Jobs {
+		if v, _, _ := j.Verdict(); v != joblog.Unknown || j.SettledAs != 0 {
+			continue
+		}
+		n, err := store.SettleIn(store.Options{Dir: a.dir, Secret: secret, Owner: store.Owner{PID: os.Getpid()}}, j.ID,
+			joblog.Ran, "the test", "found out")
+		if err != nil {
+			a.t.Fatalf("cycle %d: settling %s: %v", a.cycle, j.ID, err)
+		}
+		a.settled += n
+	}
+}
+
+// Guards the journal's word over kills at any moment: no box has begun a job for which no
+// durable intent names that box, what did not run was begun by none, what ran was
+// finished by one, what must not run twice was begun once, and what was answered more
+// than 100 ms before is known.
+func TestKills(t *testing.T) {
+	a := newArena(t)
+	for range *kills {
+		a.round()
+		if t.Failed() {
+			t.Fatalf("log of the scheduler:\n%s", a.log)
+		}
+	}
+	t.Logf("%d kills, seed %d: %d jobs sent, %d on record: %d ran, %d did not run, %d unknown (%d by the kill, %.2f%%; %d since their box failed); %d settled; 0 violations",
+		*kills, *seed, a.jobs, a.recorded, a.verdicts[joblog.Ran], a.verdicts[joblog.DidNotRun], a.verdicts[joblog.Unknown],
+		a.died, 100*float64(a.died)/float64(max(1, a.recorded)), a.failed, a.settled)
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -92,6 +92,9 @@
 		return
 	}
 	c.broken = false
+	if f.a != nil && f.a.Recorded() {
+		f.a.Planner.Sent(f.a)
+	}
 	if cap(c.out) > 8<<10 {
 		c.out = nil
 	}
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -10,6 +10,7 @@
 	Config   = config.Config
 	Limits   = config.Limits
 	SSE      = config.SSE
+	Journal  = config.Journal
 	Settings = config.Settings
 	Class    = config.Class
 	List     = discovery.List
--- /dev/null
+++ b/scheduler/journal_test.go
@@ -0,0 +1,122 @@
+package scheduler_test
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"sedgevale/internal/config"
+	"sedgevale/internal/joblog"
+	"sedgevale/internal/testkit"
+)
+
+// ask asks the scheduler's journal.
+func (c *child) ask(query string) (int, joblog.Report) {
+	c.t.Helper()
+	a, err := http.Get("http://" + c.config.Ops + "/admin/journal" + query)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer a.Body.Close()
+	body, _ := io.ReadAll(a.Body)
+	var r joblog.Report
+	if a.StatusCode == 200 {
+		lines := strings.Split(strings.TrimSpace(string(body)), "\n")
+		if err := json.Unmarshal([]byte(lines[len(lines)-1]), &r); err != nil {
+			c.t.Fatalf("%s: %v", body, err)
+		}
+	}
+	return a.StatusCode, r
+}
+
+func journaled(t *testing.T, f *fleet) *child {
+	t.Helper()
+	c := startChild(t, f)
+	c.kill()
+	c.config.Journal = &config.Journal{Dir: filepath.Join(t.TempDir(), "journal"), ReserveMB: 1, MaxMB: 16}
+	c.write()
+	c.start()
+	return c
+}
+
+// Guards the one question after a crash: what ran is told to have run, what was out is
+// unknown and says where to look, free jobs are not on record, and an operator's word
+// settles it.
+func TestJournalAfterAKill(t *testing.T) {
+	f := newFleet(t, "v", "w")
+	c := journaled(t, f)
+	served := post(c.plain, "/plan-change", job("served")...)
+	f.next().done("x")
+	testkit.Await(t, "the answer", served)
+	free := post(c.plain, "/usage-view", job("free")...)
+	f.next().done("x")
+	testkit.Await(t, "the answer", free)
+	post(c.plain, "/plan-change", job("out")...)
+	out := f.next()
+	out.say(`"state":"started"`)
+	for status, r := c.ask("?job=out"); status != 200 || r.Attempts[0].StartedAt == ""; status, r = c.ask("?job=out") {
+		if status != 200 && status != 404 {
+			t.Fatalf("asked for an open job: %d", status)
+		}
+	}
+	c.kill()
+	c.start()
+	if status, r := c.ask("?job=served"); status != 200 || r.Verdict != "ran" || r.Attempts[0].Outcome != "served" || r.Answer.Kind != "served" {
+		t.Errorf("what was served: %d %+v", status, r)
+	}
+	status, r := c.ask("?job=out")
+	if status != 200 || r.Verdict != "unknown" || len(r.Look) != 1 || r.Look[0] != out.worker || r.Attempts[0].SentAt == "" {
+		t.Errorf("what was out at the kill: %d %+v", status, r)
+	}
+	if status, _ := c.ask("?job=free"); status != 404 {
+		t.Errorf("a free job: %d", status)
+	}
+	settle := func(body string) int {
+		a, err := http.Post("http://"+c.config.Ops+"/admin/journal/settle", "application/json", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		a.Body.Close()
+		return a.StatusCode
+	}
+	for _, bad := range []string{"", "{}", `{"job":"out"}`, `{"job":"out","verdict":"maybe","by":"a","why":"b"}`} {
+		if got := settle(bad); got != 400 {
+			t.Errorf("settled by %q: %d", bad, got)
+		}
+	}
+	if got := settle(`{"job":"nobody","verdict":"ran","by":"ann","why":"saw it"}`); got != 404 {
+		t.Errorf("an unknown job was settled: %d", got)
+	}
+	if got := settle(`{"job":"out","verdict":"ran","by":"ann","why":"saw it"}`); got != 200 {
+		t.Errorf("settled: %d", got)
+	}
+	if _, r := c.ask("?job=out"); r.Verdict != "ran" || r.Settled == nil || r.Settled.By != "ann" {
+		t.Errorf("after it was settled: %+v", r)
+	}
+}
+
+// Guards the journals of an upgrade's two processes: each has its own, and either finds
+// the jobs of both.
+func TestJournalOverAnUpgrade(t *testing.T) {
+	f := newFleet(t, "v", "w")
+	c := journaled(t, f)
+	before := post(c.plain, "/plan-change", job("before")...)
+	first := f.next()
+	next := c.beside()
+	first.done("x")
+	testkit.Await(t, "the answer", before)
+	after := post(c.plain, "/plan-change", job("after")...)
+	f.next().done("y")
+	testkit.Await(t, "the answer", after)
+	c.signal(syscall.SIGTERM)
+	c.ended()
+	for _, id := range []string{"before", "after"} {
+		if status, r := next.ask("?job=" + id); status != 200 || r.Verdict != "ran" {
+			t.Errorf("%s: %d %+v", id, status, r)
+		}
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"runtime"
 	"runtime/debug"
@@ -22,6 +23,7 @@
 	"sedgevale/internal/handover"
 	"sedgevale/internal/httpd"
 	"sedgevale/internal/intake"
+	"sedgevale/internal/journal"
 	"sedgevale/internal/ops"
 	"sedgevale/internal/sse"
 	"sedgevale/internal/upstream"
@@ -76,6 +78,7 @@
 	streams   *sse.Front    // nil: no second front
 	operators *httpd.Server // nil: no second address
 	cordons   *ops.Cordons
+	journal   *journal.Recorder // nil: none
 	bonds     bonds
 	listMu    sync.Mutex
 	list      discovery.List // as it stands
@@ -111,12 +114,20 @@
 		IdleClose: config.Seconds(c.Settings.Bounds.IdleClose), Host: service, Clock: s.clock, Budget: s.budget,
 		Log: opt.Log})
 	s.watcher = discovery.NewWatcher(s.loop, c.Discovery, *c.Known, s.told, s.broken, opt.Log)
+	if c.Journal != nil {
+		if s.journal, err = journal.Open(c, opt.Log); err != nil {
+			return nil, errors.Join(err, s.loop.Stop())
+		}
+	}
 	var planners []*core.Planner
 	for i := range many {
 		p, err := core.NewPlanner(set, c.SeedNumber()+uint64(i), s.clock, s.pool, s.watcher.Watch, opt.Log)
 		if err != nil {
 			return nil, err
 		}
+		if s.journal != nil {
+			p.Record(s.journal)
+		}
 		planners = append(planners, p)
 	}
 	s.planners = core.NewSet(planners...)
@@ -136,11 +147,19 @@
 		s.keep(host)
 	}
 	if c.Ops != "" {
-		s.operators = httpd.New(c.Ops, 1, ops.New(s), budget.New(budget.Reserve+opsDescriptors/2), opt.Log)
+		s.operators = httpd.New(c.Ops, 1, ops.New(s, s.questions()), budget.New(budget.Reserve+opsDescriptors/2), opt.Log)
 	}
 	return s, nil
 }
 
+// questions returns who answers questions about jobs, or nil.
+func (s *Scheduler) questions() ops.Journal {
+	if s.journal == nil { // else it would be an interface that is not nil
+		return nil
+	}
+	return s.journal
+}
+
 // limit keeps to a configuration's limit of descriptors. The operators' are kept apart.
 func (s *Scheduler) limit(c *config.Config) {
 	n := c.Limits.Sockets
@@ -250,6 +269,9 @@
 			return err
 		}
 	}
+	if s.journal != nil {
+		s.journal.Close()
+	}
 	s.opt.Log.Info("stopped")
 	return nil
 }
