--- /dev/null
+++ b/internal/healthcheck/driver.go
@@ -0,0 +1,159 @@
+package healthcheck
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"sedgevale/internal/http1"
+)
+
+// Check is a member that is to be checked.
+type Check struct {
+	Name string // for the log: BACKEND/MEMBER
+	Addr string // where to ask
+	Spec Spec   // filled
+	// Tell is called from a goroutine of its own when the member's state changes.
+	Tell func(up bool, why string)
+}
+
+// Driver checks members, each at its own times, spread out, and not too many at once.
+type Driver struct {
+	log   *slog.Logger
+	slots chan struct{}
+	rand  func() float64
+}
+
+// atOnce bounds the checks that are under way, and so their descriptors.
+const atOnce = 32
+
+// maxAnswer bounds what is read of an answer.
+const maxAnswer = 64 << 10
+
+// NewDriver returns a Driver.
+func NewDriver(log *slog.Logger) *Driver {
+	return &Driver{log: log, slots: make(chan struct{}, atOnce), rand: rand.Float64}
+}
+
+// Run checks members until the context ends.
+func (d *Driver) Run(ctx context.Context, all []Check) {
+	var wg sync.WaitGroup
+	for i, c := range all {
+		wg.Go(func() {
+			// The first checks are spread over their interval, so that they never come in step.
+			d.watch(ctx, c, time.Duration(float64(c.Spec.Every)*float64(i)/float64(len(all))))
+		})
+	}
+	wg.Wait()
+}
+
+func (d *Driver) watch(ctx context.Context, c Check, first time.Duration) {
+	t := NewTarget(c.Spec)
+	timer := time.NewTimer(first)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return
+		}
+		select {
+		case d.slots <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+		err := c.ask(ctx)
+		<-d.slots
+		if ctx.Err() != nil {
+			return
+		}
+		if t.Result(err == nil) {
+			why := "its checks pass"
+			if err != nil {
+				why = err.Error()
+			}
+			d.log.Warn("a server's state has changed", "server", c.Name, "up", t.Up(), "why", why)
+			c.Tell(t.Up(), why)
+		}
+		timer.Reset(time.Duration(float64(t.Wait()) * (0.95 + 0.1*d.rand())))
+	}
+}
+
+// ask makes one check.
+func (c *Check) ask(ctx context.Context) error {
+	ctx, stop := context.WithTimeout(ctx, c.Spec.Timeout)
+	defer stop()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", c.Addr)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	if c.Spec.Kind == "tcp" {
+		return nil
+	}
+	deadline, _ := ctx.Deadline()
+	_ = conn.SetDeadline(deadline)
+	if _, err := conn.Write(c.Spec.request()); err != nil {
+		return err
+	}
+	status, body, err := answer(conn)
+	if err != nil {
+		return err
+	}
+	if !c.Spec.Holds(status, body) {
+		return fmt.Errorf("the answer, status %d, is not what is expected", status)
+	}
+	return nil
+}
+
+func (s *Spec) request() []byte {
+	b := fmt.Appendf(nil, "%s %s HTTP/%s\r\n", s.Method, s.URI, s.Version)
+	for _, h := range s.Headers {
+		b = http1.AppendField(b, h.Name, h.Value)
+	}
+	return append(b, "Connection: close\r\n\r\n"...)
+}
+
+var errCut = errors.New("the answer is cut short")
+
+// answer reads a response; of a long body only the beginning counts.
+func answer(r io.Reader) (status int, body []byte, err error) {
+	p := http1.NewParser(http1.Response)
+	buf := make([]byte, 0, 4096)
+	for {
+		n, ev, part, err := p.Next(buf)
+		if err != nil {
+			return 0, nil, err
+		}
+		if ev == http1.Body && len(body) < maxAnswer {
+			body = append(body, part...)
+		}
+		buf = append(buf[:0], buf[n:]...)
+		switch {
+		case ev == http1.Ended && p.Head.Status >= 200, len(body) >= maxAnswer:
+			return p.Head.Status, bytes.Clone(body), nil
+		case ev != http1.More:
+			continue
+		}
+		chunk := make([]byte, 4096)
+		k, err := r.Read(chunk)
+		buf = append(buf, chunk[:k]...)
+		if err == io.EOF && k == 0 {
+			if p.UntilClose() {
+				return p.Head.Status, body, nil
+			}
+			return 0, nil, errCut
+		}
+		if err != nil && err != io.EOF {
+			return 0, nil, err
+		}
+	}
+}
--- /dev/null
+++ b/internal/healthcheck/healthcheck_test.go
@@ -0,0 +1,125 @@
+package healthcheck
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"sedgevale/internal/testkit"
+)
+
+// Guards against a member that goes up and down with each single check, and the times
+// between checks.
+func TestRiseAndFall(t *testing.T) {
+	s := Spec{Kind: "tcp", Every: 4 * time.Second, Fast: time.Second, Down: 2 * time.Second, Rise: 2, Fall: 3}
+	if err := s.Fill(); err != nil {
+		t.Fatal(err)
+	}
+	g := NewTarget(s)
+	for i, step := range []struct {
+		passed, changed, up bool
+		wait                time.Duration
+	}{
+		{true, false, true, 4 * time.Second}, {false, false, true, time.Second}, {false, false, true, time.Second},
+		{true, false, true, 4 * time.Second}, {false, false, true, time.Second}, {false, false, true, time.Second},
+		{false, true, false, 2 * time.Second}, {false, false, false, 2 * time.Second}, {true, false, false, time.Second},
+		{false, false, false, 2 * time.Second}, {true, false, false, time.Second}, {true, true, true, 4 * time.Second},
+	} {
+		if changed := g.Result(step.passed); changed != step.changed || g.Up() != step.up || g.Wait() != step.wait {
+			t.Errorf("step %d: changed %v, up %v, wait %v", i, changed, g.Up(), g.Wait())
+		}
+	}
+}
+
+func TestExpect(t *testing.T) {
+	for _, c := range []struct {
+		e    Expect
+		yes  string
+		not  string
+		code int
+		bad  int
+	}{
+		{e: Expect{What: "status", Value: "200-204,301"}, code: 301, bad: 302},
+		{e: Expect{What: "rstatus", Value: "^2"}, code: 204, bad: 500},
+		{e: Expect{What: "string", Value: "OK"}, code: 200, yes: "all OK", bad: 200, not: "no"},
+		{e: Expect{What: "rstring", Value: "O+K"}, code: 200, yes: "OOK", bad: 200, not: "K"},
+		{e: Expect{What: "string", Value: "bad", Not: true}, code: 200, yes: "good", bad: 200, not: "bad"},
+	} {
+		s := Spec{Kind: "http", Expect: []Expect{c.e}}
+		if err := s.Fill(); err != nil {
+			t.Fatal(err)
+		}
+		if !s.Holds(c.code, []byte(c.yes)) || s.Holds(c.bad, []byte(c.not)) {
+			t.Errorf("%+v", c.e)
+		}
+	}
+	for _, bad := range []Spec{{}, {Kind: "udp"}, {Kind: "tcp", Every: time.Nanosecond}, {Kind: "http", URI: "/a b"}, {Kind: "tcp", Fall: -1},
+		{Kind: "http", Expect: []Expect{{What: "status", Value: "abc"}}}, {Kind: "http", Expect: []Expect{{What: "rstring", Value: "("}}},
+		{Kind: "http", Expect: []Expect{{What: "ssl"}}}} {
+		if bad.Fill() == nil {
+			t.Errorf("taken: %+v", bad)
+		}
+	}
+}
+
+// Guards the asking: what is asked is what was set, each kind of failure counts, and a
+// member that is mended comes back.
+func TestDriver(t *testing.T) {
+	var mode atomic.Value
+	mode.Store("good")
+	asked := make(chan string, 64)
+	addr := testkit.Accept(t, func(c net.Conn) {
+		defer c.Close()
+		b := make([]byte, 4096)
+		n, _ := c.Read(b)
+		select {
+		case asked <- string(b[:n]):
+		default:
+		}
+		switch mode.Load() {
+		case "good":
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nready")
+		case "bad status":
+			_, _ = io.WriteString(c, "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
+		case "garbage":
+			_, _ = io.WriteString(c, "hello\r\n\r\n")
+		case "short":
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nready")
+		case "silent":
+			_, _ = io.Copy(io.Discard, c)
+		}
+	})
+	s := Spec{Kind: "http", Method: "GET", URI: "/up", Version: "1.1", Headers: []Header{{"Host", "app"}},
+		Expect: []Expect{{What: "string", Value: "ready"}}, Every: 10 * time.Millisecond, Rise: 2, Fall: 2, Timeout: 50 * time.Millisecond}
+	if err := s.Fill(); err != nil {
+		t.Fatal(err)
+	}
+	told := make(chan bool, 16)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		NewDriver(slog.New(slog.DiscardHandler)).Run(ctx, []Check{{Name: "b/m", Addr: addr, Spec: s, Tell: func(up bool, _ string) { told <- up }}})
+		close(done)
+	}()
+	if got := testkit.Await(t, "a check", asked); !strings.HasPrefix(got, "GET /up HTTP/1.1\r\nHost: app\r\n") {
+		t.Errorf("asked %q", got)
+	}
+	for _, how := range []string{"bad status", "garbage", "short", "silent", "closed"} {
+		mode.Store(how)
+		if testkit.Await(t, "news of "+how, told) {
+			t.Errorf("%s counts as up", how)
+		}
+		mode.Store("good")
+		if !testkit.Await(t, "news after "+how, told) {
+			t.Errorf("after %s it stays down", how)
+		}
+	}
+	stop()
+	testkit.Await(t, fmt.Sprint("the end"), done)
+}
--- /dev/null
+++ b/internal/healthcheck/state.go
@@ -0,0 +1,201 @@
+// Package healthcheck finds out which members of a backend serve, by asking them. What is
+// decided is pure, in Target: how often to ask, and when a member counts as up or down.
+// Driver asks.
+package healthcheck
+
+import (
+	"errors"
+	"fmt"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Spec says how a member is checked.
+type Spec struct {
+	Kind    string        // "tcp" or "http"
+	Method  string        // of an http check; "": OPTIONS, as HAProxy has it
+	URI     string        // "": "/"
+	Version string        // "1.0" or "1.1"; "": "1.0"
+	Headers []Header      // besides Host of version 1.1, which must be here
+	Expect  []Expect      // all must hold; none: a status of 2xx or 3xx
+	Every   time.Duration // while it is up; 0: 2 s
+	Fast    time.Duration // while it changes; 0: as Every
+	Down    time.Duration // while it is down; 0: as Every
+	Rise    int           // checks that pass until it is up; 0: 2
+	Fall    int           // checks that fail until it is down; 0: 3
+	Timeout time.Duration // of a check; 0: as Every, 10 s at most
+}
+
+// Header is a header field of a check.
+type Header struct{ Name, Value string }
+
+// Expect is what an answer must be.
+type Expect struct {
+	What  string // "status", "rstatus", "string", "rstring"
+	Not   bool
+	Value string
+
+	re *regexp.Regexp
+}
+
+const (
+	everyDefault = 2 * time.Second
+	riseDefault  = 2
+	fallDefault  = 3
+	timeoutMost  = 10 * time.Second
+	everyLeast   = 10 * time.Millisecond
+)
+
+// Fill sets what is left out, and returns an error for what makes no sense.
+func (s *Spec) Fill() error {
+	if s.Kind != "tcp" && s.Kind != "http" {
+		return fmt.Errorf("kind %q is neither tcp nor http", s.Kind)
+	}
+	for _, d := range []struct {
+		d      *time.Duration
+		absent time.Duration
+	}{{&s.Every, everyDefault}, {&s.Fast, 0}, {&s.Down, 0}, {&s.Timeout, 0}} {
+		if *d.d == 0 {
+			*d.d = d.absent
+		}
+		if *d.d == 0 {
+			*d.d = s.Every
+		}
+		if *d.d < everyLeast {
+			return fmt.Errorf("a time of %v, %v at least", *d.d, everyLeast)
+		}
+	}
+	s.Timeout = min(s.Timeout, timeoutMost)
+	if s.Rise == 0 {
+		s.Rise = riseDefault
+	}
+	if s.Fall == 0 {
+		s.Fall = fallDefault
+	}
+	if s.Rise < 0 || s.Fall < 0 {
+		return errors.New("rise and fall must be positive")
+	}
+	if s.Method == "" {
+		s.Method = "OPTIONS"
+	}
+	if s.URI == "" {
+		s.URI = "/"
+	}
+	if s.Version == "" {
+		s.Version = "1.0"
+	}
+	for _, text := range append([]string{s.Method, s.URI, s.Version}, names(s.Headers)...) {
+		if strings.ContainsFunc(text, func(r rune) bool { return r <= ' ' || r == 0x7f }) {
+			return fmt.Errorf("%q cannot stand in a request", text)
+		}
+	}
+	for i := range s.Expect {
+		if err := s.Expect[i].compile(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func names(all []Header) (out []string) {
+	for _, h := range all {
+		out = append(out, h.Name)
+	}
+	return out
+}
+
+func (e *Expect) compile() (err error) {
+	switch e.What {
+	case "status":
+		_, err = spans(e.Value)
+	case "rstatus", "rstring":
+		e.re, err = regexp.Compile(e.Value)
+	case "string":
+	default:
+		err = fmt.Errorf("an answer's %q cannot be expected", e.What)
+	}
+	return err
+}
+
+// spans reads 200-399,401.
+func spans(s string) (out [][2]int, err error) {
+	for part := range strings.SplitSeq(s, ",") {
+		lo, hi, isRange := strings.Cut(strings.TrimSpace(part), "-")
+		if !isRange {
+			hi = lo
+		}
+		from, err1 := strconv.Atoi(lo)
+		to, err2 := strconv.Atoi(hi)
+		if err1 != nil || err2 != nil || from < 100 || to > 999 || from > to {
+			return nil, fmt.Errorf("%q is no status", part)
+		}
+		out = append(out, [2]int{from, to})
+	}
+	return out, nil
+}
+
+// Holds reports whether an answer of an http check passes.
+func (s *Spec) Holds(status int, body []byte) bool {
+	if len(s.Expect) == 0 {
+		return status >= 200 && status < 400
+	}
+	return !slices.ContainsFunc(s.Expect, func(e Expect) bool { return e.holds(status, body) == e.Not })
+}
+
+func (e *Expect) holds(status int, body []byte) bool {
+	switch e.What {
+	case "status":
+		all, _ := spans(e.Value) // was checked
+		return slices.ContainsFunc(all, func(p [2]int) bool { return status >= p[0] && status <= p[1] })
+	case "rstatus":
+		return e.re.MatchString(strconv.Itoa(status))
+	case "rstring":
+		return e.re.Match(body)
+	}
+	return strings.Contains(string(body), e.Value)
+}
+
+// Target is a member as its checks see it. It begins as up.
+type Target struct {
+	spec Spec
+	up   bool
+	run  int // checks on end that speak against its state
+}
+
+// NewTarget returns a Target that is up. The Spec must be filled.
+func NewTarget(s Spec) *Target { return &Target{spec: s, up: true} }
+
+// Up reports whether it serves.
+func (t *Target) Up() bool { return t.up }
+
+// Result takes in how a check went, and reports whether the member's state has changed.
+func (t *Target) Result(passed bool) (changed bool) {
+	if passed == t.up {
+		t.run = 0
+		return false
+	}
+	t.run++
+	most := t.spec.Fall
+	if !t.up {
+		most = t.spec.Rise
+	}
+	if t.run < most {
+		return false
+	}
+	t.up, t.run = passed, 0
+	return true
+}
+
+// Wait returns how long it is until the next check.
+func (t *Target) Wait() time.Duration {
+	switch {
+	case t.run > 0:
+		return t.spec.Fast
+	case !t.up:
+		return t.spec.Down
+	}
+	return t.spec.Every
+}
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,421 @@
+// Package pool says which members of a backend may be sent a request now: by their state,
+// weight, connections and backups, by the cookie or text that ties a request to one, and
+// by whose turn it is. The decision module decides whether and when the request goes. The
+// package is pure: it does no input or output, and the time is an argument. A Pool is for
+// one goroutine at a time.
+package pool
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Balance is the way in which turns are taken.
+type Balance string
+
+// The ways.
+const (
+	RoundRobin Balance = "roundrobin" // by weight, evenly spread
+	LeastConn  Balance = "leastconn"  // who has the fewest requests for its weight
+	First      Balance = "first"      // the first that has room
+	Random     Balance = "random"     // drawn by weight
+	Hash       Balance = "hash"       // by a text of the request; a member's leaving moves only its own
+)
+
+// Member is a member of a backend.
+type Member struct {
+	Name     string
+	Weight   int // 0 to 256; with 0 only requests that are tied to it
+	Backup   bool
+	Disabled bool
+	MaxConn  int // requests at a time; 0: no bound
+	Cookie   string
+}
+
+// Options set a Pool up.
+type Options struct {
+	Members    []Member
+	Balance    Balance       // "": RoundRobin
+	AllBackups bool          // all backups at once, not the first that serves
+	MaxQueue   int           // requests that may wait; 0: 1024
+	QueueWait  time.Duration // how long; 0: 5 s
+	SlowStart  time.Duration // in which a member that returns comes up to its weight
+}
+
+// State is how a member stands.
+type State uint8
+
+// The states.
+const (
+	Up       State = iota
+	Down           // its checks fail
+	Draining       // only requests that are tied to it
+	Maintenance
+)
+
+func (s State) String() string { return [...]string{"up", "down", "draining", "maintenance"}[s] }
+
+// maxWeight is HAProxy's.
+const maxWeight = 256
+
+// slowLeast is the part of its weight with which a member begins that comes up slowly.
+const slowLeast = 0.1
+
+type member struct {
+	Member
+	state   State
+	since   time.Duration // when it came up; 0: long ago
+	current float64       // of smooth weighted round robin
+	busy    int
+}
+
+// Pool is the members of a backend.
+type Pool struct {
+	opt     Options
+	members []member
+	queue   []waiter
+	drawn   uint64
+}
+
+type waiter struct {
+	token any
+	hint  Hint
+	until time.Duration
+}
+
+// Hint is what a request says of where it wants to go.
+type Hint struct {
+	Cookie string // of persistence; "": none
+	Key    string // what is hashed, with Balance Hash
+	Rand   uint64 // drawn for this request, with Balance Random
+	Not    []int  // members that were tried, and whose turn it is not while there is another
+}
+
+// Check returns an error for options that make no sense.
+func (o *Options) Check() error {
+	if len(o.Members) == 0 {
+		return errors.New("no member")
+	}
+	if !slices.Contains([]Balance{"", RoundRobin, LeastConn, First, Random, Hash}, o.Balance) {
+		return fmt.Errorf("balance %q is unknown", o.Balance)
+	}
+	if o.MaxQueue < 0 || o.QueueWait < 0 || o.SlowStart < 0 {
+		return errors.New("queue and times must not be negative")
+	}
+	seen, cookies := map[string]bool{}, map[string]bool{}
+	for _, m := range o.Members {
+		switch {
+		case m.Name == "":
+			return errors.New("a member without a name")
+		case seen[m.Name]:
+			return fmt.Errorf("member %q is there twice", m.Name)
+		case m.Weight < 0 || m.Weight > maxWeight:
+			return fmt.Errorf("member %q: weight %d is not between 0 and %d", m.Name, m.Weight, maxWeight)
+		case m.MaxConn < 0:
+			return fmt.Errorf("member %q: maxconn must not be negative", m.Name)
+		case m.Cookie != "" && cookies[m.Cookie]:
+			return fmt.Errorf("member %q: another has the cookie %q", m.Name, m.Cookie)
+		}
+		seen[m.Name], cookies[m.Cookie] = true, true
+	}
+	return nil
+}
+
+// New returns a Pool whose members are up, but for those that are disabled.
+func New(o Options) (*Pool, error) {
+	if err := o.Check(); err != nil {
+		return nil, err
+	}
+	if o.Balance == "" {
+		o.Balance = RoundRobin
+	}
+	if o.MaxQueue == 0 {
+		o.MaxQueue = 1024
+	}
+	if o.QueueWait == 0 {
+		o.QueueWait = 5 * time.Second
+	}
+	p := &Pool{opt: o}
+	for _, m := range o.Members {
+		s := Up
+		if m.Disabled {
+			s = Maintenance
+		}
+		p.members = append(p.members, member{Member: m, state: s})
+	}
+	return p, nil
+}
+
+// Adopt takes over what an older Pool of the same backend knows of members that stay:
+// their state but for maintenance by the file, what they have out, and their turns.
+func (p *Pool) Adopt(old *Pool) {
+	for i := range p.members {
+		m := &p.members[i]
+		j := slices.IndexFunc(old.members, func(o member) bool { return o.Name == m.Name })
+		if j < 0 {
+			continue
+		}
+		o := &old.members[j]
+		m.busy, m.current, m.since = o.busy, o.current, o.since
+		if !m.Disabled && !o.Disabled {
+			m.state = o.state
+		}
+	}
+}
+
+// Len returns how many members there are.
+func (p *Pool) Len() int { return len(p.members) }
+
+// Name returns a member's name.
+func (p *Pool) Name(i int) string { return p.members[i].Name }
+
+// Index returns the member of a name, or -1.
+func (p *Pool) Index(name string) int {
+	return slices.IndexFunc(p.members, func(m member) bool { return m.Name == name })
+}
+
+// State returns how a member stands, and what it has out.
+func (p *Pool) State(i int) (State, int) { return p.members[i].state, p.members[i].busy }
+
+// Set says how a member stands from now on. One that comes up begins slowly.
+func (p *Pool) Set(i int, s State, now time.Duration) {
+	m := &p.members[i]
+	if m.state != Up && s == Up {
+		m.since, m.current = now, 0
+	}
+	m.state = s
+}
+
+// Serving returns how many members may be sent new requests.
+func (p *Pool) Serving() int { return len(p.eligible()) }
+
+// eligible returns the members that may be sent new requests, whoever has room: all that
+// are up, or, if none is, the first backup that is up, or all backups.
+func (p *Pool) eligible() []int {
+	var main, backup []int
+	for i := range p.members {
+		m := &p.members[i]
+		switch {
+		case m.state != Up || m.Weight == 0:
+		case !m.Backup:
+			main = append(main, i)
+		default:
+			backup = append(backup, i)
+		}
+	}
+	switch {
+	case len(main) > 0:
+		return main
+	case len(backup) > 0 && !p.opt.AllBackups:
+		return backup[:1]
+	}
+	return backup
+}
+
+func (m *member) room() bool { return m.MaxConn == 0 || m.busy < m.MaxConn }
+
+// weight is the member's weight as it counts now.
+func (p *Pool) weight(m *member, now time.Duration) float64 {
+	w := float64(m.Weight)
+	if up := now - m.since; m.since > 0 && up < p.opt.SlowStart {
+		w *= max(slowLeast, float64(up)/float64(p.opt.SlowStart))
+	}
+	return w
+}
+
+// Verdict is what becomes of a request that asks for a member.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Go     Verdict = iota // to that member
+	Wait                  // none has room; it may be queued
+	Nobody                // no member serves
+)
+
+// Pick says which member's turn it is for a request. It takes the turn; Begin takes the
+// room.
+func (p *Pool) Pick(now time.Duration, h Hint) (int, Verdict) {
+	if h.Cookie != "" {
+		for i := range p.members {
+			m := &p.members[i]
+			if m.Cookie == h.Cookie && (m.state == Up || m.state == Draining) && !slices.Contains(h.Not, i) {
+				if !m.room() {
+					return -1, Wait
+				}
+				return i, Go
+			}
+		}
+	}
+	all := p.eligible()
+	if len(all) == 0 {
+		return -1, Nobody
+	}
+	if rest := slices.DeleteFunc(slices.Clone(all), func(i int) bool { return slices.Contains(h.Not, i) }); len(rest) > 0 {
+		all = rest
+	}
+	if p.opt.Balance == Hash && h.Key != "" {
+		i := p.home(all, h.Key, now)
+		if !p.members[i].room() {
+			return -1, Wait
+		}
+		return i, Go
+	}
+	free := slices.DeleteFunc(slices.Clone(all), func(i int) bool { return !p.members[i].room() })
+	if len(free) == 0 {
+		return -1, Wait
+	}
+	switch p.opt.Balance {
+	case First:
+		return free[0], Go
+	case Random:
+		return p.draw(free, h.Rand, now), Go
+	case LeastConn:
+		least := math.Inf(1)
+		var fewest []int
+		for _, i := range free {
+			m := &p.members[i]
+			load := float64(m.busy) / p.weight(m, now)
+			if load < least {
+				least, fewest = load, fewest[:0]
+			}
+			if load == least {
+				fewest = append(fewest, i)
+			}
+		}
+		free = fewest
+	}
+	return p.turn(free, now), Go
+}
+
+// turn is smooth weighted round robin: each member gains its weight, and the one that has
+// the most gives up the sum. In any run each has its share, evenly spread.
+func (p *Pool) turn(among []int, now time.Duration) int {
+	best, sum := -1, 0.0
+	for _, i := range among {
+		m := &p.members[i]
+		w := p.weight(m, now)
+		m.current += w
+		sum += w
+		if best < 0 || m.current > p.members[best].current {
+			best = i
+		}
+	}
+	p.members[best].current -= sum
+	return best
+}
+
+func (p *Pool) draw(among []int, r uint64, now time.Duration) int {
+	sum := 0.0
+	for _, i := range among {
+		sum += p.weight(&p.members[i], now)
+	}
+	at := float64(r>>11) / (1 << 53) * sum
+	for _, i := range among {
+		if at -= p.weight(&p.members[i], now); at < 0 {
+			return i
+		}
+	}
+	return among[len(among)-1]
+}
+
+// home is weighted rendezvous hashing (Thaler and Ravishankar, 1998, with the weights of
+// Schindelhauer and Schomaker, 2005): when a member leaves, only what it had moves.
+func (p *Pool) home(among []int, key string, now time.Duration) int {
+	best, most := among[0], math.Inf(-1)
+	for _, i := range among {
+		m := &p.members[i]
+		var d xxhash.Digest
+		d.Reset()
+		_, _ = d.WriteString(key)
+		_, _ = d.WriteString("\x00" + m.Name)
+		u := (float64(d.Sum64()>>11) + 0.5) / (1 << 53)
+		if score := -p.weight(m, now) / math.Log(u); score > most {
+			best, most = i, score
+		}
+	}
+	return best
+}
+
+// Begin notes that a member has a request more, End that it has one less.
+func (p *Pool) Begin(i int) { p.members[i].busy++ }
+
+// End notes that a request at a member is over.
+func (p *Pool) End(i int) {
+	if p.members[i].busy > 0 {
+		p.members[i].busy--
+	}
+}
+
+// Queue has a request wait for room, up to the queue's bound, and reports whether it may.
+func (p *Pool) Queue(now time.Duration, token any, h Hint) bool {
+	if len(p.queue) >= p.opt.MaxQueue {
+		return false
+	}
+	p.queue = append(p.queue, waiter{token, h, now + p.opt.QueueWait})
+	return true
+}
+
+// Waiting returns how many requests wait.
+func (p *Pool) Waiting() int { return len(p.queue) }
+
+// Next returns the request that has waited the longest of those that can go now, and the
+// member that it goes to. It takes the turn and the room.
+func (p *Pool) Next(now time.Duration) (token any, i int, ok bool) {
+	for k, w := range p.queue {
+		if i, v := p.Pick(now, w.hint); v == Go {
+			p.queue = slices.Delete(p.queue, k, k+1)
+			p.Begin(i)
+			return w.token, i, true
+		} else if v == Nobody {
+			break
+		} else if w.hint.Cookie == "" && p.opt.Balance != Hash {
+			break // nor can anybody behind it, unless it is tied to another
+		}
+	}
+	return nil, -1, false
+}
+
+// Leave takes a request out of the queue, and reports whether it was there.
+func (p *Pool) Leave(token any) bool {
+	k := slices.IndexFunc(p.queue, func(w waiter) bool { return w.token == token })
+	if k >= 0 {
+		p.queue = slices.Delete(p.queue, k, k+1)
+	}
+	return k >= 0
+}
+
+// Expire returns the requests that have waited too long, or for whom no member is left.
+func (p *Pool) Expire(now time.Duration) (tokens []any) {
+	none := len(p.queue) > 0 && len(p.eligible()) == 0
+	p.queue = slices.DeleteFunc(p.queue, func(w waiter) bool {
+		if now < w.until && !(none && !p.tied(w.hint)) {
+			return false
+		}
+		tokens = append(tokens, w.token)
+		return true
+	})
+	return tokens
+}
+
+// tied reports whether a request's cookie leads to a member that takes it.
+func (p *Pool) tied(h Hint) bool {
+	return h.Cookie != "" && slices.ContainsFunc(p.members, func(m member) bool {
+		return m.Cookie == h.Cookie && (m.state == Up || m.state == Draining)
+	})
+}
+
+// Until returns when the first of those that wait has waited too long; 0: nobody waits.
+func (p *Pool) Until() (first time.Duration) {
+	for _, w := range p.queue {
+		if first == 0 || w.until < first {
+			first = w.until
+		}
+	}
+	return first
+}
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,332 @@
+package pool
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sedgevale/internal/testkit"
+)
+
+func TestMain(m *testing.M) { testkit.Main(m, 300) }
+
+func mustNew(t testing.TB, o Options) *Pool {
+	t.Helper()
+	p, err := New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+const second = time.Second
+
+// Guards the shares: over any run each member has what its weight says, evenly spread.
+func TestTurnsByWeight(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var o Options
+		sum := 0
+		for i := range rapid.IntRange(1, 6).Draw(t, "members") {
+			w := rapid.IntRange(0, 20).Draw(t, "weight")
+			o.Members = append(o.Members, Member{Name: fmt.Sprint(i), Weight: w})
+			sum += w
+		}
+		p, err := New(o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, v := p.Pick(0, Hint{}); (v == Nobody) != (sum == 0) {
+			t.Fatalf("%v with a sum of %d", v, sum)
+		}
+		if sum == 0 {
+			return
+		}
+		p, _ = New(o)
+		got := make([]int, len(o.Members))
+		rounds := rapid.IntRange(1, 5).Draw(t, "rounds")
+		for n := 1; n <= rounds*sum; n++ {
+			i, _ := p.Pick(second, Hint{})
+			got[i]++
+			for k, m := range o.Members { // never more than a turn or two off
+				if want := float64(n*m.Weight) / float64(sum); math.Abs(float64(got[k])-want) > float64(len(o.Members)) {
+					t.Fatalf("after %d turns member %d has %d, should have %.1f", n, k, got[k], want)
+				}
+			}
+		}
+		for k, m := range o.Members {
+			if got[k] != rounds*m.Weight {
+				t.Fatalf("member %d has %d of %d turns, weight %d of %d", k, got[k], rounds*sum, m.Weight, sum)
+			}
+		}
+	})
+}
+
+// Guards backups: they serve exactly while no other does, the first or all of them, and
+// the main members come back one by one.
+func TestBackups(t *testing.T) {
+	for _, every := range []bool{false, true} {
+		p := mustNew(t, Options{AllBackups: every, Members: []Member{{Name: "a", Weight: 1}, {Name: "b", Weight: 1},
+			{Name: "x", Weight: 1, Backup: true}, {Name: "y", Weight: 1, Backup: true}}})
+		used := func() (names string) {
+			seen := map[int]bool{}
+			for range 20 {
+				if i, v := p.Pick(second, Hint{}); v == Go {
+					seen[i] = true
+				}
+			}
+			for i := range p.members {
+				if seen[i] {
+					names += p.Name(i)
+				}
+			}
+			return names
+		}
+		down := func(name string) { p.Set(p.Index(name), Down, second) }
+		up := func(name string) { p.Set(p.Index(name), Up, second) }
+		backups := "x"
+		if every {
+			backups = "xy"
+		}
+		steps := []struct {
+			do   func()
+			want string
+		}{
+			{func() {}, "ab"}, {func() { down("a") }, "b"}, {func() { down("b") }, backups},
+			{func() { down("x") }, "y"}, {func() { down("y") }, ""}, {func() { up("x") }, "x"},
+			{func() { up("b") }, "b"}, {func() { up("a") }, "ab"},
+		}
+		for i, s := range steps {
+			s.do()
+			if got := used(); got != s.want {
+				t.Errorf("all backups %v, step %d: %q, want %q", every, i, got, s.want)
+			}
+		}
+	}
+}
+
+// Guards persistence: a cookie leads to its member while that serves, also when it drains
+// or has no weight, and elsewhere once it is down or was tried.
+func TestCookie(t *testing.T) {
+	p := mustNew(t, Options{Members: []Member{{Name: "a", Weight: 1, Cookie: "A"}, {Name: "b", Weight: 0, Cookie: "B"}}})
+	pick := func(h Hint) string {
+		i, v := p.Pick(second, h)
+		if v != Go {
+			return fmt.Sprint(v)
+		}
+		return p.Name(i)
+	}
+	if got := pick(Hint{Cookie: "B"}); got != "b" {
+		t.Errorf("its cookie leads to %s", got)
+	}
+	if got := pick(Hint{Cookie: "C"}); got != "a" {
+		t.Errorf("an unknown cookie leads to %s", got)
+	}
+	p.Set(1, Draining, second)
+	if got := pick(Hint{Cookie: "B"}); got != "b" {
+		t.Errorf("draining, its cookie leads to %s", got)
+	}
+	if got := pick(Hint{Cookie: "B", Not: []int{1}}); got != "a" {
+		t.Errorf("tried before, its cookie leads to %s", got)
+	}
+	p.Set(1, Down, second)
+	if got := pick(Hint{Cookie: "B"}); got != "a" {
+		t.Errorf("down, its cookie leads to %s", got)
+	}
+}
+
+// Guards hashing: a text stays with its member, shares go by weight, and when a member
+// leaves only what it had moves.
+func TestHash(t *testing.T) {
+	p := mustNew(t, Options{Balance: Hash, Members: []Member{{Name: "a", Weight: 1}, {Name: "b", Weight: 2}, {Name: "c", Weight: 3}}})
+	const n = 20000
+	home, count := make([]int, n), make([]int, 3)
+	for k := range n {
+		home[k], _ = p.Pick(second, Hint{Key: fmt.Sprint("key-", k)})
+		count[home[k]]++
+	}
+	for i, want := range []float64{1.0 / 6, 2.0 / 6, 3.0 / 6} {
+		if got := float64(count[i]) / n; math.Abs(got-want) > 0.02 {
+			t.Errorf("member %d has %.3f, weight %.3f", i, got, want)
+		}
+	}
+	p.Set(1, Down, second)
+	for k := range n {
+		if now, _ := p.Pick(second, Hint{Key: fmt.Sprint("key-", k)}); home[k] != 1 && now != home[k] {
+			t.Fatalf("key %d moved from %d to %d", k, home[k], now)
+		}
+	}
+}
+
+// Guards the rest of the ways to balance, and the slow start.
+func TestOtherBalances(t *testing.T) {
+	p := mustNew(t, Options{Balance: First, Members: []Member{{Name: "a", Weight: 1, MaxConn: 2}, {Name: "b", Weight: 1}}})
+	for i, want := range []int{0, 0, 1, 1} {
+		got, _ := p.Pick(second, Hint{})
+		if p.Begin(got); got != want {
+			t.Errorf("first: request %d went to %d", i, got)
+		}
+	}
+	p = mustNew(t, Options{Balance: LeastConn, Members: []Member{{Name: "a", Weight: 1}, {Name: "b", Weight: 3}}})
+	for range 40 {
+		i, _ := p.Pick(second, Hint{})
+		p.Begin(i)
+	}
+	if _, a := p.State(0); a != 10 {
+		t.Errorf("leastconn: %d of 40 at a quarter of the weight", a)
+	}
+	p = mustNew(t, Options{Balance: Random, Members: []Member{{Name: "a", Weight: 1}, {Name: "b", Weight: 3}}})
+	got := 0
+	for k := range uint64(10000) {
+		if i, _ := p.Pick(second, Hint{Rand: k * 0x9e3779b97f4a7c15}); i == 0 {
+			got++
+		}
+	}
+	if got < 2300 || got > 2700 {
+		t.Errorf("random: %d of 10000 at a quarter of the weight", got)
+	}
+	p = mustNew(t, Options{SlowStart: 10 * second, Members: []Member{{Name: "a", Weight: 10}, {Name: "b", Weight: 10}}})
+	p.Set(0, Down, 100*second)
+	p.Set(0, Up, 100*second)
+	share := func(now time.Duration) (n int) {
+		for range 1000 {
+			if i, _ := p.Pick(now, Hint{}); i == 0 {
+				n++
+			}
+		}
+		return n
+	}
+	if early, late := share(101*second), share(111*second); early > 120 || late < 490 {
+		t.Errorf("slow start: %d of 1000 at first, %d later", early, late)
+	}
+}
+
+// Guards the bound of each member and of the queue, the order in it, and that nobody waits
+// for ever.
+func TestQueue(t *testing.T) {
+	p := mustNew(t, Options{MaxQueue: 2, QueueWait: 3 * second, Members: []Member{{Name: "a", Weight: 1, MaxConn: 1}}})
+	i, v := p.Pick(second, Hint{})
+	if v != Go {
+		t.Fatal(v)
+	}
+	p.Begin(i)
+	if _, v := p.Pick(second, Hint{}); v != Wait {
+		t.Fatalf("full: %v", v)
+	}
+	if !p.Queue(second, "one", Hint{}) || !p.Queue(2*second, "two", Hint{}) || p.Queue(2*second, "three", Hint{}) {
+		t.Error("the queue's bound")
+	}
+	if _, _, ok := p.Next(2 * second); ok {
+		t.Error("somebody went while it was full")
+	}
+	p.End(i)
+	if token, _, ok := p.Next(2 * second); !ok || token != "one" {
+		t.Errorf("next is %v", token)
+	}
+	if _, _, ok := p.Next(2 * second); ok {
+		t.Error("two went where one may")
+	}
+	if got := p.Expire(4 * second); len(got) != 0 {
+		t.Errorf("expired early: %v", got)
+	}
+	if got := p.Expire(5 * second); !slices.Equal(got, []any{"two"}) || p.Until() != 0 {
+		t.Errorf("expired: %v, until %v", got, p.Until())
+	}
+	p.Queue(6*second, "last", Hint{})
+	p.Set(0, Down, 6*second)
+	if got := p.Expire(6 * second); !slices.Equal(got, []any{"last"}) {
+		t.Errorf("with nobody left: %v", got)
+	}
+	p.Queue(7*second, "gone", Hint{})
+	if !p.Leave("gone") || p.Leave("gone") {
+		t.Error("leaving")
+	}
+}
+
+// Guards the bounds over any course of things: no member has more than its own, and
+// nobody waits while one with room could take him.
+func TestPoolModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var o Options
+		o.MaxQueue = rapid.IntRange(1, 4).Draw(t, "queue")
+		o.Balance = rapid.SampledFrom([]Balance{RoundRobin, LeastConn, First, Random}).Draw(t, "balance")
+		for i := range rapid.IntRange(1, 4).Draw(t, "members") {
+			o.Members = append(o.Members, Member{Name: fmt.Sprint(i), Weight: rapid.IntRange(0, 3).Draw(t, "weight"),
+				Backup: rapid.Bool().Draw(t, "backup"), MaxConn: rapid.IntRange(0, 2).Draw(t, "maxconn")})
+		}
+		p, err := New(o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		busy, now := make([]int, len(o.Members)), time.Second
+		check := func(i int) {
+			m := o.Members[i]
+			if s, _ := p.State(i); s != Up || m.Weight == 0 {
+				t.Fatalf("sent to %d, which is %v with weight %d", i, s, m.Weight)
+			}
+			if busy[i]++; m.MaxConn > 0 && busy[i] > m.MaxConn {
+				t.Fatalf("member %d has %d, %d at most", i, busy[i], m.MaxConn)
+			}
+			if m.Backup {
+				for k := range o.Members {
+					if s, _ := p.State(k); s == Up && !o.Members[k].Backup && o.Members[k].Weight > 0 {
+						t.Fatalf("backup %d is used though %d serves", i, k)
+					}
+				}
+			}
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now += 10 * time.Millisecond
+			k := rapid.IntRange(0, len(o.Members)-1).Draw(t, "member")
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				if i, v := p.Pick(now, Hint{Rand: rapid.Uint64().Draw(t, "rand")}); v == Go {
+					p.Begin(i)
+					check(i)
+				} else if v == Wait {
+					p.Queue(now, new(int), Hint{})
+				}
+			case 1:
+				if busy[k] > 0 {
+					busy[k]--
+					p.End(k)
+				}
+			case 2:
+				p.Set(k, rapid.SampledFrom([]State{Up, Down, Draining}).Draw(t, "state"), now)
+			case 3:
+				for {
+					_, i, ok := p.Next(now)
+					if !ok {
+						break
+					}
+					check(i)
+				}
+				if _, v := p.Pick(now, Hint{}); v == Go && p.Waiting() > 0 {
+					t.Fatal("somebody waits though a member has room")
+				}
+			}
+			if p.Waiting() > o.MaxQueue {
+				t.Fatalf("%d wait", p.Waiting())
+			}
+		}
+	})
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{4, 50} {
+		var o Options
+		for i := range n {
+			o.Members = append(o.Members, Member{Name: fmt.Sprint(i), Weight: 1 + i%5})
+		}
+		p := mustNew(b, o)
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Pick(second, Hint{})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/route/format.go
@@ -0,0 +1,94 @@
+package route
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Format is a text with samples in it: %[EXPRESSION], and some of the short forms that
+// logs use.
+type Format struct {
+	parts []part
+}
+
+type part struct {
+	text string
+	f    *fetch
+}
+
+var short = map[string]string{"ci": "src", "HM": "method", "HU": "url", "HP": "path", "HQ": "query"}
+
+// ParseFormat reads a format.
+func ParseFormat(s string, files Files) (*Format, error) {
+	f := &Format{}
+	var text strings.Builder
+	flush := func() {
+		if text.Len() > 0 {
+			f.parts = append(f.parts, part{text: text.String()})
+			text.Reset()
+		}
+	}
+	for i := 0; i < len(s); i++ {
+		if s[i] != '%' {
+			text.WriteByte(s[i])
+			continue
+		}
+		rest := s[i+1:]
+		switch {
+		case strings.HasPrefix(rest, "%"):
+			text.WriteByte('%')
+			i++
+		case strings.HasPrefix(rest, "["):
+			end := strings.IndexByte(rest, ']')
+			if end < 0 {
+				return nil, fmt.Errorf("%q lacks a closing bracket", s)
+			}
+			one, err := parseFetch(strings.TrimSpace(rest[1:end]), files)
+			if err != nil {
+				return nil, err
+			}
+			flush()
+			f.parts = append(f.parts, part{f: one})
+			i += end + 1
+		case len(rest) >= 2 && short[rest[:2]] != "":
+			one, err := parseFetch(short[rest[:2]], files)
+			if err != nil {
+				return nil, err
+			}
+			flush()
+			f.parts = append(f.parts, part{f: one})
+			i += 2
+		default:
+			return nil, unsupported("%q in a format", "%"+rest[:min(2, len(rest))])
+		}
+	}
+	flush()
+	return f, nil
+}
+
+// Fixed returns the text if it has no samples.
+func (f *Format) Fixed() (string, bool) {
+	switch {
+	case len(f.parts) == 0:
+		return "", true
+	case len(f.parts) == 1 && f.parts[0].f == nil:
+		return f.parts[0].text, true
+	}
+	return "", false
+}
+
+// Of fills a format in. Of several samples the last counts, as for a header.
+func (f *Format) Of(q *Request) string {
+	if s, ok := f.Fixed(); ok {
+		return s
+	}
+	var b strings.Builder
+	for _, p := range f.parts {
+		if p.f == nil {
+			b.WriteString(p.text)
+		} else if got := p.f.samples(q); len(got) > 0 {
+			b.WriteString(got[len(got)-1])
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/route/rule.go
@@ -0,0 +1,561 @@
+package route
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"sedgevale/internal/http1"
+)
+
+// Answer is what a request is answered with in place of being passed on.
+type Answer struct {
+	Status int
+	Fields []http1.Field
+	Body   []byte
+	Why    string // the rule's words, for whoever asks why
+}
+
+// Rule is a compiled rule on requests or responses: what is done, and when.
+type Rule struct {
+	when *Condition
+	text string
+	// do carries the rule out. It returns an answer that ends the matter, or whether the
+	// rules that follow still count.
+	do func(q *Request) (a *Answer, last bool)
+}
+
+// Text returns the rule's words.
+func (r *Rule) Text() string { return r.text }
+
+// cut parts the words of a rule from its condition.
+func cut(words []string) (act, when []string) {
+	depth := 0
+	for i, w := range words {
+		switch w {
+		case "{":
+			depth++
+		case "}":
+			depth--
+		case "if", "unless":
+			if depth == 0 && i > 0 {
+				return words[:i], words[i:]
+			}
+		}
+	}
+	return words, nil
+}
+
+// ParseRequestRule reads the words of an http-request rule.
+func (l *Lists) ParseRequestRule(words []string) (*Rule, error) {
+	return l.parseRule(words, requestActions, "http-request")
+}
+
+// ParseResponseRule reads the words of an http-response rule.
+func (l *Lists) ParseResponseRule(words []string) (*Rule, error) {
+	return l.parseRule(words, responseActions, "http-response")
+}
+
+type action func(args []string, files Files) (func(q *Request) (*Answer, bool), error)
+
+func (l *Lists) parseRule(words []string, actions map[string]action, what string) (*Rule, error) {
+	act, when := cut(words)
+	if len(act) == 0 {
+		return nil, fmt.Errorf("%s lacks its action", what)
+	}
+	name, args := act[0], act[1:]
+	if n, rest, ok := strings.Cut(name, "("); ok { // set-var(name)
+		name, args = n, append([]string{strings.TrimSuffix(rest, ")")}, args...)
+	}
+	parse, ok := actions[name]
+	if !ok {
+		return nil, unsupported("%s %s", what, name)
+	}
+	r := &Rule{text: Line(words)}
+	var err error
+	if r.do, err = parse(args, l.files); err != nil {
+		return nil, fmt.Errorf("%s %s: %w", what, name, err)
+	}
+	if r.when, err = l.Compile(when); err != nil {
+		return nil, fmt.Errorf("%s %s: %w", what, name, err)
+	}
+	return r, nil
+}
+
+// Apply carries rules out in order, until one answers or says that it is the last.
+func Apply(rules []*Rule, q *Request) *Answer {
+	for _, r := range rules {
+		if !r.when.Holds(q) {
+			continue
+		}
+		a, last := r.do(q)
+		if a != nil {
+			a.Why = r.text
+			return a
+		}
+		if last {
+			return nil
+		}
+	}
+	return nil
+}
+
+var requestActions = map[string]action{
+	"allow":          func([]string, Files) (func(*Request) (*Answer, bool), error) { return allow, nil },
+	"deny":           parseDeny,
+	"tarpit":         parseDeny, // answered at once: a refusal is not held back here
+	"redirect":       parseRedirect,
+	"return":         parseReturn,
+	"set-header":     headerAction(true, setHeader),
+	"add-header":     headerAction(true, addHeader),
+	"del-header":     parseDelHeader(true),
+	"replace-header": parseReplaceHeader(true, false),
+	"replace-value":  parseReplaceHeader(true, true),
+	"set-path":       formatAction(func(q *Request, s string) { q.SetPath(s) }),
+	"set-query":      formatAction(func(q *Request, s string) { q.SetQuery(s) }),
+	"set-uri":        formatAction(func(q *Request, s string) { q.Target = s; q.edited() }),
+	"set-method":     formatAction(func(q *Request, s string) { q.Method = s; q.edited() }),
+	"replace-path":   parseReplace(func(q *Request) string { return q.Path() }, func(q *Request, s string) { q.SetPath(s) }),
+	"replace-uri":    parseReplace(func(q *Request) string { return q.Target }, func(q *Request, s string) { q.Target = s; q.edited() }),
+	"set-var":        parseSetVar,
+	"set-var-fmt":    parseSetVarFormat,
+	"unset-var":      parseUnsetVar,
+	"strict-mode":    func([]string, Files) (func(*Request) (*Answer, bool), error) { return nothing, nil },
+	"disable-l7-retry": func([]string, Files) (func(*Request) (*Answer, bool), error) {
+		return nil, unsupported("a rule that decides on retries")
+	},
+}
+
+var responseActions = map[string]action{
+	"allow":          func([]string, Files) (func(*Request) (*Answer, bool), error) { return allow, nil },
+	"deny":           parseDeny,
+	"set-header":     headerAction(false, setHeader),
+	"add-header":     headerAction(false, addHeader),
+	"del-header":     parseDelHeader(false),
+	"replace-header": parseReplaceHeader(false, false),
+	"replace-value":  parseReplaceHeader(false, true),
+	"set-status":     parseSetStatus,
+}
+
+func allow(*Request) (*Answer, bool)   { return nil, true }
+func nothing(*Request) (*Answer, bool) { return nil, false }
+
+func addHeader(fields []http1.Field, name, value string) []http1.Field {
+	return append(slices.Clip(fields), http1.Field{Name: name, Value: value})
+}
+
+func status(s string, least, most int) (int, error) {
+	v, err := strconv.Atoi(s)
+	if err != nil || v < least || v > most {
+		return 0, fmt.Errorf("%q is no status between %d and %d", s, least, most)
+	}
+	return v, nil
+}
+
+func parseDeny(args []string, _ Files) (func(*Request) (*Answer, bool), error) {
+	code := 403
+	for len(args) > 0 {
+		switch {
+		case (args[0] == "deny_status" || args[0] == "status") && len(args) > 1:
+			var err error
+			if code, err = status(args[1], 200, 599); err != nil {
+				return nil, err
+			}
+			args = args[2:]
+		default:
+			return nil, unsupported("the argument %s", args[0])
+		}
+	}
+	return func(*Request) (*Answer, bool) {
+		return &Answer{Status: code, Fields: plainText, Body: []byte("denied by a rule\n")}, true
+	}, nil
+}
+
+var plainText = []http1.Field{{Name: "Content-Type", Value: "text/plain"}}
+
+// parseRedirect reads location, prefix or scheme, code, and drop-query, append-slash,
+// set-cookie and clear-cookie.
+func parseRedirect(args []string, files Files) (func(*Request) (*Answer, bool), error) {
+	code, how := 302, ""
+	var to *Format
+	var drop, slash bool
+	var cookie string
+	for len(args) > 0 {
+		word := args[0]
+		args = args[1:]
+		switch word {
+		case "drop-query":
+			drop = true
+			continue
+		case "append-slash":
+			slash = true
+			continue
+		}
+		if len(args) == 0 {
+			return nil, fmt.Errorf("%s lacks its value", word)
+		}
+		value := args[0]
+		args = args[1:]
+		var err error
+		switch word {
+		case "location", "prefix", "scheme":
+			how = word
+			to, err = ParseFormat(value, files)
+		case "code":
+			if code, err = status(value, 301, 308); err == nil && !slices.Contains([]int{301, 302, 303, 307, 308}, code) {
+				err = fmt.Errorf("%d is no redirection", code)
+			}
+		case "set-cookie":
+			cookie = value + "; path=/;"
+		case "clear-cookie":
+			cookie = value + "; path=/; Max-Age=0;"
+		default:
+			err = unsupported("the argument %s", word)
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	if how == "" {
+		return nil, fmt.Errorf("needs location, prefix or scheme")
+	}
+	return func(q *Request) (*Answer, bool) {
+		where := to.Of(q)
+		target := q.Target
+		if !strings.HasPrefix(target, "/") {
+			target = q.Path()
+		}
+		if path, _, _ := strings.Cut(target, "?"); drop {
+			target = path
+		}
+		if path, query, ok := strings.Cut(target, "?"); slash && !strings.HasSuffix(path, "/") {
+			if target = path + "/"; ok {
+				target += "?" + query
+			}
+		}
+		switch how {
+		case "prefix":
+			if where == "/" {
+				where = ""
+			}
+			where += target
+		case "scheme":
+			where += "://" + q.Header("Host") + target
+		}
+		fields := []http1.Field{{Name: "Location", Value: clean(where)}}
+		if cookie != "" {
+			fields = append(fields, http1.Field{Name: "Set-Cookie", Value: clean(cookie)})
+		}
+		return &Answer{Status: code, Fields: fields}, true
+	}, nil
+}
+
+// clean takes away what would end a header field: what is put into one may come from
+// the request.
+func clean(s string) string {
+	if strings.IndexFunc(s, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }) < 0 {
+		return s
+	}
+	return strings.Map(func(r rune) rune {
+		if r < ' ' && r != '\t' || r == 0x7f {
+			return -1
+		}
+		return r
+	}, s)
+}
+
+// parseReturn reads status, content-type, string, lf-string, file and hdr.
+func parseReturn(args []string, files Files) (func(*Request) (*Answer, bool), error) {
+	code, kind := 200, ""
+	var body *Format
+	var fixed []byte
+	var names []string
+	var values []*Format
+	for len(args) > 0 {
+		if len(args) < 2 {
+			return nil, fmt.Errorf("%s lacks its value", args[0])
+		}
+		word, value := args[0], args[1]
+		args = args[2:]
+		var err error
+		switch word {
+		case "status":
+			code, err = status(value, 200, 599)
+		case "content-type":
+			kind = value
+		case "string":
+			fixed = []byte(value)
+		case "lf-string":
+			body, err = ParseFormat(value, files)
+		case "file":
+			fixed, err = files(value)
+		case "hdr":
+			if len(args) == 0 {
+				return nil, fmt.Errorf("hdr needs a name and a value")
+			}
+			var f *Format
+			f, err = ParseFormat(args[0], files)
+			names, values, args = append(names, value), append(values, f), args[1:]
+		default:
+			err = unsupported("the argument %s", word)
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return func(q *Request) (*Answer, bool) {
+		a := &Answer{Status: code, Body: fixed}
+		if body != nil {
+			a.Body = []byte(body.Of(q))
+		}
+		if kind != "" {
+			a.Fields = append(a.Fields, http1.Field{Name: "Content-Type", Value: kind})
+		}
+		for i, n := range names {
+			a.Fields = append(a.Fields, http1.Field{Name: n, Value: clean(values[i].Of(q))})
+		}
+		return a, true
+	}, nil
+}
+
+func fieldsOf(q *Request, request bool) *[]http1.Field {
+	if request {
+		return &q.Fields
+	}
+	return &q.Response
+}
+
+// framing are fields that say where a message ends; a rule that changed them could make
+// two messages of one.
+var framing = []string{"content-length", "transfer-encoding", "connection", "upgrade", "te", "trailer"}
+
+func headerName(s string) error {
+	if slices.Contains(framing, strings.ToLower(s)) {
+		return unsupported("changing %s, which frames the message,", s)
+	}
+	if s == "" || strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r >= 0x7f || strings.ContainsRune("():;,/=\"", r) }) {
+		return fmt.Errorf("%q is no name of a header field", s)
+	}
+	return nil
+}
+
+func headerAction(request bool, change func([]http1.Field, string, string) []http1.Field) action {
+	return func(args []string, files Files) (func(*Request) (*Answer, bool), error) {
+		if len(args) != 2 {
+			return nil, fmt.Errorf("needs a name and a value")
+		}
+		if err := headerName(args[0]); err != nil {
+			return nil, err
+		}
+		value, err := ParseFormat(args[1], files)
+		if err != nil {
+			return nil, err
+		}
+		return func(q *Request) (*Answer, bool) {
+			f := fieldsOf(q, request)
+			*f = change(*f, args[0], clean(value.Of(q)))
+			q.edited()
+			return nil, false
+		}, nil
+	}
+}
+
+func parseDelHeader(request bool) action {
+	return func(args []string, _ Files) (func(*Request) (*Answer, bool), error) {
+		if len(args) != 1 && len(args) != 3 {
+			return nil, fmt.Errorf("needs a name")
+		}
+		names := func(n string) bool { return strings.EqualFold(n, args[0]) }
+		if len(args) == 3 {
+			m, ok := methods[args[2]]
+			if args[1] != "-m" || !ok {
+				return nil, unsupported("the arguments %s", strings.Join(args[1:], " "))
+			}
+			test, err := m([]string{strings.ToLower(args[0])}, false)
+			if err != nil {
+				return nil, err
+			}
+			names = func(n string) bool { return test(strings.ToLower(n)) }
+		} else if err := headerName(args[0]); err != nil {
+			return nil, err
+		}
+		return func(q *Request) (*Answer, bool) {
+			f := fieldsOf(q, request)
+			var out []http1.Field
+			for _, one := range *f {
+				if !names(one.Name) || slices.Contains(framing, strings.ToLower(one.Name)) {
+					out = append(out, one)
+				}
+			}
+			*f = out
+			q.edited()
+			return nil, false
+		}, nil
+	}
+}
+
+func parseReplaceHeader(request, parts bool) action {
+	return func(args []string, files Files) (func(*Request) (*Answer, bool), error) {
+		if len(args) != 3 {
+			return nil, fmt.Errorf("needs a name, a regular expression and a replacement")
+		}
+		if err := headerName(args[0]); err != nil {
+			return nil, err
+		}
+		change, err := replacement(args[1], args[2], files)
+		if err != nil {
+			return nil, err
+		}
+		return func(q *Request) (*Answer, bool) {
+			f := fieldsOf(q, request)
+			out := slices.Clone(*f)
+			for i := range out {
+				if !strings.EqualFold(out[i].Name, args[0]) {
+					continue
+				}
+				if !parts {
+					out[i].Value = clean(change(q, out[i].Value))
+					continue
+				}
+				values := strings.Split(out[i].Value, ",")
+				for j, v := range values {
+					values[j] = change(q, strings.TrimSpace(v))
+				}
+				out[i].Value = clean(strings.Join(values, ", "))
+			}
+			*f = out
+			q.edited()
+			return nil, false
+		}, nil
+	}
+}
+
+// replacement reads a regular expression and a format with \1 for what it has found.
+func replacement(pattern, format string, files Files) (func(*Request, string) string, error) {
+	re, err := compileRegexp(pattern, false)
+	if err != nil {
+		return nil, err
+	}
+	f, err := ParseFormat(format, files)
+	if err != nil {
+		return nil, err
+	}
+	if s, fixed := f.Fixed(); fixed {
+		to := backrefs(s)
+		return func(_ *Request, s string) string { return replace(re, s, to, false) }, nil
+	}
+	return func(q *Request, s string) string { return replace(re, s, backrefs(f.Of(q)), false) }, nil
+}
+
+func parseReplace(get func(*Request) string, set func(*Request, string)) action {
+	return func(args []string, files Files) (func(*Request) (*Answer, bool), error) {
+		if len(args) != 2 {
+			return nil, fmt.Errorf("needs a regular expression and a replacement")
+		}
+		change, err := replacement(args[0], args[1], files)
+		if err != nil {
+			return nil, err
+		}
+		return func(q *Request) (*Answer, bool) {
+			if s := change(q, get(q)); targetable(s) {
+				set(q, s)
+			}
+			return nil, false
+		}, nil
+	}
+}
+
+// targetable reports whether a text can stand in a request line.
+func targetable(s string) bool {
+	return s != "" && strings.IndexFunc(s, func(r rune) bool { return r <= ' ' || r == 0x7f }) < 0
+}
+
+func formatAction(set func(*Request, string)) action {
+	return func(args []string, files Files) (func(*Request) (*Answer, bool), error) {
+		if len(args) != 1 {
+			return nil, fmt.Errorf("needs one value")
+		}
+		f, err := ParseFormat(args[0], files)
+		if err != nil {
+			return nil, err
+		}
+		return func(q *Request) (*Answer, bool) {
+			if s := f.Of(q); targetable(s) {
+				set(q, s)
+			}
+			return nil, false
+		}, nil
+	}
+}
+
+func (q *Request) setVar(name, value string) {
+	if q.vars == nil {
+		q.vars = map[string]string{}
+	}
+	q.vars[name] = value
+	q.edited()
+}
+
+func parseSetVar(args []string, files Files) (func(*Request) (*Answer, bool), error) {
+	if len(args) != 2 {
+		return nil, fmt.Errorf("needs a name in parentheses and an expression")
+	}
+	if strings.HasPrefix(args[0], "proc.") || strings.HasPrefix(args[0], "sess.") {
+		return nil, unsupported("a variable that outlives the request")
+	}
+	f, err := parseFetch(args[1], files)
+	if err != nil {
+		return nil, err
+	}
+	return func(q *Request) (*Answer, bool) {
+		if got := f.samples(q); len(got) > 0 {
+			q.setVar(args[0], got[len(got)-1])
+		}
+		return nil, false
+	}, nil
+}
+
+func parseSetVarFormat(args []string, files Files) (func(*Request) (*Answer, bool), error) {
+	if len(args) != 2 {
+		return nil, fmt.Errorf("needs a name in parentheses and a format")
+	}
+	f, err := ParseFormat(args[1], files)
+	if err != nil {
+		return nil, err
+	}
+	return func(q *Request) (*Answer, bool) {
+		q.setVar(args[0], f.Of(q))
+		return nil, false
+	}, nil
+}
+
+func parseUnsetVar(args []string, _ Files) (func(*Request) (*Answer, bool), error) {
+	if len(args) != 1 {
+		return nil, fmt.Errorf("needs a name in parentheses")
+	}
+	return func(q *Request) (*Answer, bool) {
+		delete(q.vars, args[0])
+		q.edited()
+		return nil, false
+	}, nil
+}
+
+func parseSetStatus(args []string, _ Files) (func(*Request) (*Answer, bool), error) {
+	if len(args) != 1 && (len(args) != 3 || args[1] != "reason") {
+		return nil, fmt.Errorf("needs a status")
+	}
+	code, err := status(args[0], 200, 599)
+	if err != nil {
+		return nil, err
+	}
+	return func(q *Request) (*Answer, bool) {
+		if q.Status >= 200 && q.Status != 204 && q.Status != 304 { // else it says where the body ends
+			q.Status = code
+		}
+		return nil, false
+	}, nil
+}
+
+var nameOf = regexp.MustCompile(`^[A-Za-z0-9_.:-]+$`)
