Add the third front: a plain HTTP/1.1 reverse proxy on the same loops and module

Need: an imported HAProxy configuration could not stand in for the original: only POST /CLASS with the platform's headers was served.

Change: internal/web serves any method, path, framing and status through routes, pools and the decision module; bodies up to 64 KiB stay on the event loops, longer ones and tunnels are taken off them so that a slow side holds the other up, not our memory. Health checks, cookies, maxconn with a queue, backups, retry-on and reload are wired. httpd gets limits of its own, detached connections and framed bodies; http1 keeps trailers on request.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -29,6 +29,7 @@
 	// Of an operator's file alone.
 	SSE      *SSE     `json:"-"`
 	Journal  *Journal `json:"-"`
+	Web      *Web     `json:"-"`
 	Planners int      `json:"-"`
 	Loops    int      `json:"-"`
 
@@ -143,7 +144,7 @@
 // Check returns an error for a configuration that cannot serve.
 func (c *Config) Check() error {
 	switch {
-	case c.Listen == "":
+	case c.Listen == "" && c.Web == nil:
 		return errors.New("no address to listen on")
 	case c.Known == nil:
 		return errors.New("no list of known workers")
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"path/filepath"
 	"strings"
 
 	"github.com/BurntSushi/toml"
@@ -25,6 +26,7 @@
 	Limits    Limits             `toml:"limits"`
 	SSE       *SSE               `toml:"sse,omitempty"`
 	Journal   *Journal           `toml:"journal,omitempty"`
+	Web       *Web               `toml:"web,omitempty"`
 	Settings  Settings           `toml:"settings"`
 	Workers   []discovery.Member `toml:"workers"`
 }
@@ -51,6 +53,9 @@
 		}
 		return nil, fmt.Errorf("%s: unknown keys: %s", path, strings.Join(names, ", "))
 	}
+	if f.Web != nil {
+		f.Web.dir = filepath.Dir(path)
+	}
 	c := f.config()
 	if meta.IsDefined("settings", "bounds", "max_attempts") && f.Settings.Bounds.MaxAttempts <= 0 {
 		return nil, fmt.Errorf("%s: max_attempts must be above 0", path)
@@ -67,9 +72,12 @@
 			w.Phase = "ready"
 		}
 	}
+	if f.Web != nil && f.Listen == "" && len(f.Settings.Classes) == 0 { // no jobs are taken
+		f.Settings.Classes = []Class{{Name: "-", Effect: "free", Promise: 1, HardLimit: 1}}
+	}
 	return &Config{Name: f.Name, Listen: f.Listen, Ops: f.Ops, Discovery: f.Discovery, Seed: f.Seed, Limits: f.Limits,
 		Known: &discovery.List{Complete: true, Members: f.Workers}, Settings: f.Settings,
-		SSE: f.SSE, Journal: f.Journal, Planners: f.Planners, Loops: f.Loops}
+		SSE: f.SSE, Journal: f.Journal, Web: f.Web, Planners: f.Planners, Loops: f.Loops}
 }
 
 // Write writes the file.
@@ -89,8 +97,24 @@
 }
 
 func (c *Config) checkOperator() error {
-	if err := address("the address to listen on,", c.Listen); err != nil {
-		return err
+	if c.Listen != "" || c.Web == nil {
+		if err := address("the address to listen on,", c.Listen); err != nil {
+			return err
+		}
+	} else if c.SSE != nil || c.Journal != nil {
+		return errors.New("sse and journal are for jobs, and there is no address to listen on for those")
+	}
+	if c.Web != nil {
+		if err := c.Web.Check(); err != nil {
+			return err
+		}
+		for _, f := range c.Web.Frontends {
+			for _, a := range f.Listen {
+				if a == c.Listen || a == c.Ops || c.SSE != nil && a == c.SSE.Listen {
+					return fmt.Errorf("web: frontend %q listens on %s, which is another front's", f.Name, a)
+				}
+			}
+		}
 	}
 	if c.Ops != "" {
 		if err := address("ops", c.Ops); err != nil {
--- /dev/null
+++ b/internal/config/web.go
@@ -0,0 +1,374 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"sedgevale/internal/healthcheck"
+	"sedgevale/internal/pool"
+	"sedgevale/internal/route"
+)
+
+// Web sets up the plain HTTP front; see docs/HAPROXY.md. Times are in seconds.
+type Web struct {
+	Frontends []WebFrontend `toml:"frontends"`
+	Backends  []WebBackend  `toml:"backends"`
+
+	dir string // of the operator's file; paths in rules are relative to it
+}
+
+// WebFrontend is where requests come in.
+type WebFrontend struct {
+	Name           string   `toml:"name"`
+	Listen         []string `toml:"listen"`
+	ForwardFor     bool     `toml:"forward_for,omitempty"` // X-Forwarded-For is added
+	RequestTimeout float64  `toml:"request_timeout,omitempty"`
+	IdleTimeout    float64  `toml:"idle_timeout,omitempty"`
+	route.Spec
+}
+
+// WebBackend is servers that serve the same.
+type WebBackend struct {
+	Name           string      `toml:"name"`
+	Balance        string      `toml:"balance,omitempty"`
+	HashOn         string      `toml:"hash_on,omitempty"` // an expression, with balance "hash"
+	AllBackups     bool        `toml:"all_backups,omitempty"`
+	ForwardFor     bool        `toml:"forward_for,omitempty"`
+	Retries        *int        `toml:"retries,omitempty"`  // after connections that fail; none: 3
+	RetryOn        []string    `toml:"retry_on,omitempty"` // none: conn-failure
+	ConnectTimeout float64     `toml:"connect_timeout,omitempty"`
+	ServerTimeout  float64     `toml:"server_timeout,omitempty"` // until the head of an answer
+	QueueTimeout   float64     `toml:"queue_timeout,omitempty"`
+	MaxQueue       int         `toml:"max_queue,omitempty"`
+	SlowStart      float64     `toml:"slow_start,omitempty"`
+	RetryAfter     float64     `toml:"retry_after,omitempty"` // told with 503; 0: nothing is told
+	Cookie         *WebCookie  `toml:"cookie,omitempty"`
+	Check          *WebCheck   `toml:"check,omitempty"`
+	Servers        []WebServer `toml:"servers"`
+	route.Spec
+}
+
+// WebCookie ties clients to servers.
+type WebCookie struct {
+	Name     string `toml:"name"`
+	Insert   bool   `toml:"insert,omitempty"`   // set by us; else by the server
+	Indirect bool   `toml:"indirect,omitempty"` // servers do not see it
+	NoCache  bool   `toml:"nocache,omitempty"`
+	HTTPOnly bool   `toml:"httponly,omitempty"`
+	Secure   bool   `toml:"secure,omitempty"`
+	Domain   string `toml:"domain,omitempty"`
+}
+
+// WebCheck says how a backend's servers are checked.
+type WebCheck struct {
+	Kind    string   `toml:"kind"` // "tcp" or "http"
+	Method  string   `toml:"method,omitempty"`
+	URI     string   `toml:"uri,omitempty"`
+	Version string   `toml:"version,omitempty"`
+	Headers []string `toml:"headers,omitempty"` // NAME: VALUE
+	Expect  []string `toml:"expect,omitempty"`  // [!] status|rstatus|string|rstring VALUE
+	Every   float64  `toml:"inter,omitempty"`
+	Fast    float64  `toml:"fastinter,omitempty"`
+	Down    float64  `toml:"downinter,omitempty"`
+	Rise    int      `toml:"rise,omitempty"`
+	Fall    int      `toml:"fall,omitempty"`
+	Timeout float64  `toml:"timeout,omitempty"`
+}
+
+// WebServer is a server of a backend.
+type WebServer struct {
+	Name     string    `toml:"name"`
+	Addr     string    `toml:"addr"`
+	Weight   *int      `toml:"weight,omitempty"` // none: 1
+	Backup   bool      `toml:"backup,omitempty"`
+	Disabled bool      `toml:"disabled,omitempty"`
+	MaxConn  int       `toml:"maxconn,omitempty"`
+	Cookie   string    `toml:"cookie,omitempty"`
+	Check    *WebCheck `toml:"check,omitempty"`      // over the backend's, part by part
+	NoCheck  bool      `toml:"no_check,omitempty"`   // though the backend has one
+	CheckAt  string    `toml:"check_addr,omitempty"` // where, if not at addr
+	Track    string    `toml:"track,omitempty"`      // BACKEND/SERVER: it stands as that does
+}
+
+// Defaults of a backend, as HAProxy has them.
+const (
+	webRetries = 3
+	webConnect = 5.0
+	webServer  = 60.0
+)
+
+// RetryWords are the failures that retry_on can name.
+var RetryWords = []string{"conn-failure", "empty-response", "response-timeout", "junk-response", "500", "502", "503", "504", "none"}
+
+// Attempts returns how often a request may be sent, the first time included.
+func (b *WebBackend) Attempts() int {
+	if b.Retries == nil {
+		return 1 + webRetries
+	}
+	return 1 + *b.Retries
+}
+
+// Times returns how long to wait for a connection, and for the head of an answer.
+func (b *WebBackend) Times() (connect, server time.Duration) {
+	c, s := b.ConnectTimeout, b.ServerTimeout
+	if c == 0 {
+		c = webConnect
+	}
+	if s == 0 {
+		s = webServer
+	}
+	return Seconds(c), Seconds(s)
+}
+
+// Retries reports whether a request that failed in that way may go out again.
+func (b *WebBackend) RetriesOn(what string) bool {
+	if len(b.RetryOn) == 0 {
+		return what == "conn-failure"
+	}
+	return slices.Contains(b.RetryOn, what)
+}
+
+// Pool returns the options of the backend's pool.
+func (b *WebBackend) Pool() pool.Options {
+	o := pool.Options{Balance: pool.Balance(b.Balance), AllBackups: b.AllBackups, MaxQueue: b.MaxQueue,
+		QueueWait: Seconds(b.QueueTimeout), SlowStart: Seconds(b.SlowStart)}
+	if o.QueueWait == 0 {
+		o.QueueWait, _ = b.Times() // as HAProxy does
+	}
+	for _, s := range b.Servers {
+		m := pool.Member{Name: s.Name, Weight: 1, Backup: s.Backup, Disabled: s.Disabled, MaxConn: s.MaxConn, Cookie: s.Cookie}
+		if s.Weight != nil {
+			m.Weight = *s.Weight
+		}
+		o.Members = append(o.Members, m)
+	}
+	return o
+}
+
+// CheckOf returns how a server is checked; ok is false where it is not.
+func (b *WebBackend) CheckOf(s *WebServer) (spec healthcheck.Spec, addr string, ok bool, err error) {
+	if s.NoCheck || b.Check == nil && s.Check == nil || s.Track != "" {
+		return spec, "", false, nil
+	}
+	var c WebCheck
+	if b.Check != nil {
+		c = *b.Check
+	}
+	if o := s.Check; o != nil {
+		over(&c.Kind, o.Kind)
+		over(&c.Method, o.Method)
+		over(&c.URI, o.URI)
+		over(&c.Version, o.Version)
+		over(&c.Every, o.Every)
+		over(&c.Fast, o.Fast)
+		over(&c.Down, o.Down)
+		over(&c.Rise, o.Rise)
+		over(&c.Fall, o.Fall)
+		over(&c.Timeout, o.Timeout)
+		if len(o.Headers) > 0 {
+			c.Headers = o.Headers
+		}
+		if len(o.Expect) > 0 {
+			c.Expect = o.Expect
+		}
+	}
+	if addr = s.CheckAt; addr == "" {
+		addr = s.Addr
+	}
+	spec, err = c.spec()
+	return spec, addr, true, err
+}
+
+func over[T comparable](to *T, from T) {
+	var zero T
+	if from != zero {
+		*to = from
+	}
+}
+
+func (c *WebCheck) spec() (healthcheck.Spec, error) {
+	s := healthcheck.Spec{Kind: c.Kind, Method: c.Method, URI: c.URI, Version: c.Version, Every: Seconds(c.Every), Fast: Seconds(c.Fast),
+		Down: Seconds(c.Down), Rise: c.Rise, Fall: c.Fall, Timeout: Seconds(c.Timeout)}
+	for _, h := range c.Headers {
+		name, value, ok := cutField(h)
+		if !ok {
+			return s, fmt.Errorf("check: %q is no header field, NAME: VALUE", h)
+		}
+		s.Headers = append(s.Headers, healthcheck.Header{Name: name, Value: value})
+	}
+	for _, e := range c.Expect {
+		words, err := route.Words(e)
+		if err != nil {
+			return s, fmt.Errorf("check: expect %q: %w", e, err)
+		}
+		var x healthcheck.Expect
+		if len(words) > 0 && words[0] == "!" {
+			x.Not, words = true, words[1:]
+		}
+		if len(words) != 2 {
+			return s, fmt.Errorf("check: expect %q: want what and a value", e)
+		}
+		x.What, x.Value = words[0], words[1]
+		s.Expect = append(s.Expect, x)
+	}
+	if err := s.Fill(); err != nil {
+		return s, fmt.Errorf("check: %w", err)
+	}
+	return s, nil
+}
+
+func cutField(s string) (name, value string, ok bool) {
+	for i := range len(s) {
+		if s[i] == ':' {
+			value = s[i+1:]
+			for len(value) > 0 && value[0] == ' ' {
+				value = value[1:]
+			}
+			return s[:i], value, i > 0
+		}
+	}
+	return "", "", false
+}
+
+// maxRuleFile bounds a file that a rule names.
+const maxRuleFile = 64 << 20
+
+// Files reads the files that rules name.
+func (w *Web) Files(path string) ([]byte, error) {
+	if !filepath.IsAbs(path) {
+		path = filepath.Join(w.dir, path)
+	}
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, err
+	}
+	if info.Size() > maxRuleFile {
+		return nil, fmt.Errorf("%s has %d bytes, %d at most", path, info.Size(), maxRuleFile)
+	}
+	return os.ReadFile(path)
+}
+
+// Check returns an error for a front that cannot serve.
+func (w *Web) Check() error {
+	if len(w.Frontends) == 0 {
+		return errors.New("web: no frontend")
+	}
+	backends := map[string]*WebBackend{}
+	for i := range w.Backends {
+		b := &w.Backends[i]
+		if b.Name == "" || backends[b.Name] != nil {
+			return fmt.Errorf("web: backend %q has no name or is there twice", b.Name)
+		}
+		backends[b.Name] = b
+		if err := w.checkBackend(b); err != nil {
+			return fmt.Errorf("web: backend %q: %w", b.Name, err)
+		}
+	}
+	for _, b := range w.Backends {
+		for _, s := range b.Servers {
+			if s.Track != "" && !w.has(s.Track) {
+				return fmt.Errorf("web: backend %q: server %q tracks %q, which is not there", b.Name, s.Name, s.Track)
+			}
+		}
+	}
+	taken := map[string]string{}
+	names := map[string]bool{}
+	for i := range w.Frontends {
+		f := &w.Frontends[i]
+		if f.Name == "" || names[f.Name] {
+			return fmt.Errorf("web: frontend %q has no name or is there twice", f.Name)
+		}
+		names[f.Name] = true
+		if len(f.Listen) == 0 {
+			return fmt.Errorf("web: frontend %q listens nowhere", f.Name)
+		}
+		for _, a := range f.Listen {
+			if err := address("web: frontend "+f.Name+":", a); err != nil {
+				return err
+			}
+			if other := taken[a]; other != "" {
+				return fmt.Errorf("web: %s is the address of frontend %q and of %q", a, other, f.Name)
+			}
+			taken[a] = f.Name
+		}
+		if f.RequestTimeout < 0 || f.IdleTimeout < 0 {
+			return fmt.Errorf("web: frontend %q: times must not be negative", f.Name)
+		}
+		rules, err := route.Compile(f.Spec, w.Files)
+		if err != nil {
+			return fmt.Errorf("web: frontend %q: %w", f.Name, err)
+		}
+		to, _ := rules.Backends()
+		for _, name := range to {
+			if backends[name] == nil {
+				return fmt.Errorf("web: frontend %q leads to backend %q, which is not there", f.Name, name)
+			}
+		}
+	}
+	return nil
+}
+
+func (w *Web) has(track string) bool {
+	for _, b := range w.Backends {
+		for _, s := range b.Servers {
+			if b.Name+"/"+s.Name == track && s.Track == "" {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (w *Web) checkBackend(b *WebBackend) error {
+	if len(b.Use) > 0 || b.Default != "" {
+		return errors.New("use and default are for frontends")
+	}
+	if len(b.Servers) > 0 {
+		o := b.Pool()
+		if err := o.Check(); err != nil {
+			return err
+		}
+	}
+	if (b.Balance == string(pool.Hash)) != (b.HashOn != "") {
+		return errors.New(`balance "hash" and hash_on belong together`)
+	}
+	if b.HashOn != "" {
+		if _, err := route.ParseFormat("%["+b.HashOn+"]", w.Files); err != nil {
+			return fmt.Errorf("hash_on: %w", err)
+		}
+	}
+	if b.Attempts() < 1 || b.ConnectTimeout < 0 || b.ServerTimeout < 0 || b.QueueTimeout < 0 || b.RetryAfter < 0 {
+		return errors.New("retries and times must not be negative")
+	}
+	for _, word := range b.RetryOn {
+		if !slices.Contains(RetryWords, word) {
+			return fmt.Errorf("retry_on: %q is none of %v", word, RetryWords)
+		}
+	}
+	if b.Cookie != nil && b.Cookie.Name == "" {
+		return errors.New("cookie: no name")
+	}
+	if _, err := route.Compile(b.Spec, w.Files); err != nil {
+		return err
+	}
+	for i := range b.Servers {
+		s := &b.Servers[i]
+		if _, err := netip.ParseAddrPort(s.Addr); err != nil {
+			return fmt.Errorf("server %q: %q is no IP address and port", s.Name, s.Addr)
+		}
+		if s.CheckAt != "" {
+			if _, err := netip.ParseAddrPort(s.CheckAt); err != nil {
+				return fmt.Errorf("server %q: check_addr %q is no IP address and port", s.Name, s.CheckAt)
+			}
+		}
+		if _, _, _, err := b.CheckOf(s); err != nil {
+			return fmt.Errorf("server %q: %w", s.Name, err)
+		}
+	}
+	return nil
+}
--- a/internal/core/exchange.go
+++ b/internal/core/exchange.go
@@ -24,6 +24,7 @@
 	Method, Target string
 	Once           string // the key by which workers drop repeats; may be empty
 	Body           []byte
+	Load           any // of a front that has a carrier of its own
 }
 
 // AnswerKind tells the final answers apart.
--- a/internal/evloop/evloop.go
+++ b/internal/evloop/evloop.go
@@ -113,6 +113,25 @@
 	}()
 }
 
+// Detach takes a connection off its loop and returns it, with what was read of it and not
+// used. Its Peer is told that it is closed. It must be called on the loop.
+func (l *Loop) Detach(c Conn) (net.Conn, []byte, error) {
+	buf, _ := c.Peek(-1)
+	rest := append([]byte(nil), buf...)
+	fd, err := c.Dup()
+	if err != nil {
+		return nil, nil, err
+	}
+	f := os.NewFile(uintptr(fd), "detached")
+	defer f.Close()
+	nc, err := net.FileConn(f)
+	if err != nil {
+		return nil, nil, err
+	}
+	l.Close(c)
+	return nc, rest, nil
+}
+
 // Close closes a connection at once. It must be called on the loop.
 func (l *Loop) Close(c Conn) { _ = l.loop.Close(c) }
 
--- a/internal/http1/parse.go
+++ b/internal/http1/parse.go
@@ -40,6 +40,8 @@
 	Close          bool // the connection ends with this message
 	Length         int64
 	Chunked        bool
+	Old            bool    // HTTP/1.0
+	Trailer        []Field // behind a chunked body; only if the Parser keeps it
 }
 
 // Get returns the value of the first field of that name, or "".
@@ -91,6 +93,12 @@
 type Parser struct {
 	Head Head // of the message at hand; valid from Headed on
 
+	// NoBody says of the next response that it has no body whatever its head says: it
+	// answers HEAD.
+	NoBody bool
+	// KeepTrailer has the fields behind a chunked body kept; else they are dropped.
+	KeepTrailer bool
+
 	kind    Kind
 	state   state
 	scanned int // bytes already searched for the end of the head or line
@@ -192,6 +200,12 @@
 		p.trailer += end
 		if len(line) == 0 {
 			p.state = atEnd
+		} else if p.KeepTrailer {
+			f, err := field(string(line))
+			if err != nil {
+				return 0, false, err
+			}
+			p.Head.Trailer = append(p.Head.Trailer, f)
 		}
 	}
 	return end + 1, true, nil
@@ -300,7 +314,7 @@
 // framing finds where the body ends.
 func (p *Parser) framing(old bool) error {
 	h := &p.Head
-	h.Close = old
+	h.Close, h.Old = old, old
 	hosts, coded := 0, false
 	for _, f := range h.Fields {
 		switch {
@@ -339,6 +353,8 @@
 		return bad("one Host is needed")
 	}
 	switch {
+	case p.kind == Response && p.NoBody && h.Status >= 200:
+		p.state, p.left, p.NoBody = atBody, 0, false
 	case h.Chunked:
 		p.state = atChunkLine
 	case p.kind == Response && (h.Status < 200 || h.Status == 204 || h.Status == 304):
--- a/internal/http1/write.go
+++ b/internal/http1/write.go
@@ -1,18 +1,25 @@
 package http1
 
-import "strconv"
+import (
+	"net/http"
+	"strconv"
+)
 
-var reasons = map[int]string{
-	200: "OK", 204: "No Content", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-	406: "Not Acceptable", 408: "Request Timeout", 409: "Conflict", 413: "Content Too Large", 429: "Too Many Requests",
-	431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
-	502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout", 505: "HTTP Version Not Supported",
+// reason is the text of a status; it says nothing to programs.
+func reason(status int) string {
+	switch status { // where this project's words are not those of net/http
+	case 413:
+		return "Content Too Large"
+	case 421:
+		return "Misdirected Request"
+	}
+	return http.StatusText(status)
 }
 
 // AppendStatus adds the start line of a response.
 func AppendStatus(b []byte, status int) []byte {
 	b = strconv.AppendInt(append(b, "HTTP/1.1 "...), int64(status), 10)
-	return append(append(append(b, ' '), reasons[status]...), "\r\n"...)
+	return append(append(append(b, ' '), reason(status)...), "\r\n"...)
 }
 
 // AppendRequest adds the start line of a request.
@@ -32,3 +39,21 @@
 	b = strconv.AppendInt(append(b, "Content-Length: "...), int64(len(body)), 10)
 	return append(append(b, "\r\n\r\n"...), body...)
 }
+
+// AppendChunk adds one chunk of a body; an empty one adds nothing, for it would end it.
+func AppendChunk(b, chunk []byte) []byte {
+	if len(chunk) == 0 {
+		return b
+	}
+	b = append(strconv.AppendInt(b, int64(len(chunk)), 16), "\r\n"...)
+	return append(append(b, chunk...), "\r\n"...)
+}
+
+// AppendLastChunk ends a body in chunks, with the trailer.
+func AppendLastChunk(b []byte, trailer []Field) []byte {
+	b = append(b, "0\r\n"...)
+	for _, f := range trailer {
+		b = AppendField(b, f.Name, f.Value)
+	}
+	return append(b, "\r\n"...)
+}
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -64,6 +64,7 @@
 	addr     string
 	loops    int
 	handler  Handler
+	limits   Limits
 	budget   *budget.Budget
 	log      *slog.Logger
 	client   *gnet.Client
@@ -75,9 +76,48 @@
 	lanes    map[gnet.EventLoop]*lane
 }
 
+// Limits bound what clients may do. The zero value has the usual ones.
+type Limits struct {
+	First time.Duration // from connecting, for the first byte
+	Slow  time.Duration // from connecting, for the first request to come whole
+	Read  time.Duration // for a later request to come whole
+	Idle  time.Duration // between two requests; 0: as long as descriptors last
+}
+
+// Overflower is a Handler that deals with bodies beyond MaxBody itself. Overflow is called
+// on the connection's event loop with what has come, in place of Serve; the connection
+// has been taken off the loop.
+type Overflower interface {
+	Overflow(q *Request, d *Detached)
+}
+
+// Detached is a connection that was taken off its event loop, for work that waits: a body
+// that must not be read faster than it is passed on, or a tunnel.
+type Detached struct {
+	net.Conn
+	Parser *http1.Parser // where it stands in the request
+	Rest   []byte        // read and not yet parsed
+	server *Server
+	opened time.Time
+	once   sync.Once
+}
+
 // New returns a Server that is not yet listening.
 func New(addr string, loops int, handler Handler, b *budget.Budget, log *slog.Logger) *Server {
-	s := &Server{addr: addr, loops: min(max(1, loops), eventLoopCap), handler: handler, budget: b, log: log,
+	return NewLimited(addr, loops, handler, Limits{}, b, log)
+}
+
+// NewLimited returns a Server with limits of its own.
+func NewLimited(addr string, loops int, handler Handler, limits Limits, b *budget.Budget, log *slog.Logger) *Server {
+	for _, l := range []struct {
+		to    *time.Duration
+		usual time.Duration
+	}{{&limits.First, firstWait}, {&limits.Slow, slowWait}, {&limits.Read, readTimeout}} {
+		if *l.to <= 0 {
+			*l.to = l.usual
+		}
+	}
+	s := &Server{addr: addr, loops: min(max(1, loops), eventLoopCap), handler: handler, limits: limits, budget: b, log: log,
 		stopped: make(chan struct{}), lanes: map[gnet.EventLoop]*lane{}}
 	b.OnShort(func(n int) { s.each(func(l *lane) { l.closeIdle(n) }) })
 	return s
@@ -242,6 +282,9 @@
 	for c := l.fresh.first; c != nil && now.After(c.until); c = l.fresh.first {
 		l.close(c)
 	}
+	for c := l.idle.first; c != nil && c.srv.limits.Idle > 0 && now.After(c.until); c = l.idle.first {
+		l.close(c)
+	}
 	for c := l.reading.first; c != nil; { // not in the order of their times: a first request counts from connecting
 		next := c.next
 		if now.After(c.until) {
@@ -282,6 +325,8 @@
 	body       []byte
 	state      connState
 	closeAfter bool
+	detached   bool // its descriptor lives on elsewhere
+	framing    Framing
 	heard      bool // a request has come whole
 	opened     time.Time
 	until      time.Time
@@ -317,7 +362,7 @@
 	s.clients.Add(-1)
 	was := c.state
 	c.setState(closed)
-	if was == busy {
+	if was == busy && !c.detached {
 		s.handler.Gone(c)
 	}
 	return gnet.None
@@ -338,14 +383,17 @@
 	c.state = to
 	switch to {
 	case fresh:
-		c.until = c.opened.Add(firstWait)
+		c.until = c.opened.Add(c.srv.limits.First)
 		c.lane.fresh.push(c)
 	case idle:
+		if c.srv.limits.Idle > 0 {
+			c.until = time.Now().Add(c.srv.limits.Idle)
+		}
 		c.lane.idle.push(c)
 	case reading:
-		c.until = c.opened.Add(slowWait) // however the bytes trickle
+		c.until = c.opened.Add(c.srv.limits.Slow) // however the bytes trickle
 		if c.heard {
-			c.until = time.Now().Add(readTimeout)
+			c.until = time.Now().Add(c.srv.limits.Read)
 		}
 		c.lane.reading.push(c)
 	case ending:
@@ -382,6 +430,11 @@
 		n, ev, part, err := c.parser.Next(buf)
 		if ev == http1.Body {
 			if len(c.body)+len(part) > MaxBody {
+				if over, ok := c.srv.handler.(Overflower); ok {
+					c.body = append(c.body, part...)
+					c.overflow(over, buf[n:])
+					return
+				}
 				err = &http1.Error{Status: 413, Text: "body too large"}
 			} else {
 				c.body = append(c.body, part...)
@@ -399,10 +452,14 @@
 		case ev == http1.Headed:
 			c.body = nil
 			if c.parser.Head.Length > MaxBody {
+				if over, ok := c.srv.handler.(Overflower); ok {
+					c.overflow(over, buf[n:])
+					return
+				}
 				c.fail(413, "body too large")
 				return
 			}
-			if len(c.parser.Head.Get("Expect")) > 0 {
+			if len(c.parser.Head.Get("Expect")) > 0 && !c.parser.Head.Old {
 				_, _ = c.gc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 			}
 		case ev == http1.Ended:
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -419,3 +419,12 @@
 	}
 	return first
 }
+
+// Drain empties the queue and returns who waited, the longest first.
+func (p *Pool) Drain() (tokens []any) {
+	for _, w := range p.queue {
+		tokens = append(tokens, w.token)
+	}
+	p.queue = nil
+	return tokens
+}
--- /dev/null
+++ b/internal/web/message.go
@@ -0,0 +1,129 @@
+package web
+
+import (
+	"net"
+	"strings"
+
+	"sedgevale/internal/http1"
+	"sedgevale/internal/httpd"
+)
+
+// listed returns the fields that a message's Connection names.
+func listed(fields []http1.Field) (names []string) {
+	for i := range fields {
+		if strings.EqualFold(fields[i].Name, "Connection") {
+			for part := range strings.SplitSeq(fields[i].Value, ",") {
+				if part = strings.TrimSpace(part); part != "" {
+					names = append(names, part)
+				}
+			}
+		}
+	}
+	return names
+}
+
+func has(names []string, name string) bool {
+	for _, n := range names {
+		if strings.EqualFold(n, name) {
+			return true
+		}
+	}
+	return false
+}
+
+// upgradeOf returns the protocol that a request wants to go on with, "" for none.
+func upgradeOf(h *http1.Head) string {
+	if h.Old || !has(listed(h.Fields), "upgrade") {
+		return ""
+	}
+	return h.Get("Upgrade")
+}
+
+// requestHead writes the head of a request to a server. Length is that of the body, -1 if
+// it comes in chunks, -2 if there is none.
+func requestHead(b []byte, method, target string, fields []http1.Field, length int64, client net.Addr, forward bool, upgrade string) []byte {
+	if !strings.HasPrefix(target, "/") && target != "*" {
+		if i := strings.Index(target, "://"); i >= 0 { // absolute form is for proxies
+			if j := strings.IndexByte(target[i+3:], '/'); j >= 0 {
+				target = target[i+3+j:]
+			} else {
+				target = "/"
+			}
+		}
+	}
+	b = http1.AppendRequest(b, method, target)
+	own := listed(fields)
+	from, host := "", false
+	for i := range fields {
+		f := &fields[i]
+		switch {
+		case hopByHop(f.Name), has(own, f.Name), strings.EqualFold(f.Name, "Content-Length"), strings.EqualFold(f.Name, "Expect"):
+		case forward && strings.EqualFold(f.Name, "X-Forwarded-For"):
+			if from != "" {
+				from += ", "
+			}
+			from += f.Value
+		default:
+			host = host || strings.EqualFold(f.Name, "Host")
+			b = http1.AppendField(b, f.Name, f.Value)
+		}
+	}
+	if !host { // of an HTTP/1.0 client; what we send is HTTP/1.1
+		b = http1.AppendField(b, "Host", "")
+	}
+	if forward {
+		addr, _, err := net.SplitHostPort(client.String())
+		if err == nil {
+			if from != "" {
+				from += ", "
+			}
+			b = http1.AppendField(b, "X-Forwarded-For", from+addr)
+		}
+	}
+	switch {
+	case upgrade != "":
+		b = http1.AppendField(b, "Connection", "Upgrade")
+		b = http1.AppendField(b, "Upgrade", upgrade)
+	case length == -1:
+		b = http1.AppendField(b, "Transfer-Encoding", "chunked")
+	}
+	if length >= 0 {
+		b = appendLength(b, length)
+	}
+	return append(b, "\r\n"...)
+}
+
+func appendLength(b []byte, n int64) []byte {
+	var digits [20]byte
+	i := len(digits)
+	for {
+		i--
+		digits[i] = byte('0' + n%10)
+		if n /= 10; n == 0 {
+			break
+		}
+	}
+	return http1.AppendField(b, "Content-Length", string(digits[i:]))
+}
+
+// answerFields returns the fields of a server's answer that pass on, and how its body
+// will be framed towards the client.
+func answerFields(h *http1.Head, head, old bool) (fields []http1.Field, framing httpd.Framing) {
+	own := listed(h.Fields)
+	none := head || h.Status < 200 || h.Status == 204 || h.Status == 304
+	for _, f := range h.Fields {
+		switch {
+		case hopByHop(f.Name), has(own, f.Name):
+		case strings.EqualFold(f.Name, "Content-Length") && (h.Chunked || h.Status == 204):
+		default:
+			fields = append(fields, f)
+		}
+	}
+	switch {
+	case none, h.Length >= 0 && !h.Chunked:
+		return fields, httpd.ByLength
+	case old:
+		return fields, httpd.ByClose
+	}
+	return fields, httpd.ByChunks
+}
--- /dev/null
+++ b/internal/web/pump.go
@@ -0,0 +1,451 @@
+package web
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"sedgevale"
+	"sedgevale/internal/core"
+	"sedgevale/internal/http1"
+	"sedgevale/internal/httpd"
+)
+
+const (
+	pumpChunk   = 64 << 10
+	pumpIdle    = 60 * time.Second // without a byte, a body or tunnel ends
+	tunnelIdle  = time.Hour
+	answerWait  = 10 * time.Second // for a client to take an answer of our own
+	lingerBytes = 1 << 20
+)
+
+func isEOF(err error) bool { return errors.Is(err, io.EOF) }
+
+// pump carries a request whose body is too long for an event loop: a goroutine reads it
+// no faster than the server takes it, another passes the answer on. It is a call's out.
+type pump struct {
+	call   *call
+	client *httpd.Detached
+	sent   chan *core.Attempt // the module has sent it
+	told   chan ownAnswer     // an answer of ours
+	end    chan struct{}
+	once   sync.Once
+
+	mu     sync.Mutex
+	server net.Conn
+	began  bool // something of the body was passed on
+	headed bool // the head of the answer has come
+}
+
+type ownAnswer struct {
+	status int
+	fields []http1.Field
+	body   []byte
+	broken bool
+}
+
+func newPump(k *call, c *httpd.Detached) *pump {
+	return &pump{call: k, client: c, sent: make(chan *core.Attempt, 1), told: make(chan ownAnswer, 1), end: make(chan struct{})}
+}
+
+func (p *pump) answer(status int, fields []http1.Field, body []byte, _ bool) {
+	select {
+	case p.told <- ownAnswer{status: status, fields: fields, body: body}:
+	default:
+	}
+}
+
+func (p *pump) deliver(*delivery) {} // answers to a pump come by its own connection
+
+func (p *pump) broken() {
+	select {
+	case p.told <- ownAnswer{broken: true}:
+	default:
+	}
+}
+
+// passed reports whether something of the body has gone to a server, so that it cannot go
+// to another.
+func (p *pump) passed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.began
+}
+
+// stop ends the pump, as when time is up.
+func (p *pump) stop() {
+	p.once.Do(func() { close(p.end) })
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.server != nil {
+		_ = p.server.SetDeadline(time.Unix(1, 0))
+	}
+}
+
+// run carries the request out. Begin routes it.
+func (p *pump) run(begin func()) {
+	defer p.client.Close()
+	if p.call.head.Get("Expect") != "" && !p.call.head.Old {
+		_ = p.client.SetWriteDeadline(time.Now().Add(answerWait))
+		if _, err := io.WriteString(p.client, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return
+		}
+	}
+	begin()
+	for {
+		select {
+		case a := <-p.told:
+			p.tell(a)
+			return
+		case a := <-p.sent:
+			if !p.attempt(a) {
+				return
+			}
+		}
+	}
+}
+
+// tell gives the client an answer of ours. The rest of its body is not read to the end, so
+// the connection ends.
+func (p *pump) tell(a ownAnswer) {
+	if a.broken {
+		return
+	}
+	b := http1.AppendStatus(nil, a.status)
+	for _, f := range a.fields {
+		b = http1.AppendField(b, f.Name, f.Value)
+	}
+	b = http1.AppendField(b, "Connection", "close")
+	_ = p.client.SetDeadline(time.Now().Add(answerWait))
+	if _, err := p.client.Write(http1.AppendBody(b, a.body)); err != nil {
+		return
+	}
+	p.linger()
+}
+
+// linger leaves the client time to read: closing with unread bytes about would reset the
+// connection under the answer.
+func (p *pump) linger() {
+	if c, ok := p.client.Conn.(*net.TCPConn); ok && c.CloseWrite() == nil {
+		_ = p.client.SetReadDeadline(time.Now().Add(2 * time.Second))
+		_, _ = io.CopyN(io.Discard, p.client.Conn, lingerBytes)
+	}
+}
+
+// attempt carries the request to a server. It returns true if another may be tried.
+func (p *pump) attempt(a *core.Attempt) (again bool) {
+	k := p.call
+	r := k.site.relay
+	finished := func(o sedgevale.Outcome) {
+		if cause := causes[o]; cause != "" {
+			k.failedBy(cause)
+		}
+		r.loop.Do(func() { delete(r.flights, a) })
+		a.Planner.Ended(a, o, nil, nil)
+	}
+	b := k.back
+	b.mu.Lock()
+	connect, wait := b.spec.Times()
+	addr := ""
+	k.mu.Lock()
+	if k.member < len(b.spec.Servers) {
+		addr = b.spec.Servers[k.member].Addr
+	}
+	k.mu.Unlock()
+	b.mu.Unlock()
+	if !k.site.opt.Budget.Take() {
+		k.site.opt.Budget.Release()
+		finished(sedgevale.NotSent)
+		return true
+	}
+	defer k.site.opt.Budget.Release()
+	server, err := net.DialTimeout("tcp", addr, connect)
+	if err != nil {
+		finished(sedgevale.ConnectFailed)
+		return true
+	}
+	defer server.Close()
+	if !r.isReady(a.Worker) { // it was taken out meanwhile
+		finished(sedgevale.NotSent)
+		return true
+	}
+	p.mu.Lock()
+	p.server, p.began, p.headed = server, true, false
+	p.mu.Unlock()
+	select {
+	case <-p.end:
+		_ = server.SetDeadline(time.Unix(1, 0))
+	default:
+	}
+	up := make(chan error, 1)
+	go func() { up <- p.upload(server, wait) }()
+	parser := http1.NewParser(http1.Response)
+	parser.KeepTrailer = true
+	parser.NoBody = k.head.Method == "HEAD"
+	in := &reader{conn: server, parser: parser, chunk: make([]byte, pumpChunk)}
+	head, err := in.head()
+	p.mu.Lock()
+	if p.headed = true; err == nil {
+		_ = server.SetReadDeadline(time.Time{})
+	}
+	p.mu.Unlock()
+	if err != nil {
+		finished(sedgevale.Lost)
+		_ = server.Close()
+		_ = p.client.SetReadDeadline(time.Unix(1, 0))
+		<-up
+		return true // the module gives it up, and an answer comes by told
+	}
+	if !k.begin() {
+		finished(sedgevale.Cancelled)
+		return false
+	}
+	finished(sedgevale.Served)
+	whole := p.download(in, head)
+	k.finish()
+	var uploaded error
+	select {
+	case uploaded = <-up:
+	default: // an answer that came before the request was whole: the rest is not wanted
+		uploaded = errEarly
+		_ = p.client.SetReadDeadline(time.Unix(1, 0))
+		<-up
+	}
+	switch {
+	case !whole:
+	case uploaded == nil && !k.head.Close && !k.head.Old && !p.client.Draining() && len(p.client.Rest) == 0:
+		p.client.GiveBack()
+	default:
+		_ = p.client.SetDeadline(time.Now().Add(answerWait))
+		p.linger()
+	}
+	return false
+}
+
+var errEarly = errors.New("answered before the request was whole")
+
+// head reads the head of an answer; those before the final one say nothing here.
+func (r *reader) head() (*http1.Head, error) {
+	for {
+		n, ev, _, err := r.parser.Next(r.buf)
+		if err != nil {
+			return nil, err
+		}
+		r.buf = r.buf[n:]
+		if ev == http1.Headed && r.parser.Head.Status >= 200 {
+			h := r.parser.Head
+			return &h, nil
+		}
+		if ev != http1.More {
+			continue
+		}
+		left := copy(r.chunk, r.buf)
+		k, err := r.conn.Read(r.chunk[left:])
+		r.buf = r.chunk[:left+k]
+		if k == 0 && err != nil {
+			return nil, err
+		}
+	}
+}
+
+// upload passes the request on.
+func (p *pump) upload(server net.Conn, wait time.Duration) error {
+	k := p.call
+	length := k.head.Length
+	body := k.body
+	k.body = nil
+	out := k.wire(nil, length)
+	chunked := k.head.Chunked
+	if chunked {
+		out = http1.AppendChunk(out, body)
+	} else {
+		out = append(out, body...)
+	}
+	if _, err := server.Write(out); err != nil {
+		return err
+	}
+	in := &reader{conn: p.client.Conn, parser: p.client.Parser, buf: p.client.Rest, chunk: make([]byte, pumpChunk)}
+	p.client.Parser.KeepTrailer = true
+	out = nil
+	for {
+		_ = p.client.SetReadDeadline(time.Now().Add(pumpIdle))
+		part, end, err := in.next()
+		if err != nil {
+			_ = server.Close() // the client has gone half-way: the server must not take this for the whole
+			return err
+		}
+		if end {
+			p.client.Rest = in.buf
+			if chunked {
+				_, err = server.Write(http1.AppendLastChunk(nil, p.client.Parser.Head.Trailer))
+			}
+			p.mu.Lock()
+			if !p.headed { // from here on the server has its time
+				_ = server.SetReadDeadline(time.Now().Add(wait))
+			}
+			p.mu.Unlock()
+			return err
+		}
+		_ = server.SetWriteDeadline(time.Now().Add(pumpIdle))
+		if chunked {
+			out = http1.AppendChunk(out[:0], part)
+			part = out
+		}
+		if _, err := server.Write(part); err != nil {
+			return err
+		}
+	}
+}
+
+// download passes an answer on and reports whether it was whole.
+func (p *pump) download(in *reader, h *http1.Head) bool {
+	k := p.call
+	status, fields, framing, own := k.respond(h)
+	if own != nil {
+		p.tell(ownAnswer{status: own.Status, fields: own.Fields, body: own.Body})
+		return false
+	}
+	b := http1.AppendStatus(nil, status)
+	for _, f := range fields {
+		b = http1.AppendField(b, f.Name, f.Value)
+	}
+	switch framing {
+	case httpd.ByChunks:
+		b = http1.AppendField(b, "Transfer-Encoding", "chunked")
+	case httpd.ByClose:
+		b = http1.AppendField(b, "Connection", "close")
+	}
+	b = append(b, "\r\n"...)
+	for {
+		_ = p.client.SetWriteDeadline(time.Now().Add(pumpIdle))
+		if _, err := p.client.Write(b); err != nil {
+			return false
+		}
+		part, end, err := in.next()
+		if err != nil {
+			return false
+		}
+		if end {
+			if framing == httpd.ByChunks {
+				_, err = p.client.Write(http1.AppendLastChunk(b[:0], in.parser.Head.Trailer))
+			}
+			return err == nil && framing != httpd.ByClose
+		}
+		if framing == httpd.ByChunks {
+			b = http1.AppendChunk(b[:0], part)
+		} else {
+			b = append(b[:0], part...)
+		}
+	}
+}
+
+// tunnel joins client and server once the server has agreed to go on with another
+// protocol (RFC 9110, section 7.8).
+func (c *rconn) tunnel() {
+	f := c.f
+	o, ok := f.call.out.(*loopOut)
+	h := c.parser.Head
+	if f.over || !ok || f.call.upgrade == "" || !f.call.begin() {
+		c.junk(errUnasked)
+		return
+	}
+	c.relay.tell(f, sedgevale.Served)
+	c.moved = true
+	server, rest, err := c.relay.loop.Detach(c.gc)
+	if err != nil {
+		c.moved = false
+		c.junk(err)
+		return
+	}
+	f.over = true
+	delete(c.relay.calls, f.call)
+	done := func() {
+		server.Close()
+		c.relay.site.opt.Budget.Release()
+		f.call.finish()
+	}
+	posted := make(chan struct{})
+	o.c.Post(func(hc *httpd.Conn) {
+		close(posted)
+		hc.State = nil
+		client, err := hc.Detach()
+		if err != nil {
+			done()
+			hc.Abort()
+			return
+		}
+		go func() {
+			defer done()
+			defer client.Close()
+			join(client, server, upgraded(h, f.call), rest)
+		}()
+	})
+	go func() { // a client that is closed by now is not called
+		select {
+		case <-posted:
+		case <-time.After(unsentPatience):
+			f.call.mu.Lock()
+			over := f.call.over
+			f.call.mu.Unlock()
+			if over {
+				server.Close()
+				c.relay.site.opt.Budget.Release()
+			}
+		}
+	}()
+}
+
+// upgraded writes the head by which a server agrees.
+func upgraded(h http1.Head, k *call) []byte {
+	b := http1.AppendStatus(nil, 101)
+	for _, f := range h.Fields {
+		if !hopByHop(f.Name) {
+			b = http1.AppendField(b, f.Name, f.Value)
+		}
+	}
+	b = http1.AppendField(b, "Connection", "Upgrade")
+	b = http1.AppendField(b, "Upgrade", h.Get("Upgrade"))
+	return append(b, "\r\n"...)
+}
+
+// join copies both ways until both have ended, or nothing has come for long.
+func join(client *httpd.Detached, server net.Conn, head, rest []byte) {
+	if _, err := client.Write(append(head, rest...)); err != nil {
+		return
+	}
+	if len(client.Rest) > 0 {
+		if _, err := server.Write(client.Rest); err != nil {
+			return
+		}
+	}
+	var wg sync.WaitGroup
+	one := func(to, from net.Conn) {
+		defer wg.Done()
+		buf := make([]byte, 32<<10)
+		for {
+			_ = from.SetReadDeadline(time.Now().Add(tunnelIdle))
+			n, err := from.Read(buf)
+			if n > 0 {
+				_ = to.SetWriteDeadline(time.Now().Add(pumpIdle))
+				if _, err := to.Write(buf[:n]); err != nil {
+					from.Close()
+					return
+				}
+			}
+			if err != nil {
+				if c, ok := to.(*net.TCPConn); ok && isEOF(err) {
+					_ = c.CloseWrite()
+				} else {
+					to.Close()
+				}
+				return
+			}
+		}
+	}
+	wg.Add(2)
+	go one(client.Conn, server)
+	one(server, client.Conn)
+	wg.Wait()
+}
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -11,6 +11,7 @@
 	Limits   = config.Limits
 	SSE      = config.SSE
 	Journal  = config.Journal
+	Web      = config.Web
 	Settings = config.Settings
 	Class    = config.Class
 	List     = discovery.List
--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -23,6 +23,11 @@
 	if err := s.planners.Alive(ctx); err != nil {
 		return fmt.Errorf("the planners have no turn: %w", err)
 	}
+	if s.web != nil {
+		if err := s.web.Alive(ctx); err != nil {
+			return fmt.Errorf("the web front's planner has no turn: %w", err)
+		}
+	}
 	turn := make(chan struct{}, 1+len(s.servers))
 	s.loop.Do(func() { turn <- struct{}{} })
 	for _, server := range s.servers {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -27,6 +27,7 @@
 	"sedgevale/internal/ops"
 	"sedgevale/internal/sse"
 	"sedgevale/internal/upstream"
+	"sedgevale/internal/web"
 )
 
 const (
@@ -79,6 +80,7 @@
 	operators *httpd.Server // nil: no second address
 	cordons   *ops.Cordons
 	journal   *journal.Recorder // nil: none
+	web       *web.Site         // nil: no third front
 	bonds     bonds
 	listMu    sync.Mutex
 	list      discovery.List // as it stands
@@ -133,8 +135,16 @@
 	s.planners = core.NewSet(planners...)
 	s.members(sedgevale.ListStale, *c.Known)
 	s.rules = intake.New(s.clock, &intake.Terms{Classes: set.Classes, Tenants: set.Tenants})
-	s.servers = []*httpd.Server{
-		httpd.New(c.Listen, c.Loops, front.New(s.rules, s.planners, s.ready.Load), s.budget, opt.Log)}
+	if c.Listen != "" {
+		s.servers = append(s.servers, httpd.New(c.Listen, c.Loops, front.New(s.rules, s.planners, s.ready.Load), s.budget, opt.Log))
+	}
+	if c.Web != nil {
+		if s.web, err = web.New(web.Options{Config: c.Web, Loops: c.Loops, Loop: s.loop, Clock: s.clock, Seed: c.SeedNumber() + uint64(many),
+			Budget: s.budget, Log: opt.Log}); err != nil {
+			return nil, errors.Join(err, s.loop.Stop())
+		}
+		s.servers = append(s.servers, s.web.Servers()...)
+	}
 	if c.SSE != nil {
 		s.streams = sse.New(sse.Options{Rules: s.rules.Earlier(streamMargin), Planners: s.planners, Ready: s.ready.Load,
 			Heartbeat: config.Seconds(c.SSE.Heartbeat), Retain: config.Seconds(c.SSE.Retain), Log: opt.Log})
@@ -192,6 +202,9 @@
 	defer s.loop.Stop()
 	before, sockets := s.join()
 	go s.planners.Run(work)
+	if s.web != nil {
+		go s.web.Run(work)
+	}
 	go s.pool.Run(work)
 	go s.report(work)
 	listening := s.servers
@@ -236,6 +249,13 @@
 		if err != nil {
 			return err
 		}
+		if s.web != nil {
+			more, err := s.web.Open(ctx)
+			if err != nil {
+				return err
+			}
+			open += more
+		}
 		clients := 0
 		for _, server := range s.servers {
 			clients += server.Clients()
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -72,6 +72,12 @@
 	if err != nil {
 		return err
 	}
+	var waits []string
+	if s.web != nil && c.Web != nil {
+		if waits, err = s.web.Reload(c.Web); err != nil {
+			return err
+		}
+	}
 	s.current.Store(c)
 	set.Tenants = s.settings.Load().Tenants
 	s.settings.Store(&set)
@@ -85,7 +91,7 @@
 	}
 	s.opt.Log.Info("configuration read again", "discovery", c.Discovery, "classes", len(set.Classes),
 		"max_attempts", set.MaxAttempts)
-	if kept := s.fixed(c); len(kept) > 0 {
+	if kept := append(s.fixed(c), waits...); len(kept) > 0 {
 		s.opt.Log.Warn("part of the new configuration waits for a new start", "what", strings.Join(kept, ", "))
 	}
 	return nil
@@ -102,7 +108,7 @@
 		{"kinds", s.config.Settings.Kinds, c.Settings.Kinds}, {"zones", s.config.Settings.Zones, c.Settings.Zones},
 		{"zone", s.config.Settings.Zone, c.Settings.Zone}, {"peers_total", s.config.Settings.PeersTotal, c.Settings.PeersTotal},
 		{"weights", s.config.Settings.Weights, c.Settings.Weights},
-		{"sse", s.config.SSE, c.SSE}, {"journal", s.config.Journal, c.Journal}, {"planners", s.config.Planners, c.Planners}, {"loops", s.config.Loops, c.Loops},
+		{"sse", s.config.SSE, c.SSE}, {"journal", s.config.Journal, c.Journal}, {"web", s.config.Web == nil, c.Web == nil}, {"planners", s.config.Planners, c.Planners}, {"loops", s.config.Loops, c.Loops},
 	} {
 		if !reflect.DeepEqual(part.old, part.new) {
 			kept = append(kept, part.name)
