Import HAProxy's configuration whole: every line accounted for, routes that serve alike

Need: the importer took one frontend with one backend, reported the rest, and failed as a whole on a single .if; what it made could not stand in for the original.

Change: all frontends, listens and backends of several files are mapped to the plain HTTP front, with defaults by name, conditions, environment variables, templates and ranges. The file has no zero values and names where each part came from.

--- a/internal/config/web.go
+++ b/internal/config/web.go
@@ -27,8 +27,8 @@
 	Name           string   `toml:"name"`
 	Listen         []string `toml:"listen"`
 	ForwardFor     bool     `toml:"forward_for,omitempty"` // X-Forwarded-For is added
-	RequestTimeout float64  `toml:"request_timeout,omitempty"`
-	IdleTimeout    float64  `toml:"idle_timeout,omitempty"`
+	RequestTimeout float64  `toml:"request_timeout,omitzero"`
+	IdleTimeout    float64  `toml:"idle_timeout,omitzero"`
 	route.Spec
 }
 
@@ -41,12 +41,12 @@
 	ForwardFor     bool        `toml:"forward_for,omitempty"`
 	Retries        *int        `toml:"retries,omitempty"`  // after connections that fail; none: 3
 	RetryOn        []string    `toml:"retry_on,omitempty"` // none: conn-failure
-	ConnectTimeout float64     `toml:"connect_timeout,omitempty"`
-	ServerTimeout  float64     `toml:"server_timeout,omitempty"` // until the head of an answer
-	QueueTimeout   float64     `toml:"queue_timeout,omitempty"`
-	MaxQueue       int         `toml:"max_queue,omitempty"`
-	SlowStart      float64     `toml:"slow_start,omitempty"`
-	RetryAfter     float64     `toml:"retry_after,omitempty"` // told with 503; 0: nothing is told
+	ConnectTimeout float64     `toml:"connect_timeout,omitzero"`
+	ServerTimeout  float64     `toml:"server_timeout,omitzero"` // until the head of an answer
+	QueueTimeout   float64     `toml:"queue_timeout,omitzero"`
+	MaxQueue       int         `toml:"max_queue,omitzero"`
+	SlowStart      float64     `toml:"slow_start,omitzero"`
+	RetryAfter     float64     `toml:"retry_after,omitzero"` // told with 503; 0: nothing is told
 	Cookie         *WebCookie  `toml:"cookie,omitempty"`
 	Check          *WebCheck   `toml:"check,omitempty"`
 	Servers        []WebServer `toml:"servers"`
@@ -72,12 +72,12 @@
 	Version string   `toml:"version,omitempty"`
 	Headers []string `toml:"headers,omitempty"` // NAME: VALUE
 	Expect  []string `toml:"expect,omitempty"`  // [!] status|rstatus|string|rstring VALUE
-	Every   float64  `toml:"inter,omitempty"`
-	Fast    float64  `toml:"fastinter,omitempty"`
-	Down    float64  `toml:"downinter,omitempty"`
-	Rise    int      `toml:"rise,omitempty"`
-	Fall    int      `toml:"fall,omitempty"`
-	Timeout float64  `toml:"timeout,omitempty"`
+	Every   float64  `toml:"inter,omitzero"`
+	Fast    float64  `toml:"fastinter,omitzero"`
+	Down    float64  `toml:"downinter,omitzero"`
+	Rise    int      `toml:"rise,omitzero"`
+	Fall    int      `toml:"fall,omitzero"`
+	Timeout float64  `toml:"timeout,omitzero"`
 }
 
 // WebServer is a server of a backend.
@@ -87,7 +87,7 @@
 	Weight   *int      `toml:"weight,omitempty"` // none: 1
 	Backup   bool      `toml:"backup,omitempty"`
 	Disabled bool      `toml:"disabled,omitempty"`
-	MaxConn  int       `toml:"maxconn,omitempty"`
+	MaxConn  int       `toml:"maxconn,omitzero"`
 	Cookie   string    `toml:"cookie,omitempty"`
 	Check    *WebCheck `toml:"check,omitempty"`      // over the backend's, part by part
 	NoCheck  bool      `toml:"no_check,omitempty"`   // though the backend has one
--- /dev/null
+++ b/internal/haproxy/reference_test.go
@@ -0,0 +1,609 @@
+package haproxy_test
+
+import (
+	"net"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// This is a model of what HAProxy's manual says that it does with a request. It is
+// written apart from the importer and shares nothing with it: it walks the text of the
+// configuration anew for each request.
+
+type refRequest struct {
+	method, path, query, host, src string
+	headers                        [][2]string
+}
+
+type refConf struct {
+	env      map[string]string
+	files    map[string]string
+	sections []*refSection
+}
+
+type refSection struct {
+	kind, name, from string
+	lines            [][]string
+}
+
+type refAnswer struct {
+	status   int    // of an answer by HAProxy itself; 0: a server answers
+	location string // with a redirect
+	body     string
+	backend  string
+	servers  []string // addresses, one of which answers
+	path     string   // as the server sees it, with the query
+	headers  map[string]string
+	edits    *refSection // whose http-response lines count
+}
+
+func refTokens(line string, env map[string]string) (out []string) {
+	cur, in := "", false
+	for i := 0; i < len(line); {
+		switch c := line[i]; {
+		case c == '#' && !in:
+			return out
+		case c == ' ' || c == '\t':
+			if in {
+				out = append(out, cur)
+			}
+			cur, in = "", false
+			i++
+		case c == '"':
+			end := strings.IndexByte(line[i+1:], '"') + i + 1
+			cur, in = cur+refExpand(line[i+1:end], env), true
+			i = end + 1
+		default:
+			cur, in = cur+string(c), true
+			i++
+		}
+	}
+	if in {
+		out = append(out, cur)
+	}
+	return out
+}
+
+var refVar = regexp.MustCompile(`\$(\w+)|\$\{(\w+)(-([^}]*))?\}`)
+
+func refExpand(s string, env map[string]string) string {
+	return refVar.ReplaceAllStringFunc(s, func(m string) string {
+		p := refVar.FindStringSubmatch(m)
+		if v, ok := env[p[1]+p[2]]; ok {
+			return v
+		}
+		return p[4]
+	})
+}
+
+func refLoad(text string, env, files map[string]string) *refConf {
+	c := &refConf{env: env, files: files}
+	var skip []bool
+	for _, line := range strings.Split(text, "\n") {
+		t := refTokens(line, env)
+		if len(t) == 0 {
+			continue
+		}
+		switch {
+		case t[0] == ".if":
+			name := strings.TrimSuffix(strings.TrimPrefix(t[1], "defined("), ")")
+			_, has := env[name]
+			skip = append(skip, !has)
+		case t[0] == ".else":
+			skip[len(skip)-1] = !skip[len(skip)-1]
+		case t[0] == ".endif":
+			skip = skip[:len(skip)-1]
+		case slices.Contains(skip, true):
+		case slices.Contains([]string{"global", "defaults", "frontend", "backend", "listen"}, t[0]):
+			s := &refSection{kind: t[0]}
+			rest := t[1:]
+			if len(rest) > 0 && rest[0] != "from" {
+				s.name, rest = rest[0], rest[1:]
+			}
+			if len(rest) == 2 {
+				s.from = rest[1]
+			}
+			c.sections = append(c.sections, s)
+		default:
+			s := c.sections[len(c.sections)-1]
+			s.lines = append(s.lines, t)
+		}
+	}
+	return c
+}
+
+func (c *refConf) find(kinds string, name string) *refSection {
+	for _, s := range c.sections {
+		if strings.Contains(kinds, s.kind) && s.name == name {
+			return s
+		}
+	}
+	return nil
+}
+
+// lines returns a section's lines that begin with a word, those of its defaults first.
+func (c *refConf) lines(s *refSection, word string) (out [][]string) {
+	var base *refSection
+	if s.from != "" {
+		base = c.find("defaults", s.from)
+	} else {
+		for _, d := range c.sections {
+			if d == s {
+				break
+			}
+			if d.kind == "defaults" {
+				base = d
+			}
+		}
+	}
+	if base != nil && s.kind != "defaults" || s.from != "" && base != nil {
+		out = c.lines(base, word)
+	}
+	for _, l := range s.lines {
+		if l[0] == word {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+func (q *refRequest) values(name string) (out []string) {
+	for _, h := range q.headers {
+		if strings.EqualFold(h[0], name) {
+			for _, v := range strings.Split(h[1], ",") {
+				out = append(out, strings.TrimSpace(v))
+			}
+		}
+	}
+	if strings.EqualFold(name, "host") {
+		out = append(out, q.host)
+	}
+	return out
+}
+
+// sample evaluates an expression with converters.
+func (c *refConf) sample(expr string, q *refRequest) (out []string, ok bool) {
+	parts := refSplit(expr)
+	name, arg, _ := strings.Cut(strings.TrimSuffix(parts[0], ")"), "(")
+	switch name {
+	case "path":
+		out = []string{q.path}
+	case "method":
+		out = []string{q.method}
+	case "src":
+		out = []string{q.src}
+	case "hdr", "req.hdr":
+		out = q.values(arg)
+	case "hdr_cnt":
+		out = []string{strconv.Itoa(len(q.values(arg)))}
+	case "cook":
+		for _, v := range q.headers {
+			if strings.EqualFold(v[0], "cookie") {
+				for _, p := range strings.Split(v[1], ";") {
+					if k, x, _ := strings.Cut(strings.TrimSpace(p), "="); k == arg {
+						out = append(out, x)
+					}
+				}
+			}
+		}
+	case "url_param", "urlp":
+		for _, p := range strings.Split(q.query, "&") {
+			if k, x, _ := strings.Cut(p, "="); k == arg && p != "" {
+				out = append(out, x)
+			}
+		}
+	case "always_true":
+		out = []string{"1"}
+	case "ssl_fc", "sc_http_req_rate": // no TLS here, and no client asks that often
+		out = []string{"0"}
+	default:
+		return nil, false
+	}
+	for _, conv := range parts[1:] {
+		name, arg, _ := strings.Cut(strings.TrimSuffix(conv, ")"), "(")
+		for i := range out {
+			switch name {
+			case "lower":
+				out[i] = strings.ToLower(out[i])
+			case "map":
+				file, fallback, _ := strings.Cut(arg, ",")
+				found := fallback
+				for _, l := range strings.Split(c.files[file], "\n") {
+					if f := strings.Fields(l); len(f) == 2 && f[0] == out[i] {
+						found = f[1]
+						break
+					}
+				}
+				out[i] = found
+			}
+		}
+	}
+	return out, true
+}
+
+func refSplit(s string) (out []string) {
+	depth, from := 0, 0
+	for i, r := range s {
+		switch {
+		case r == '(':
+			depth++
+		case r == ')':
+			depth--
+		case r == ',' && depth == 0:
+			out = append(out, s[from:i])
+			from = i + 1
+		}
+	}
+	return append(out, s[from:])
+}
+
+// test evaluates a criterion with its flags and patterns.
+func (c *refConf) test(t []string, q *refRequest) bool {
+	expr, how, fold := t[0], "", false
+	name, _, _ := strings.Cut(expr, "(")
+	for _, m := range []string{"_beg", "_end", "_reg", "_dir", "_sub", "_dom"} {
+		if strings.HasSuffix(name, m) {
+			how = m[1:]
+			expr = strings.Replace(expr, m, "", 1)
+		}
+	}
+	rest := t[1:]
+	for len(rest) > 0 && strings.HasPrefix(rest[0], "-") {
+		if rest[0] == "-i" {
+			fold = true
+		}
+		if rest[0] == "-m" {
+			how = rest[1]
+			rest = rest[1:]
+		}
+		rest = rest[1:]
+	}
+	got, ok := c.sample(expr, q)
+	if !ok {
+		return false
+	}
+	for _, v := range got {
+		if expr == "always_true" || expr == "ssl_fc" {
+			return v == "1"
+		}
+		op := ""
+		for _, p := range rest {
+			if slices.Contains([]string{"ge", "gt", "le", "lt", "eq"}, p) {
+				op = p
+				continue
+			}
+			a, b := v, p
+			if fold {
+				a, b = strings.ToLower(a), strings.ToLower(b)
+			}
+			hit := false
+			switch {
+			case op != "":
+				x, _ := strconv.Atoi(a)
+				y, _ := strconv.Atoi(b)
+				hit = op == "ge" && x >= y || op == "gt" && x > y || op == "le" && x <= y || op == "lt" && x < y || op == "eq" && x == y
+			case expr == "src":
+				ip := net.ParseIP(a)
+				if _, n, err := net.ParseCIDR(b); err == nil {
+					hit = n.Contains(ip)
+				} else {
+					hit = ip.Equal(net.ParseIP(b))
+				}
+			case how == "beg":
+				hit = strings.HasPrefix(a, b)
+			case how == "end":
+				hit = strings.HasSuffix(a, b)
+			case how == "sub":
+				hit = strings.Contains(a, b)
+			case how == "reg":
+				hit = regexp.MustCompile(b).MatchString(a)
+			case how == "dir":
+				hit = slices.Contains(strings.Split(a, "/"), b)
+			default:
+				hit = a == b
+			}
+			if hit {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// holds evaluates the words from if or unless on.
+func (c *refConf) holds(s *refSection, words []string, q *refRequest) bool {
+	if len(words) == 0 {
+		return true
+	}
+	any := false
+	all := true
+	for i := 1; i < len(words); i++ {
+		w := words[i]
+		if w == "or" || w == "||" {
+			any = any || all
+			all = true
+			continue
+		}
+		not := strings.HasPrefix(w, "!")
+		w = strings.TrimPrefix(w, "!")
+		is := false
+		switch w {
+		case "{":
+			end := slices.Index(words[i:], "}") + i
+			is = c.test(words[i+1:end], q)
+			i = end
+		case "METH_POST":
+			is = q.method == "POST"
+		case "METH_GET":
+			is = q.method == "GET" || q.method == "HEAD"
+		default:
+			for _, a := range c.lines(s, "acl") {
+				if a[1] == w && c.test(a[2:], q) {
+					is = true
+				}
+			}
+		}
+		if is == not {
+			all = false
+		}
+	}
+	any = any || all
+	return any == (words[0] == "if")
+}
+
+func refCut(words []string) (act, cond []string) {
+	for i, w := range words {
+		if w == "if" || w == "unless" {
+			return words[:i], words[i:]
+		}
+	}
+	return words, nil
+}
+
+// format fills %[...] in.
+func (c *refConf) format(s string, q *refRequest) string {
+	return regexp.MustCompile(`%\[([^\]]*)\]`).ReplaceAllStringFunc(s, func(m string) string {
+		got, _ := c.sample(m[2:len(m)-1], q)
+		if len(got) == 0 {
+			return ""
+		}
+		return got[len(got)-1]
+	})
+}
+
+func (q *refRequest) target() string {
+	if q.query == "" {
+		return q.path
+	}
+	return q.path + "?" + q.query
+}
+
+func (q *refRequest) drop(name string) {
+	q.headers = slices.DeleteFunc(q.headers, func(h [2]string) bool { return strings.EqualFold(h[0], name) })
+}
+
+// rules walks http-request lines. It returns an answer if one of them gives it.
+func (c *refConf) rules(s *refSection, q *refRequest) *refAnswer {
+	for _, l := range c.lines(s, "http-request") {
+		act, cond := refCut(l[1:])
+		if !c.holds(s, cond, q) {
+			continue
+		}
+		arg := func(name, fallback string) string {
+			if i := slices.Index(act, name); i >= 0 {
+				return act[i+1]
+			}
+			return fallback
+		}
+		switch act[0] {
+		case "deny":
+			n, _ := strconv.Atoi(arg("deny_status", "403"))
+			return &refAnswer{status: n}
+		case "return":
+			n, _ := strconv.Atoi(arg("status", "200"))
+			return &refAnswer{status: n, body: arg("string", "")}
+		case "redirect":
+			return c.redirect(act, q)
+		case "set-header", "add-header":
+			if act[0] == "set-header" {
+				q.drop(act[1])
+			}
+			q.headers = append(q.headers, [2]string{act[1], c.format(act[2], q)})
+		case "del-header":
+			q.drop(act[1])
+		case "replace-header":
+			for i, h := range q.headers {
+				if strings.EqualFold(h[0], act[1]) {
+					q.headers[i][1] = regexp.MustCompile(act[2]).ReplaceAllString(h[1], regexp.MustCompile(`\\(\d)`).ReplaceAllString(act[3], "$${$1}"))
+				}
+			}
+		case "set-path":
+			q.path = c.format(act[1], q)
+		case "set-query":
+			q.query = c.format(act[1], q)
+		case "replace-path":
+			q.path = regexp.MustCompile(act[1]).ReplaceAllString(q.path, regexp.MustCompile(`\\(\d)`).ReplaceAllString(act[2], "$${$1}"))
+		}
+	}
+	return nil
+}
+
+func (c *refConf) redirect(act []string, q *refRequest) *refAnswer {
+	a := &refAnswer{status: 302}
+	for i := 1; i+1 < len(act); i += 2 {
+		v := c.format(act[i+1], q)
+		switch act[i] {
+		case "code":
+			a.status, _ = strconv.Atoi(v)
+		case "location":
+			a.location = v
+		case "prefix":
+			a.location = v + q.target()
+		case "scheme":
+			a.location = v + "://" + q.host + q.target()
+		}
+	}
+	return a
+}
+
+// ask says what becomes of a request that comes to a frontend or listen section.
+func (c *refConf) ask(front string, q refRequest) *refAnswer {
+	q.headers = slices.Clone(q.headers)
+	s := c.find("frontend listen", front)
+	for _, l := range c.lines(s, "monitor-uri") {
+		if q.path == l[1] {
+			return &refAnswer{status: 200}
+		}
+	}
+	if a := c.rules(s, &q); a != nil {
+		return a
+	}
+	for _, l := range c.lines(s, "redirect") {
+		if act, cond := refCut(l); c.holds(s, cond, &q) {
+			return c.redirect(act, &q)
+		}
+	}
+	name := ""
+	if s.kind == "listen" {
+		name = s.name
+	}
+	for _, l := range c.lines(s, "default_backend") {
+		name = l[1]
+	}
+	for _, l := range c.lines(s, "use_backend") {
+		act, cond := refCut(l[1:])
+		if !c.holds(s, cond, &q) {
+			continue
+		}
+		to := c.format(act[0], &q)
+		if c.find("backend listen", to) != nil {
+			name = to
+		}
+		break
+	}
+	b := c.find("backend listen", name)
+	if b == nil {
+		return &refAnswer{status: 503}
+	}
+	if b != s {
+		if a := c.rules(b, &q); a != nil {
+			return a
+		}
+	}
+	a := &refAnswer{backend: name, path: q.target(), headers: map[string]string{}, edits: s}
+	for _, h := range q.headers {
+		if old, ok := a.headers[strings.ToLower(h[0])]; ok {
+			h[1] = old + "," + h[1]
+		}
+		a.headers[strings.ToLower(h[0])] = h[1]
+	}
+	for _, l := range append(c.lines(s, "option"), c.lines(b, "option")...) {
+		if l[1] == "forwardfor" {
+			a.headers["x-forwarded-for"] = q.src
+		}
+	}
+	a.servers = c.servers(b, &q, nil)
+	if len(a.servers) == 0 {
+		a.status = 503
+	}
+	return a
+}
+
+// servers returns the addresses that a request may go to, with those that are down left out.
+func (c *refConf) servers(b *refSection, q *refRequest, down map[string]bool) (out []string) {
+	var backups []string
+	cookie := ""
+	for _, l := range c.lines(b, "cookie") {
+		if got, _ := c.sample("cook("+l[1]+")", q); len(got) > 0 {
+			cookie = got[0]
+		}
+	}
+	for _, l := range c.lines(b, "server") {
+		if slices.Contains(l, "disabled") || down[l[2]] || !strings.Contains(l[2], ":") || strings.HasPrefix(l[2], ":") {
+			continue
+		}
+		if i := slices.Index(l, "cookie"); i > 0 && cookie != "" && l[i+1] == cookie {
+			return []string{l[2]}
+		}
+		if slices.Contains(l, "backup") {
+			backups = append(backups, l[2])
+		} else {
+			out = append(out, l[2])
+		}
+	}
+	for _, l := range c.lines(b, "server-template") {
+		if net.ParseIP(strings.Split(l[3], ":")[0]) != nil { // names resolve to nothing here
+			out = append(out, l[3])
+		}
+	}
+	if len(out) == 0 && len(backups) > 0 {
+		return backups[:1]
+	}
+	return out
+}
+
+// weights returns each address's part of a backend's turns.
+func (c *refConf) weights(b *refSection) map[string]float64 {
+	base := 1.0
+	for _, l := range c.lines(b, "default-server") {
+		if i := slices.Index(l, "weight"); i > 0 {
+			base, _ = strconv.ParseFloat(l[i+1], 64)
+		}
+	}
+	out, sum := map[string]float64{}, 0.0
+	add := func(addr string, l []string, n float64) {
+		w := base
+		if i := slices.Index(l, "weight"); i > 0 {
+			w, _ = strconv.ParseFloat(l[i+1], 64)
+		}
+		out[addr] += n * w
+		sum += n * w
+	}
+	for _, l := range c.lines(b, "server") {
+		if !slices.Contains(l, "backup") && !slices.Contains(l, "disabled") {
+			add(l[2], l, 1)
+		}
+	}
+	for _, l := range c.lines(b, "server-template") {
+		if net.ParseIP(strings.Split(l[3], ":")[0]) != nil {
+			n, _ := strconv.ParseFloat(l[2], 64)
+			add(l[3], l, n)
+		}
+	}
+	for a := range out {
+		out[a] /= sum
+	}
+	return out
+}
+
+// response applies http-response lines to what a server has answered.
+func (c *refConf) response(s *refSection, status int, soft bool) (int, map[string]string) {
+	set := map[string]string{}
+	for _, l := range c.lines(s, "http-response") {
+		act, cond := refCut(l[1:])
+		holds := true
+		for i, w := range cond {
+			switch w {
+			case "status":
+				n, _ := strconv.Atoi(cond[i+1])
+				holds = holds && status == n
+			case "res.hdr(X-Soft)":
+				holds = holds && soft
+			}
+		}
+		if !holds {
+			continue
+		}
+		switch act[0] {
+		case "set-header":
+			set[act[1]] = act[2]
+		case "del-header":
+			set[act[1]] = ""
+		case "set-status":
+			status, _ = strconv.Atoi(act[1])
+		}
+	}
+	return status, set
+}
--- /dev/null
+++ b/internal/haproxy/samples_test.go
@@ -0,0 +1,448 @@
+package haproxy_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"sedgevale/internal/budget"
+	"sedgevale/internal/config"
+	"sedgevale/internal/core"
+	"sedgevale/internal/evloop"
+	"sedgevale/internal/haproxy"
+	"sedgevale/internal/web"
+)
+
+// seen is what a stand-in server tells of a request that it got.
+type seen struct {
+	Addr    string              `json:"addr"`
+	Target  string              `json:"target"`
+	Headers map[string][]string `json:"headers"`
+}
+
+// stand is a sample, imported and served, with stand-in servers behind it.
+type stand struct {
+	t      *testing.T
+	name   string
+	ref    *refConf
+	site   *web.Site
+	report haproxy.Report
+	front  map[string]string // address of each frontend
+	mu     sync.Mutex
+	down   map[string]bool // by the sample's address
+}
+
+var (
+	bindLine   = regexp.MustCompile(`(?m)^(\s*bind) (\S*:\d+)`)
+	serverAddr = regexp.MustCompile(`\b10\.\d+\.\d+\.\d+:\d+`)
+	frontLine  = regexp.MustCompile(`^(frontend|listen) (\S+)`)
+)
+
+func sampleEnv() map[string]string { return map[string]string{"APP_HOST": "10.0.0.1"} }
+
+func newStand(t *testing.T, file string) *stand {
+	t.Helper()
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	maps, _ := os.ReadFile("testdata/hosts.map")
+	s := &stand{t: t, name: strings.TrimSuffix(filepath.Base(file), ".cfg"), front: map[string]string{}, down: map[string]bool{},
+		ref: refLoad(string(text), sampleEnv(), map[string]string{"hosts.map": string(maps)})}
+	live := strings.ReplaceAll(string(text), `"${APP_HOST}":80`, "10.0.0.1:80")
+	addrs := map[string]string{}
+	live = serverAddr.ReplaceAllStringFunc(live, func(a string) string {
+		if addrs[a] == "" {
+			addrs[a] = s.server(a)
+		}
+		return addrs[a]
+	})
+	var lines []string
+	name := ""
+	for line := range strings.Lines(live) {
+		if m := frontLine.FindStringSubmatch(line); m != nil {
+			name = m[2]
+			delete(s.front, name) // of a branch that does not count
+		}
+		if m := bindLine.FindStringSubmatch(line); m != nil && !strings.Contains(line, " ssl ") {
+			addr := freePort(t)
+			if s.front[name] == "" {
+				s.front[name] = addr
+			}
+			line = strings.Replace(line, m[2], addr, 1)
+		}
+		lines = append(lines, line)
+	}
+	got, err := haproxy.Import([]haproxy.Source{{Name: file, Text: []byte(strings.Join(lines, ""))}},
+		haproxy.Options{Env: sampleEnv(), Files: func(p string) ([]byte, error) { return os.ReadFile(filepath.Join("testdata", p)) }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.report = got.Report
+	// Through the file, as an operator would.
+	out := filepath.Join(t.TempDir(), "operator.toml")
+	w, err := os.Create(out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := got.Write(w); err != nil {
+		t.Fatal(err)
+	}
+	w.Close()
+	if err := os.WriteFile(filepath.Join(filepath.Dir(out), "hosts.map"), maps, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c, err := config.ReadOperator(out)
+	if err != nil {
+		text, _ := os.ReadFile(out)
+		t.Fatalf("what was written is not good: %v\n%s", err, text)
+	}
+	s.serve(c)
+	return s
+}
+
+func (s *stand) serve(c *config.Config) {
+	log := slog.New(slog.DiscardHandler)
+	loop, err := evloop.New(log)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if s.site, err = web.New(web.Options{Config: c.Web, Loop: loop, Clock: core.NewClock(), Seed: 1, Budget: budget.New(0), Log: log}); err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { s.site.Run(ctx); close(done) }()
+	for _, l := range s.site.Servers() {
+		if err := l.Start(nil); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+	s.t.Cleanup(func() {
+		for _, l := range s.site.Servers() {
+			_ = l.Stop()
+		}
+		stop()
+		<-done
+		_ = loop.Stop()
+	})
+}
+
+func freePort(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// server runs a stand-in for a server of the sample and returns where it listens.
+func (s *stand) server(name string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		s.mu.Lock()
+		down := s.down[name]
+		s.mu.Unlock()
+		if down {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("Server", "stand-in")
+		if strings.Contains(q.URL.Path, "soft") {
+			w.Header().Set("X-Soft", "yes")
+			w.WriteHeader(404)
+		}
+		_ = json.NewEncoder(w).Encode(seen{name, q.RequestURI, q.Header})
+	})}
+	go func() { _ = srv.Serve(l) }()
+	s.t.Cleanup(func() { srv.Close() })
+	return l.Addr().String()
+}
+
+// send sends a request to a frontend and returns what came of it.
+func (s *stand) send(front string, q refRequest) (status int, location, body string, by *seen, a http.Header) {
+	s.t.Helper()
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(q.src)}}
+	h := &http.Transport{DialContext: d.DialContext, DisableCompression: true, DisableKeepAlives: true}
+	url := "http://" + s.front[front] + q.target()
+	r, err := http.NewRequest(q.method, url, nil)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	r.Host = q.host
+	r.Header["User-Agent"] = nil
+	for _, x := range q.headers {
+		r.Header.Add(x[0], x[1])
+	}
+	got, err := h.RoundTrip(r)
+	if err != nil {
+		s.t.Fatalf("%s: %s %s: %v", s.name, q.method, url, err)
+	}
+	defer got.Body.Close()
+	b, _ := io.ReadAll(got.Body)
+	by = &seen{}
+	if json.Unmarshal(b, by) != nil || by.Addr == "" {
+		by = nil
+	}
+	return got.StatusCode, got.Header.Get("Location"), string(b), by, got.Header
+}
+
+// requests is the script: all that the samples tell apart, crossed.
+func requests() (all []refRequest) {
+	paths := []string{"/", "/static/a.js", "/images/x", "/a/logo.PNG", "/api/logo.png", "/v1/users", "/v2/users", "/v3", "/v3x", "/login",
+		"/x/admin/y", "/administrators", "/health", "/ws/chat", "/report/1", "/old", "/moved/a", "/secure/b", "/p/1", "/q", "/ab", "/abc", "/soft", "/1",
+		"/haproxy-alive", "/stats"}
+	for i, p := range paths {
+		for j, host := range []string{"www.example.com", "example.com", "SHOP.example.com", "blog.example.com", "old.example.com"} {
+			q := refRequest{method: "GET", path: p, host: host, src: "127.0.0.1"}
+			switch (i + j) % 6 {
+			case 1:
+				q.method = "POST"
+			case 2:
+				q.headers = [][2]string{{"X-Canary", "Always"}, {"X-Name", "joe@example"}}
+			case 3:
+				q.headers = [][2]string{{"Cookie", "a=b; canary=1; SRV=two"}, {"X-Internal", "secret"}}
+			case 4:
+				q.query, q.src = "id=7&x=y", "127.0.0.2"
+			case 5:
+				q.headers, q.src = [][2]string{{"X-Twice", "1"}, {"X-Twice", "2"}}, "127.0.0.9"
+			}
+			all = append(all, q)
+		}
+	}
+	return all
+}
+
+// Guards the import as a whole: each sample, imported, written, read and served, sends
+// every scripted request where a model of HAProxy says, in the form that it says, with
+// shares by weight; and every line is accounted for once.
+func TestSamples(t *testing.T) {
+	files, _ := filepath.Glob("testdata/*.cfg")
+	if len(files) != 20 {
+		t.Fatalf("%d samples", len(files))
+	}
+	var table []string
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			s := newStand(t, file)
+			s.accounted(file)
+			same, all := s.routes()
+			worst := s.shares()
+			table = append(table, fmt.Sprintf("%-22s %4d of %4d requests alike, shares off by %4.1f%%; lines: %2d carried over, %2d differently, %2d not needed, %2d not carried over",
+				s.name, same, all, 100*worst, s.report.Count(haproxy.Carried), s.report.Count(haproxy.Differently),
+				s.report.Count(haproxy.NotNeeded), s.report.Count(haproxy.NotCarried)))
+		})
+	}
+	t.Logf("\n%s", strings.Join(table, "\n"))
+}
+
+// accounted checks that each directive of a file has one entry, and that no other has.
+func (s *stand) accounted(file string) {
+	s.t.Helper()
+	text, _ := os.ReadFile(file)
+	want := 0
+	at := map[int]int{}
+	for _, e := range s.report {
+		at[e.Line]++
+		if e.Verdict != haproxy.Carried && e.Reason == "" {
+			s.t.Errorf("%v has no reason", e)
+		}
+	}
+	for i, line := range strings.Split(string(text), "\n") {
+		if line = strings.TrimSpace(line); line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		want++
+		if at[i+1] != 1 {
+			s.t.Errorf("line %d has %d entries: %s", i+1, at[i+1], line)
+		}
+	}
+	sum := 0
+	for _, v := range haproxy.Verdicts {
+		sum += s.report.Count(v)
+	}
+	if sum != want || len(s.report) != want {
+		s.t.Errorf("%d directives, %d by verdict, %d entries", want, sum, len(s.report))
+	}
+}
+
+func (s *stand) routes() (same, all int) {
+	s.t.Helper()
+	for front := range s.front {
+		if sec := s.ref.find("frontend listen", front); sec == nil || s.mode(sec) != "http" {
+			continue
+		}
+		for _, q := range requests() {
+			all++
+			want := s.ref.ask(front, q)
+			status, location, body, by, header := s.send(front, q)
+			if why := s.differs(want, q, status, location, body, by, header); why != "" {
+				s.t.Errorf("%s: %s %s%s from %s %v: %s", front, q.method, q.host, q.target(), q.src, q.headers, why)
+				continue
+			}
+			same++
+		}
+	}
+	return same, all
+}
+
+func (s *stand) mode(sec *refSection) string {
+	mode := "tcp"
+	for _, l := range s.ref.lines(sec, "mode") {
+		mode = l[1]
+	}
+	return mode
+}
+
+// differs says in what a result is not what the model says.
+func (s *stand) differs(want *refAnswer, q refRequest, status int, location, body string, by *seen, header http.Header) string {
+	if want.status != 0 {
+		if by != nil || status != want.status || location != want.location {
+			return fmt.Sprintf("got %d %q by %v, want %d %q", status, location, by, want.status, want.location)
+		}
+		if want.body != "" && body != want.body {
+			return fmt.Sprintf("body %q", body)
+		}
+		return ""
+	}
+	if by == nil || !slices.Contains(want.servers, by.Addr) {
+		return fmt.Sprintf("got %d %q by %v, want one of %v (%s)", status, body, by, want.servers, want.backend)
+	}
+	if by.Target != want.path {
+		return fmt.Sprintf("the server saw %q, want %q", by.Target, want.path)
+	}
+	for name, value := range want.headers {
+		if name == "cookie" {
+			continue // see the sticky test
+		}
+		if got := strings.Join(by.Headers[http.CanonicalHeaderKey(name)], ","); got != value {
+			return fmt.Sprintf("the server saw %s: %q, want %q", name, got, value)
+		}
+	}
+	for name := range by.Headers {
+		if _, ok := want.headers[strings.ToLower(name)]; !ok && name != "Content-Length" && name != "Cookie" && name != "X-Forwarded-For" {
+			return fmt.Sprintf("the server saw %s, which was not to be there", name)
+		}
+	}
+	real := 200
+	if strings.Contains(by.Target, "soft") {
+		real = 404
+	}
+	code, set := s.ref.response(want.edits, real, real == 404)
+	if status != code {
+		return fmt.Sprintf("status %d, want %d", status, code)
+	}
+	for name, value := range set {
+		if header.Get(name) != value {
+			return fmt.Sprintf("answer with %s: %q, want %q", name, header.Get(name), value)
+		}
+	}
+	return ""
+}
+
+// shares compares how often each server of a backend has its turn with its weight.
+func (s *stand) shares() (worst float64) {
+	s.t.Helper()
+	const n = 400
+	for front := range s.front {
+		sec := s.ref.find("frontend listen", front)
+		q := refRequest{method: "GET", path: "/plain", host: "www.example.com", src: "127.0.0.9"}
+		if sec == nil || s.mode(sec) != "http" {
+			continue
+		}
+		want := s.ref.ask(front, q)
+		if want.status != 0 || len(want.servers) < 2 {
+			continue
+		}
+		back := s.ref.find("backend listen", want.backend)
+		if len(s.ref.lines(back, "balance")) > 0 && slices.Contains([]string{"source", "uri"}, s.ref.lines(back, "balance")[0][1]) {
+			continue
+		}
+		got := map[string]float64{}
+		for range n {
+			if _, _, _, by, _ := s.send(front, q); by != nil {
+				got[by.Addr] += 1.0 / n
+			}
+		}
+		for addr, w := range s.ref.weights(back) {
+			off := math.Abs(got[addr] - w)
+			if worst = max(worst, off); off > 0.05 {
+				s.t.Errorf("%s has %.3f of the turns, weight %.3f", addr, got[addr], w)
+			}
+		}
+	}
+	return worst
+}
+
+// Guards sticky clients: the cookie that is set leads back, and servers do not see it.
+func TestStickySample(t *testing.T) {
+	s := newStand(t, "testdata/06-sticky.cfg")
+	q := refRequest{method: "GET", path: "/", host: "h", src: "127.0.0.1"}
+	_, _, _, by, header := s.send("www", q)
+	cookie, _, _ := strings.Cut(header.Get("Set-Cookie"), ";")
+	if by == nil || !strings.HasPrefix(cookie, "SRV=") {
+		t.Fatalf("%v %v", by, header)
+	}
+	q.headers = [][2]string{{"Cookie", "x=1; " + cookie}}
+	for range 10 {
+		_, _, _, again, header := s.send("www", q)
+		if again == nil || again.Addr != by.Addr || header.Get("Set-Cookie") != "" || strings.Join(again.Headers["Cookie"], "") != "x=1" {
+			t.Fatalf("%v, then %v %v", by, again, header)
+		}
+	}
+}
+
+// Guards backups: servers fail one after another and come back, and each request goes
+// where the model says.
+func TestActiveStandbySample(t *testing.T) {
+	s := newStand(t, "testdata/07-active-standby.cfg")
+	q := refRequest{method: "GET", path: "/", host: "h", src: "127.0.0.1"}
+	back := s.ref.find("backend", "db_ui")
+	for _, step := range []struct {
+		addr string
+		down bool
+	}{{"", false}, {"10.0.0.1:80", true}, {"10.0.0.2:80", true}, {"10.0.0.1:80", false}, {"10.0.0.1:80", true}, {"10.0.0.2:80", false}, {"10.0.0.1:80", false}} {
+		s.mu.Lock()
+		s.down[step.addr] = step.down
+		s.mu.Unlock()
+		want := s.ref.servers(back, &q, s.down)
+		for until := time.Now().Add(10 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+			downs := 0
+			for _, x := range s.site.Status() {
+				if x.State == "down" {
+					downs++
+				}
+			}
+			is := 0
+			for _, d := range s.down {
+				if d {
+					is++
+				}
+			}
+			if downs == is || time.Now().After(until) {
+				break
+			}
+		}
+		for range 5 {
+			if _, _, _, by, _ := s.send("www", q); by == nil || by.Addr != want[0] {
+				t.Errorf("after %+v: %v, want %v", step, by, want)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/haproxy/write.go
@@ -0,0 +1,51 @@
+package haproxy
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/BurntSushi/toml"
+
+	"sedgevale/internal/config"
+)
+
+// Write writes the operator's file, without what is zero or usual, and with a comment on
+// where each part came from.
+func (r *Result) Write(w io.Writer) error {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "# Imported from HAProxy's configuration. `sedgevale check` says whether it is good.\nname = %q\n", r.File.Name)
+	if r.File.Limits.Sockets > 0 {
+		fmt.Fprintf(&b, "\n[limits]\nsockets = %d\n", r.File.Limits.Sockets)
+	}
+	for _, f := range r.File.Web.Frontends {
+		if err := part(&b, r.origin["f "+f.Name], map[string][]config.WebFrontend{"frontends": {f}}); err != nil {
+			return err
+		}
+	}
+	for _, k := range r.File.Web.Backends {
+		if err := part(&b, r.origin["b "+k.Name], map[string][]config.WebBackend{"backends": {k}}); err != nil {
+			return err
+		}
+	}
+	_, err := w.Write(b.Bytes())
+	return err
+}
+
+// part writes one table of an array.
+func part(b *bytes.Buffer, origin string, v any) error {
+	var text bytes.Buffer
+	e := toml.NewEncoder(&text)
+	e.Indent = ""
+	if err := e.Encode(map[string]any{"web": v}); err != nil {
+		return err
+	}
+	fmt.Fprintf(b, "\n# %s\n", strings.ReplaceAll(origin, "\n", " "))
+	for line := range strings.Lines(text.String()) {
+		if t := strings.TrimSpace(line); t != "[web]" && t != "" {
+			b.WriteString(line)
+		}
+	}
+	return nil
+}
--- a/internal/route/words.go
+++ b/internal/route/words.go
@@ -30,7 +30,7 @@
 				return nil, errSlash
 			}
 			in = true
-			b, n := unescape(line[i+1:])
+			b, n := Unescape(line[i+1:])
 			word.WriteString(b)
 			i += n
 		case quote == '"':
@@ -61,9 +61,9 @@
 	return words, nil
 }
 
-// unescape reads what stands behind a backslash, and how many bytes of it that are. What
+// Unescape reads what stands behind a backslash, and how many bytes of it that are. What
 // is no escape sequence keeps its backslash, as regular expressions need.
-func unescape(s string) (out string, n int) {
+func Unescape(s string) (out string, n int) {
 	switch s[0] {
 	case 'n':
 		return "\n", 1
