Let cordons and checks hold on the web front, and drop segments in batches

Cause: cordons must hold on every front, and after a reload a server that had been down was never found again, since its checks began anew as if it were up.

Change: BACKEND/SERVER can be cordoned, over reloads and new starts; checks begin as the server stands; GET /admin/servers tells how all stand. Retention drops up to 16 segments with one sync. Lists of rules are written a rule a line.

--- a/internal/config/web.go
+++ b/internal/config/web.go
@@ -66,7 +66,7 @@
 
 // WebCheck says how a backend's servers are checked.
 type WebCheck struct {
-	Kind    string   `toml:"kind"` // "tcp" or "http"
+	Kind    string   `toml:"kind,omitempty"` // "tcp" or "http"
 	Method  string   `toml:"method,omitempty"`
 	URI     string   `toml:"uri,omitempty"`
 	Version string   `toml:"version,omitempty"`
--- a/internal/haproxy/import_test.go
+++ b/internal/haproxy/import_test.go
@@ -78,7 +78,7 @@
 			t.Errorf("%q is missing in\n%s", want, text)
 		}
 	}
-	for _, no := range []string{"= 0.0", "= \"\"", "= false", "[]", "maxconn = 0", "rise", "settings"} {
+	for _, no := range []string{"= 0.0", "= \"\"", "= false", "kind = \"\"", "[]", "maxconn = 0", "rise", "settings"} {
 		if strings.Contains(text, no) {
 			t.Errorf("%q stands in\n%s", no, text)
 		}
--- a/internal/haproxy/write.go
+++ b/internal/haproxy/write.go
@@ -33,6 +33,9 @@
 	return err
 }
 
+// longLine is how long a list may be that stands on one line.
+const longLine = 80
+
 // part writes one table of an array.
 func part(b *bytes.Buffer, origin string, v any) error {
 	var text bytes.Buffer
@@ -44,6 +47,11 @@
 	fmt.Fprintf(b, "\n# %s\n", strings.ReplaceAll(origin, "\n", " "))
 	for line := range strings.Lines(text.String()) {
 		if t := strings.TrimSpace(line); t != "[web]" && t != "" {
+			if strings.Contains(line, " = [\"") && len(line) > longLine { // a rule a line
+				// Quotes within a text are escaped, so this parts texts alone.
+				line = strings.Replace(strings.ReplaceAll(line, `", "`, "\",\n    \""), `["`, "[\n    \"", 1)
+				line = strings.TrimSuffix(line, "]\n") + ",\n]\n"
+			}
 			b.WriteString(line)
 		}
 	}
--- a/internal/healthcheck/driver.go
+++ b/internal/healthcheck/driver.go
@@ -20,6 +20,7 @@
 	Name string // for the log: BACKEND/MEMBER
 	Addr string // where to ask
 	Spec Spec   // filled
+	Down bool   // how it stands at first
 	// Tell is called from a goroutine of its own when the member's state changes.
 	Tell func(up bool, why string)
 }
@@ -55,7 +56,7 @@
 }
 
 func (d *Driver) watch(ctx context.Context, c Check, first time.Duration) {
-	t := NewTarget(c.Spec)
+	t := NewTarget(c.Spec, !c.Down)
 	timer := time.NewTimer(first)
 	defer timer.Stop()
 	for {
--- a/internal/healthcheck/healthcheck_test.go
+++ b/internal/healthcheck/healthcheck_test.go
@@ -21,7 +21,7 @@
 	if err := s.Fill(); err != nil {
 		t.Fatal(err)
 	}
-	g := NewTarget(s)
+	g := NewTarget(s, true)
 	for i, step := range []struct {
 		passed, changed, up bool
 		wait                time.Duration
--- a/internal/healthcheck/state.go
+++ b/internal/healthcheck/state.go
@@ -158,15 +158,15 @@
 	return strings.Contains(string(body), e.Value)
 }
 
-// Target is a member as its checks see it. It begins as up.
+// Target is a member as its checks see it.
 type Target struct {
 	spec Spec
 	up   bool
 	run  int // checks on end that speak against its state
 }
 
-// NewTarget returns a Target that is up. The Spec must be filled.
-func NewTarget(s Spec) *Target { return &Target{spec: s, up: true} }
+// NewTarget returns a Target that is up or down at first. The Spec must be filled.
+func NewTarget(s Spec, up bool) *Target { return &Target{spec: s, up: up} }
 
 // Up reports whether it serves.
 func (t *Target) Up() bool { return t.up }
--- a/internal/joblog/store/lane.go
+++ b/internal/joblog/store/lane.go
@@ -302,24 +302,24 @@
 	return n
 }
 
-// prune drops the oldest segment, if it is sealed. What it says of jobs that must be
-// kept is written again first. Only once that is durable, and that the segment is
-// dropped on purpose, the file goes.
-func (l *lane) prune(now time.Time) error {
-	if len(l.segments) == 0 {
+// prune drops the n oldest sealed segments. What they say of jobs that must be kept is
+// written again first. Only once that is durable, and that the segments are dropped on
+// purpose, the files go.
+func (l *lane) prune(now time.Time, n int) error {
+	n = min(n, len(l.segments))
+	if n == 0 {
 		return nil
 	}
-	s := l.segments[0]
 	var recs []joblog.Record
 	for serial, number := range l.first {
-		if j := l.book.Jobs[serial]; j != nil && number <= s.number {
+		if j := l.book.Jobs[serial]; j != nil && number <= l.segments[n-1].number {
 			whole := *j
 			whole.Attempts = append([]joblog.Attempt(nil), j.Attempts...)
 			recs = append(recs, joblog.Record{Kind: joblog.Kept, Serial: serial, At: now.UnixMicro(), Whole: &whole})
 		}
 	}
 	// The records before the next segment go, whichever that is.
-	dropped, err := l.lastBefore(1)
+	dropped, err := l.lastBefore(n)
 	if err != nil {
 		return err
 	}
@@ -330,9 +330,11 @@
 	if err := l.sync(); err != nil {
 		return err
 	}
-	defer func() { _ = l.fs.SyncDir(l.dir) }() // where it fails, the file may come back
-	l.segments = l.segments[1:]                // also if it cannot be removed: nothing in it counts any more
-	l.stale = append(l.stale, s.path)
+	defer func() { _ = l.fs.SyncDir(l.dir) }() // where it fails, files may come back
+	for _, s := range l.segments[:n] {         // also if it cannot be removed: nothing in it counts any more
+		l.stale = append(l.stale, s.path)
+	}
+	l.segments = l.segments[n:]
 	l.clean()
 	return nil
 }
--- a/internal/joblog/store/replay.go
+++ b/internal/joblog/store/replay.go
@@ -109,6 +109,13 @@
 		}
 		all = append(all, s)
 	}
+	// Records from there on were written again, in a later segment; 0: none were.
+	cuts := make([]uint64, len(all)+1)
+	for i := len(all) - 1; i >= 0; i-- {
+		if cuts[i] = all[i].header.First; cuts[i+1] != 0 {
+			cuts[i] = min(cuts[i], cuts[i+1])
+		}
+	}
 	var breaks []uint64 // where the chain is broken: the first record behind
 	for i := range all {
 		s := &all[i]
@@ -128,12 +135,7 @@
 			}
 			out.seq, out.tip = s.header.First-1, s.header.Prev
 		}
-		cut := uint64(0) // records from there on were written again, in a later segment
-		for _, later := range all[i+1:] {
-			if cut == 0 || later.header.First < cut {
-				cut = later.header.First
-			}
-		}
+		cut := cuts[i+1]
 		b, err := fsys.ReadFile(s.path)
 		if err != nil {
 			return nil, err
--- a/internal/joblog/store/store.go
+++ b/internal/joblog/store/store.go
@@ -47,6 +47,7 @@
 	tickEvery  = 100 * time.Millisecond
 	lazySync   = 20 * time.Millisecond // records that nobody waits for are durable after so long
 	sweepEvery = time.Minute
+	pruneMost  = 16      // segments dropped at a time
 	heldMost   = 1 << 16 // records kept in memory while the disk takes none
 	ledgerMin  = 1 << 20
 	ledgerMax  = 16 << 20
@@ -420,12 +421,20 @@
 	if len(l.segments) == 0 || s.failing {
 		return
 	}
-	oldest := l.segments[0]
-	old := s.opt.Keep > 0 && now.UnixMicro()-oldest.last > s.opt.Keep.Microseconds()
-	if !old && (s.opt.MaxBytes <= 0 || l.bytes() < s.opt.MaxBytes-s.opt.MaxBytes/8) {
+	n, bytes := 0, l.bytes()
+	for n < len(l.segments) && n < pruneMost {
+		g := l.segments[n]
+		old := s.opt.Keep > 0 && now.UnixMicro()-g.last > s.opt.Keep.Microseconds()
+		if !old && (s.opt.MaxBytes <= 0 || bytes < s.opt.MaxBytes-s.opt.MaxBytes/8) {
+			break
+		}
+		bytes -= g.bytes
+		n++
+	}
+	if n == 0 {
 		return
 	}
-	if err := l.prune(now); err != nil {
+	if err := l.prune(now, n); err != nil {
 		s.failed(err)
 	}
 	if s.dirty.IsZero() {
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -30,17 +30,24 @@
 // Front is an httpd.Handler.
 type Front struct {
 	scheduler Scheduler
-	journal   Journal // nil: none
+	journal   Journal       // nil: none
+	servers   func() []byte // how the plain HTTP front's servers stand; nil: there is none
 }
 
-// New returns a Front. Journal may be nil.
-func New(s Scheduler, journal Journal) *Front { return &Front{s, journal} }
+// New returns a Front. Journal and servers may be nil.
+func New(s Scheduler, journal Journal, servers func() []byte) *Front {
+	return &Front{s, journal, servers}
+}
 
 // Serve is called with each request.
 func (f *Front) Serve(c *httpd.Conn, q *httpd.Request) {
 	if f.askJournal(c, q) {
 		return
 	}
+	if q.Target == "/admin/servers" && q.Method == "GET" && f.servers != nil {
+		c.RespondLast(200, []http1.Field{{Name: "Content-Type", Value: "application/x-ndjson"}}, f.servers())
+		return
+	}
 	method, do := "POST", f.scheduler.Healthy
 	switch q.Target {
 	case "/admin/health":
--- /dev/null
+++ b/internal/web/bench_test.go
@@ -0,0 +1,230 @@
+package web
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"sedgevale/internal/config"
+	"sedgevale/internal/route"
+)
+
+// benchRole has this test binary be a proxy: "ours" with some rules, or net/http/httputil's.
+const benchRole = "SEDGEVALE_BENCH_PROXY"
+
+func TestMain(m *testing.M) {
+	role := os.Getenv(benchRole)
+	if role == "" {
+		os.Exit(m.Run())
+	}
+	words := strings.Fields(role) // role, address, server, rules
+	if words[0] == "httputil" {
+		to, err := url.Parse("http://" + words[2])
+		if err != nil {
+			panic(err)
+		}
+		p := httputil.NewSingleHostReverseProxy(to)
+		p.Transport = &http.Transport{MaxIdleConnsPerHost: 2048, MaxIdleConns: 4096, DisableCompression: true}
+		panic(http.ListenAndServe(words[1], p))
+	}
+	rules, _ := strconv.Atoi(words[3])
+	spec := route.Spec{Default: "app"}
+	for i := range rules {
+		spec.Use = append(spec.Use, fmt.Sprintf("app if { path_beg /p%d/ }", i))
+	}
+	b := &testing.B{}
+	serve(b, &config.Web{Frontends: []config.WebFrontend{{Name: "in", Listen: []string{words[1]}, ForwardFor: true, Spec: spec}},
+		Backends: []config.WebBackend{{Name: "app", Servers: []config.WebServer{{Name: "s", Addr: words[2]}}}}})
+	select {}
+}
+
+// plain is a server that does as little as can be.
+func plain(b *testing.B) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { l.Close() })
+	answer := []byte("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 100\r\n\r\n" + strings.Repeat("x", 100))
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for {
+					for {
+						line, err := in.ReadSlice('\n')
+						if err != nil {
+							return
+						}
+						if len(line) <= 2 {
+							break
+						}
+					}
+					if _, err := c.Write(answer); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// ticks returns the processor time of a process.
+func ticks(b *testing.B, pid int) time.Duration {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	f := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+2:]))
+	u, _ := strconv.ParseInt(f[11], 10, 64)
+	s, _ := strconv.ParseInt(f[12], 10, 64)
+	return time.Duration(u+s) * 10 * time.Millisecond
+}
+
+func memory(pid int) float64 {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kb, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
+			return kb / 1024
+		}
+	}
+	return 0
+}
+
+// BenchmarkProxy compares this front with net/http/httputil's ReverseProxy, each in a
+// process of its own, before the same server and clients: processor time a request,
+// latency and memory, by connections and rules.
+func BenchmarkProxy(b *testing.B) {
+	for _, conns := range []int{1, 64, 1024} {
+		for _, role := range []string{"httputil", "ours 10", "ours 1000"} {
+			b.Run(fmt.Sprintf("conns=%d/%s", conns, strings.ReplaceAll(role, " ", "-rules=")), func(b *testing.B) { benchProxy(b, conns, role) })
+		}
+	}
+}
+
+func benchProxy(b *testing.B, conns int, role string) {
+	addr, server := freeAddr(b), plain(b)
+	name, rules, _ := strings.Cut(role, " ")
+	c := exec.Command(os.Args[0])
+	c.Env = append(os.Environ(), fmt.Sprintf("%s=%s %s %s %s", benchRole, name, addr, server, rules))
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := c.Start(); err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = c.Process.Kill(); _ = c.Wait() }()
+	until(b, "the proxy", func() bool {
+		x, err := net.Dial("tcp", addr)
+		if err == nil {
+			x.Close()
+		}
+		return err == nil
+	})
+	var next atomic.Int64
+	hist := hdrhistogram.New(1, 60_000_000, 3)
+	var mu sync.Mutex
+	run := func(n int64) {
+		next.Store(0)
+		var wg sync.WaitGroup
+		for range conns {
+			wg.Go(func() {
+				x, err := net.Dial("tcp", addr)
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				defer x.Close()
+				in := bufio.NewReader(x)
+				var mine []int64
+				for next.Add(1) <= n {
+					began := time.Now()
+					if _, err := io.WriteString(x, "GET /some/page?x=1 HTTP/1.1\r\nHost: www.example\r\nUser-Agent: bench\r\nAccept: */*\r\n\r\n"); err != nil {
+						b.Error(err)
+						return
+					}
+					a, err := http.ReadResponse(in, nil)
+					if err != nil || a.StatusCode != 200 {
+						b.Error(a, err)
+						return
+					}
+					_, _ = io.Copy(io.Discard, a.Body)
+					mine = append(mine, time.Since(began).Microseconds())
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				for _, v := range mine {
+					_ = hist.RecordValue(max(1, v))
+				}
+			})
+		}
+		wg.Wait()
+	}
+	run(int64(conns) * 4) // connections are up, code is warm
+	hist.Reset()
+	before := ticks(b, c.Process.Pid)
+	b.ResetTimer()
+	run(int64(b.N))
+	b.StopTimer()
+	b.ReportMetric(float64((ticks(b, c.Process.Pid)-before).Microseconds())/float64(b.N), "cpu-µs/req")
+	b.ReportMetric(float64(hist.ValueAtQuantile(50)), "p50-µs")
+	b.ReportMetric(float64(hist.ValueAtQuantile(99)), "p99-µs")
+	b.ReportMetric(memory(c.Process.Pid), "MB")
+}
+
+// BenchmarkLongBody passes 1 GB through and reports the proxy's memory.
+func BenchmarkLongBody(b *testing.B) {
+	got := make(chan int64, 1)
+	server := origin(b, func(w http.ResponseWriter, q *http.Request) {
+		n, _ := io.Copy(io.Discard, q.Body)
+		got <- n
+	})
+	addr := freeAddr(b)
+	c := exec.Command(os.Args[0])
+	c.Env = append(os.Environ(), fmt.Sprintf("%s=ours %s %s 10", benchRole, addr, server))
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := c.Start(); err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = c.Process.Kill(); _ = c.Wait() }()
+	until(b, "the proxy", func() bool {
+		x, err := net.Dial("tcp", addr)
+		if err == nil {
+			x.Close()
+		}
+		return err == nil
+	})
+	const size = 1 << 30
+	b.SetBytes(size)
+	for b.Loop() {
+		a, err := http.Post("http://"+addr+"/", "x/y", io.LimitReader(zeros{}, size))
+		if err != nil {
+			b.Fatal(err)
+		}
+		a.Body.Close()
+		if n := <-got; n != size {
+			b.Fatalf("%d bytes came", n)
+		}
+	}
+	b.ReportMetric(memory(c.Process.Pid), "MB")
+}
--- a/internal/web/site.go
+++ b/internal/web/site.go
@@ -78,6 +78,8 @@
 	hash   *route.Format
 	safe   []*sedgevale.Class // by member, for requests that may be sent again
 	unsafe []*sedgevale.Class
+	sick   map[string]bool // by server: its checks fail
+	out    map[string]bool // an operator has taken it out
 	shun   []time.Duration // by member: since its connections fail, it is sent others' turns until then
 	timer  bool            // of the queue
 }
@@ -172,7 +174,7 @@
 		t.frontends[f.Name] = &frontend{f, rules}
 	}
 	for _, spec := range w.Backends {
-		b := &backend{name: spec.Name, site: s, spec: spec}
+		b := &backend{name: spec.Name, site: s, spec: spec, sick: map[string]bool{}, out: map[string]bool{}}
 		var err error
 		if b.rules, err = route.Compile(spec.Spec, w.Files); err != nil {
 			return nil, err
@@ -250,6 +252,7 @@
 			c.(*call).nobody()
 		}
 		t.backends[name] = was
+		was.adopt()
 	}
 	s.tables.Store(t)
 	s.list(t)
@@ -275,6 +278,21 @@
 	s.planners.Members(sedgevale.ListWhole, entries)
 }
 
+// adopt has a new pool's members stand as checks and operators say; the list that is told
+// next has them so.
+func (b *backend) adopt() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i, m := range b.spec.Servers {
+		switch {
+		case m.Disabled || b.out[m.Name]:
+			b.pool.Set(i, pool.Maintenance, b.site.opt.Clock.Now())
+		case b.sick[m.Name] && !m.NoCheck:
+			b.pool.Set(i, pool.Down, b.site.opt.Clock.Now())
+		}
+	}
+}
+
 // stateOf is a member's state as the module knows it. What is tied to a draining server
 // still goes there, so only one that is down or in maintenance has left the pick.
 func stateOf(p pool.State) sedgevale.WorkerState {
@@ -304,8 +322,11 @@
 			if !ok || err != nil || m.Disabled {
 				continue
 			}
+			b.mu.Lock()
+			down := b.sick[m.Name]
+			b.mu.Unlock()
 			followers := t.tracking(b.id(m.Name))
-			all = append(all, healthcheck.Check{Name: b.id(m.Name), Addr: addr, Spec: c, Tell: func(up bool, _ string) {
+			all = append(all, healthcheck.Check{Name: b.id(m.Name), Addr: addr, Spec: c, Down: down, Tell: func(up bool, _ string) {
 				if ctx.Err() == nil {
 					b.set(m.Name, up)
 					for _, f := range followers {
@@ -337,7 +358,6 @@
 // set takes in that a server serves or does not: the module and the carrier hear of it as
 // of a drain and a return.
 func (b *backend) set(server string, up bool) {
-	s := b.site
 	b.mu.Lock()
 	i := -1
 	if b.pool != nil {
@@ -347,25 +367,55 @@
 		b.mu.Unlock()
 		return
 	}
-	state, _ := b.pool.State(i)
-	if state == pool.Maintenance {
-		b.mu.Unlock()
-		return
+	b.sick[server] = !up
+	b.shun[i] = 0
+	b.settle(i)
+}
+
+// settle has pool, carrier and module know how a server stands. It gives the lock back.
+func (b *backend) settle(i int) {
+	s := b.site
+	m := &b.spec.Servers[i]
+	to := pool.Up
+	switch {
+	case m.Disabled || b.out[m.Name]:
+		to = pool.Maintenance
+	case b.sick[m.Name]:
+		to = pool.Down
 	}
-	to := pool.Down
-	if up {
-		to = pool.Up
+	if was, _ := b.pool.State(i); was != to {
+		b.pool.Set(i, to, s.opt.Clock.Now())
 	}
-	b.pool.Set(i, to, s.opt.Clock.Now())
-	b.shun[i] = 0
 	connect, _ := b.spec.Times()
-	id, addr := b.id(server), b.spec.Servers[i].Addr
+	id, addr := b.id(m.Name), m.Addr
 	b.mu.Unlock()
-	s.relay.members(false, []member{{id, addr, connect, up}})
+	s.relay.members(false, []member{{id, addr, connect, to == pool.Up}})
 	s.planners.Members(sedgevale.ListPatch, []sedgevale.WorkerInfo{{Worker: id, Kind: s.kind(id), State: stateOf(to)}})
 	b.advance()
 }
 
+// Cordon takes a server, BACKEND/SERVER, out or puts it back, and reports whether it is
+// one of the site's. What is under way there goes on to its end.
+func (s *Site) Cordon(host string, out bool) (known bool) {
+	name, server, _ := strings.Cut(host, "/")
+	b := s.tables.Load().backends[name]
+	if b == nil {
+		return false
+	}
+	b.mu.Lock()
+	i := -1
+	if b.pool != nil {
+		i = b.pool.Index(server)
+	}
+	if i < 0 {
+		b.mu.Unlock()
+		return false
+	}
+	b.out[server] = out
+	b.settle(i)
+	return true
+}
+
 func (s *Site) kind(id string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/web/web_test.go
+++ b/internal/web/web_test.go
@@ -612,6 +612,24 @@
 			t.Fatalf("the backup: %q", body)
 		}
 	}
+	if !s.Cordon("app/s2", true) || s.Cordon("app/nobody", true) || s.Cordon("nobody/s2", true) {
+		t.Error("cordons of known and unknown servers")
+	}
+	if a, _ := get("/", "; SRV=c2"); a.StatusCode != 503 {
+		t.Errorf("taken out by an operator: %d", a.StatusCode)
+	}
+	if _, err := s.Reload(c); err != nil {
+		t.Fatal(err)
+	}
+	stand("ddmu")
+	up[1].Store(true) // found though the checks began anew
+	stand("dumu")
+	up[1].Store(false)
+	stand("ddmu")
+	s.Cordon("app/s2", false)
+	if _, body := get("/", ""); body != "s2 /" {
+		t.Errorf("put back: %q", body)
+	}
 	up[2].Store(false)
 	stand("dddu")
 	began := time.Now()
--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -74,6 +74,9 @@
 	if err != nil {
 		return fmt.Errorf("the planners: %w", err)
 	}
+	if s.web != nil && s.web.Cordon(host, out) {
+		known = true
+	}
 	if !known && !s.cordons.Has(host) {
 		return ops.ErrUnknown
 	}
@@ -89,6 +92,9 @@
 func (s *Scheduler) keep(host string) {
 	s.pool.Cordon(host, true, func() {})
 	s.planners.Keep(host)
+	if s.web != nil {
+		s.web.Cordon(host, true)
+	}
 }
 
 // carry has the carrier keep to an order.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -4,7 +4,9 @@
 package scheduler
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"log/slog"
 	"runtime"
@@ -157,7 +159,7 @@
 		s.keep(host)
 	}
 	if c.Ops != "" {
-		s.operators = httpd.New(c.Ops, 1, ops.New(s, s.questions()), budget.New(budget.Reserve+opsDescriptors/2), opt.Log)
+		s.operators = httpd.New(c.Ops, 1, ops.New(s, s.questions(), s.standing()), budget.New(budget.Reserve+opsDescriptors/2), opt.Log)
 	}
 	return s, nil
 }
@@ -170,6 +172,21 @@
 	return s.journal
 }
 
+// standing returns who tells how the plain HTTP front's servers stand, or nil.
+func (s *Scheduler) standing() func() []byte {
+	if s.web == nil {
+		return nil
+	}
+	return func() []byte {
+		var b bytes.Buffer
+		e := json.NewEncoder(&b)
+		for _, one := range s.web.Status() {
+			_ = e.Encode(one) // has no value that cannot be written
+		}
+		return b.Bytes()
+	}
+}
+
 // limit keeps to a configuration's limit of descriptors. The operators' are kept apart.
 func (s *Scheduler) limit(c *config.Config) {
 	n := c.Limits.Sockets
