--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -30,6 +30,7 @@
 	SSE      *SSE     `json:"-"`
 	Journal  *Journal `json:"-"`
 	Web      *Web     `json:"-"`
+	Door     *Door    `json:"-"`
 	Planners int      `json:"-"`
 	Loops    int      `json:"-"`
 
--- /dev/null
+++ b/internal/config/door.go
@@ -0,0 +1,25 @@
+package config
+
+import "errors"
+
+// Door sets up the fair queues before the planners; see docs/DOOR.md.
+type Door struct {
+	Concurrency int `toml:"concurrency"`      // jobs inside at a time
+	Queue       int `toml:"queue,omitzero"`   // jobs of a co-op that may wait; 0: 256
+	Clients     int `toml:"clients,omitzero"` // queues for clients, in each co-op; 0: 512
+}
+
+const doorMost = 1 << 16
+
+func (c *Config) checkDoor() error {
+	d := c.Door
+	switch {
+	case d.Concurrency <= 0 || d.Concurrency > doorMost:
+		return errors.New("door.concurrency must be between 1 and 65536")
+	case d.Queue < 0 || d.Queue > doorMost || d.Clients < 0 || d.Clients > doorMost:
+		return errors.New("door.queue and door.clients must be between 0 and 65536")
+	case len(c.Settings.Realms) == 0:
+		return errors.New("door: there are no realms in the settings to share among")
+	}
+	return nil
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -27,6 +27,7 @@
 	SSE       *SSE               `toml:"sse,omitempty"`
 	Journal   *Journal           `toml:"journal,omitempty"`
 	Web       *Web               `toml:"web,omitempty"`
+	Door      *Door              `toml:"door,omitempty"`
 	Settings  Settings           `toml:"settings"`
 	Workers   []discovery.Member `toml:"workers"`
 }
@@ -77,7 +78,7 @@
 	}
 	return &Config{Name: f.Name, Listen: f.Listen, Ops: f.Ops, Discovery: f.Discovery, Seed: f.Seed, Limits: f.Limits,
 		Known: &discovery.List{Complete: true, Members: f.Workers}, Settings: f.Settings,
-		SSE: f.SSE, Journal: f.Journal, Web: f.Web, Planners: f.Planners, Loops: f.Loops}
+		SSE: f.SSE, Journal: f.Journal, Web: f.Web, Door: f.Door, Planners: f.Planners, Loops: f.Loops}
 }
 
 // Write writes the file.
@@ -140,6 +141,11 @@
 			return err
 		}
 	}
+	if c.Door != nil {
+		if err := c.checkDoor(); err != nil {
+			return err
+		}
+	}
 	if c.Planners < 0 || c.Loops < 0 {
 		return errors.New("planners and loops must not be negative")
 	}
--- a/internal/core/exchange.go
+++ b/internal/core/exchange.go
@@ -15,6 +15,7 @@
 	Class      *sedgevale.Class // as it was when the job came; it is not changed
 	Tenant     int
 	TenantName string
+	Client     string // of the tenant; may be empty
 	Key        string // what the job is about; may be empty
 	Slots      float64
 	Hint       time.Duration
@@ -142,3 +143,15 @@
 	}
 	return max(0, time.Duration(ms)*time.Millisecond-c.unix+origin)
 }
+
+// Left returns how long the client still waits.
+func (x *Exchange) Left(now time.Duration) time.Duration { return x.deadline - now }
+
+// Intercept puts another client in the place of an Exchange's. It must be called before
+// the Exchange is handed in.
+func (x *Exchange) Intercept(f func(Client) Client) { x.client = f(x.client) }
+
+// TurnAway refuses an Exchange that no Planner has.
+func (x *Exchange) TurnAway(after time.Duration, reason string) {
+	x.answer(Answer{Kind: Refused, After: after, Reason: reason})
+}
--- /dev/null
+++ b/internal/doorkeeper/keeper_test.go
@@ -0,0 +1,88 @@
+package doorkeeper
+
+import (
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"sedgevale"
+	"sedgevale/internal/core"
+	"sedgevale/internal/door"
+	"sedgevale/internal/testkit"
+)
+
+// planners note what comes in and what is left.
+type planners struct {
+	in   chan *core.Exchange
+	gone chan *core.Exchange
+}
+
+func (p *planners) Request(x *core.Exchange) { p.in <- x }
+func (p *planners) Gone(x *core.Exchange)    { p.gone <- x }
+
+type client struct {
+	once sync.Once
+	got  chan core.Answer
+}
+
+func (c *client) Started()             {}
+func (c *client) Progress(float64)     {}
+func (c *client) Answer(a core.Answer) { c.got <- a }
+
+func setUp(t *testing.T) (*Keeper, *planners, func(id string, coop int, left time.Duration) (*core.Exchange, *client)) {
+	t.Helper()
+	p := &planners{make(chan *core.Exchange, 16), make(chan *core.Exchange, 16)}
+	clock := core.NewClock()
+	k, err := New(door.Options{Coops: []door.Coop{{Name: "a", Share: 1}, {Name: "b", Share: 1}}, Concurrency: 1, Queue: 2, Seed: 1}, p, clock,
+		2*time.Second, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	class := &sedgevale.Class{Name: "view"}
+	return k, p, func(id string, coop int, left time.Duration) (*core.Exchange, *client) {
+		c := &client{got: make(chan core.Answer, 4)}
+		x := core.NewExchange(core.Job{ID: id, Class: class, Tenant: coop, Client: id, Slots: 1}, clock.Now()+left, c)
+		k.Request(x)
+		return x, c
+	}
+}
+
+// Guards the passage: one goes in, others wait for its answer, who cannot be in time is
+// told when to come back, who leaves makes room, and each is answered once.
+func TestPassage(t *testing.T) {
+	k, p, ask := setUp(t)
+	first, one := ask("first", 0, 10*time.Second)
+	if got := testkit.Await(t, "the first", p.in); got != first {
+		t.Fatalf("%s went in", got.ID)
+	}
+	second, _ := ask("second", 1, 10*time.Second)
+	leaving, _ := ask("leaving", 1, 10*time.Second)
+	k.Gone(leaving)
+	_, late := ask("late", 0, 200*time.Millisecond)
+	if a := testkit.Await(t, "the late one's answer", late.got); a.Kind != core.Refused || a.After <= 0 || a.After > 2*time.Second {
+		t.Errorf("late: %+v", a)
+	}
+	if len(p.in) != 0 {
+		t.Error("somebody went in while one was inside")
+	}
+	first.TurnAway(0, "as a planner refuses")
+	testkit.Await(t, "the first one's answer", one.got)
+	if got := testkit.Await(t, "the second", p.in); got != second {
+		t.Errorf("%s went in", got.ID)
+	}
+	k.Gone(second)
+	if got := testkit.Await(t, "the news of its leaving", p.gone); got != second {
+		t.Errorf("%s is gone", got.ID)
+	}
+	third, _ := ask("third", 0, 10*time.Second)
+	if got := testkit.Await(t, "the third", p.in); got != third {
+		t.Errorf("%s went in", got.ID)
+	}
+	if len(one.got)+len(late.got) != 0 {
+		t.Error("answered twice")
+	}
+	if s := k.Stats(); s.In != 3 || s.Late+s.Refused != 1 {
+		t.Errorf("%+v", s)
+	}
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -105,6 +105,8 @@
 			j.Key = f.Value
 		case strings.EqualFold(name, "Idempotency-Key"):
 			j.Once = f.Value
+		case strings.EqualFold(name, "Client-Id"):
+			j.Client = f.Value
 		case strings.EqualFold(name, "Client-Retry"):
 			j.Retry = f.Value == "1"
 		case strings.EqualFold(name, "Work-Hint"):
--- /dev/null
+++ b/scheduler/door_test.go
@@ -0,0 +1,38 @@
+package scheduler_test
+
+import (
+	"testing"
+
+	"sedgevale/internal/config"
+	"sedgevale/internal/testkit"
+)
+
+// Guards the door on the platform's front: with room for one, a second job waits for the
+// first one's answer, and both are served.
+func TestDoor(t *testing.T) {
+	f := newFleet(t, "v", "w")
+	c := startChild(t, f)
+	c.kill()
+	c.config.Door = &config.Door{Concurrency: 1}
+	c.write()
+	c.start()
+	first := post(c.plain, "/usage-view", job("first")...)
+	at := f.next()
+	second := post(c.plain, "/usage-view", job("second")...)
+	for range 20 { // time enough for it to come to a worker, if it did not wait
+		if got := post(c.plain, "/ready"); (<-got).status == 0 {
+			t.Fatal("no answer")
+		}
+	}
+	if n := f.count("usage-view"); n != 1 {
+		t.Errorf("%d jobs came to workers though one may be inside", n)
+	}
+	at.done("first")
+	if a := testkit.Await(t, "the first answer", first); a.status != 200 {
+		t.Errorf("first: %+v", a)
+	}
+	f.next().done("second")
+	if a := testkit.Await(t, "the second answer", second); a.status != 200 || a.body != "second" {
+		t.Errorf("second: %+v", a)
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -20,6 +20,8 @@
 	"sedgevale/internal/config"
 	"sedgevale/internal/core"
 	"sedgevale/internal/discovery"
+	"sedgevale/internal/door"
+	"sedgevale/internal/doorkeeper"
 	"sedgevale/internal/evloop"
 	"sedgevale/internal/front"
 	"sedgevale/internal/handover"
@@ -81,8 +83,9 @@
 	streams   *sse.Front    // nil: no second front
 	operators *httpd.Server // nil: no second address
 	cordons   *ops.Cordons
-	journal   *journal.Recorder // nil: none
-	web       *web.Site         // nil: no third front
+	journal   *journal.Recorder  // nil: none
+	web       *web.Site          // nil: no third front
+	keeper    *doorkeeper.Keeper // nil: no door
 	bonds     bonds
 	listMu    sync.Mutex
 	list      discovery.List // as it stands
@@ -137,8 +140,19 @@
 	s.planners = core.NewSet(planners...)
 	s.members(sedgevale.ListStale, *c.Known)
 	s.rules = intake.New(s.clock, &intake.Terms{Classes: set.Classes, Tenants: set.Tenants})
+	var takers front.Planners = s.planners
+	if c.Door != nil {
+		o := door.Options{Concurrency: c.Door.Concurrency, Queue: c.Door.Queue, Clients: c.Door.Clients, Seed: c.SeedNumber()}
+		for _, t := range set.Tenants {
+			o.Coops = append(o.Coops, door.Coop{Name: t.Name, Share: t.Share})
+		}
+		if s.keeper, err = doorkeeper.New(o, s.planners, s.clock, set.MaxRetryAfter, opt.Log); err != nil {
+			return nil, errors.Join(err, s.loop.Stop())
+		}
+		takers = s.keeper
+	}
 	if c.Listen != "" {
-		s.servers = append(s.servers, httpd.New(c.Listen, c.Loops, front.New(s.rules, s.planners, s.ready.Load), s.budget, opt.Log))
+		s.servers = append(s.servers, httpd.New(c.Listen, c.Loops, front.New(s.rules, takers, s.ready.Load), s.budget, opt.Log))
 	}
 	if c.Web != nil {
 		if s.web, err = web.New(web.Options{Config: c.Web, Loops: c.Loops, Loop: s.loop, Clock: s.clock, Seed: c.SeedNumber() + uint64(many),
@@ -148,7 +162,7 @@
 		s.servers = append(s.servers, s.web.Servers()...)
 	}
 	if c.SSE != nil {
-		s.streams = sse.New(sse.Options{Rules: s.rules.Earlier(streamMargin), Planners: s.planners, Ready: s.ready.Load,
+		s.streams = sse.New(sse.Options{Rules: s.rules.Earlier(streamMargin), Planners: takers, Ready: s.ready.Load,
 			Heartbeat: config.Seconds(c.SSE.Heartbeat), Retain: config.Seconds(c.SSE.Retain), Log: opt.Log})
 		s.servers = append(s.servers, httpd.New(c.SSE.Listen, c.Loops, s.streams, s.budget, opt.Log))
 	}
@@ -266,6 +280,9 @@
 		if err != nil {
 			return err
 		}
+		if s.keeper != nil {
+			open += s.keeper.Waiting()
+		}
 		if s.web != nil {
 			more, err := s.web.Open(ctx)
 			if err != nil {
@@ -287,6 +304,9 @@
 			}
 		}
 	}
+	if s.keeper != nil {
+		s.keeper.Close()
+	}
 	if n, err := s.planners.Abandon(ctx); err != nil {
 		return err
 	} else if n > 0 {
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -108,7 +108,7 @@
 		{"kinds", s.config.Settings.Kinds, c.Settings.Kinds}, {"zones", s.config.Settings.Zones, c.Settings.Zones},
 		{"zone", s.config.Settings.Zone, c.Settings.Zone}, {"peers_total", s.config.Settings.PeersTotal, c.Settings.PeersTotal},
 		{"weights", s.config.Settings.Weights, c.Settings.Weights},
-		{"sse", s.config.SSE, c.SSE}, {"journal", s.config.Journal, c.Journal}, {"web", s.config.Web == nil, c.Web == nil}, {"planners", s.config.Planners, c.Planners}, {"loops", s.config.Loops, c.Loops},
+		{"sse", s.config.SSE, c.SSE}, {"journal", s.config.Journal, c.Journal}, {"door", s.config.Door, c.Door}, {"web", s.config.Web == nil, c.Web == nil}, {"planners", s.config.Planners, c.Planners}, {"loops", s.config.Loops, c.Loops},
 	} {
 		if !reflect.DeepEqual(part.old, part.new) {
 			kept = append(kept, part.name)
