--- a/internal/haproxy/lex.go
+++ b/internal/haproxy/lex.go
@@ -5,7 +5,6 @@
 package haproxy
 
 import (
-	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -306,70 +305,16 @@
 	return s, "", false
 }
 
-var (
-	errQuote = errors.New("a quote is not closed")
-	errEnd   = errors.New("a backslash at the end of the line")
-)
-
-// split cuts a line into words by HAProxy's rules for quotes, backslashes, comments and
-// environment variables, which count within double quotes. Missing names variables that
-// are not known.
+// split cuts a line into words. Missing names environment variables that are not known.
 func (r *reader) split(line string) (words, missing []string, err error) {
-	var word strings.Builder
-	in, quote := false, byte(0)
-	for i := 0; i < len(line); i++ {
-		c := line[i]
-		switch {
-		case quote == '\'':
-			if c == '\'' {
-				quote = 0
-			} else {
-				word.WriteByte(c)
-			}
-		case c == '\\':
-			if i+1 == len(line) {
-				return words, missing, errEnd
-			}
-			in = true
-			out, n := route.Unescape(line[i+1:])
-			word.WriteString(out)
-			i += n
-		case quote == '"' && c == '"':
-			quote = 0
-		case quote == '"' && c == '$':
-			value, n, name := r.variable(line[i:])
-			if name != "" {
-				missing = append(missing, name)
-			}
-			word.WriteString(value)
-			i += n - 1
-		case quote == '"':
-			word.WriteByte(c)
-		case c == '"' || c == '\'':
-			quote, in = c, true
-		case c == '#':
-			if in {
-				words = append(words, word.String())
-			}
-			return words, missing, nil
-		case c == ' ' || c == '\t' || c == '\r':
-			if in {
-				words = append(words, word.String())
-			}
-			word.Reset()
-			in = false
-		default:
-			in = true
-			word.WriteByte(c)
+	words, err = route.Splitter{Comments: true, Variable: func(s string) (string, int) {
+		value, n, name := r.variable(s)
+		if name != "" {
+			missing = append(missing, name)
 		}
-	}
-	if quote != 0 {
-		return words, missing, errQuote
-	}
-	if in {
-		words = append(words, word.String())
-	}
-	return words, missing, nil
+		return value, n
+	}}.Split(line)
+	return words, missing, err
 }
 
 // variable reads $NAME, ${NAME} or ${NAME-DEFAULT} at the start of s.
--- a/internal/route/words.go
+++ b/internal/route/words.go
@@ -8,14 +8,32 @@
 
 var (
 	errQuote = errors.New("a quote is not closed")
-	errSlash = errors.New("a backslash at the end")
+	errSlash = errors.New("a backslash at the end of the line")
 )
 
 // Words cuts a line into words by the rules of HAProxy's configuration: blanks part
 // words, quotes of both kinds and backslashes take their meaning away.
-func Words(line string) (words []string, err error) {
+func Words(line string) ([]string, error) { return Splitter{}.Split(line) }
+
+// Splitter cuts lines as they stand in a configuration of HAProxy.
+type Splitter struct {
+	Comments bool // an unquoted # ends the line
+	// Variable reads an environment variable at the start of s, which begins with a dollar
+	// sign within double quotes, and how many bytes of it that are; nil: it is a text.
+	Variable func(s string) (value string, n int)
+}
+
+// Split cuts a line into words. With an error the words before the fault are returned.
+func (s Splitter) Split(line string) (words []string, err error) {
 	var word strings.Builder
 	in, quote := false, byte(0)
+	end := func() {
+		if in {
+			words = append(words, word.String())
+		}
+		word.Reset()
+		in = false
+	}
 	for i := 0; i < len(line); i++ {
 		c := line[i]
 		switch {
@@ -27,37 +45,36 @@
 			}
 		case c == '\\':
 			if i+1 == len(line) {
-				return nil, errSlash
+				return words, errSlash
 			}
 			in = true
 			b, n := Unescape(line[i+1:])
 			word.WriteString(b)
 			i += n
+		case quote == '"' && c == '"':
+			quote = 0
+		case quote == '"' && c == '$' && s.Variable != nil:
+			value, n := s.Variable(line[i:])
+			word.WriteString(value)
+			i += n - 1
 		case quote == '"':
-			if c == '"' {
-				quote = 0
-			} else {
-				word.WriteByte(c)
-			}
+			word.WriteByte(c)
 		case c == '"' || c == '\'':
 			quote, in = c, true
-		case c == ' ' || c == '\t':
-			if in {
-				words = append(words, word.String())
-			}
-			word.Reset()
-			in = false
+		case c == '#' && s.Comments:
+			end()
+			return words, nil
+		case c == ' ' || c == '\t' || c == '\r':
+			end()
 		default:
 			in = true
 			word.WriteByte(c)
 		}
 	}
 	if quote != 0 {
-		return nil, errQuote
-	}
-	if in {
-		words = append(words, word.String())
+		return words, errQuote
 	}
+	end()
 	return words, nil
 }
 
--- a/internal/web/bench_test.go
+++ b/internal/web/bench_test.go
@@ -124,16 +124,15 @@
 	}
 }
 
-func benchProxy(b *testing.B, conns int, role string) {
-	addr, server := freeAddr(b), plain(b)
-	name, rules, _ := strings.Cut(role, " ")
+// proxy runs a proxy in a process of its own until the benchmark ends.
+func proxy(b *testing.B, role, addr string) (pid int) {
 	c := exec.Command(os.Args[0])
-	c.Env = append(os.Environ(), fmt.Sprintf("%s=%s %s %s %s", benchRole, name, addr, server, rules))
+	c.Env = append(os.Environ(), benchRole+"="+role)
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := c.Start(); err != nil {
 		b.Fatal(err)
 	}
-	defer func() { _ = c.Process.Kill(); _ = c.Wait() }()
+	b.Cleanup(func() { _ = c.Process.Kill(); _ = c.Wait() })
 	until(b, "the proxy", func() bool {
 		x, err := net.Dial("tcp", addr)
 		if err == nil {
@@ -141,6 +140,13 @@
 		}
 		return err == nil
 	})
+	return c.Process.Pid
+}
+
+func benchProxy(b *testing.B, conns int, role string) {
+	addr, server := freeAddr(b), plain(b)
+	name, rules, _ := strings.Cut(role, " ")
+	pid := proxy(b, fmt.Sprintf("%s %s %s %s", name, addr, server, rules), addr)
 	var next atomic.Int64
 	hist := hdrhistogram.New(1, 60_000_000, 3)
 	var mu sync.Mutex
@@ -182,14 +188,14 @@
 	}
 	run(int64(conns) * 4) // connections are up, code is warm
 	hist.Reset()
-	before := ticks(b, c.Process.Pid)
+	before := ticks(b, pid)
 	b.ResetTimer()
 	run(int64(b.N))
 	b.StopTimer()
-	b.ReportMetric(float64((ticks(b, c.Process.Pid)-before).Microseconds())/float64(b.N), "cpu-µs/req")
+	b.ReportMetric(float64((ticks(b, pid)-before).Microseconds())/float64(b.N), "cpu-µs/req")
 	b.ReportMetric(float64(hist.ValueAtQuantile(50)), "p50-µs")
 	b.ReportMetric(float64(hist.ValueAtQuantile(99)), "p99-µs")
-	b.ReportMetric(memory(c.Process.Pid), "MB")
+	b.ReportMetric(memory(pid), "MB")
 }
 
 // BenchmarkLongBody passes 1 GB through and reports the proxy's memory.
@@ -200,20 +206,7 @@
 		got <- n
 	})
 	addr := freeAddr(b)
-	c := exec.Command(os.Args[0])
-	c.Env = append(os.Environ(), fmt.Sprintf("%s=ours %s %s 10", benchRole, addr, server))
-	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := c.Start(); err != nil {
-		b.Fatal(err)
-	}
-	defer func() { _ = c.Process.Kill(); _ = c.Wait() }()
-	until(b, "the proxy", func() bool {
-		x, err := net.Dial("tcp", addr)
-		if err == nil {
-			x.Close()
-		}
-		return err == nil
-	})
+	pid := proxy(b, fmt.Sprintf("ours %s %s 10", addr, server), addr)
 	const size = 1 << 30
 	b.SetBytes(size)
 	for b.Loop() {
@@ -226,5 +219,5 @@
 			b.Fatalf("%d bytes came", n)
 		}
 	}
-	b.ReportMetric(memory(c.Process.Pid), "MB")
+	b.ReportMetric(memory(pid), "MB")
 }
