Share what a request was asked for among all rules that ask it

Change: the fetches of a set of rules are kept by their text, and a request remembers what each has found.

--- a/internal/route/acl.go
+++ b/internal/route/acl.go
@@ -31,7 +31,7 @@
 	"_len": "len", "_str": "str"}
 
 // parseTest reads the words of an access list: a fetch, flags, and patterns.
-func parseTest(words []string, files Files) (*test, error) {
+func (l *Lists) parseTest(words []string) (*test, error) {
 	if len(words) == 0 {
 		return nil, fmt.Errorf("a condition without a sample")
 	}
@@ -47,7 +47,7 @@
 			break
 		}
 	}
-	f, err := parseFetch(expr, files)
+	f, err := l.fetch(expr)
 	if err != nil {
 		return nil, err
 	}
@@ -72,7 +72,7 @@
 			if len(rest) == 0 {
 				return nil, fmt.Errorf("-f lacks its file")
 			}
-			b, err := files(rest[0])
+			b, err := l.files(rest[0])
 			if err != nil {
 				return nil, err
 			}
@@ -120,16 +120,29 @@
 
 // Lists are named access lists; several of one name hold if any does.
 type Lists struct {
-	files Files
-	named map[string][]*test
+	files   Files
+	named   map[string][]*test
+	fetches map[string]*fetch // by their text: rules that ask for the same share what was found
 }
 
 // NewLists returns Lists without any but those that need not be declared.
-func NewLists(files Files) *Lists { return &Lists{files, map[string][]*test{}} }
+func NewLists(files Files) *Lists { return &Lists{files, map[string][]*test{}, map[string]*fetch{}} }
+
+// fetch returns the fetch of a text, the same one each time.
+func (l *Lists) fetch(text string) (*fetch, error) {
+	if f := l.fetches[text]; f != nil {
+		return f, nil
+	}
+	f, err := parseFetch(text, l.files)
+	if err == nil {
+		l.fetches[text] = f
+	}
+	return f, err
+}
 
 // Add declares an access list: its name, and the words behind it.
 func (l *Lists) Add(name string, words []string) error {
-	t, err := parseTest(words, l.files)
+	t, err := l.parseTest(words)
 	if err != nil {
 		return fmt.Errorf("acl %s: %w", name, err)
 	}
@@ -185,7 +198,7 @@
 			if end < 0 {
 				return nil, fmt.Errorf("an anonymous condition lacks its \"}\"")
 			}
-			one, err := parseTest(words[:end], l.files)
+			one, err := l.parseTest(words[:end])
 			if err != nil {
 				return nil, err
 			}
@@ -197,7 +210,7 @@
 				if !ok {
 					return nil, fmt.Errorf("no acl is called %q", w)
 				}
-				one, err := parseTest(strings.Fields(text), l.files)
+				one, err := l.parseTest(strings.Fields(text))
 				if err != nil {
 					return nil, err
 				}
