Count each planner's attempts in a tally line, built only with -tags tally

Change: internal/core/tally.go (build tag tally) counts sends, further attempts, cancels the module asked for, refusals, failures, outcomes by kind and start delays, and logs one line every 5 s of the planner's clock; tally_off.go has empty methods and a type of no bytes (TestTallyIsEmpty), so the ordinary build is as before.

--- a/internal/core/exchange.go
+++ b/internal/core/exchange.go
@@ -97,7 +97,8 @@
 	Planner  *Planner      // to be told what comes of it
 	Single   bool          // it must not run twice, so nothing can mend a connection that breaks
 
-	timer  *timer
+	timer *timer
+	attemptTally
 	held   bool // not given to the carrier yet: its intent is not on record
 	over   bool
 	unseen bool // over, and it never ran
--- a/internal/core/planner.go
+++ b/internal/core/planner.go
@@ -35,6 +35,7 @@
 	list    map[string]sedgevale.WorkerInfo // for a fresh Dispatcher
 	out     map[string]bool                 // cordoned, for the same
 	journal Journal                         // nil: none
+	tally   tally                           // counts for a log line, with -tags tally
 	sharing
 }
 
@@ -182,6 +183,7 @@
 			p.guard(func() { p.handle(&items[i]) })
 		}
 		p.guard(p.fire)
+		p.tally.out(p.log, p.now)
 		wait := p.share()
 		if len(p.timers) > 0 {
 			wait = min(wait, max(0, p.timers[0].at-p.clock.Now()))
@@ -260,6 +262,7 @@
 		}
 	case evStarted:
 		if !e.a.over {
+			p.tally.started(e.a, p.now)
 			if e.a.record != 0 {
 				p.journal.Started(e.a.record, e.a.Number)
 			}
@@ -338,6 +341,7 @@
 		return
 	}
 	a.over = true
+	p.tally.ended(o)
 	if a.timer.index >= 0 { // else it would keep the request's body until the deadline
 		heap.Remove(&p.timers, a.timer.index)
 	}
@@ -413,6 +417,7 @@
 	if timeout > 0 {
 		a.Deadline = min(a.Deadline, p.now+timeout)
 	}
+	p.tally.sent(a, p.now)
 	x.attempts = append(x.attempts, a)
 	x.out++
 	p.changed = true
@@ -424,6 +429,7 @@
 // Refuse is called by the Dispatcher.
 func (p *Planner) Refuse(id string, after time.Duration) {
 	if x := p.open[id]; x != nil {
+		p.tally.refuse()
 		x.answer(Answer{Kind: Refused, After: after, Reason: "cannot be in time"})
 		p.forget(x)
 	}
@@ -432,6 +438,7 @@
 // Fail is called by the Dispatcher.
 func (p *Planner) Fail(id string) {
 	if x := p.open[id]; x != nil {
+		p.tally.fail()
 		x.answer(Answer{Kind: Failed, Reason: x.reason(), Ran: x.mayHaveRun()})
 		p.forget(x)
 	}
@@ -443,6 +450,7 @@
 	if x == nil || attempt >= len(x.attempts) || x.attempts[attempt].over {
 		return
 	}
+	p.tally.cancel()
 	if a := x.attempts[attempt]; a.held { // the carrier does not have it
 		p.Ended(a, sedgevale.NotSent, nil, nil)
 	} else {
--- /dev/null
+++ b/internal/core/tally.go
@@ -0,0 +1,74 @@
+//go:build tally
+
+package core
+
+import (
+	"log/slog"
+	"time"
+
+	"sedgevale"
+)
+
+// tally counts what a planner did, for one log line every tallyEvery, so that
+// a day's logs can be summed across a fleet. It is built only with -tags
+// tally: without the tag these methods are empty and cost nothing.
+type tally struct {
+	since                   time.Duration
+	sends, further, cancels int
+	outcomes                [sedgevale.NotSent + 1]int
+	refused, failed         int
+	starts, startLate       int
+	startSum                time.Duration
+}
+
+// tallyEvery is how often the line is written, on the planner's clock.
+const tallyEvery = 5 * time.Second
+
+// startLate is the delay from send to start note that counts as late.
+const startLateAfter = 100 * time.Millisecond
+
+func (t *tally) sent(a *Attempt, now time.Duration) {
+	a.sentAt = now
+	t.sends++
+	if a.Number > 0 {
+		t.further++
+	}
+}
+
+func (t *tally) cancel()                   { t.cancels++ }
+func (t *tally) refuse()                   { t.refused++ }
+func (t *tally) fail()                     { t.failed++ }
+func (t *tally) ended(o sedgevale.Outcome) { t.outcomes[o]++ }
+func (t *tally) started(a *Attempt, now time.Duration) {
+	t.starts++
+	delay := now - a.sentAt
+	t.startSum += delay
+	if delay > startLateAfter {
+		t.startLate++
+	}
+}
+
+// out writes the line once tallyEvery has passed since the last, if anything
+// was counted, and begins the next.
+func (t *tally) out(log *slog.Logger, now time.Duration) {
+	if now-t.since < tallyEvery {
+		return
+	}
+	if t.sends+t.refused+t.failed > 0 {
+		o := &t.outcomes
+		var mean time.Duration
+		if t.starts > 0 {
+			mean = t.startSum / time.Duration(t.starts)
+		}
+		log.Info("tally", "sends", t.sends, "further", t.further, "cancels", t.cancels,
+			"refused", t.refused, "failed", t.failed,
+			"served", o[sedgevale.Served], "errored", o[sedgevale.Errored], "full", o[sedgevale.Full],
+			"timed_out", o[sedgevale.TimedOut], "connect_failed", o[sedgevale.ConnectFailed], "lost", o[sedgevale.Lost],
+			"cancelled", o[sedgevale.Cancelled], "not_sent", o[sedgevale.NotSent],
+			"starts", t.starts, "starts_late", t.startLate, "start_mean_ms", mean.Milliseconds())
+	}
+	*t = tally{since: now}
+}
+
+// attemptTally is what an attempt carries for the tally.
+type attemptTally struct{ sentAt time.Duration }
--- /dev/null
+++ b/internal/core/tally_off.go
@@ -0,0 +1,23 @@
+//go:build !tally
+
+package core
+
+import (
+	"log/slog"
+	"time"
+
+	"sedgevale"
+)
+
+// tally is empty without -tags tally; see tally.go.
+type tally struct{}
+
+func (*tally) sent(*Attempt, time.Duration)    {}
+func (*tally) cancel()                         {}
+func (*tally) refuse()                         {}
+func (*tally) fail()                           {}
+func (*tally) ended(sedgevale.Outcome)         {}
+func (*tally) started(*Attempt, time.Duration) {}
+func (*tally) out(*slog.Logger, time.Duration) {}
+
+type attemptTally struct{}
--- /dev/null
+++ b/internal/core/tally_off_test.go
@@ -0,0 +1,16 @@
+//go:build !tally
+
+package core
+
+import (
+	"testing"
+	"unsafe"
+)
+
+// Without the tag the tally must cost the platform's path nothing, not even a byte
+// of an attempt.
+func TestTallyIsEmpty(t *testing.T) {
+	if n := unsafe.Sizeof(tally{}) + unsafe.Sizeof(attemptTally{}); n != 0 {
+		t.Fatalf("the tally takes %d bytes without -tags tally", n)
+	}
+}
