Name the constant that the tally's comment describes

Cause: the comment above startLateAfter named it startLate, a field of the tally. Change: the comment alone.

--- a/internal/core/tally.go
+++ b/internal/core/tally.go
@@ -24,7 +24,7 @@
 // tallyEvery is how often the line is written, on the planner's clock.
 const tallyEvery = 5 * time.Second
 
-// startLate is the delay from send to start note that counts as late.
+// startLateAfter is the delay from send to start note that counts as late.
 const startLateAfter = 100 * time.Millisecond
 
 func (t *tally) sent(a *Attempt, now time.Duration) {
