Count a stand-in box's jobs under its lock: Quiet no longer races with jobs that come

The report names runtime.racewrite in TestKills (Box.Quiet, sync.WaitGroup.Wait) against runtime.raceread in Box.ServeHTTP (WaitGroup.Add): internal/standin/box.go called Add from zero while Quiet waited, which a WaitGroup forbids. Ruled out: the scheduler itself, which is another process in that test. Change: the box counts its jobs under the mutex that it has, and Quiet waits on a channel that the last one closes. Measured: TestQuietWhileJobsCome ends in "DATA RACE" with the old box.go and passes five times with the new one; TestKills with -race three times on end.

--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -79,7 +79,8 @@
 	mu      sync.Mutex
 	rand    *rand.Rand
 	waiting int
-	work    sync.WaitGroup
+	busy    int           // jobs under way; not a WaitGroup, for jobs come while Quiet waits
+	quiet   chan struct{} // closed when none is; nil: nobody waits
 }
 
 // NewBox returns a Box that does not listen yet.
@@ -123,7 +124,30 @@
 func (b *Box) Close() error { return b.server.Close() }
 
 // Quiet returns once no job is under way but those that hang.
-func (b *Box) Quiet() { b.work.Wait() }
+func (b *Box) Quiet() {
+	b.mu.Lock()
+	if b.busy == 0 {
+		b.mu.Unlock()
+		return
+	}
+	if b.quiet == nil {
+		b.quiet = make(chan struct{})
+	}
+	quiet := b.quiet
+	b.mu.Unlock()
+	<-quiet
+}
+
+// leave gives a job's slot back.
+func (b *Box) leave() {
+	<-b.slots
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.busy--; b.busy == 0 && b.quiet != nil {
+		close(b.quiet)
+		b.quiet = nil
+	}
+}
 
 // draw decides at which point a job fails, "" for none, and how long it takes.
 func (b *Box) draw(class string) (Point, time.Duration) {
@@ -185,6 +209,7 @@
 	full := b.waiting >= b.opt.Queue
 	if !full && point != TurnAway {
 		b.waiting++
+		b.busy++
 	}
 	b.mu.Unlock()
 	if full || point == TurnAway {
@@ -193,21 +218,16 @@
 		http.Error(w, "full", http.StatusServiceUnavailable)
 		return
 	}
-	b.work.Add(1)
 	say := newSpeaker(w, id, b.opt.ID)
 	b.slots <- struct{}{}
 	b.mu.Lock()
 	b.waiting--
 	b.mu.Unlock()
-	leave := func() {
-		<-b.slots
-		b.work.Done()
-	}
 	result := fmt.Sprintf("%s %s: %d bytes by %s", class, id, len(body), b.opt.ID)
 	if key != "" {
 		old, repeat, ok := b.opt.Shelf.Take(q.Context(), key)
 		if !ok || repeat {
-			leave()
+			b.leave()
 			if repeat {
 				say.line(line{State: "done", Result: &old, Load: b.load()})
 			}
@@ -218,7 +238,7 @@
 	say.line(line{State: "started"})
 	switch point {
 	case Hang:
-		leave()
+		b.leave()
 		<-q.Context().Done()
 		return
 	case CutBegun:
@@ -226,7 +246,7 @@
 			time.Sleep(work)
 			b.ledger.Finish(id, b.opt.ID)
 			b.opt.Shelf.End(key, result, true)
-			leave()
+			b.leave()
 		}()
 		panic(http.ErrAbortHandler)
 	}
@@ -239,13 +259,13 @@
 	time.Sleep(work - work/2)
 	if point == Failed {
 		b.opt.Shelf.End(key, "", false)
-		leave()
+		b.leave()
 		say.line(line{State: "failed", Load: b.load()})
 		return
 	}
 	b.ledger.Finish(id, b.opt.ID)
 	b.opt.Shelf.End(key, result, true)
-	leave()
+	b.leave()
 	if point == CutDone {
 		panic(http.ErrAbortHandler)
 	}
--- /dev/null
+++ b/internal/standin/box_test.go
@@ -0,0 +1,33 @@
+package standin
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Guards against a box that is asked for quiet while jobs still come: with a WaitGroup the first job
+// after a pause raced with Quiet, and the race detector ended runs at random.
+func TestQuietWhileJobsCome(t *testing.T) {
+	b := NewBox(BoxOptions{ID: "box-1", Seed: 1})
+	var clients sync.WaitGroup
+	for i := range 50 {
+		clients.Go(func() {
+			q := httptest.NewRequest(http.MethodPost, "/usage-view", strings.NewReader("x"))
+			q.Header.Set("Request-Id", strconv.Itoa(i))
+			b.ServeHTTP(httptest.NewRecorder(), q)
+		})
+		b.Quiet()
+	}
+	clients.Wait()
+	b.Quiet()
+	for _, id := range b.Ledger().Jobs() {
+		if runs := b.Ledger().Runs(id); len(runs) != 1 || runs[0].Finished.IsZero() {
+			t.Errorf("job %s: %+v, want one run that has ended by %v", id, runs, time.Now())
+		}
+	}
+}
