End a client's connection by its sending first, and never over unread bytes

Change: part() shuts the sending down, drops what still comes and closes after 0.3 s; who has something unread is left alone; Refuse closes the listener and ends who owes a request; evict closes at once only where descriptors are gone; clients stop at 48 before the limit. TestIdleClientsAreBounded waits for clients that read the end and stay, which lingers 0.3 s now: the count is as strict.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -16,6 +16,7 @@
 const (
 	idlePart  = 8
 	idleLeast = 16
+	sparePart = 8 // and so much is left to connections to workers
 )
 
 // Budget counts connections against a limit. When few are left it asks for
@@ -66,11 +67,22 @@
 	b.mu.Unlock()
 }
 
-// Take counts a connection that is open. It reports false where even the
+// Take counts a connection to a worker that is open. It reports false where even the
 // reserve is almost gone; the connection must then be closed.
-func (b *Budget) Take() bool {
+func (b *Budget) Take() bool { return b.take(0, Reserve/2) }
+
+// TakeClient counts a client's connection. Clients are asked to make room before workers
+// are, and refused before: a crowd of them must not keep jobs and the watch on discovery
+// from connecting.
+func (b *Budget) TakeClient() bool {
+	return b.take(max(0, b.left()-Reserve)/sparePart, Reserve*3/4)
+}
+
+// take counts a connection. Idle ones are closed from so many before the reserve on; it
+// reports false where less than least is left.
+func (b *Budget) take(spare, least int64) bool {
 	used, limit := b.used.Add(1), b.left()
-	if limit <= 0 || used <= limit-Reserve {
+	if limit <= 0 || used <= limit-Reserve-spare {
 		return true
 	}
 	b.mu.Lock()
@@ -80,9 +92,9 @@
 	}
 	b.mu.Unlock()
 	for _, f := range asked {
-		f(int(used - limit + Reserve))
+		f(int(used - limit + Reserve + spare))
 	}
-	return used <= limit-Reserve/4
+	return used <= limit-least
 }
 
 // Idle is how many idle connections of clients an event loop may keep.
--- a/internal/httpd/accept.go
+++ b/internal/httpd/accept.go
@@ -22,6 +22,7 @@
 	listener *net.TCPListener
 	mu       sync.Mutex
 	resume   chan struct{} // closed to go on accepting; nil: not paused
+	parked   chan struct{} // closed once nothing is accepted any more; nil: not paused
 	closed   chan struct{}
 	once     sync.Once
 }
@@ -59,6 +60,10 @@
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			d.mu.Lock()
 			resume := d.resume
+			if resume != nil && d.parked != nil {
+				close(d.parked)
+				d.parked = nil
+			}
 			d.mu.Unlock()
 			if resume == nil {
 				continue
@@ -75,14 +80,22 @@
 	}
 }
 
-// pause stops accepting; the socket stays as it is, and its queue waits for
+// pause stops accepting and returns once it has stopped: an accept that was under way may
+// still have taken a connection. The socket stays as it is, and its queue waits for
 // whoever shares it.
 func (d *door) pause() {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.resume == nil {
-		d.resume = make(chan struct{})
-		_ = d.listener.SetDeadline(time.Unix(1, 0))
+	if d.resume != nil {
+		d.mu.Unlock()
+		return
+	}
+	parked := make(chan struct{})
+	d.resume, d.parked = make(chan struct{}), parked
+	_ = d.listener.SetDeadline(time.Unix(1, 0))
+	d.mu.Unlock()
+	select {
+	case <-parked:
+	case <-d.closed:
 	}
 }
 
@@ -93,6 +106,10 @@
 		_ = d.listener.SetDeadline(time.Time{})
 		close(d.resume)
 		d.resume = nil
+		if d.parked != nil {
+			close(d.parked)
+			d.parked = nil
+		}
 	}
 }
 
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -31,6 +31,7 @@
 	slowWait     = 2500 * time.Millisecond // from connecting, for the first request to come whole: some need 2 s
 	readTimeout  = 2 * time.Second         // for a later request that has begun to come
 	lingerFor    = 2 * time.Second         // for a client to read the last answer
+	partFor      = 300 * time.Millisecond  // for a client to end a connection that we end between two requests
 	lingerBytes  = 1 << 20                 // of what it still sends meanwhile
 	unheardLeast = 300 * time.Millisecond  // before a connection may be closed unheard, where descriptors run short
 	sweepEvery   = 200 * time.Millisecond
@@ -140,7 +141,7 @@
 		}
 	}
 	client, err := gnet.NewClient(s, gnet.WithNumEventLoop(s.loops), gnet.WithReadBufferCap(readBuffer),
-		gnet.WithWriteBufferCap(writeBuffer), gnet.WithTCPNoDelay(gnet.TCPDelay), gnet.WithLogger(evloop.Quiet(s.log)))
+		gnet.WithWriteBufferCap(writeBuffer), gnet.WithLogger(evloop.Quiet(s.log)))
 	if err == nil {
 		err = client.Start()
 	}
@@ -154,16 +155,17 @@
 	return nil
 }
 
-// enrol gives a connection to an event loop. Go has set TCP_NODELAY already.
+// enrol gives a connection to an event loop.
 func (s *Server) enrol(c *net.TCPConn) {
 	if _, err := s.client.EnrollContext(c, nil); err != nil {
 		s.log.Warn("a new connection was not taken", "err", err)
+		s.each(func(l *lane) { l.evict(idleAtOnce) }) // it needs a second descriptor for a moment
 	}
 }
 
 func (s *Server) cannotAccept(err error) {
 	s.log.Error("cannot accept connections, trying again", "addr", s.addr, "err", err)
-	s.each(func(l *lane) { l.closeIdle(idleAtOnce) })
+	s.each(func(l *lane) { l.evict(idleAtOnce) })
 }
 
 // Listener is the listening socket, to be passed on.
@@ -209,9 +211,24 @@
 	}
 }
 
-// CloseIdle closes the connections that carry no request.
+// CloseIdle closes the connections that carry no request: its sending first, so that a
+// request which crosses that is read and dropped, and its client told by the end alone.
 func (s *Server) CloseIdle() { s.each(func(l *lane) { l.closeIdle(math.MaxInt) }) }
 
+// Refuse lets no further connection come up and ends those on which no request is due an
+// answer, also those that have begun to send one.
+func (s *Server) Refuse() {
+	s.door.close()
+	s.each(func(l *lane) {
+		l.closeIdle(math.MaxInt)
+		for _, waiting := range []*list{&l.fresh, &l.reading} {
+			for c := waiting.first; c != nil; c = waiting.first {
+				c.part()
+			}
+		}
+	})
+}
+
 // Stop ends the server with all its connections.
 func (s *Server) Stop() error {
 	s.door.close()
@@ -265,25 +282,50 @@
 
 // closeIdle closes so many connections that carry no request: those which may be
 // kept for nothing, then those that have been silent since they were made. A new
-// one is left alone, for its first request is on its way.
+// one is left alone, for its first request is on its way, and so is one on which a
+// request has come that this loop has yet to read.
 func (l *lane) closeIdle(most int) {
-	for ; most > 0 && l.idle.first != nil; most-- {
-		l.close(l.idle.first)
+	now := time.Now()
+	for _, silent := range []*list{&l.idle, &l.fresh} {
+		for c := silent.first; most > 0 && c != nil; {
+			next := c.next
+			if silent == &l.fresh && now.Sub(c.opened) <= unheardLeast {
+				return
+			}
+			if !c.unread() {
+				c.part()
+				most--
+			}
+			c = next
+		}
 	}
-	for c := l.fresh.first; most > 0 && c != nil && time.Since(c.opened) > unheardLeast; c = l.fresh.first {
-		l.close(c)
-		most--
+}
+
+// evict closes so many such connections at once, where descriptors are gone and whoever has
+// them may not be waited for, and returns how many it has closed: also those that are new, the
+// longest silent first. What is closed has nothing unread.
+func (l *lane) evict(most int) (closed int) {
+	for _, silent := range []*list{&l.ending, &l.idle, &l.fresh} {
+		for c := silent.first; closed < most && c != nil; {
+			next := c.next
+			if !(silent == &l.ending && c.heard) && !c.unread() {
+				l.close(c)
+				closed++
+			}
+			c = next
+		}
 	}
+	return closed
 }
 
 // sweep closes what has been waited for long enough.
 func (l *lane) sweep() {
 	now := time.Now()
 	for c := l.fresh.first; c != nil && now.After(c.until); c = l.fresh.first {
-		l.close(c)
+		c.part()
 	}
 	for c := l.idle.first; c != nil && c.srv.limits.Idle > 0 && now.After(c.until); c = l.idle.first {
-		l.close(c)
+		c.part()
 	}
 	for c := l.reading.first; c != nil; { // not in the order of their times: a first request counts from connecting
 		next := c.next
@@ -292,11 +334,14 @@
 		}
 		c = next
 	}
-	for c := l.ending.first; c != nil && now.After(c.until); c = l.ending.first {
-		l.close(c)
-	}
-	for c := l.ending.first; c != nil; c = c.next {
-		c.shutdown()
+	for c := l.ending.first; c != nil; { // nor here: a last answer is given longer to be read
+		next := c.next
+		if now.After(c.until) {
+			l.close(c)
+		} else {
+			c.shutdown()
+		}
+		c = next
 	}
 }
 
@@ -328,9 +373,10 @@
 	detached   bool // its descriptor lives on elsewhere
 	framing    Framing
 	heard      bool // a request has come whole
+	flooded    bool // far more came than one request, which is dropped
 	opened     time.Time
 	until      time.Time
-	discarded  int // after the last answer
+	discarded  int // of a flood, and after the last answer
 	prev, next *Conn
 	in         *list
 	out        []byte
@@ -343,7 +389,13 @@
 	gc.SetContext(c)
 	c.setState(fresh)
 	s.clients.Add(1)
-	if !s.budget.Take() {
+	taken := s.budget.TakeClient()
+	if !taken {
+		c.setState(busy) // not to be the one that is closed for itself
+		taken = c.lane.evict(1) > 0
+		c.setState(fresh)
+	}
+	if !taken {
 		// A descriptor more, and neither accepting nor dialling works, for anybody.
 		// This one connection is the lesser loss.
 		s.log.Error("no descriptors left, closing a new connection", "open", s.budget.Used())
@@ -414,9 +466,8 @@
 			return
 		}
 		if c.state == busy {
-			if c.gc.InboundBuffered() > maxAhead {
-				c.srv.log.Warn("a client sends far ahead of its turn, closing")
-				c.lane.close(c)
+			if n := c.gc.InboundBuffered(); n > maxAhead || c.flooded {
+				c.flood(n)
 			}
 			return
 		}
@@ -476,6 +527,36 @@
 	}
 }
 
+// flood drops what a client sends far ahead of its turn. The request at hand still gets its
+// answer, which is the last; but a client that goes on is not followed for long.
+func (c *Conn) flood(n int) {
+	if !c.flooded {
+		c.flooded, c.closeAfter = true, true
+		c.srv.log.Warn("a client sends far ahead of its turn, its answer will be the last")
+	}
+	_, _ = c.gc.Discard(n)
+	if c.discarded += n; c.discarded > lingerBytes {
+		c.lane.close(c)
+	}
+}
+
+// unread reports whether something has come that the loop has yet to read.
+func (c *Conn) unread() bool {
+	if c.gc.InboundBuffered() > 0 {
+		return true
+	}
+	var b [1]byte
+	n, _, err := unix.Recvfrom(c.gc.Fd(), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return err == nil && n > 0
+}
+
+// part ends a connection on which no answer is due.
+func (c *Conn) part() {
+	c.setState(ending)
+	c.until = time.Now().Add(partFor)
+	c.shutdown()
+}
+
 // fail answers what cannot be understood and ends the connection.
 func (c *Conn) fail(status int, text string) {
 	c.RespondLast(status, nil, append([]byte(text), '\n'))
--- a/internal/httpd/httpd_test.go
+++ b/internal/httpd/httpd_test.go
@@ -343,6 +343,8 @@
 			t.Errorf("idle connection %d: %v", i, err)
 		}
 	}
+	// They have read the end and stay: they are closed all the same.
+	until(t, "the idle ones to be bounded", func() bool { return s.Clients() <= most })
 	if n := s.Clients(); n != most {
 		t.Errorf("%d connections kept, want %d", n, most)
 	}
--- a/internal/httpd/stream.go
+++ b/internal/httpd/stream.go
@@ -89,7 +89,7 @@
 	}
 	d := &Detached{Conn: conn, Parser: c.parser, Rest: rest, server: c.srv, opened: c.opened}
 	c.srv.clients.Add(1) // it is still one of ours, until it is closed or given back
-	c.srv.budget.Take()
+	c.srv.budget.TakeClient()
 	c.detached = true
 	c.lane.close(c)
 	return d, nil
