Notice a silent discovery in time: 3.7 s for a watch, 1.2 s for the whole list

Seen by reading: a call for the whole list, as after SIGHUP, was given up after 5 s though its answer is due after 1.5 (discovery.go, ask set one timer for all calls); a dial had 1 s, and after failures the module waited up to 3 s (rewatchMost 2 s, times 0.5 to 1.5), so that a change could count as told 6 s after discovery was back with no call made yet. Change: the time runs from each call's sending; answers have 1.2 s beyond the wait, dials 0.7 s, and rewatchMost is 1 s. Ruled out: a short first call of each watch, which would double the calls while many come back at once.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -78,7 +78,7 @@
 	modestRoom    = 1.4             // times more for one who sends less than its share of what arrives here
 	quotaRoom     = 1.5             // a dispatcher may have this many times its even part of a tenant's quota
 	rewatchFirst  = 200 * time.Millisecond
-	rewatchMost   = 2 * time.Second
+	rewatchMost   = time.Second // with its spread and a failed call: within 6 s of the list's return
 )
 
 const (
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -14,10 +14,13 @@
 
 const (
 	// What a watch may wait; the next goes out at once. Short, since a watch that has
-	// fallen silent is noticed only after it, and drains meanwhile count as told.
+	// fallen silent is noticed only after it, and drains meanwhile count as told: 6 s after
+	// it fell silent, and 6 s after discovery had them and could be reached again. So what
+	// is below, the first wait of the module's (0.3 s) and an answer's second way must come
+	// to less; TestSilenceFits adds them up.
 	watchWait   = 2500 * time.Millisecond
-	answerWait  = 1500 * time.Millisecond // beyond that wait, before the watch counts as broken
-	connectWait = time.Second
+	answerWait  = 1200 * time.Millisecond // beyond that wait, before the watch counts as broken
+	connectWait = 700 * time.Millisecond
 	formerWait  = 2 * time.Second // for a last word from an address that was given up
 	maxList     = 8 << 20
 )
@@ -111,10 +114,6 @@
 	} else {
 		w.link.send()
 	}
-	l := w.link
-	w.timer = time.AfterFunc(connectWait+watchWait+answerWait, func() {
-		w.loop.Do(func() { l.late() })
-	})
 }
 
 // link is a connection to discovery.
@@ -147,13 +146,18 @@
 
 func (l *link) send() {
 	l.asked, l.body = true, l.body[:0]
-	l.due = time.Now().Add(answerWait)
+	due := answerWait
 	target := "/v1/endpoints"
 	if !l.w.whole {
-		l.due = l.due.Add(watchWait)
+		due += watchWait
 		target += "?since=" + strconv.FormatInt(l.w.version, 10) +
 			"&timeout_ms=" + strconv.FormatInt(watchWait.Milliseconds(), 10)
 	}
+	if l.w.timer != nil {
+		l.w.timer.Stop()
+	}
+	l.w.timer = time.AfterFunc(due, func() { l.w.loop.Do(func() { l.late() }) })
+	l.due = time.Now().Add(due)
 	out := http1.AppendRequest(nil, "GET", target)
 	out = http1.AppendField(out, "Host", l.w.addr)
 	_, _ = l.gc.Write(append(out, "\r\n"...)) // a failure closes the connection, and Closed tells
@@ -196,7 +200,7 @@
 }
 
 func (l *link) late() {
-	if l.asked && time.Now().After(l.due) || l.gc == nil {
+	if l.asked && !time.Now().Before(l.due) {
 		l.fail(errLate)
 	}
 }
@@ -229,7 +233,6 @@
 		return
 	}
 	l.drop()
-	w.timer.Stop()
 	w.log.Warn("watch on discovery broke", "addr", w.addr, "err", err)
 	w.on = false
 	w.broken()
@@ -254,7 +257,6 @@
 		w.tell(list)
 		return
 	}
-	w.timer.Stop()
 	w.whole = false
 	w.former.drop()
 	if l.parser.Head.Close {
