After SIGTERM stay until connections have ended, and be done before the kill

Seen by reading scheduler.go, drain: once resting connections were closed the process ended though clients still read their answers or sent; Stop closed those at once; with deadlines under 1 s (longest had a floor) it gave up only after the kill; pushed lists were never asked for (AskForList false), though the agent's address has to be. Change: drain waits for open requests and clients; then refuse (no new connections, none that owe a request), the last answers, and 0.2 s for them to be read: stages() says when, all before the kill. A real scheduler asks whoever is at the discovery's address.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -47,6 +47,10 @@
 	keptFor  = 2500 * time.Millisecond
 	patience = 3 * time.Second
 	overtime = 400 * time.Millisecond
+	// Who is told to end is killed killedAfter the longest time that a client may wait: the
+	// last answers, and the ends of connections, have so much of that.
+	farewell    = 200 * time.Millisecond
+	killedAfter = 700 * time.Millisecond
 	// Each event loop and planner may sit in a system call; with a processor for
 	// each the others go on at once. One processor was measured to do nearly as
 	// well; see NOTES.md.
@@ -58,8 +62,8 @@
 	// Of the descriptors, for operators' calls alone.
 	opsDescriptors = 32
 	// Schedulers that hear of a box at least, and boxes that one looks at first (docs/design/peers.md).
-	hearers   = 12
-	leastPart = 6
+	hearers   = 8
+	leastPart = 4
 )
 
 // Options are the choices of who embeds a scheduler.
@@ -111,9 +115,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if c.Discovery == "" {
-		set.AskForList = false
-	}
+	set.AskForList = c.Discovery != "" // pushed lists come to the address, and it is asked for them there
 	s := &Scheduler{opt: opt, config: c, clock: core.NewClock(), budget: budget.New(0),
 		order: make(chan struct{}, 1), bonds: bonds{all: map[*bond]struct{}{}, more: make(chan struct{}, 1)}}
 	s.settings.Store(&set)
@@ -296,7 +298,8 @@
 	}
 	s.opt.Log.Info("stopping: answering what was taken")
 	time.Sleep(lastCalls)
-	for closed := false; time.Since(began) < min(s.longest(), patience)+overtime; time.Sleep(quietFor) {
+	idle, end := stages(s.longest())
+	for closed := false; time.Since(began) < end; time.Sleep(quietFor) {
 		open, err := s.planners.Open(ctx)
 		if err != nil {
 			return err
@@ -311,20 +314,18 @@
 			}
 			open += more
 		}
-		clients := 0
-		for _, server := range s.servers {
-			clients += server.Clients()
-		}
-		if open == 0 && (clients == 0 || closed) {
+		clients := s.clients()
+		if open == 0 && clients == 0 {
 			break
 		}
-		if !closed && time.Since(began) > min(s.longest(), keptFor) {
-			closed = true
+		if !closed && time.Since(began) > idle {
+			closed = true // each once it has been read to its end, or for a while
 			for _, server := range s.servers {
 				server.CloseIdle()
 			}
 		}
 	}
+	s.refuse(ctx)
 	if s.keeper != nil {
 		s.keeper.Close()
 	}
@@ -333,7 +334,12 @@
 	} else if n > 0 {
 		s.opt.Log.Warn("jobs were still out, their clients were told that they failed", "jobs", n)
 	}
-	time.Sleep(quietFor) // the last answers are on their way to their event loop
+	// The last answers are on their way to their event loop, and their clients are to read them.
+	for until := time.Now().Add(farewell); time.Now().Before(until); time.Sleep(quietFor / 5) {
+		if s.clients() == 0 {
+			break
+		}
+	}
 	s.bonds.mu.Lock()
 	if s.bonds.host != nil {
 		s.bonds.host.Close()
@@ -354,9 +360,41 @@
 	return nil
 }
 
+// stages returns when, after the signal, connections that rest are ended, and when what is
+// open is given up. What is left then until the kill is for the last answers.
+func stages(longest time.Duration) (idle, end time.Duration) {
+	return max(lastCalls, min(longest, keptFor)), min(longest, patience) + overtime
+}
+
+// refuse sees to it that no further request is read, before what is open is given up.
+func (s *Scheduler) refuse(ctx context.Context) {
+	ctx, stop := context.WithTimeout(ctx, farewell/2)
+	defer stop()
+	done := make(chan struct{}, len(s.servers))
+	for _, server := range s.servers {
+		server.Refuse()
+		server.Alive(func() { done <- struct{}{} })
+	}
+	for range s.servers {
+		select {
+		case <-done:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// clients returns how many connections of clients are open.
+func (s *Scheduler) clients() (n int) {
+	for _, server := range s.servers {
+		n += server.Clients()
+	}
+	return n
+}
+
 // longest is how long a client may wait.
 func (s *Scheduler) longest() time.Duration {
-	most := time.Second
+	most := time.Duration(0)
 	for _, c := range s.settings.Load().Classes {
 		most = max(most, c.Limit)
 	}
