Wait for the first packet of a late connection before its queue is emptied

TestWindowEndsWhileDialling failed twice under -race on a busy machine: the dial was noted before its goroutine had connected, so the queue could be free by then and the connection came up in time (the attempt showed 2996 ms left, 4 ms after the request). The test now waits for SYN_SENT in /proc/net/tcp; the check itself is as strict.

--- a/internal/upstream/endings_test.go
+++ b/internal/upstream/endings_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -84,14 +86,38 @@
 	t.Skip("this system takes connections beyond the queue")
 }
 
-// dialling waits until a connection to the worker is being made.
-func dialling(t *testing.T, pool *Pool) {
+// dialling waits until a connection to the worker is being made and its first packet is out: by then
+// the queue that it did not get into was full.
+func dialling(t *testing.T, pool *Pool, worker string) {
 	t.Helper()
+	addr := ""
 	for n := 0; n == 0; {
 		seen := make(chan int)
-		pool.loop.Do(func() { seen <- len(pool.workers["w"].dialling) })
-		n = testkit.Await(t, "the loop", seen)
+		pool.loop.Do(func() { n, addr = len(pool.workers[worker].dialling), pool.workers[worker].addr; seen <- 0 })
+		testkit.Await(t, "the loop", seen)
 	}
+	_, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	number, err := strconv.Atoi(port)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const synSent = "02"
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); {
+		table, err := os.ReadFile("/proc/net/tcp")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for line := range strings.Lines(string(table)) {
+			f := strings.Fields(line) // number, local, remote, state
+			if len(f) > 3 && f[3] == synSent && strings.HasSuffix(f[2], fmt.Sprintf(":%04X", number)) {
+				return
+			}
+		}
+	}
+	t.Fatal("no connection is being made")
 }
 
 func request(p *core.Planner, clock core.Clock, id string, class *sedgevale.Class, body []byte) (*core.Exchange, client) {
@@ -114,7 +140,7 @@
 			addr, takes := late(t)
 			pool, planner, clock := beginWith(t, addr, 0, func(s *sedgevale.Settings) { s.MayCancel = mayCancel })
 			x, _ := request(planner, clock, "a", &classes[0], nil)
-			dialling(t, pool)
+			dialling(t, pool, "w")
 			planner.Gone(x)
 			open := make(chan int, 1)
 			planner.Open(func(n int) { open <- n })
@@ -150,11 +176,7 @@
 	testkit.Await(t, "the first attempt", come)
 	planner.Members(sedgevale.ListPatch, []sedgevale.WorkerInfo{{Worker: "v"}})
 	close(breakOff)
-	for n := 0; n == 0; {
-		seen := make(chan int)
-		pool.loop.Do(func() { seen <- len(pool.workers["v"].dialling) })
-		n = testkit.Await(t, "the loop", seen)
-	}
+	dialling(t, pool, "v")
 	got := takes()
 	if a := testkit.Await(t, "the answer", answers); a.Kind == core.Served {
 		t.Errorf("%+v", a)
@@ -177,7 +199,7 @@
 	addr, takes := late(t)
 	pool, planner, clock := begin(t, addr, 0)
 	_, answers := request(planner, clock, "a", &classes[0], nil)
-	dialling(t, pool)
+	dialling(t, pool, "w")
 	pool.Members(false, []Member{{ID: "w", Addr: testkit.FreeAddr(t), Ready: true}})
 	if a := testkit.Await(t, "the answer", answers); a.Kind != core.Refused {
 		t.Errorf("%+v", a)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -93,7 +93,7 @@
 	answers := make(client, 1)
 	planner.Request(core.NewExchange(core.Job{ID: "a", Class: &classes[0], Tenant: -1, Method: "POST", Target: "/once"},
 		clock.Now()+3*time.Second, answers))
-	dialling(t, pool)
+	dialling(t, pool, "w")
 	leave(pool, planner, addr)
 	if a := testkit.Await(t, "the answer", answers); a.Kind != core.Refused {
 		t.Errorf("%+v", a)
