Who has learned nothing yet spares cold workers: unknown jobs weigh something there

Seen: the swarm now counts what reaches a cold box within 2 s from all schedulers, over N + 2 x root of N + 2 (figure 'pushed'). Checked: the log of the worst box named the senders, all in their first second: mean work 0.000 to 0.07, credit 0.000 after a send. Cause: state.go coolDown and dispatcher.go coldRoom and send weigh by meanWork and r.work, which are 0 until a class has been served once, and the mean is then drawn from those zeros for long: no random part of a job is owed, and a send costs nothing. Ruled out: belief about who is there (the same without messages), heavy jobs, the limit by carry. Change: usualWork is the mean over requests of known classes, or the classes' aims while none is known; an unknown request weighs that; who knows no job gets two jobs a span with all others. Nothing else reads it. TestSmallFallMultipleIsRespected sets the new field in place of the old one, its figure unchanged.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -116,6 +116,7 @@
 		r.work = q.Slots * run * (k.run + hintTrust) / (k.hint + hintTrust)
 	}
 	d.meanWork += (r.work - d.meanWork) * max(meanGain, 1/float64(r.serial))
+	d.weigh(r)
 	if q.Hint <= 0 {
 		run = k.base // what the client counts is the job's own time, however slow workers are now
 	}
@@ -161,8 +162,7 @@
 	return nil
 }
 
-// Gone tells that the client has left. An unknown request is no error: it may
-// have ended at the same moment.
+// Gone tells that the client has left. An unknown request is no error: it may have ended just then.
 func (d *Dispatcher) Gone(now time.Duration, id string) {
 	if r := d.requests[id]; r != nil && !r.ended {
 		d.close(r)
@@ -310,8 +310,7 @@
 	return w.lastSign > a.sent
 }
 
-// cut lowers a worker's limit after a failure, at most once a round, from what
-// was out there at the time.
+// cut lowers a worker's limit after a failure, at most once a round, from what was out there then.
 func (d *Dispatcher) cut(w *worker, slots float64) {
 	if w.cutIn == d.round {
 		return
@@ -454,8 +453,7 @@
 	}
 }
 
-// serve sends what the tenant's credit and sigma allow, and reports whether
-// another turn may send more.
+// serve sends what the tenant's credit and sigma allow, and reports whether another turn may send more.
 func (d *Dispatcher) serve(now time.Duration, t *tenant) (sent bool) {
 	t.blocked = false
 	for i, tried := 0, 0; i < min(len(t.queue), scanMost) && tried < scanDepth; i++ {
@@ -504,7 +502,7 @@
 	}
 	n := d.book(now, r, w)
 	if w.coldUntil > now {
-		w.credit -= r.work
+		w.credit -= d.weightOf(r)
 	}
 	if w.suspect > 0 {
 		w.trial = now
@@ -714,8 +712,7 @@
 	return d.inTime(now, w, r, waitTrust*wait)
 }
 
-// mayTry is rule 2 for sends: it alone decides whether the request may have a
-// further attempt, on this worker.
+// mayTry is rule 2 for sends: it alone decides whether the request may be tried on this worker.
 func (d *Dispatcher) mayTry(now time.Duration, r *request, w *worker) bool {
 	if r.ended || len(r.attempts) >= d.set.MaxAttempts || r.out > 0 && !d.set.ParallelTries ||
 		len(r.attempts) > 0 && !d.withinBudget(now) {
@@ -904,8 +901,7 @@
 
 // startedAt makes a worker that has just started a cold one (rule 4). It gets credit for a part of the
 // work that warm ones carry for us, which grows as it warms; every dispatcher does so, hence the sum
-// stays below what it can do. A random part of a job is owed at first, so that dispatchers do not all
-// begin at once.
+// stays below what it can do.
 func (d *Dispatcher) startedAt(now time.Duration, w *worker) {
 	d.absolve(w)
 	w.coldUntil = 0
@@ -917,14 +913,18 @@
 func (d *Dispatcher) coldRoom(now time.Duration, w *worker, r *request) bool {
 	warm := 1 - (w.coldUntil-now).Seconds()/d.set.WarmUp.Seconds()
 	part := d.set.StartCapacity + (1-d.set.StartCapacity)*max(0, warm)
-	least := d.meanWork / d.set.Fall.Seconds() / float64(d.sharers)
+	mean := d.usualWork()
+	least := mean / d.set.Fall.Seconds() / float64(d.sharers)
 	rate := part * max(least, d.carry*w.size)
 	// A heavier job than usual must leave room for others, also where our part is twice the mean.
 	heavy := d.set.FallMultiple / 4 * rate * float64(d.sharers) * d.set.Fall.Seconds()
 	rate *= min(1.5, d.set.FallMultiple/2) // half of the multiple at most, for chance and bursts
+	if d.weighed == 0 {                    // knowing no job yet one must begin somewhere: two of all together
+		rate = 2 * least
+	}
 	w.credit = min(w.credit+rate*(now-w.creditAt).Seconds(), rate*d.set.Fall.Seconds()/4)
 	w.creditAt = now
-	return w.credit > 0 && r.work <= max(d.meanWork, heavy)
+	return w.credit > 0 && d.weightOf(r) <= max(mean, heavy)
 }
 
 // rest leaves a worker alone for a while that answers, but turns jobs away or fails them, twice as long
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -279,6 +279,26 @@
 	}
 }
 
+// Guards against a list that is asked for too late: what discovery has counts as told 6 s after it could be reached
+// again, and of those connecting, a call that fails and its answer's way want 4 (internal/discovery).
+func TestWatchIsAskedForSoon(t *testing.T) {
+	set := settings()
+	set.AskForList = true
+	d, h := start(t, set, fleet(2)...)
+	for i := range 40 { // the waits have a spread
+		began, before := h.now, h.watches
+		d.Members(h.now, ListBroken, nil)
+		for h.watches == before {
+			if h.run(d, h.now+ms); h.now > began+10*time.Second {
+				t.Fatal("not asked for again")
+			}
+		}
+		if waited := h.now - began; waited > 1500*ms || waited < 100*ms || i == 0 && waited > 300*ms {
+			t.Errorf("asked for after %v, at failure %d on end", waited, i+1)
+		}
+	}
+}
+
 // Rule 4: all dispatchers together stay within what a cold worker can take.
 func TestColdWorkerIsNotPushedOver(t *testing.T) {
 	set := settings()
@@ -932,7 +952,7 @@
 	set := settings()
 	set.WarmUp, set.StartCapacity, set.FallMultiple, set.Fall, set.Peers = 8*time.Second, 0.5, 0.5, 2*time.Second, 1
 	d, h := start(t, set, fleet(1)...)
-	d.meanWork, d.carry = 0.1, 1
+	d.usual, d.weighed, d.carry = 0.1, 1, 1
 	w := d.byName["w0"]
 	w.coldUntil, w.credit, w.creditAt = h.now+8*time.Second, -1, h.now-time.Second
 	d.coldRoom(h.now, w, &request{class: d.classes[0]})
--- a/internal/fleetrig/rig_test.go
+++ b/internal/fleetrig/rig_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"flag"
 	"fmt"
+	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -98,6 +100,84 @@
 	}
 }
 
+// Guards against cold boxes that fall under the sum of what twenty processes send: six of them have just come back with
+// nothing learned, and half of them hear nothing of the other half.
+func TestColdBoxesBearTwentyProcesses(t *testing.T) {
+	const (
+		boxes, cold  = 10, 5
+		slots, work  = 2, 60 * time.Millisecond
+		fall, warmUp = 2 * time.Second, 22 * time.Second // of Settings, and so are these
+		multiple     = 3
+		start        = 0.13
+	)
+	o := Options{Dir: t.TempDir(), Seed: *seed, Schedulers: 20}
+	for i := range boxes {
+		o.Boxes = append(o.Boxes, BoxOptions{Cell: i / 4, Slots: slots, Work: work})
+	}
+	r, err := New(o)
+	t.Cleanup(r.Close)
+	if err == nil {
+		err = r.StartAll()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	answers := make(chan []standin.Told, 1)
+	go func() { answers <- r.Load(ctx, 2, 120*time.Millisecond, timeout) }()
+	served := func(n int) {
+		t.Helper()
+		for end := time.Now().Add(20 * time.Second); len(r.Ledger.Jobs()) < n; time.Sleep(20 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%d jobs have run, want %d", len(r.Ledger.Jobs()), n)
+			}
+		}
+	}
+	served(500) // they have learned what boxes do
+	(&Torment{Rig: r}).between(func(i, j int) (Fault, bool) { return Fault{Cut: true}, i%2 != j%2 })
+	back := make(chan error, 6)
+	for _, s := range r.Schedulers[:cap(back)] {
+		s.Kill()
+		go func() { back <- r.Start(s) }()
+	}
+	began := time.Now()
+	for i := range cold {
+		r.Restart(i)
+	}
+	for range cap(back) {
+		if err := <-back; err != nil {
+			t.Fatal(err)
+		}
+	}
+	served(2000)
+	stop()
+	r.judge(t, <-answers)
+	came := map[string][]time.Duration{}
+	for _, id := range r.Ledger.Jobs() {
+		for _, run := range r.Ledger.Runs(id) {
+			if at := run.Came.Sub(began); at > 0 {
+				came[run.Box] = append(came[run.Box], at)
+			}
+		}
+	}
+	for i := range cold {
+		all := came[boxName(i)]
+		slices.Sort(all)
+		worst := 0.0
+		for first, at := range all {
+			n, _ := slices.BinarySearch(all[first:], at+fall)
+			capacity := slots / work.Seconds() * (start + (1-start)*at.Seconds()/warmUp.Seconds())
+			budget := multiple * capacity * fall.Seconds()
+			worst = max(worst, float64(n)/(budget+2*math.Sqrt(budget)+2))
+		}
+		t.Logf("%s: %d jobs while cold, at the most %.2f of what it bears in %v", boxName(i), len(all), worst, fall)
+		if worst > 1 {
+			t.Errorf("%s got %.2f times what it bears", boxName(i), worst)
+		}
+	}
+}
+
 // agree returns nil once every scheduler has every other for alive.
 func (r *Rig) agree(within time.Duration) error {
 	var wrong string
--- a/internal/swarm/box.go
+++ b/internal/swarm/box.go
@@ -35,6 +35,7 @@
 	report float64 // free slots, as of the last report
 
 	worked time.Duration // core time given
+	came   []arrival     // while it was cold
 }
 
 func newBox(c *clock, r *rand.Rand, set *Box, cores int, speed float64) *box {
@@ -64,6 +65,7 @@
 
 // take takes a task, or returns false if the queue is full.
 func (b *box) take(t *task) bool {
+	b.reached(t)
 	if b.gone || len(b.queue) >= b.set.Queue && (b.busy+t.slots > b.cores || len(b.queue) > 0) {
 		return false
 	}
--- a/internal/swarm/result.go
+++ b/internal/swarm/result.go
@@ -42,6 +42,7 @@
 	MessagesOf    float64 `json:"messages_job"`
 	WorstBox      float64 `json:"worst_box"`       // its work over what its size deserves
 	WorstNode     float64 `json:"worst_scheduler"` // its clients' worth, of what they asked for, over the mean
+	Pushed        float64 `json:"pushed"`          // the most that a cold box got, over what it may
 	P50MS         float64 `json:"p50_ms"`
 	P99MS         float64 `json:"p99_ms"`
 }
@@ -55,6 +56,7 @@
 	r.Gain = r.Worth - priceHandshake*r.ConnectionsOf - pricePeer*r.BytesOf/fullMessage - priceWaste*r.wasted/max(1e-9, r.askedWork)
 	done := max(1e-9, w.doneWork())
 	for i, b := range w.boxes {
+		r.Pushed = max(r.Pushed, b.pushed())
 		if w.members[i].StartedAt > 0 || b.gone { // a box of a part of the day
 			continue
 		}
--- a/internal/swarm/world.go
+++ b/internal/swarm/world.go
@@ -235,7 +235,7 @@
 	n.jobs, n.idle = map[string]*job{}, map[int][]time.Duration{}
 	set := sedgevale.Settings{Peers: len(w.nodes), MaxAttempts: 6, ParallelTries: true, MayCancel: true, TellsStart: true, InOrder: true,
 		MaxRetryAfter: 2 * time.Second, Weights: sedgevale.WeightSize, WarmUp: config.Seconds(w.f.Box.ColdS), StartCapacity: w.f.Box.ColdFrom,
-		FallMultiple: 3, Fall: 2 * time.Second}
+		FallMultiple: fallMultiple, Fall: fall}
 	for _, c := range classes {
 		set.Classes = append(set.Classes, c.Class)
 	}
--- a/sharing.go
+++ b/sharing.go
@@ -246,6 +246,9 @@
 	d.room, d.meanWork, d.carry, d.arrived = l.Jobs, l.Work, l.Carry, l.Arrived
 	d.prompt, d.silent, d.metered, d.changes = l.Prompt, l.Silent, l.Metered, l.Changes
 	d.serial = max(d.serial, learnedJobs)
+	if l.Work > 0 {
+		d.usual, d.weighed = l.Work, max(d.weighed, learnedJobs)
+	}
 	for _, v := range l.Workers {
 		w := d.byName[v.Worker]
 		if w == nil {
--- a/state.go
+++ b/state.go
@@ -220,6 +220,8 @@
 	crowded    bool // this round a job found no room
 	room       float64
 	meanWork   float64
+	usual      float64 // the same over requests whose class was known
+	weighed    float64 // those
 	served     float64 // work done in this round
 	carry      float64 // work a second and unit of weight that workers carry for us
 	arrived    float64 // decayed count of jobs
@@ -933,12 +935,42 @@
 	at time.Duration
 }
 
+// weigh draws the usual work from a request whose class is known. One that is not stands for nothing: by a mean over
+// requests of no work all who started with a release pushed its cold workers over together.
+func (d *Dispatcher) weigh(r *request) {
+	if r.class.runs > 0 || r.Hint > 0 {
+		d.weighed++
+		d.usual += (r.work - d.usual) * max(meanGain, 1/d.weighed)
+	}
+}
+
+// usualWork is the mean work of requests whose class was known or, while there were none, what the settings let one
+// expect: that a class's aim and its running time are alike.
+func (d *Dispatcher) usualWork() float64 {
+	if d.weighed > 0 {
+		return d.usual
+	}
+	sum := 0.0
+	for _, k := range d.classes {
+		sum += k.Aim.Seconds()
+	}
+	return sum / float64(len(d.classes))
+}
+
+// weightOf is the request's work, or the usual while its class is not known.
+func (d *Dispatcher) weightOf(r *request) float64 {
+	if r.class.runs > 0 || r.Hint > 0 {
+		return r.work
+	}
+	return r.Slots * d.usualWork()
+}
+
 // coolDown makes the worker a cold one that started at the time. A random part
 // of a job is owed at first, so that dispatchers do not all begin at once.
 func (d *Dispatcher) coolDown(now time.Duration, w *worker, started time.Duration) {
 	w.coldUntil = started + d.set.WarmUp
 	w.creditAt = now
-	w.credit = -d.rng.Float64() * d.meanWork
+	w.credit = -d.rng.Float64() * d.usualWork()
 }
 
 // strike makes the worker a cold one, unless it is known to be one.
