Name the field of settings that lack something, and what was expected

Another customer's settings that were incomplete were refused as 'class 0 (x): limit, aim and window must be positive', without the field. Now 'settings.classes[0].hard_limit: missing, or not above 0 (seconds)', also for rules that belong to a warm-up, and realms. TestIncompleteSettingsNameTheField holds eleven such files against the path.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -76,6 +76,35 @@
 	}
 }
 
+// Guards against another customer's settings that lack something being served by halves: the field is named by its path,
+// with what was expected.
+func TestIncompleteSettingsNameTheField(t *testing.T) {
+	for _, c := range [][3]string{
+		{`"name":"bill-pay",`, ``, "settings.classes[0].name: missing"},
+		{`"guarded"`, `"once"`, `settings.classes[0].effect: "once" is none of free, guarded, single_shot`},
+		{`"dedup_scope":"cell"`, `"dedup_scope":"town"`, `settings.classes[0].dedup_scope: "town" is none of all, zone, cell`},
+		{`"hard_limit":5.0,`, ``, "settings.classes[0].hard_limit: missing"},
+		{`"promise":0.1,`, ``, "settings.classes[0].promise: missing"},
+		{`,"window":7.5`, ``, "settings.classes[0].window: missing"},
+		{`"name":"co-op",`, ``, "settings.realms[0].name: missing"},
+		{`"share":0.3`, `"share":-1`, "settings.realms[0].share: missing, or not above 0"},
+		{`"rough"`, `"heavy"`, `settings.weights: "heavy" is none of`},
+		{`"fall":2.0,`, ``, "settings.rules.fall: missing"},
+		{`"start_capacity":0.13,`, ``, "settings.rules.start_capacity: missing"},
+	} {
+		if !strings.Contains(platform, c[0]) {
+			t.Fatalf("%s is not in the file", c[0])
+		}
+		conf, err := Parse([]byte(strings.Replace(platform, c[0], c[1], 1)))
+		if err == nil {
+			err = conf.Check()
+		}
+		if err == nil || !strings.HasPrefix(err.Error(), c[2]) {
+			t.Errorf("%s in place of %s: %v, want %s", c[1], c[0], err, c[2])
+		}
+	}
+}
+
 // Guards against a file that is taken though it is not whole: one that is empty or
 // cut short, that lacks a key, or in which a deadline or the number of attempts is no
 // number above 0.
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -87,12 +87,65 @@
 	}
 )
 
+// check returns an error that names the first field by which nobody can be served, and what was expected there.
+func (s *Settings) check() error {
+	wrong := func(path, want string, args ...any) error {
+		return fmt.Errorf("settings.%s: %s", path, fmt.Sprintf(want, args...))
+	}
+	if _, ok := weights[s.Weights]; !ok {
+		return wrong("weights", "%q is none of none, nominal, rough, live", s.Weights)
+	}
+	for i, c := range s.Classes {
+		at := func(field string) string { return fmt.Sprintf("classes[%d].%s", i, field) }
+		_, effect := effects[c.Effect]
+		_, scope := scopes[c.Scope]
+		switch {
+		case c.Name == "":
+			return wrong(at("name"), "missing")
+		case slices.ContainsFunc(s.Classes[:i], func(other Class) bool { return other.Name == c.Name }):
+			return wrong(at("name"), "%q is there twice", c.Name)
+		case !effect:
+			return wrong(at("effect"), "%q is none of free, guarded, single_shot", c.Effect)
+		case !scope:
+			return wrong(at("dedup_scope"), "%q is none of all, zone, cell", c.Scope)
+		case !(c.HardLimit > 0):
+			return wrong(at("hard_limit"), "missing, or not above 0 (seconds)")
+		case !(c.Promise > 0):
+			return wrong(at("promise"), "missing, or not above 0 (seconds)")
+		case effects[c.Effect] == sedgevale.Keyed && !(c.Window > 0):
+			return wrong(at("window"), "missing, or not above 0 (seconds), though its effect is %s", c.Effect)
+		}
+	}
+	for i, r := range s.Realms {
+		switch {
+		case r.Name == "":
+			return wrong(fmt.Sprintf("realms[%d].name", i), "missing")
+		case !(r.Share > 0):
+			return wrong(fmt.Sprintf("realms[%d].share", i), "missing, or not above 0")
+		}
+	}
+	if r := &s.Rules; r.WarmUp > 0 {
+		for _, f := range []struct {
+			name  string
+			value float64
+		}{{"start_capacity", r.StartCapacity}, {"fall_multiple", r.FallMultiple}, {"fall", r.Fall}} {
+			if !(f.value > 0) {
+				return wrong("rules."+f.name, "missing, or not above 0, though rules.warm_up is given")
+			}
+		}
+	}
+	return nil
+}
+
 // Seconds turns a time of the settings into a Duration.
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // Module returns the settings in the module's form, for one of so many planners
 // in this process.
 func (s *Settings) Module(planners int) (sedgevale.Settings, error) {
+	if err := s.check(); err != nil {
+		return sedgevale.Settings{}, err
+	}
 	m := sedgevale.Settings{
 		Zone:          s.Zone,
 		Peers:         max(1, s.PeersTotal) * max(1, planners),
@@ -126,25 +179,11 @@
 			m.Further.Ratio = *r.RepeatRatio
 		}
 	}
-	var ok bool
-	if m.Weights, ok = weights[s.Weights]; !ok {
-		return m, fmt.Errorf("unknown meaning of weights %q", s.Weights)
-	}
+	m.Weights = weights[s.Weights]
 	for i, c := range s.Classes {
 		k := sedgevale.Class{Name: c.Name, Window: Seconds(c.Window), Aim: Seconds(c.Promise),
 			Limit: Seconds(c.HardLimit), LateShare: c.LateShare, Stream: c.Stream, Stretch: c.AimStretch}
-		if k.Effect, ok = effects[c.Effect]; !ok {
-			return m, fmt.Errorf("class %q: unknown effect %q", c.Name, c.Effect)
-		}
-		if k.Scope, ok = scopes[c.Scope]; !ok {
-			return m, fmt.Errorf("class %q: unknown dedup_scope %q", c.Name, c.Scope)
-		}
-		if c.Name == "" {
-			return m, fmt.Errorf("class %d has no name", i)
-		}
-		if slices.ContainsFunc(s.Classes[:i], func(other Class) bool { return other.Name == c.Name }) {
-			return m, fmt.Errorf("class %q is there twice", c.Name)
-		}
+		k.Effect, k.Scope = effects[c.Effect], scopes[c.Scope]
 		if k.Stretch == 0 && i < len(s.Family.ClassStretch) {
 			k.Stretch = s.Family.ClassStretch[i]
 		}
