Call things by their names where connections end: graceful close, acceptor, drain deadlines

part, door, cutShort, keptFor, overtime and others hid standard terms: closeGracefully, acceptor, shutdownWrite, idleGrace, abandonGrace. TestHeldJobEndsWithItsClient covers a client that leaves while its job is held, and between tries.

--- a/internal/core/endings_test.go
+++ b/internal/core/endings_test.go
@@ -87,3 +87,30 @@
 		t.Errorf("of another class: %v", got)
 	}
 }
+
+// The same for a job that is held, and for one between two attempts: the next worker gets nothing.
+func TestHeldJobEndsWithItsClient(t *testing.T) {
+	for _, tried := range []bool{false, true} {
+		var workers []string
+		if tried {
+			workers = []string{"w"}
+		}
+		p, carry, clock := begin(t, workers...)
+		c := newClient()
+		x := NewExchange(Job{ID: "r", Class: &classes()[0], Tenant: -1}, clock.Now()+5*time.Second, c)
+		p.Request(x)
+		if tried {
+			p.Ended(testkit.Await(t, "the attempt", carry.sent), sedgevale.Full, nil, nil) // w is left alone for now
+		}
+		p.Gone(x)
+		p.Members(sedgevale.ListPatch, []sedgevale.WorkerInfo{{Worker: "v"}})
+		if n := openNow(t, p); n != 0 || len(carry.sent) > 0 || c.count() > 0 {
+			t.Errorf("tried %v: %d open, %d sent, %d answers", tried, n, len(carry.sent), c.count())
+		}
+		again := newClient()
+		p.Request(NewExchange(Job{ID: "s", Class: &classes()[0], Tenant: -1}, clock.Now()+5*time.Second, again))
+		if a := testkit.Await(t, "another job's attempt", carry.sent); a.ID != "s" {
+			t.Errorf("tried %v: %s was sent", tried, a.ID)
+		}
+	}
+}
--- a/internal/httpd/accept.go
+++ b/internal/httpd/accept.go
@@ -16,9 +16,9 @@
 // accepting pauses for so long when it fails: descriptors have run out.
 const acceptAgain = 5 * time.Millisecond
 
-// door accepts connections on a listening socket, which may be shared with
+// acceptor accepts connections on a listening socket, which may be shared with
 // another process: what its queue holds is lost only with the last who has it.
-type door struct {
+type acceptor struct {
 	listener *net.TCPListener
 	mu       sync.Mutex
 	resume   chan struct{} // closed to go on accepting; nil: not paused
@@ -46,31 +46,33 @@
 	return l.(*net.TCPListener), nil
 }
 
-func newDoor(l *net.TCPListener) *door { return &door{listener: l, closed: make(chan struct{})} }
+func newAcceptor(l *net.TCPListener) *acceptor {
+	return &acceptor{listener: l, closed: make(chan struct{})}
+}
 
-// accept takes connections until the door is closed.
-func (d *door) accept(take func(*net.TCPConn), failed func(error)) {
+// accept takes connections until it is closed.
+func (a *acceptor) accept(take func(*net.TCPConn), failed func(error)) {
 	for {
-		c, err := d.listener.AcceptTCP()
+		c, err := a.listener.AcceptTCP()
 		switch {
 		case err == nil:
 			take(c)
 		case errors.Is(err, net.ErrClosed):
 			return
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			d.mu.Lock()
-			resume := d.resume
-			if resume != nil && d.parked != nil {
-				close(d.parked)
-				d.parked = nil
+			a.mu.Lock()
+			resume := a.resume
+			if resume != nil && a.parked != nil {
+				close(a.parked)
+				a.parked = nil
 			}
-			d.mu.Unlock()
+			a.mu.Unlock()
 			if resume == nil {
 				continue
 			}
 			select {
 			case <-resume:
-			case <-d.closed:
+			case <-a.closed:
 				return
 			}
 		default:
@@ -83,39 +85,39 @@
 // pause stops accepting and returns once it has stopped: an accept that was under way may
 // still have taken a connection. The socket stays as it is, and its queue waits for
 // whoever shares it.
-func (d *door) pause() {
-	d.mu.Lock()
-	if d.resume != nil {
-		d.mu.Unlock()
+func (a *acceptor) pause() {
+	a.mu.Lock()
+	if a.resume != nil {
+		a.mu.Unlock()
 		return
 	}
 	parked := make(chan struct{})
-	d.resume, d.parked = make(chan struct{}), parked
-	_ = d.listener.SetDeadline(time.Unix(1, 0))
-	d.mu.Unlock()
+	a.resume, a.parked = make(chan struct{}), parked
+	_ = a.listener.SetDeadline(time.Unix(1, 0))
+	a.mu.Unlock()
 	select {
 	case <-parked:
-	case <-d.closed:
+	case <-a.closed:
 	}
 }
 
-func (d *door) goOn() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.resume != nil {
-		_ = d.listener.SetDeadline(time.Time{})
-		close(d.resume)
-		d.resume = nil
-		if d.parked != nil {
-			close(d.parked)
-			d.parked = nil
+func (a *acceptor) goOn() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.resume != nil {
+		_ = a.listener.SetDeadline(time.Time{})
+		close(a.resume)
+		a.resume = nil
+		if a.parked != nil {
+			close(a.parked)
+			a.parked = nil
 		}
 	}
 }
 
-func (d *door) close() {
-	d.once.Do(func() {
-		close(d.closed)
-		_ = d.listener.Close()
+func (a *acceptor) close() {
+	a.once.Do(func() {
+		close(a.closed)
+		_ = a.listener.Close()
 	})
 }
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -31,7 +31,7 @@
 	slowWait     = 2500 * time.Millisecond // from connecting, for the first request to come whole: some need 2 s
 	readTimeout  = 2 * time.Second         // for a later request that has begun to come
 	lingerFor    = 2 * time.Second         // for a client to read the last answer
-	partFor      = 300 * time.Millisecond  // for a client to end a connection that we end between two requests
+	gracefulFor  = 300 * time.Millisecond  // for a client to end a connection that we end between two requests
 	lingerBytes  = 1 << 20                 // of what it still sends meanwhile
 	unheardLeast = 300 * time.Millisecond  // before a connection may be closed unheard, where descriptors run short
 	sweepEvery   = 200 * time.Millisecond
@@ -69,7 +69,7 @@
 	budget   *budget.Budget
 	log      *slog.Logger
 	client   *gnet.Client
-	door     *door
+	acceptor *acceptor
 	stopped  chan struct{}
 	draining atomic.Bool
 	clients  atomic.Int64
@@ -149,8 +149,8 @@
 		passed.Close()
 		return fmt.Errorf("event loops for %s: %w", s.addr, err)
 	}
-	s.client, s.door = client, newDoor(passed)
-	go s.door.accept(s.enrol, s.cannotAccept)
+	s.client, s.acceptor = client, newAcceptor(passed)
+	go s.acceptor.accept(s.enrol, s.cannotAccept)
 	go s.sweeper()
 	return nil
 }
@@ -169,13 +169,13 @@
 }
 
 // Listener is the listening socket, to be passed on.
-func (s *Server) Listener() *net.TCPListener { return s.door.listener }
+func (s *Server) Listener() *net.TCPListener { return s.acceptor.listener }
 
 // Pause leaves new connections to whoever shares the listening socket.
-func (s *Server) Pause() { s.door.pause() }
+func (s *Server) Pause() { s.acceptor.pause() }
 
 // Resume accepts again.
-func (s *Server) Resume() { s.door.goOn() }
+func (s *Server) Resume() { s.acceptor.goOn() }
 
 // taken reports whether somebody listens on the address.
 func taken(addr string) bool {
@@ -218,12 +218,12 @@
 // Refuse lets no further connection come up and ends those on which no request is due an
 // answer, also those that have begun to send one.
 func (s *Server) Refuse() {
-	s.door.close()
+	s.acceptor.close()
 	s.each(func(l *lane) {
 		l.closeIdle(math.MaxInt)
 		for _, waiting := range []*list{&l.fresh, &l.reading} {
 			for c := waiting.first; c != nil; c = waiting.first {
-				c.part()
+				c.closeGracefully()
 			}
 		}
 	})
@@ -231,7 +231,7 @@
 
 // Stop ends the server with all its connections.
 func (s *Server) Stop() error {
-	s.door.close()
+	s.acceptor.close()
 	close(s.stopped)
 	if err := s.client.Stop(); err != nil && !errors.Is(err, context.Canceled) {
 		return fmt.Errorf("stopping the server on %s: %w", s.addr, err)
@@ -293,7 +293,7 @@
 				return
 			}
 			if !c.unread() {
-				c.part()
+				c.closeGracefully()
 				most--
 			}
 			c = next
@@ -322,10 +322,10 @@
 func (l *lane) sweep() {
 	now := time.Now()
 	for c := l.fresh.first; c != nil && now.After(c.until); c = l.fresh.first {
-		c.part()
+		c.closeGracefully()
 	}
 	for c := l.idle.first; c != nil && c.srv.limits.Idle > 0 && now.After(c.until); c = l.idle.first {
-		c.part()
+		c.closeGracefully()
 	}
 	for c := l.reading.first; c != nil; { // not in the order of their times: a first request counts from connecting
 		next := c.next
@@ -550,10 +550,10 @@
 	return err == nil && n > 0
 }
 
-// part ends a connection on which no answer is due.
-func (c *Conn) part() {
+// closeGracefully ends a connection on which no answer is due.
+func (c *Conn) closeGracefully() {
 	c.setState(ending)
-	c.until = time.Now().Add(partFor)
+	c.until = time.Now().Add(gracefulFor)
 	c.shutdown()
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -60,15 +60,15 @@
 		}
 		p.end(f, sedgevale.Lost, nil, nil)
 	} else {
-		c.cutShort()
+		c.shutdownWrite()
 		p.end(f, sedgevale.ConnectFailed, nil, nil)
 	}
 }
 
-// cutShort sees to it that a request of which a part is still to be written stays a part: gnet
+// shutdownWrite sees to it that a request of which a part is still to be written stays a part: gnet
 // writes the rest as it closes the connection, and then the request may run that was told not
 // to have been sent.
-func (c *conn) cutShort() {
+func (c *conn) shutdownWrite() {
 	if c.gc.OutboundBuffered() > 0 {
 		_ = unix.Shutdown(c.gc.Fd(), unix.SHUT_WR)
 	}
@@ -92,7 +92,7 @@
 // carry sends a flight's request.
 func (c *conn) carry(f *flight) {
 	if f.a != nil && f.a.Expired(c.pool.opt.Clock.Now()) { // by the time that it took to connect
-		c.rest()
+		c.putIdle()
 		c.pool.end(f, sedgevale.NotSent, nil, nil)
 		return
 	}
@@ -293,15 +293,15 @@
 		c.pool.drop(c)
 		return false
 	}
-	c.rest()
+	c.putIdle()
 	if len(c.w.idle) > keptMost && c.pool.keptBreak() { // each job that avoids them adds one
 		c.pool.drop(c.w.idle[0])
 	}
 	return true
 }
 
-// rest puts a connection that carries nothing beside the others.
-func (c *conn) rest() {
+// putIdle puts a connection that carries nothing beside the others.
+func (c *conn) putIdle() {
 	c.ended, c.since = true, time.Now()
 	c.w.idle = append(c.w.idle, c)
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -304,7 +304,7 @@
 	}
 	c.dead = true
 	c.w.forget(c)
-	c.cutShort()
+	c.shutdownWrite()
 	p.loop.Close(c.gc)
 }
 
--- a/scheduler/stages_test.go
+++ b/scheduler/drain_test.go
@@ -9,15 +9,16 @@
 
 // Guards against answers that the kill takes along: it comes so long after the longest time
 // that a client may wait, however short that is, and all has to be out by then.
-func TestStagesEndBeforeTheKill(t *testing.T) {
+func TestDrainEndsBeforeTheKill(t *testing.T) {
+	const killedAfter = 700 * time.Millisecond
 	for _, limit := range []time.Duration{300 * time.Millisecond, 600 * time.Millisecond, time.Second, 2 * time.Second,
 		3 * time.Second, 5 * time.Second, 25 * time.Second} {
 		s := &Scheduler{}
 		s.settings.Store(&sedgevale.Settings{Classes: []sedgevale.Class{{Limit: limit / 2}, {Limit: limit}}})
 		longest := s.longest()
-		idle, end := stages(longest)
+		idle, end := drainDeadlines(longest)
 		kill := min(limit, patience) + killedAfter
-		if end+farewell >= kill {
+		if end+finalLinger >= kill {
 			t.Errorf("%v: given up after %v, killed after %v", longest, end, kill)
 		}
 		if idle < 400*time.Millisecond || idle > end {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -38,19 +38,18 @@
 const (
 	// A front goes on sending for 0.4 s after it was told to stop, so at least as
 	// long is listened.
-	lastCalls = 700 * time.Millisecond
-	quietFor  = 50 * time.Millisecond
+	acceptGrace = 700 * time.Millisecond
+	quietFor    = 50 * time.Millisecond
 	// Clients go on using the connections that they have. Each is good for one more
 	// request, so it stays open for a while yet. Who told us to stop waits for the
 	// longest deadline, or for so long, before it kills; what is open then would be
 	// lost, so it is answered before.
-	keptFor  = 2500 * time.Millisecond
-	patience = 3 * time.Second
-	overtime = 400 * time.Millisecond
-	// Who is told to end is killed killedAfter the longest time that a client may wait: the
+	idleGrace    = 2500 * time.Millisecond
+	patience     = 3 * time.Second
+	abandonGrace = 400 * time.Millisecond
+	// Who is told to end is killed 0.7 s after the longest time that a client may wait: the
 	// last answers, and the ends of connections, have so much of that.
-	farewell    = 200 * time.Millisecond
-	killedAfter = 700 * time.Millisecond
+	finalLinger = 200 * time.Millisecond
 	// Each event loop and planner may sit in a system call; with a processor for
 	// each the others go on at once. One processor was measured to do nearly as
 	// well; see NOTES.md.
@@ -297,8 +296,8 @@
 		server.Drain()
 	}
 	s.opt.Log.Info("stopping: answering what was taken")
-	time.Sleep(lastCalls)
-	idle, end := stages(s.longest())
+	time.Sleep(acceptGrace)
+	idle, end := drainDeadlines(s.longest())
 	for closed := false; time.Since(began) < end; time.Sleep(quietFor) {
 		open, err := s.planners.Open(ctx)
 		if err != nil {
@@ -335,7 +334,7 @@
 		s.opt.Log.Warn("jobs were still out, their clients were told that they failed", "jobs", n)
 	}
 	// The last answers are on their way to their event loop, and their clients are to read them.
-	for until := time.Now().Add(farewell); time.Now().Before(until); time.Sleep(quietFor / 5) {
+	for until := time.Now().Add(finalLinger); time.Now().Before(until); time.Sleep(quietFor / 5) {
 		if s.clients() == 0 {
 			break
 		}
@@ -360,15 +359,15 @@
 	return nil
 }
 
-// stages returns when, after the signal, connections that rest are ended, and when what is
+// drainDeadlines returns when, after the signal, connections that rest are ended, and when what is
 // open is given up. What is left then until the kill is for the last answers.
-func stages(longest time.Duration) (idle, end time.Duration) {
-	return max(lastCalls, min(longest, keptFor)), min(longest, patience) + overtime
+func drainDeadlines(longest time.Duration) (idle, end time.Duration) {
+	return max(acceptGrace, min(longest, idleGrace)), min(longest, patience) + abandonGrace
 }
 
 // refuse sees to it that no further request is read, before what is open is given up.
 func (s *Scheduler) refuse(ctx context.Context) {
-	ctx, stop := context.WithTimeout(ctx, farewell/2)
+	ctx, stop := context.WithTimeout(ctx, finalLinger/2)
 	defer stop()
 	done := make(chan struct{}, len(s.servers))
 	for _, server := range s.servers {
