--- a/internal/discovery/endings_test.go
+++ b/internal/discovery/endings_test.go
@@ -1,10 +1,7 @@
 package discovery
 
 import (
-	"bufio"
 	"log/slog"
-	"net"
-	"net/http"
 	"testing"
 	"time"
 
@@ -12,21 +9,6 @@
 	"sedgevale/internal/testkit"
 )
 
-// silent is a discovery that takes calls and says nothing.
-func silent(t *testing.T) (addr string, asked <-chan string) {
-	calls := make(chan string, 16)
-	return testkit.Accept(t, func(c net.Conn) {
-		defer c.Close()
-		for r := bufio.NewReader(c); ; {
-			q, err := http.ReadRequest(r)
-			if err != nil {
-				return
-			}
-			calls <- q.RequestURI
-		}
-	}), calls
-}
-
 // Guards against a silence that is noticed too late. What a watch misses counts as told 6 s
 // after it fell silent, and what discovery has 6 s after it could be reached, or 4 s after
 // new settings; so a call for the whole list, which need not wait, is given up sooner than one
@@ -50,7 +32,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			addr, asked := silent(t)
+			addr, asked := serve(t, make(chan string)) // takes calls and says nothing
 			loop, err := evloop.New(log)
 			if err != nil {
 				t.Fatal(err)
--- a/internal/fleetrig/rig_test.go
+++ b/internal/fleetrig/rig_test.go
@@ -38,6 +38,12 @@
 		}
 		o.Boxes = append(o.Boxes, b)
 	}
+	return run(t, o)
+}
+
+// run starts a rig until the test ends.
+func run(t *testing.T, o Options) *Rig {
+	t.Helper()
 	r, err := New(o)
 	t.Cleanup(r.Close)
 	if err == nil {
@@ -114,14 +120,7 @@
 	for i := range boxes {
 		o.Boxes = append(o.Boxes, BoxOptions{Cell: i / 4, Slots: slots, Work: work})
 	}
-	r, err := New(o)
-	t.Cleanup(r.Close)
-	if err == nil {
-		err = r.StartAll()
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
+	r := run(t, o)
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	answers := make(chan []standin.Told, 1)
