Put changes of tenants in force while serving: shares, quotas, who comes and who goes

Checked: a job pointed to its tenant already, but Request, what is learned and the turns of the deficit round robin all went by one index, that of the settings; the door went by the same index; planner and reload kept the old list (retune.go, planner.go Retune, serve.go Reload and fixed). Change: turns and numbers are two lists. Retune matches tenants by name: one that stays keeps its turn, credit and all learned; one that goes keeps its share while it has jobs, can still be named for the longest limit (a job may wait at the door), then is forgotten. The planner maps a job that crosses the change by its tenant's name. Tests of the keeper now bring the tenant's name, as the fronts do. Ruled out: changing the module's decisions.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -95,7 +95,7 @@
 
 // Request takes a job from a client.
 func (d *Dispatcher) Request(now time.Duration, q Request) error {
-	if q.Class < 0 || q.Class >= len(d.classes) || q.Tenant >= len(d.tenants) {
+	if q.Class < 0 || q.Class >= len(d.classes) || d.tenantOf(q.Tenant) == nil {
 		return ErrBadRequest
 	}
 	if d.requests[q.ID] != nil {
@@ -107,7 +107,7 @@
 	q.Slots = max(1, q.Slots)
 	d.serial++
 	k := d.classes[q.Class]
-	r := &request{Request: q, class: k, serial: d.serial, tenant: d.tenants[max(0, q.Tenant)]}
+	r := &request{Request: q, class: k, serial: d.serial, tenant: d.tenantOf(q.Tenant)}
 	r.deadline = now + q.Left
 	run := k.run
 	r.work = q.Slots * run
@@ -126,9 +126,8 @@
 		r.aim -= max(0, k.Limit-q.Left)
 	}
 	r.hash = hashOf(q.Key)
-	r.tenant.arrived++
 	d.arrived++
-	d.requests[q.ID], d.serials[r.serial] = r, r
+	d.note(r)
 	if q.Left <= 0 || !d.feasible(now, r, true) {
 		d.end(now, r)
 		return nil
@@ -348,6 +347,7 @@
 			d.overdue(now, w)
 		}
 	}
+	d.retire(now)
 	d.shareOut()
 	for _, t := range d.tenants {
 		t.sigma = min(t.local, d.quantile(t))
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -116,13 +117,22 @@
 			return wrong(at("window"), "missing, or not above 0 (seconds), though its effect is %s", c.Effect)
 		}
 	}
+	realms := make(map[string]bool, len(s.Realms))
 	for i, r := range s.Realms {
+		at := func(field string) string { return fmt.Sprintf("realms[%d].%s", i, field) }
 		switch {
 		case r.Name == "":
-			return wrong(fmt.Sprintf("realms[%d].name", i), "missing")
+			return wrong(at("name"), "missing")
+		case realms[r.Name]:
+			return wrong(at("name"), "%q is there twice", r.Name)
 		case !(r.Share > 0):
-			return wrong(fmt.Sprintf("realms[%d].share", i), "missing, or not above 0")
+			return wrong(at("share"), "missing, or not above 0")
+		case math.IsInf(r.Share, 1):
+			return wrong(at("share"), "without end")
+		case !(r.Quota >= 0) || math.IsInf(r.Quota, 1):
+			return wrong(at("quota_rps"), "want 0, for none, or a number above it (jobs a second)")
 		}
+		realms[r.Name] = true
 	}
 	if r := &s.Rules; r.WarmUp > 0 {
 		for _, f := range []struct {
--- a/internal/core/planner.go
+++ b/internal/core/planner.go
@@ -308,13 +308,18 @@
 		x.answer(Answer{Kind: Failed, Reason: "the class is gone"})
 		return
 	}
+	tenant := p.tenantOf(x)
+	if tenant < 0 && len(p.set.Tenants) > 0 {
+		x.answer(Answer{Kind: Failed, Reason: "the tenant is gone"})
+		return
+	}
 	if !p.take(x) {
 		x.answer(Answer{Kind: Refused, After: min(fullAfter, p.set.MaxRetryAfter), Reason: "it cannot be recorded"})
 		return
 	}
 	p.open[x.ID] = x
 	p.opened(x.ID)
-	err := p.d.Request(p.now, sedgevale.Request{ID: x.ID, Class: class, Tenant: x.Tenant, Key: x.Key,
+	err := p.d.Request(p.now, sedgevale.Request{ID: x.ID, Class: class, Tenant: tenant, Key: x.Key,
 		Left: left, Hint: x.Hint, Slots: x.Slots, Retry: x.Retry})
 	if err != nil {
 		p.log.Error("decision module did not take a request", "err", err)
@@ -329,6 +334,16 @@
 	return slices.IndexFunc(p.set.Classes, func(c sedgevale.Class) bool { return x.Class != nil && c.Name == x.Class.Name })
 }
 
+// tenantOf returns the module's number of a job's tenant, or -1. The number that the job brings is of the
+// settings by which it was read; a job that was taken before its tenant went keeps its rights.
+func (p *Planner) tenantOf(x *Exchange) int {
+	if x.Tenant >= 0 && x.Tenant < len(p.set.Tenants) && p.set.Tenants[x.Tenant].Name == x.TenantName ||
+		x.Tenant < 0 && len(p.set.Tenants) == 0 {
+		return x.Tenant
+	}
+	return p.d.Tenant(x.TenantName)
+}
+
 // Retune goes on by new settings, which are not changed any more. Jobs under way
 // keep their class.
 func (p *Planner) Retune(set sedgevale.Settings) {
@@ -337,8 +352,7 @@
 			p.log.Error("decision module refused new settings", "err", err)
 			return
 		}
-		set.Tenants, set.Zone, set.Peers, set.Weights, set.AskForList =
-			p.set.Tenants, p.set.Zone, p.set.Peers, p.set.Weights, p.set.AskForList
+		set.Zone, set.Peers, set.Weights, set.AskForList = p.set.Zone, p.set.Peers, p.set.Weights, p.set.AskForList
 		p.set = set
 	})
 }
--- a/internal/core/planner_test.go
+++ b/internal/core/planner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"go/parser"
 	"go/token"
 	"log/slog"
@@ -371,3 +372,40 @@
 		t.Errorf("a new class: %+v", a)
 	}
 }
+
+// Guards a job that crosses a change of tenants: it is its own tenant's, whatever number that had when it was read;
+// one that was taken before its tenant went is let in, and one of a tenant that was never there is not.
+func TestRetuneKeepsTheTenantOfJobs(t *testing.T) {
+	p, carry, clock := begin(t, "w", "v")
+	tenants := func(names string) {
+		set := sedgevale.Settings{Classes: classes(), MaxAttempts: 3, MayCancel: true}
+		for _, n := range names {
+			set.Tenants = append(set.Tenants, sedgevale.Tenant{Name: string(n), Share: 1})
+		}
+		p.Retune(set)
+	}
+	for i, c := range []struct {
+		retune, name string
+		number       int
+		sent         bool
+	}{
+		{"ab", "a", 0, true}, {"ba", "a", 0, true}, {"b", "a", 1, true}, {"cb", "a", 0, true},
+		{"b", "x", 0, false}, {"", "b", 0, true}, {"a", "", -1, true},
+	} {
+		tenants(c.retune)
+		got := newClient()
+		id := fmt.Sprint("job-", i)
+		p.Request(NewExchange(Job{ID: id, Class: &classes()[0], Tenant: c.number, TenantName: c.name}, clock.Now()+5*time.Second, got))
+		if !c.sent {
+			if a := testkit.Await(t, "the answer", got.first); a.Kind != Failed || a.Ran || a.Reason != "the tenant is gone" {
+				t.Errorf("%+v: %+v", c, a)
+			}
+			continue
+		}
+		a := testkit.Await(t, "an attempt", carry.sent)
+		if a.ID != id {
+			t.Errorf("%+v: %s was sent", c, a.ID)
+		}
+		p.Ended(a, sedgevale.Served, nil, nil)
+	}
+}
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -48,16 +48,25 @@
 	if len(o.Coops) == 0 {
 		return errors.New("door: no co-op")
 	}
-	for i, c := range o.Coops {
+	if err := checkCoops(o.Coops); err != nil {
+		return err
+	}
+	if o.Concurrency <= 0 || o.Queue < 0 || o.Clients < 0 || o.MaxAfter < 0 {
+		return errors.New("door: concurrency must be positive, and no bound negative")
+	}
+	return nil
+}
+
+func checkCoops(coops []Coop) error {
+	seen := make(map[string]bool, len(coops))
+	for _, c := range coops {
 		if !(c.Share > 0) || math.IsInf(c.Share, 0) {
 			return fmt.Errorf("door: co-op %q: its share must be positive", c.Name)
 		}
-		if slices.ContainsFunc(o.Coops[:i], func(other Coop) bool { return other.Name == c.Name }) {
+		if seen[c.Name] {
 			return fmt.Errorf("door: co-op %q is there twice", c.Name)
 		}
-	}
-	if o.Concurrency <= 0 || o.Queue < 0 || o.Clients < 0 || o.MaxAfter < 0 {
-		return errors.New("door: concurrency must be positive, and no bound negative")
+		seen[c.Name] = true
 	}
 	return nil
 }
@@ -65,7 +74,7 @@
 // Ask is a job at the door.
 type Ask struct {
 	Token  any // of whoever asks
-	Coop   int
+	Coop   int // as Number tells it
 	Client string
 	Cost   float64       // what it is expected to take, in slot-seconds
 	Left   time.Duration // how long it may wait and still be in time
@@ -95,7 +104,9 @@
 }
 
 type coop struct {
-	weight  float64
+	name    string
+	gone    bool    // nobody new comes; who waits or is inside keeps his rights
+	weight  float64 // its share as it was given: that of others changes nothing here
 	finish  float64 // tag of its last job, at the level of co-ops
 	virtual float64 // of its clients
 	flows   []flow
@@ -103,6 +114,7 @@
 	waiting int
 	cost    float64 // of those that wait
 	inside  float64 // cost of those inside
+	jobs    int     // those
 
 	served float64 // cost let in since the last tick
 	rate   float64 // cost that can be let in a second
@@ -112,7 +124,8 @@
 // Door is the state.
 type Door struct {
 	opt     Options
-	coops   []coop
+	coops   []coop // by number; a number stays until its co-op is gone and nobody of it is here
+	numbers map[string]int
 	virtual float64
 	inside  int
 	seq     uint64
@@ -134,16 +147,62 @@
 	if o.MaxAfter == 0 {
 		o.MaxAfter = afterDefault
 	}
-	d := &Door{opt: o, coops: make([]coop, len(o.Coops)), hasher: newHasher(o.Seed)}
+	d := &Door{opt: o, hasher: newHasher(o.Seed)}
+	return d, d.Retune(o.Coops)
+}
+
+// Retune goes on by other co-ops, none among them, matched by their names. One that stays keeps its number, its place
+// in the order, its queue and its rate. One that goes is served to the end by the share that it had. An error
+// changes nothing.
+func (d *Door) Retune(coops []Coop) error {
+	if err := checkCoops(coops); err != nil {
+		return err
+	}
+	former := d.numbers
+	d.numbers = make(map[string]int, len(coops))
 	sum := 0.0
-	for _, c := range o.Coops {
+	for _, c := range coops {
 		sum += c.Share
+		if i, stays := former[c.Name]; stays {
+			d.numbers[c.Name] = i
+			d.coops[i].weight = c.Share
+		}
+	}
+	var free []int
+	for i := range d.coops {
+		c := &d.coops[i]
+		if at, stays := d.numbers[c.name]; !stays || at != i {
+			c.gone = true
+		}
+		if c.gone && c.waiting == 0 && c.jobs == 0 {
+			free = append(free, i)
+			*c = coop{gone: true}
+		}
 	}
-	for i, c := range o.Coops {
-		d.coops[i] = coop{weight: c.Share / sum, flows: make([]flow, o.Clients), book: newLedger(),
-			rate: c.Share / sum * float64(o.Concurrency)} // what it has if all are busy
+	for _, c := range coops {
+		if _, stays := former[c.Name]; stays {
+			continue
+		}
+		i := len(d.coops)
+		if len(free) > 0 {
+			i, free = free[0], free[1:]
+		} else {
+			d.coops = append(d.coops, coop{})
+		}
+		d.numbers[c.Name] = i
+		d.coops[i] = coop{name: c.Name, weight: c.Share, flows: make([]flow, d.opt.Clients), book: newLedger(),
+			rate: c.Share / sum * float64(d.opt.Concurrency)} // what it has if all are busy
+	}
+	return nil
+}
+
+// Number returns the number of a co-op that is not gone, or -1. It holds for jobs that have asked with it until
+// they are over.
+func (d *Door) Number(name string) int {
+	if i, ok := d.numbers[name]; ok {
+		return i
 	}
-	return d, nil
+	return -1
 }
 
 // Inside returns how many jobs are inside, Waiting how many wait.
@@ -218,6 +277,7 @@
 	d.virtual = tag
 	c.virtual = max(c.virtual, start)
 	c.inside += a.Cost
+	c.jobs++
 	c.served += a.Cost
 	d.inside++
 }
@@ -228,6 +288,7 @@
 		d.inside--
 	}
 	c := &d.coops[coop]
+	c.jobs = max(0, c.jobs-1)
 	c.inside = max(0, c.inside-cost)
 }
 
--- a/internal/doorkeeper/keeper.go
+++ b/internal/doorkeeper/keeper.go
@@ -65,14 +65,19 @@
 
 // Request takes a request to the door.
 func (k *Keeper) Request(x *core.Exchange) {
-	if x.Tenant < 0 { // of no co-op: there is nothing to share by
+	now := k.clock.Now()
+	k.mu.Lock()
+	number := -1
+	if x.Tenant >= 0 {
+		number = k.door.Number(x.TenantName)
+	}
+	if number < 0 { // of no co-op, or of one that went as it came: there is nothing to share by
+		k.mu.Unlock()
 		k.inner.Request(x)
 		return
 	}
-	now := k.clock.Now()
-	k.mu.Lock()
 	j := &job{x: x}
-	j.ask = door.Ask{Token: j, Coop: x.Tenant, Client: x.Client, Cost: k.costOf(x) * max(1, x.Slots), Left: x.Left(now)/2 - margin}
+	j.ask = door.Ask{Token: j, Coop: number, Client: x.Client, Cost: k.costOf(x) * max(1, x.Slots), Left: x.Left(now)/2 - margin}
 	x.Intercept(func(c core.Client) core.Client { return &leaver{c, k, j} })
 	v, after := k.door.Arrive(now, j.ask)
 	if v != door.Refused {
@@ -97,6 +102,13 @@
 	}
 }
 
+// Retune goes on by other co-ops. Jobs that wait or are inside keep their rights. An error changes nothing.
+func (k *Keeper) Retune(coops []door.Coop) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.door.Retune(coops)
+}
+
 func (k *Keeper) costOf(x *core.Exchange) float64 {
 	if c, ok := k.cost[x.Class.Name]; ok {
 		return c
--- a/internal/doorkeeper/keeper_test.go
+++ b/internal/doorkeeper/keeper_test.go
@@ -42,7 +42,7 @@
 	class := &sedgevale.Class{Name: "view"}
 	return k, p, func(id string, coop int, left time.Duration) (*core.Exchange, *client) {
 		c := &client{got: make(chan core.Answer, 4)}
-		x := core.NewExchange(core.Job{ID: id, Class: class, Tenant: coop, Client: id, Slots: 1}, clock.Now()+left, c)
+		x := core.NewExchange(core.Job{ID: id, Class: class, Tenant: coop, TenantName: []string{"a", "b"}[coop], Client: id, Slots: 1}, clock.Now()+left, c)
 		k.Request(x)
 		return x, c
 	}
@@ -86,3 +86,30 @@
 		t.Errorf("%+v", s)
 	}
 }
+
+// Guards a job that comes with the number of another time, and one whose co-op has just gone: the first is its own
+// co-op's, the second goes past the door, where it is still known.
+func TestCoopsChangeAsJobsCome(t *testing.T) {
+	k, p, ask := setUp(t)
+	first, _ := ask("first", 0, 10*time.Second)
+	testkit.Await(t, "the first", p.in)
+	waits, _ := ask("waits", 1, 10*time.Second)
+	if err := k.Retune([]door.Coop{{Name: "c", Share: 1}, {Name: "a", Share: 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if _, _ = ask("own", 0, 10*time.Second); k.Waiting() != 2 {
+		t.Errorf("%d wait", k.Waiting())
+	}
+	gone, _ := ask("gone", 1, 10*time.Second)
+	if got := testkit.Await(t, "the job of a co-op that has gone", p.in); got != gone {
+		t.Errorf("%s went in", got.ID)
+	}
+	first.TurnAway(0, "over")
+	if got := testkit.Await(t, "who waited", p.in); got != waits {
+		t.Errorf("%s went in", got.ID)
+	}
+	waits.TurnAway(0, "over")
+	if got := testkit.Await(t, "the last", p.in); got.ID != "own" {
+		t.Errorf("%s went in", got.ID)
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -154,10 +154,8 @@
 	s.rules = intake.New(s.clock, &intake.Terms{Classes: set.Classes, Tenants: set.Tenants})
 	var takers front.Planners = s.planners
 	if c.Door != nil {
-		o := door.Options{Concurrency: c.Door.Concurrency, Queue: c.Door.Queue, Clients: c.Door.Clients, Seed: c.SeedNumber()}
-		for _, t := range set.Tenants {
-			o.Coops = append(o.Coops, door.Coop{Name: t.Name, Share: t.Share})
-		}
+		o := door.Options{Coops: coops(set.Tenants), Concurrency: c.Door.Concurrency, Queue: c.Door.Queue, Clients: c.Door.Clients,
+			Seed: c.SeedNumber()}
 		if s.keeper, err = doorkeeper.New(o, s.planners, s.clock, set.MaxRetryAfter, opt.Log); err != nil {
 			return nil, errors.Join(err, s.loop.Stop())
 		}
@@ -190,6 +188,14 @@
 	return s, nil
 }
 
+// coops returns the tenants as the door knows them.
+func coops(tenants []sedgevale.Tenant) (all []door.Coop) {
+	for _, t := range tenants {
+		all = append(all, door.Coop{Name: t.Name, Share: t.Share})
+	}
+	return all
+}
+
 // questions returns who answers questions about jobs, or nil.
 func (s *Scheduler) questions() ops.Journal {
 	if s.journal == nil { // else it would be an interface that is not nil
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -78,10 +78,14 @@
 			return err
 		}
 	}
+	if s.keeper != nil {
+		if err := s.keeper.Retune(coops(set.Tenants)); err != nil {
+			return err // not of settings that Check has passed
+		}
+	}
 	s.current.Store(c)
-	set.Tenants = s.settings.Load().Tenants
-	s.settings.Store(&set)
-	s.planners.Retune(set)
+	before := s.settings.Swap(&set)
+	s.planners.Retune(set) // before the rules: whose jobs are let in is known there then
 	s.rules.Retune(&intake.Terms{Classes: set.Classes, Tenants: set.Tenants})
 	s.pool.Retune(config.Seconds(c.Settings.Bounds.DialTimeout), config.Seconds(c.Settings.Bounds.IdleClose))
 	s.limit(c)
@@ -90,13 +94,34 @@
 		s.loop.Do(func() { s.members(sedgevale.ListWhole, *c.Known) })
 	}
 	s.opt.Log.Info("configuration read again", "discovery", c.Discovery, "classes", len(set.Classes),
-		"max_attempts", set.MaxAttempts)
+		"max_attempts", set.MaxAttempts, "tenants", len(set.Tenants))
+	if added, gone, changed := tenantChanges(before.Tenants, set.Tenants); added+gone+changed > 0 {
+		s.opt.Log.Info("tenants changed", "added", added, "gone", gone, "changed", changed)
+	}
 	if kept := append(s.fixed(c), waits...); len(kept) > 0 {
 		s.opt.Log.Warn("part of the new configuration waits for a new start", "what", strings.Join(kept, ", "))
 	}
 	return nil
 }
 
+// tenantChanges counts the tenants that come, go, and have another share or quota.
+func tenantChanges(old, now []sedgevale.Tenant) (added, gone, changed int) {
+	byName := make(map[string]sedgevale.Tenant, len(old))
+	for _, t := range old {
+		byName[t.Name] = t
+	}
+	for _, t := range now {
+		switch before, there := byName[t.Name]; {
+		case !there:
+			added++
+		case before != t:
+			changed++
+		}
+		delete(byName, t.Name)
+	}
+	return added, len(byName), changed
+}
+
 // fixed names what of a new configuration a running scheduler does not take over.
 func (s *Scheduler) fixed(c *config.Config) (kept []string) {
 	for _, part := range []struct {
@@ -104,7 +129,6 @@
 		old, new any
 	}{
 		{"name", s.config.Name, c.Name}, {"listen", s.config.Listen, c.Listen}, {"ops", s.config.Ops, c.Ops},
-		{"realms", s.config.Settings.Realms, c.Settings.Realms},
 		{"kinds", s.config.Settings.Kinds, c.Settings.Kinds}, {"zones", s.config.Settings.Zones, c.Settings.Zones},
 		{"zone", s.config.Settings.Zone, c.Settings.Zone}, {"peers_total", s.config.Settings.PeersTotal, c.Settings.PeersTotal},
 		{"peer_listen", s.config.PeerListen, c.PeerListen}, {"peers", s.config.Peers, c.Peers},
--- a/sharing.go
+++ b/sharing.go
@@ -199,7 +199,7 @@
 		l.Classes = append(l.Classes, LearnedClass{c.Name, c.run, c.base, c.hint, c.complete, c.runs})
 	}
 	for i, t := range d.set.Tenants {
-		v := d.tenants[i]
+		v := d.named[i]
 		l.Tenants = append(l.Tenants, LearnedTenant{t.Name, limited(v.sigma), limited(v.local), v.arrived, v.tokens})
 	}
 	for _, w := range d.workers {
@@ -230,7 +230,7 @@
 	}
 	for i := range d.set.Tenants {
 		for _, t := range l.Tenants {
-			if v := d.tenants[i]; t.Name == d.set.Tenants[i].Name {
+			if v := d.named[i]; t.Name == d.set.Tenants[i].Name {
 				v.sigma, v.local, v.arrived, v.tokens = unlimited(t.Sigma), unlimited(t.Local), t.Arrived, t.Tokens
 			}
 		}
--- a/state.go
+++ b/state.go
@@ -94,9 +94,14 @@
 }
 
 type tenant struct {
-	share    float64 // of all shares
-	quota    float64 // jobs a second here that are within its share; 0: not told
-	tokens   float64 // of those, not yet sent
+	name     string
+	weight   float64       // its share as the settings give it
+	open     int           // requests that are not forgotten
+	gone     bool          // the settings do not have it any more
+	until    time.Duration // for gone: when nobody can come any more who was taken before; 0: not reckoned yet
+	share    float64       // of all shares; 0: gone, and without a job
+	quota    float64       // jobs a second here that are within its share; 0: not told
+	tokens   float64       // of those, not yet sent
 	tokensAt time.Duration
 	queue    queue
 	backlog  []float64 // work held, by a class's index
@@ -202,9 +207,11 @@
 	requests   map[string]*request
 	serials    map[uint64]*request
 	serial     uint64
-	tenants    []*tenant
-	classes    []*class // by the settings' index
-	kept       []*class // those, and former ones that jobs under way still have
+	tenants    []*tenant // in the order of their turns; also those that are gone until their last job is over
+	named      []*tenant // by the settings' index; without tenants one that all jobs have
+	gone       int       // tenants that are gone
+	classes    []*class  // by the settings' index
+	kept       []*class  // those, and former ones that jobs under way still have
 	byName     map[string]*worker
 	workers    []*worker // by index; nil: free index
 	pools      []*pool
@@ -386,9 +393,20 @@
 	return nil
 }
 
+// note keeps a request that has come.
+func (d *Dispatcher) note(r *request) {
+	t := r.tenant
+	t.arrived++
+	if t.open++; t.gone && t.open == 1 { // it has its share back
+		d.shares()
+	}
+	d.requests[r.ID], d.serials[r.serial] = r, r
+}
+
 // forget frees the request once it has its answer and its attempts are over.
 func (d *Dispatcher) forget(r *request) {
-	if r.ended && r.out == 0 {
+	if r.ended && r.out == 0 && d.requests[r.ID] == r {
+		r.tenant.open--
 		delete(d.requests, r.ID)
 		delete(d.serials, r.serial)
 	}
@@ -560,22 +578,9 @@
 		rewatch: rewatchFirst, prompt: 1, quick: 1,
 		pools: []*pool{{}}, cells: map[int][]*worker{}, broke: map[int]sign{}, cordons: map[string]bool{}}
 	d.tallies()
-	shares := 0.0
-	for _, t := range set.Tenants {
-		shares += t.Share
-	}
 	d.set.Peers = max(1, set.Peers)
 	d.sharers = d.set.Peers
-	for _, t := range set.Tenants {
-		d.tenants = append(d.tenants, &tenant{share: t.Share / shares, quota: quotaRoom * t.Quota / float64(d.set.Peers)})
-	}
-	if len(d.tenants) == 0 {
-		d.tenants = []*tenant{{share: 1}}
-	}
-	for _, t := range d.tenants {
-		t.sigma, t.local = inf, inf
-		t.tokens = t.quota
-	}
+	d.enroll(set.Tenants)
 	d.set.MaxAttempts = attemptsOf(set)
 	d.classify(set.Classes)
 	return d, nil
--- /dev/null
+++ b/tenants_test.go
@@ -0,0 +1,331 @@
+package sedgevale
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sedgevale/internal/testkit"
+)
+
+func TestMain(m *testing.M) { testkit.Main(m, 300) }
+
+// patient returns settings by which a job may be held for seconds.
+func patient() Settings {
+	set := settings()
+	set.Classes[0].Aim = 4 * time.Second
+	return set
+}
+
+// teams returns settings with these tenants: names, then shares.
+func teams(names string, shares ...float64) Settings {
+	set := patient()
+	for i, s := range shares {
+		set.Tenants = append(set.Tenants, Tenant{Name: names[i : i+1], Share: s})
+	}
+	return set
+}
+
+func (h *fake) askFor(d *Dispatcher, id string, tenant int, left time.Duration) {
+	h.t.Helper()
+	if err := d.Request(h.now, Request{ID: id, Tenant: tenant, Left: left, Hint: 100 * ms}); err != nil {
+		h.t.Fatal(err)
+	}
+}
+
+func (d *Dispatcher) turns() (names string) {
+	for _, t := range d.tenants {
+		names += t.name
+	}
+	return names
+}
+
+// Guards what other tenants have when some come, go and change: their order, whose turn it is, their credit, what
+// they have learned and what they hold stay to the bit.
+func TestOtherTenantsStayToTheBit(t *testing.T) {
+	set := teams("abcd", 4, 3, 2, 1)
+	for i := range set.Tenants {
+		set.Tenants[i].Quota = 3
+	}
+	d, h := start(t, set, fleet(3)...)
+	for i := range 40 {
+		h.askFor(d, fmt.Sprint("r", i), i%4, 5*time.Second)
+		if i%5 == 0 {
+			h.over(d, h.sends[i/5].id, 0, Served)
+		}
+	}
+	h.run(d, h.now+150*ms)
+	if d.backlog == 0 || d.tenants[0].deficit == 0 && d.tenants[1].deficit == 0 {
+		t.Fatalf("nothing is held, or nobody has credit: %d", d.backlog)
+	}
+	turn, credited := d.tenants[d.turn], d.credited
+	before := []tenant{*d.tenants[0], *d.tenants[2]}
+	next := set
+	next.Tenants = []Tenant{{"e", 9, 0}, {"c", 2, 3}, {"b", 1, 1}, {"a", 4, 3}} // d goes, e comes, b is less, the order is another
+	if err := d.Retune(next); err != nil {
+		t.Fatal(err)
+	}
+	if d.turns() != "abcde" || d.tenants[d.turn] != turn || d.credited != credited {
+		t.Errorf("turns %s, it is that of %s (credited %v), was %s (%v)", d.turns(), d.tenants[d.turn].name, d.credited, turn.name, credited)
+	}
+	for i, at := range []int{0, 2} {
+		was, is := before[i], *d.tenants[at]
+		if was.deficit != is.deficit || was.sigma != is.sigma || was.local != is.local || was.tokens != is.tokens || was.tokensAt != is.tokensAt ||
+			was.quota != is.quota || was.arrived != is.arrived || was.jobs != is.jobs || was.inflight != is.inflight || was.waiting != is.waiting ||
+			was.weight != is.weight || was.open != is.open || !slices.Equal(was.alpha, is.alpha) || !slices.Equal(was.used, is.used) ||
+			!slices.Equal(was.known, is.known) || !slices.Equal(was.queue, is.queue) || !slices.Equal(was.backlog, is.backlog) {
+			t.Errorf("tenant %s changed:\n%+v\n%+v", is.name, was, is)
+		}
+	}
+	for i, name := range []string{"e", "c", "b", "a"} {
+		if d.named[i].name != name || d.Tenant(name) != i {
+			t.Errorf("number %d is %s, and %s has number %d", i, d.named[i].name, name, d.Tenant(name))
+		}
+	}
+	if bad := next; true {
+		bad.Tenants = []Tenant{{"a", 0, 0}}
+		if err := d.Retune(bad); err == nil || d.turns() != "abcde" || d.named[1].name != "c" {
+			t.Errorf("settings with a share of 0: error %v, turns %s", err, d.turns())
+		}
+	}
+}
+
+// Guards the jobs of a tenant that goes: what is held and what is out ends as before, what was taken before and comes
+// late is let in, and after that nothing is left of the tenant.
+func TestTenantGoesWithItsJobs(t *testing.T) {
+	d, h := start(t, teams("abc", 2, 1, 1), WorkerInfo{Worker: "w", Weight: 1})
+	for i := range 6 {
+		h.askFor(d, fmt.Sprint("c", i), 2, 5*time.Second)
+	}
+	held := d.tenants[2].waiting
+	if held == 0 || len(h.sends) == 0 {
+		t.Fatalf("%v held, %d sent", held, len(h.sends))
+	}
+	if err := d.Retune(teams("ab", 2, 1)); err != nil {
+		t.Fatal(err)
+	}
+	if c := d.tenants[2]; c.share != 0.25 || c.waiting != held {
+		t.Errorf("it has a share of %v and holds %v; before it was 0.25 and %v", c.share, c.waiting, held)
+	}
+	if got := d.Tenant("c"); got != 2 {
+		t.Errorf("it has number %d", got)
+	}
+	for done := 0; done < len(h.sends); done++ {
+		h.now += 10 * ms
+		h.over(d, h.sends[done].id, 0, Served)
+	}
+	for i := range 6 {
+		if id := fmt.Sprint("c", i); h.ends[id] != "served" {
+			t.Errorf("%s ended as %q", id, h.ends[id])
+		}
+	}
+	h.run(d, h.now+roundEvery)
+	if a, c := d.tenants[0], d.tenants[2]; c.share != 0 || a.share != 2.0/3 {
+		t.Errorf("without a job it has a share of %v, and a has %v", c.share, a.share)
+	}
+	h.askFor(d, "late", d.Tenant("c"), time.Second) // as from a queue before the Dispatcher
+	if a, c := d.tenants[0], d.tenants[2]; c.share != 0.25 || a.share != 0.5 {
+		t.Errorf("with a job again it has a share of %v, and a has %v", c.share, a.share)
+	}
+	h.over(d, "late", 0, Served)
+	h.run(d, h.now+5*time.Second+2*roundEvery)
+	if d.turns() != "ab" || d.gone != 0 || d.Tenant("c") != -1 {
+		t.Errorf("turns %s, %d gone, number %d", d.turns(), d.gone, d.Tenant("c"))
+	}
+	if err := d.Request(h.now, Request{ID: "never", Tenant: 2, Left: time.Second}); err != ErrBadRequest {
+		t.Errorf("a job of nobody: %v", err)
+	}
+}
+
+// Guards what is known of a tenant whose change is taken back: gone and there again it goes on as it was.
+func TestTenantIsTakenBack(t *testing.T) {
+	set := teams("ab", 1, 1)
+	d, h := start(t, set, fleet(3)...)
+	h.askFor(d, "r", 1, 5*time.Second)
+	h.over(d, "r", 0, Served)
+	b := d.tenants[1]
+	jobs, deficit := b.jobs, b.deficit
+	for range 3 {
+		for _, s := range []Settings{teams("a", 1), set} {
+			if err := d.Retune(s); err != nil {
+				t.Fatal(err)
+			}
+		}
+		h.run(d, h.now+roundEvery)
+	}
+	if d.named[1] != b || b.jobs != jobs || b.deficit != deficit || b.gone || d.gone != 0 || d.turns() != "ab" {
+		t.Errorf("it is %+v, turns %s", d.named[1], d.turns())
+	}
+	h.run(d, h.now+time.Minute)
+	if d.named[1] != b || d.turns() != "ab" {
+		t.Errorf("later the turns are %s", d.turns())
+	}
+}
+
+// Guards a quota that changes for a tenant that sends all that it may: from then on it is within its share at the new
+// rate, up and down.
+func TestTenantHalvedAtItsQuota(t *testing.T) {
+	set := teams("ab", 1, 9)
+	set.Tenants[0].Quota, set.Tenants[1].Quota = 40, 40
+	d, h := start(t, set, fleet(3)...)
+	d.arrived, d.tenants[0].arrived = 10, 10 // more than its share of what arrives
+	within := func() (n int) {               // jobs within its share in two seconds
+		for range 2000 {
+			h.now += ms
+			if d.withinShare(h.now, d.tenants[0]) {
+				d.tenants[0].tokens--
+				n++
+			}
+		}
+		return n
+	}
+	within() // what had been saved up
+	for _, quota := range []float64{40, 20, 5, 80} {
+		next := set
+		next.Tenants = slices.Clone(set.Tenants)
+		next.Tenants[0].Quota = quota
+		if err := d.Retune(next); err != nil {
+			t.Fatal(err)
+		}
+		if got, want := float64(within()), 2*quota*quotaRoom; math.Abs(got-want) > 3 {
+			t.Errorf("with a quota of %v a second %v jobs in 2 s are within the share, want %v", quota, got, want)
+		}
+	}
+}
+
+// Guards the step from no tenants to some and back: jobs of before end as they would have.
+func TestTenantsAppearAndVanish(t *testing.T) {
+	d, h := start(t, patient(), WorkerInfo{Worker: "w", Weight: 1})
+	for i := range 4 {
+		h.askFor(d, fmt.Sprint("any", i), -1, 5*time.Second)
+	}
+	if err := d.Retune(teams("ab", 1, 1)); err != nil {
+		t.Fatal(err)
+	}
+	h.askFor(d, "a", 0, 5*time.Second)
+	h.askFor(d, "late", d.Tenant(""), 5*time.Second)
+	if err := d.Retune(patient()); err != nil {
+		t.Fatal(err)
+	}
+	h.askFor(d, "again", -1, 5*time.Second)
+	for done := 0; done < len(h.sends); done++ {
+		h.now += 10 * ms
+		h.over(d, h.sends[done].id, 0, Served)
+	}
+	if len(h.sends) != 7 {
+		t.Errorf("%d of 7 jobs were sent", len(h.sends))
+	}
+}
+
+// A model of which tenants there are: whatever comes, goes and changes while jobs come and end, each job has one end,
+// turns are held by the settings' tenants and by those who have or may have jobs, once each, and shares are those of
+// the settings.
+func TestTenantsModel(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		names := "abcdef"
+		draw := func(label string) Settings {
+			set := settings()
+			for _, n := range rapid.Permutation([]byte(names)).Draw(r, label)[:rapid.IntRange(0, 5).Draw(r, "many")] {
+				set.Tenants = append(set.Tenants, Tenant{Name: string(n), Share: float64(rapid.IntRange(1, 9).Draw(r, "share")),
+					Quota: float64(rapid.IntRange(0, 3).Draw(r, "quota"))})
+			}
+			return set
+		}
+		set := draw("first")
+		d, h := start(t, set, fleet(rapid.IntRange(0, 3).Draw(r, "workers"))...)
+		left := map[string]time.Duration{} // when each name was last in the settings
+		asked, done := 0, 0
+		r.Repeat(map[string]func(*rapid.T){
+			"retune": func(r *rapid.T) {
+				for _, v := range set.Tenants {
+					left[v.Name] = h.now
+				}
+				set = draw("next")
+				if err := d.Retune(set); err != nil {
+					r.Fatal(err)
+				}
+			},
+			"ask": func(r *rapid.T) {
+				number := -1
+				if n := len(set.Tenants); n > 0 {
+					number = rapid.IntRange(0, n-1).Draw(r, "tenant")
+				}
+				if err := d.Request(h.now, Request{ID: fmt.Sprint("r", asked), Tenant: number, Left: 2 * time.Second, Hint: 50 * ms}); err != nil {
+					r.Fatal(err)
+				}
+				asked++
+			},
+			"ask late": func(r *rapid.T) {
+				name := string(names[rapid.IntRange(0, 5).Draw(r, "name")])
+				if number := d.Tenant(name); number >= 0 {
+					if err := d.Request(h.now, Request{ID: fmt.Sprint("r", asked), Tenant: number, Left: time.Second, Hint: 50 * ms}); err != nil {
+						r.Fatal(err)
+					}
+					if got := d.requests[fmt.Sprint("r", asked)]; got != nil && got.tenant.name != name {
+						r.Fatalf("a job of %s is %s's", name, got.tenant.name)
+					}
+					asked++
+				} else if at, was := left[name]; was && h.now < at+5*time.Second {
+					r.Fatalf("%s is forgotten %v after it went", name, h.now-at)
+				}
+			},
+			"end": func(r *rapid.T) {
+				for ; done < len(h.sends); done++ {
+					s := h.sends[done]
+					if err := d.Outcome(h.now, Result{ID: s.id, Attempt: s.n, Outcome: Served, Closed: true}); err == nil {
+						if h.ends[s.id] == "" {
+							h.ends[s.id] = "served"
+						}
+						done++
+						return
+					}
+				}
+			},
+			"wait": func(r *rapid.T) {
+				h.run(d, h.now+time.Duration(rapid.IntRange(1, 7000).Draw(r, "ms"))*ms)
+			},
+			"": func(r *rapid.T) {
+				seen, open, sum := map[*tenant]bool{}, 0, 0.0
+				for _, v := range d.tenants {
+					if seen[v] {
+						r.Fatalf("%s has two turns", v.name)
+					}
+					seen[v], open, sum = true, open+v.open, sum+v.share
+					if len(v.backlog) != len(d.kept) || v.open < 0 {
+						r.Fatalf("%s: %d classes of %d, %d open", v.name, len(v.backlog), len(d.kept), v.open)
+					}
+				}
+				if len(d.named) != max(1, len(set.Tenants)) || len(d.tenants) != len(d.named)+d.gone || open != len(d.requests) || math.Abs(sum-1) > 1e-9 {
+					r.Fatalf("%d named of %d, %d turns, %d gone, %d open of %d, shares add up to %v", len(d.named), len(set.Tenants),
+						len(d.tenants), d.gone, open, len(d.requests), sum)
+				}
+				for i, v := range set.Tenants {
+					if got := d.named[i]; got.name != v.Name || got.weight != v.Share || got.quota != quotaRoom*v.Quota || got.gone || !seen[got] {
+						r.Fatalf("tenant %d is %+v, settings say %+v", i, got, v)
+					}
+				}
+				if d.turn >= len(d.tenants) {
+					r.Fatalf("the turn is that of %d of %d", d.turn, len(d.tenants))
+				}
+			},
+		})
+		h.run(d, h.now+10*time.Second)
+		for i := range asked {
+			if id := fmt.Sprint("r", i); h.ends[id] == "" {
+				r.Fatalf("%s has no end", id)
+			}
+		}
+		h.run(d, h.now+10*time.Second)
+		for ; done < len(h.sends); done++ {
+			_ = d.Outcome(h.now, Result{ID: h.sends[done].id, Attempt: h.sends[done].n, Outcome: Cancelled})
+		}
+		h.run(d, h.now+10*time.Second)
+		if d.gone != 0 || len(d.requests) != 0 {
+			r.Fatalf("in the end %d are gone and still there, with %d requests", d.gone, len(d.requests))
+		}
+	})
+}
