--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -88,6 +88,8 @@
 		{`,"window":7.5`, ``, "settings.classes[0].window: missing"},
 		{`"name":"co-op",`, ``, "settings.realms[0].name: missing"},
 		{`"share":0.3`, `"share":-1`, "settings.realms[0].share: missing, or not above 0"},
+		{`"share":0.3`, `"share":0.3},{"name":"co-op","share":1`, `settings.realms[1].name: "co-op" is there twice`},
+		{`"share":0.3`, `"share":0.3,"quota_rps":-1`, "settings.realms[0].quota_rps: want 0"},
 		{`"rough"`, `"heavy"`, `settings.weights: "heavy" is none of`},
 		{`"fall":2.0,`, ``, "settings.rules.fall: missing"},
 		{`"start_capacity":0.13,`, ``, "settings.rules.start_capacity: missing"},
