--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -209,30 +209,27 @@
 }
 
 // lagging logs who is behind with the configuration for long, and who no longer is: one line each, or one for all.
-func (l *Link) lagging() {
-	l.lags = l.lags[:0]
-	l.node.Lags(func(lag peers.Lag) { l.lags = append(l.lags, lag) })
-	if len(l.lags) > fewChanges {
-		over := 0
-		for _, lag := range l.lags {
+func (l *Link) lagging(lags []peers.Lag) {
+	if len(lags) > fewChanges {
+		level := 0
+		for _, lag := range lags {
 			if lag.Over {
-				over++
+				level++
 			}
 		}
-		l.opt.Log.Warn("many schedulers changed against the newest configuration", "newest", l.lags[0].Newest,
-			"behind", len(l.lags)-over, "level", over)
+		l.opt.Log.Warn("many schedulers are behind or level again", "behind", len(lags)-level, "level", level, "newest", lags[0].Newest)
 		return
 	}
-	for _, lag := range l.lags {
+	for _, lag := range lags {
 		who := "another scheduler"
 		if lag.Number == l.opt.Self {
 			who = "this scheduler"
 		}
-		at := []any{"number", lag.Number, "addr", l.opt.Peers[lag.Number], "revision", lag.Revision, "newest", lag.Newest}
+		attrs := []any{"number", lag.Number, "addr", l.opt.Peers[lag.Number], "revision", lag.Revision, "newest", lag.Newest}
 		if lag.Over {
-			l.opt.Log.Info(who+" is level again", at...)
+			l.opt.Log.Info(who+" is level again", attrs...)
 		} else {
-			l.opt.Log.Warn(who+" is behind", append(at, "for", lag.For.Round(time.Second))...)
+			l.opt.Log.Warn(who+" is behind", append(attrs, "for", lag.For.Truncate(time.Second))...)
 		}
 	}
 }
@@ -303,7 +300,9 @@
 		l.parted()
 		l.deliver()
 		l.report()
-		l.lagging()
+		l.lags = l.lags[:0]
+		l.node.Lags(func(lag peers.Lag) { l.lags = append(l.lags, lag) })
+		l.lagging(l.lags)
 		l.mu.Unlock()
 	}
 }
