--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -93,7 +93,10 @@
 	if c.Discovery == "" {
 		s.loop.Do(func() { s.members(sedgevale.ListWhole, *c.Known) })
 	}
-	s.opt.Log.Info("configuration read again", "discovery", c.Discovery, "classes", len(set.Classes),
+	if s.link != nil {
+		s.link.Revise(c.InForce())
+	}
+	s.opt.Log.Info("configuration read again", "revision", c.Revision, "discovery", c.Discovery, "classes", len(set.Classes),
 		"max_attempts", set.MaxAttempts, "tenants", len(set.Tenants))
 	if added, gone, changed := tenantChanges(before.Tenants, set.Tenants); added+gone+changed > 0 {
 		s.opt.Log.Info("tenants changed", "added", added, "gone", gone, "changed", changed)
