Keep Status from changing what it tells of, and test that a restart voids the former run's word

Seen by taking parts out on a copy: two passed unnoticed. With the check of the run gone no test failed, since the new run's word came soon after; with a newest revision that never falls none did either, because each call of Status mended the steps. Status no longer touches them, and both are tested now.

--- a/internal/peers/revisions_test.go
+++ b/internal/peers/revisions_test.go
@@ -277,6 +277,10 @@
 			t.Errorf("%d names %v though all took it back", i, b)
 		}
 	}
+	n.run(LagAfter + lagSeen)
+	for i, node := range n.nodes {
+		node.Lags(func(l Lag) { t.Errorf("%d reports %+v though all took it back", i, l) })
+	}
 }
 
 // Guards against a process that was frozen during a change: meanwhile it does not count, then all name it, and it sees so itself.
@@ -352,6 +356,19 @@
 	}
 }
 
+// Guards against what a run said that is over, while nothing is heard of what the next has in force.
+func TestARestartVoidsTheWordOfTheRunBefore(t *testing.T) {
+	b := hearer()
+	b.table.words[2] = inForce{run: 3, Revision: Revision{99, 0xff}, known: true, seen: -1}
+	if s := b.Status(time.Second); s.Newest != 99 || s.Members[2].Revision != 99 || s.Members[1].BehindMS < 0 {
+		t.Fatalf("before: newest %d, %+v", s.Newest, s.Members[1:3])
+	}
+	b.present(time.Second, 2, 4, 0, true)
+	if s := b.Status(time.Second); s.Newest != 40 || s.Members[2].Digest != "" || s.Members[1].BehindMS >= 0 {
+		t.Errorf("after the restart: newest %d, %+v", s.Newest, s.Members[1:3])
+	}
+}
+
 // Guards against schedulers with other content under the same number, which nobody would name.
 func TestOtherContentUnderTheSameNumber(t *testing.T) {
 	n := site(5, 11)
--- a/internal/peers/status.go
+++ b/internal/peers/status.go
@@ -46,7 +46,6 @@
 func (n *Node) Status(now time.Duration) Status {
 	s := Status{Self: n.opt.Self, Watched: n.watch.rand != nil, Counts: n.Counts}
 	s.Newest = n.newest()
-	n.table.climb(now, s.Newest)
 	differ := n.differing(s.Newest)
 	for i := range n.members {
 		m, v := &n.members[i], n.watch.views[i]
