--- a/internal/peers/revisions.go
+++ b/internal/peers/revisions.go
@@ -20,10 +20,11 @@
 const (
 	compareEvery = time.Second
 	compareSoon  = 250 * time.Millisecond // for a while after something new, as more may have been lost
-	hurryFor     = 8                      // comparisons
+	hurryFor     = 8                      // comparisons that follow soon, after something new
+	hurryIf      = 4                      // and after hashes that differ
 	bucketSize   = 32                     // members in a part of the table: the words of all fit into a datagram
 	answerMost   = 4                      // parts of the table in an answer
-	rumourExtra  = 2                      // times that something new is pushed, besides log2 of the members
+	rumourExtra  = 3                      // times that something new is pushed, besides log2 of the members
 	rumoursATick = 2                      // datagrams of news a tick
 
 	// LagAfter is after how long a member that is behind is worth a line in the log. A change is to be in force everywhere
@@ -218,7 +219,7 @@
 		bucket++
 	}
 	if differ > 0 {
-		n.table.hasten(now, 1)
+		n.table.hasten(now, hurryIf)
 		if first&answerBit == 0 {
 			n.table.compares = append(n.table.compares, compareWith{uint16(from), int(first), true})
 		}
