--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -7,6 +7,9 @@
 // part. Whoever has jobs out at a box tells its audience, in absolute values and as soon as they change, and the
 // audience counts them like its own. Nothing is acknowledged: what is lost is mended by the next telling,
 // repeated each second while there is something to tell, and what was told is forgotten after two seconds.
+//
+// Where they also watch who is there (members.go), they tell each other which revision of the configuration each has in force
+// (revisions.go).
 package peers
 
 import (
