Let the rig replace schedulers' files while they serve, and choose clients' teams

For tests of changes of teams under way: a scheduler's file is made of a configuration (revision and teams), replaced by a rename and read again by SIGHUP; clients of chosen teams run at chosen schedulers; the log is awaited line by line. The referee has one more rule: a job that was told to be none (400) must not have begun; its planted fault is found.

--- a/internal/fleetrig/referee.go
+++ b/internal/fleetrig/referee.go
@@ -68,6 +68,9 @@
 			t.Class != "usage-view" && len(runs) > 0 {
 			add("a refusal is harmless", t.Job, runs[0].Box, runs[0].Began, "refused with %d, and begun there", t.Status)
 		}
+		if t.Status == http.StatusBadRequest && len(runs) > 0 {
+			add("no job is begun", t.Job, runs[0].Box, runs[0].Began, "told that it is no job, and begun there")
+		}
 		if t.Status == http.StatusOK && !slices.ContainsFunc(runs, func(r standin.Run) bool {
 			return !r.Finished.IsZero() && strings.HasSuffix(t.Body, " by "+r.Box)
 		}) {
--- a/internal/fleetrig/referee_test.go
+++ b/internal/fleetrig/referee_test.go
@@ -32,6 +32,7 @@
 			e.Told[0].Status, e.Outages["n0"] = 0, []Span{{at.Add(-2 * time.Second), at.Add(-time.Second)}}
 		}},
 		{"a refusal is harmless", func(e *Evidence) { e.Told[0].Status = 429 }},
+		{"no job is begun", func(e *Evidence) { e.Told[0].Status = 400 }},
 		{"served by a box", func(e *Evidence) { e.Told[0].Body = "plan-change n0-0-0: 3 bytes by box-2" }},
 		{"asked for", func(e *Evidence) { e.Told = e.Told[1:] }},
 		{"once", func(e *Evidence) { e.Ledger.Begin("n0-0-0", "plan-change", "box-2", at) }},
--- a/internal/fleetrig/rig.go
+++ b/internal/fleetrig/rig.go
@@ -80,10 +80,21 @@
 	Schedulers int
 	Boxes      []BoxOptions
 	Alone      bool // schedulers tell each other nothing
+	// Start is the configuration that all begin with; without teams: two co-ops, and no revision is told.
+	Start Configuration
 }
 
 // Settings are those of the brief in small: three classes, two co-ops.
-const Settings = `
+const Settings = settings + `[[settings.realms]]
+name = "valley"
+share = 0.6
+[[settings.realms]]
+name = "east"
+share = 0.4
+`
+
+// settings are those without the co-ops.
+const settings = `
 [settings]
 discovery = "ask"
 kinds = ["box"]
@@ -125,12 +136,6 @@
 window = 7.5
 promise = 0.3
 hard_limit = 2
-[[settings.realms]]
-name = "valley"
-share = 0.6
-[[settings.realms]]
-name = "east"
-share = 0.4
 `
 
 // Mix is the brief's mix of jobs.
@@ -155,6 +160,7 @@
 	Name        string
 	Listen, Ops string
 	file        string
+	text        func(Configuration) []byte // the file by a configuration
 	discovery   *standin.Discovery
 	log         *os.File
 
@@ -165,6 +171,9 @@
 
 // New sets a rig up whose schedulers are not started yet. Close ends it.
 func New(o Options) (*Rig, error) {
+	if len(o.Start.Teams) == 0 {
+		o.Start.Teams = []Team{{Name: "valley", Share: 0.6}, {Name: "east", Share: 0.4}}
+	}
 	r := &Rig{opt: o, Net: NewNetwork(o.Seed), Ledger: standin.NewLedger(), Cells: map[string]int{}, drained: map[string][]Span{}}
 	var addrs []string
 	shelves := map[int]*standin.Shelf{}
@@ -229,27 +238,36 @@
 	if at, err = r.Net.Stream(s.Name, "discovery", at); err != nil {
 		return err
 	}
-	var b bytes.Buffer
-	fmt.Fprintf(&b, "name = %q\nlisten = %q\nops = %q\ndiscovery = %q\n", s.Name, s.Listen, s.Ops, at)
-	settings := Settings
-	if !r.opt.Alone {
-		fmt.Fprintf(&b, "peer_listen = %q\npeers = [", known[number])
-		for _, a := range known {
-			fmt.Fprintf(&b, "%q, ", a)
+	s.text = func(c Configuration) []byte {
+		var b bytes.Buffer
+		fmt.Fprintf(&b, "name = %q\nlisten = %q\nops = %q\ndiscovery = %q\n", s.Name, s.Listen, s.Ops, at)
+		if c.Revision > 0 {
+			fmt.Fprintf(&b, "revision = %d\n", c.Revision)
 		}
-		b.WriteString("]\n")
-	} else {
-		settings = strings.Replace(settings, "[settings]", fmt.Sprintf("[settings]\npeers_total = %d\nslot_no = %d", len(known), number), 1)
-	}
-	b.WriteString(settings)
-	for _, m := range members {
-		fmt.Fprintf(&b, "[[workers]]\nid = %q\nhost_port = %q\nlocality = %q\nflavor = %q\ncell = %d\nsize = %g\n",
-			m.ID, m.HostPort, m.Locality, m.Flavor, m.Cell, m.Size)
+		alike := settings
+		if !r.opt.Alone {
+			fmt.Fprintf(&b, "peer_listen = %q\npeers = [", known[number])
+			for _, a := range known {
+				fmt.Fprintf(&b, "%q, ", a)
+			}
+			b.WriteString("]\n")
+		} else {
+			alike = strings.Replace(alike, "[settings]", fmt.Sprintf("[settings]\npeers_total = %d\nslot_no = %d", len(known), number), 1)
+		}
+		b.WriteString(alike)
+		for _, team := range c.Teams {
+			fmt.Fprintf(&b, "[[settings.realms]]\nname = %q\nshare = %g\nquota_rps = %g\n", team.Name, team.Share, team.Quota)
+		}
+		for _, m := range members {
+			fmt.Fprintf(&b, "[[workers]]\nid = %q\nhost_port = %q\nlocality = %q\nflavor = %q\ncell = %d\nsize = %g\n",
+				m.ID, m.HostPort, m.Locality, m.Flavor, m.Cell, m.Size)
+		}
+		return b.Bytes()
 	}
 	if s.log, err = os.Create(strings.TrimSuffix(s.file, ".toml") + ".log"); err != nil {
 		return err
 	}
-	return os.WriteFile(s.file, b.Bytes(), 0o600)
+	return s.Replace(s.text(r.opt.Start))
 }
 
 func boxName(i int) string { return fmt.Sprintf("box-%d", i) }
@@ -391,24 +409,6 @@
 	}
 }
 
-// Load runs clients of each scheduler until the context ends and returns what they were told.
-func (r *Rig) Load(ctx context.Context, clients int, think, timeout time.Duration) []standin.Told {
-	var mu sync.Mutex
-	var all []standin.Told
-	var wg sync.WaitGroup
-	for i, s := range r.Schedulers {
-		wg.Go(func() {
-			told := standin.Clients{Target: s.Listen, Number: clients, Tenants: []string{"valley", "east"}, Think: think,
-				Timeout: timeout, Prefix: s.Name, Seed: r.opt.Seed*31 + uint64(i), Mix: Mix}.Run(ctx)
-			mu.Lock()
-			defer mu.Unlock()
-			all = append(all, told...)
-		})
-	}
-	wg.Wait()
-	return all
-}
-
 // Evidence is what the referee is given: what boxes and clients say, and when schedulers were out.
 func (r *Rig) Evidence(told []standin.Told, timeout time.Duration) Evidence {
 	e := Evidence{Told: told, Ledger: r.Ledger, Cells: r.Cells, Timeout: timeout, Outages: map[string][]Span{}, Drained: map[string][]Span{}}
