--- /dev/null
+++ b/scheduler/teams_test.go
@@ -0,0 +1,336 @@
+package scheduler_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"sedgevale/internal/config"
+	"sedgevale/internal/testkit"
+)
+
+// team is one of those who share the workers: a realm of the settings.
+type team struct {
+	Name  string  `json:"name"`
+	Share float64 `json:"share"`
+	Quota float64 `json:"quota_rps"`
+}
+
+// teams makes the realms of the file that is written next.
+func (c *child) teams(all ...team) {
+	c.t.Helper()
+	b, err := json.Marshal(all)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.config.Settings.Realms = nil
+	if err := json.Unmarshal(b, &c.config.Settings.Realms); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// retune has the scheduler go on with other teams.
+func (c *child) retune(all ...team) {
+	c.t.Helper()
+	c.teams(all...)
+	c.write()
+	c.signal(syscall.SIGHUP)
+	c.logged("configuration read again")
+}
+
+// startTeams starts a scheduler with teams, and with more of its file changed.
+func startTeams(t *testing.T, f *fleet, change func(*config.File), all ...team) *child {
+	t.Helper()
+	c := startChild(t, f)
+	c.kill()
+	c.teams(all...)
+	if change != nil {
+		change(&c.config)
+	}
+	c.write()
+	c.start()
+	return c
+}
+
+func jobOf(team, id string) []string { return job(id, "Tenant", team) }
+
+// Guards who is refused, by both fronts.
+func (c *child) stranger(team, id string) {
+	c.t.Helper()
+	if a := testkit.Await(c.t, "the answer", post(c.plain, "/usage-view", jobOf(team, id)...)); a.status != 400 {
+		c.t.Errorf("a job of %s: %+v", team, a)
+	}
+	if s := subscribe(c.t, "POST", c.sse, "usage-view", "Tenant", team, "Request-Id", id+"-stream"); s.status != 400 {
+		c.t.Errorf("a stream of %s: %d", team, s.status)
+	}
+}
+
+// serveNext carries out the next job, wherever it comes.
+func (f *fleet) serveNext() (id string) {
+	f.t.Helper()
+	r := f.next()
+	r.say(`"state":"started"`)
+	r.done(r.id)
+	return r.id
+}
+
+// result reports a stream that does not end in its job's result.
+func (s *stream) result(id string) {
+	s.t.Helper()
+	if last, _ := s.rest(); last.name != "result" || last.field(s.t, "result") != id {
+		s.t.Errorf("%s ended in %s %s", id, last.name, last.data)
+	}
+}
+
+// Guards jobs of a team that goes while they are out, or held for want of workers: each ends with its one answer under its
+// own team's name, though that team's place in the list is another's by then; so do those of a team that stays. It may come back.
+func TestTeamGoesWithJobsUnderWay(t *testing.T) {
+	f := newFleet(t, "v", "w")
+	c := startTeams(t, f, func(file *config.File) {
+		file.Journal = &config.Journal{Dir: filepath.Join(t.TempDir(), "journal"), ReserveMB: 1, MaxMB: 16}
+	}, team{"leaver", 0.3, 20}, team{"co-op", 0.7, 0})
+	tenants := []string{"leaver", "co-op"}
+	out, outAnswers := map[string]*run{}, map[string]<-chan reply{}
+	streams := map[string]*stream{}
+	for _, name := range tenants {
+		streams["out-"+name] = subscribe(t, "POST", c.sse, "plan-change", "Tenant", name, "Request-Id", "out-"+name)
+		r := f.next()
+		r.say(`"state":"started"`)
+		streams["out-"+name].until("started")
+		out[r.id] = r
+		outAnswers[name] = post(c.plain, "/plan-change", jobOf(name, "plain-"+name)...)
+		r = f.next()
+		r.say(`"state":"started"`)
+		out[r.id] = r
+	}
+	f.phase("v", "draining")
+	f.phase("w", "draining")
+	for _, name := range tenants {
+		id := "held-" + name
+		streams[id] = subscribe(t, "POST", c.sse, "plan-change", "Tenant", name, "Request-Id", id)
+		streams[id].until("accepted")
+	}
+
+	c.retune(team{"newcomer", 0.5, 10}, team{"co-op", 0.2, 30})
+	c.stranger("leaver", "late")
+	if n := f.count("plan-change"); n != 4 {
+		t.Errorf("%d jobs are out, and 4 were when all workers left", n)
+	}
+	streams["held-newcomer"] = subscribe(t, "POST", c.sse, "plan-change", "Tenant", "newcomer", "Request-Id", "held-newcomer")
+	streams["held-newcomer"].until("accepted")
+	f.phase("v", "ready")
+	f.phase("w", "ready")
+	for range 3 {
+		f.serveNext()
+	}
+	for _, name := range []string{"leaver", "co-op", "newcomer"} {
+		streams["held-"+name].result("held-" + name)
+	}
+
+	c.retune(team{"co-op", 0.2, 30}, team{"newcomer", 0.5, 10}, team{"leaver", 0.1, 5})
+	back := post(c.plain, "/plan-change", jobOf("leaver", "back")...)
+	f.serveNext()
+	if a := testkit.Await(t, "the answer", back); a.status != 200 {
+		t.Errorf("a job of the team that came back: %+v", a)
+	}
+	c.retune(team{"newcomer", 1, 0})
+	for id, r := range out {
+		r.done(id)
+	}
+	for _, name := range tenants {
+		streams["out-"+name].result("out-" + name)
+		if a := testkit.Await(t, "the answer", outAnswers[name]); a.status != 200 || a.body != "plain-"+name {
+			t.Errorf("out at %s: %+v", name, a)
+		}
+		for _, id := range []string{"out-" + name, "plain-" + name, "held-" + name} {
+			if status, r := c.ask("?job=" + id); status != 200 || r.Verdict != "ran" || r.Tenant != name || len(r.Attempts) != 1 {
+				t.Errorf("the journal of %s: %d %+v", id, status, r)
+			}
+		}
+	}
+	if status, r := c.ask("?job=held-newcomer"); status != 200 || r.Tenant != "newcomer" {
+		t.Errorf("the journal of held-newcomer: %d %+v", status, r)
+	}
+	if n := f.count("plan-change"); n != 8 {
+		t.Errorf("%d runs of 8 jobs", n)
+	}
+	again := subscribe(t, "GET", c.sse, "plan-change", "Request-Id", "out-leaver") // of a team that is gone
+	again.result("out-leaver")
+}
+
+// Guards a team whose share and quota are halved while more of its jobs are out and held than its quota lets through: none of
+// them is refused or lost, nor is any of another team's.
+func TestTeamHalvedAtItsQuota(t *testing.T) {
+	f := newFleet(t, "v", "w")
+	c := startTeams(t, f, nil, team{"heavy", 0.6, 8}, team{"co-op", 0.4, 8})
+	busy := subscribe(t, "POST", c.sse, "plan-change", "Tenant", "heavy", "Request-Id", "busy")
+	first := f.next()
+	first.say(`"state":"started"`)
+	busy.until("started")
+	f.phase("v", "draining")
+	f.phase("w", "draining")
+	streams := map[string]*stream{}
+	hold := func(name string, from, to int) {
+		for i := from; i < to; i++ {
+			id := fmt.Sprint(name, "-", i)
+			streams[id] = subscribe(t, "POST", c.sse, "plan-change", "Tenant", name, "Request-Id", id)
+			streams[id].until("accepted")
+		}
+	}
+	hold("heavy", 0, 24) // three times what it may send a second
+	hold("co-op", 0, 4)
+	c.retune(team{"light", 0.3, 4}, team{"co-op", 0.4, 8}, team{"heavy", 0.3, 4})
+	hold("light", 0, 2) // which shows that the file is in force
+	hold("heavy", 24, 28)
+	hold("co-op", 4, 8)
+	f.phase("v", "ready")
+	f.phase("w", "ready")
+	for range len(streams) / 2 {
+		f.serveNext()
+	}
+	c.retune(team{"heavy", 0.15, 2}, team{"co-op", 0.4, 8})
+	c.stranger("light", "late")
+	for range len(streams) / 2 {
+		f.serveNext()
+	}
+	first.done("busy")
+	busy.result("busy")
+	for id, s := range streams {
+		s.result(id)
+	}
+	if n := f.count("plan-change"); n != len(streams)+1 {
+		t.Errorf("%d runs of %d jobs", n, len(streams)+1)
+	}
+}
+
+// Guards changes of teams in the middle of an upgrade: each process has the file that it has read last, jobs of teams that
+// came, went and stayed end well at both, and the new process goes on with the newest.
+func TestTeamsChangeDuringUpgrade(t *testing.T) {
+	f := newFleet(t, "v", "w")
+	c := startTeams(t, f, nil, team{"leaver", 0.3, 20}, team{"co-op", 0.4, 0}, team{"stays", 0.3, 5})
+	streams, runs := map[string]*stream{}, map[string]*run{}
+	begin := func(name, id string) {
+		t.Helper()
+		streams[id] = subscribe(t, "POST", c.sse, "plan-change", "Tenant", name, "Request-Id", id)
+		r := f.next()
+		r.say(`"state":"started"`)
+		streams[id].until("started")
+		runs[r.id] = r
+	}
+	begin("leaver", "old-leaver")
+	begin("co-op", "old-co-op")
+	next := c.beside()
+	c.logged("the new process accepts clients")
+	begin("leaver", "new-leaver") // at the new process, by the first file
+	begin("stays", "new-stays")
+	newest := []team{{"stays", 0.2, 5}, {"newcomer", 0.5, 10}, {"co-op", 0.2, 30}}
+	next.retune(newest...)
+	next.stranger("leaver", "late")
+	begin("newcomer", "new-newcomer")
+	begin("co-op", "new-co-op")
+	c.retune(newest...) // the old one is told later, and has jobs of a team that is gone
+	begin("newcomer", "newer-newcomer")
+	moved := streams["old-leaver"] // its client comes back to the new process, to a stream of a team that this does not have
+	moved.leave()
+	streams["old-leaver"] = subscribe(t, "GET", next.sse, "plan-change", "Request-Id", "old-leaver")
+	streams["old-leaver"].until("started")
+	c.signal(syscall.SIGTERM)
+	c.logged("stopping")
+	for id, r := range runs {
+		r.done(id)
+	}
+	for id, s := range streams {
+		s.result(id)
+	}
+	c.ended()
+	next.logged("this one is alone")
+	next.stranger("leaver", "later")
+	for _, one := range newest {
+		begin(one.Name, "alone-"+one.Name)
+		runs["alone-"+one.Name].done("alone-" + one.Name)
+		streams["alone-"+one.Name].result("alone-" + one.Name)
+	}
+	if n := f.count("plan-change"); n != len(streams) {
+		t.Errorf("%d runs of %d jobs", n, len(streams))
+	}
+}
+
+// Guards an upgrade to a file with other teams than the old process has: what that one learned goes over by the teams' names.
+func TestUpgradeToOtherTeams(t *testing.T) {
+	f := newFleet(t, "v", "w")
+	c := startTeams(t, f, nil, team{"leaver", 0.3, 20}, team{"co-op", 0.7, 0})
+	old := subscribe(t, "POST", c.sse, "plan-change", "Tenant", "leaver", "Request-Id", "old")
+	r := f.next()
+	r.say(`"state":"started"`)
+	old.until("started")
+	before := c.config
+	c.teams(team{"newcomer", 0.2, 5}, team{"co-op", 0.8, 20})
+	next := c.beside()
+	c.config = before
+	c.logged("the new process accepts clients")
+	next.stranger("leaver", "late")
+	for _, name := range []string{"newcomer", "co-op"} {
+		s := subscribe(t, "POST", next.sse, "plan-change", "Tenant", name, "Request-Id", "new-"+name)
+		f.serveNext()
+		s.result("new-" + name)
+	}
+	c.signal(syscall.SIGTERM)
+	c.logged("stopping")
+	r.done("old")
+	old.result("old")
+	c.ended()
+	next.logged("this one is alone")
+}
+
+// Guards the door through a change of co-ops' shares: who waits there stays, also of a team that goes, and from then on
+// co-ops come in by their new shares.
+func TestDoorSharesChange(t *testing.T) {
+	f := newFleet(t, "v", "w")
+	c := startTeams(t, f, func(file *config.File) { file.Door = &config.Door{Concurrency: 1} },
+		team{"leaver", 0.2, 0}, team{"left", 0.4, 0}, team{"right", 0.4, 0})
+	const each = 8
+	streams := map[string]*stream{}
+	wait := func(name string, from, to int) {
+		for i := from; i < to; i++ {
+			id := fmt.Sprint(name, "-", i)
+			streams[id] = subscribe(t, "POST", c.sse, "usage-view", "Tenant", name, "Request-Id", id)
+			streams[id].until("accepted")
+		}
+	}
+	wait("right", 0, 1)
+	inside := f.next()
+	wait("leaver", 0, 2)
+	wait("left", 0, each)
+	wait("right", 1, each)
+	c.retune(team{"right", 0.2, 0}, team{"newcomer", 0.2, 0}, team{"left", 0.6, 0})
+	c.stranger("leaver", "late")
+	wait("newcomer", 0, 1)
+	if n := f.count("usage-view"); n != 1 {
+		t.Errorf("%d jobs are inside, and the door has room for one", n)
+	}
+	inside.done("right-0")
+	var order []string
+	left, right := 0, 0 // right: until all of left are in
+	for range len(streams) - 1 {
+		name, _, _ := strings.Cut(f.serveNext(), "-")
+		order = append(order, name)
+		if name == "left" {
+			left++
+		}
+		if name == "right" && left < each {
+			right++
+		}
+	}
+	if right < 1 || right > 4 { // a third of left; it would be as many without the change
+		t.Errorf("until all %d of left were in, %d of right were: %v", each, right, order)
+	}
+	for id, s := range streams {
+		s.result(id)
+	}
+	if n := f.count("usage-view"); n != len(streams) {
+		t.Errorf("%d runs of %d jobs", n, len(streams))
+	}
+}
