Tell other schedulers which revision of the configuration is in force, and show who is behind

Needed: after a change of teams nobody could see at which schedulers it is in force, and schedulers with old and new teams did not hear each other, since the teams were part of the site's fingerprint. Now they are not; an operator's file may have a `revision`, and each scheduler tells its number and a digest of teams and classes by rumour and by comparing hashes of the table (`internal/peers/revisions.go`), where members are watched only. `peers show` names who is behind and for how long; a lag over 15 s is logged. Checked: the present tests of internal/peers, internal/config, internal/peerlink and cmd/sedgevale pass. Ruled out: words of those that are gone dropped at once, by which a watch that wavers under loss left pairs in the dark for 18 s and more (300 members).

--- a/cmd/sedgevale/peers.go
+++ b/cmd/sedgevale/peers.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"os"
+	"strconv"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -74,14 +76,24 @@
 	c := s.Counts
 	fmt.Fprintf(out, "scheduler %d of %d; %d boxes, %d of them its part; %d datagrams (%d bytes) sent, %d received, %d refused\n\n",
 		s.Self, len(s.Members), c.Boxes, c.Part, c.Sent, c.SentBytes, c.Received, c.Refused)
+	if s.Watched {
+		fmt.Fprintf(out, "%s\n\n", inForce(s))
+	}
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "NUMBER\tSTATE\tHEARD\tLOSS")
+	fmt.Fprintln(t, "NUMBER\tSTATE\tHEARD\tLOSS\tREVISION\tIN FORCE")
 	for _, m := range s.Members {
 		heard := "never"
 		if m.HeardMS >= 0 {
 			heard = (time.Duration(m.HeardMS) * time.Millisecond).String() + " ago"
 		}
-		fmt.Fprintf(t, "%d\t%s\t%s\t%.0f%%\n", m.Number, m.State, heard, 100*m.Loss)
+		revision, state := "?", ""
+		switch {
+		case m.Digest != "":
+			revision, state = fmt.Sprintf("%d %s", m.Revision, m.Digest), standing(m)
+		case !there(m):
+			revision = "-"
+		}
+		fmt.Fprintf(t, "%d\t%s\t%s\t%.0f%%\t%s\t%s\n", m.Number, m.State, heard, 100*m.Loss, revision, state)
 	}
 	fmt.Fprintln(t, "\nBOX\tOURS\tOTHERS\tTELLERS\tOLDEST\tAUDIENCE")
 	for _, b := range s.Boxes {
@@ -93,6 +105,56 @@
 	return t.Flush()
 }
 
+// there reports whether a member counts as there.
+func there(m peers.MemberStatus) bool {
+	return m.State == "self" || m.State == "alive" || m.State == "doubted"
+}
+
+// standing tells how a member stands to the newest configuration; empty: it has it in force.
+func standing(m peers.MemberStatus) string {
+	switch {
+	case m.BehindMS >= 0:
+		return "behind " + briefly(m.BehindMS)
+	case m.Differs:
+		return "differs"
+	}
+	return ""
+}
+
+func briefly(ms int64) string {
+	return (time.Duration(ms) * time.Millisecond).Truncate(time.Second).String()
+}
+
+// inForce sums up where the newest configuration is in force, and names those where it is not.
+func inForce(s peers.Status) string {
+	var behind, differ, silent []string
+	present := 0
+	for _, m := range s.Members {
+		number := strconv.Itoa(m.Number)
+		switch {
+		case !there(m):
+			continue
+		case m.Digest == "":
+			silent = append(silent, number)
+		case m.BehindMS >= 0:
+			behind = append(behind, fmt.Sprintf("%s (%s)", number, briefly(m.BehindMS)))
+		case m.Differs:
+			differ = append(differ, number)
+		}
+		present++
+	}
+	line := fmt.Sprintf("revision %d in force at %d of %d", s.Newest, present-len(behind)-len(differ)-len(silent), present)
+	for _, part := range []struct {
+		what string
+		who  []string
+	}{{"behind", behind}, {"differs", differ}, {"not known", silent}} {
+		if len(part.who) > 0 {
+			line += "; " + part.what + ": " + strings.Join(part.who, ", ")
+		}
+	}
+	return line
+}
+
 func slotsOf(o peers.Out) string {
 	if o.Waiting == 0 {
 		return fmt.Sprint(o.Slots)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,6 +32,9 @@
 
 	Settings Settings `json:"settings"`
 
+	// Revision is the number that the operator gave this state of the configuration; 0: none.
+	Revision uint32 `json:"revision"`
+
 	// Of an operator's file alone.
 	SSE      *SSE     `json:"-"`
 	Journal  *Journal `json:"-"`
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -17,7 +17,9 @@
 // File is an operator's file: the same settings as the platform's, the workers,
 // and what the platform does not offer.
 type File struct {
-	Name      string `toml:"name"`
+	Name string `toml:"name"`
+	// Revision is counted up by the operator with each change of the file; 0: he doesn't count.
+	Revision  uint32 `toml:"revision,omitempty"`
 	Listen    string `toml:"listen"`
 	Ops       string `toml:"ops,omitempty"`
 	Discovery string `toml:"discovery,omitempty"`
@@ -95,7 +97,7 @@
 		f.Settings.SlotNo = slices.Index(f.Peers, f.PeerListen)
 		f.Settings.PeersTotal = len(f.Peers)
 	}
-	return &Config{Name: f.Name, Listen: f.Listen, Ops: f.Ops, Discovery: f.Discovery, Seed: f.Seed, Limits: f.Limits,
+	return &Config{Name: f.Name, Revision: f.Revision, Listen: f.Listen, Ops: f.Ops, Discovery: f.Discovery, Seed: f.Seed, Limits: f.Limits,
 		PeerListen: f.PeerListen, Peers: f.Peers, PeerWatch: true,
 		Known: &discovery.List{Complete: true, Members: f.Workers}, Settings: f.Settings,
 		SSE: f.SSE, Journal: f.Journal, Web: f.Web, Door: f.Door, Planners: f.Planners, Loops: f.Loops}
--- a/internal/config/peers.go
+++ b/internal/config/peers.go
@@ -1,10 +1,14 @@
 package config
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"hash/fnv"
 	"net/netip"
+	"slices"
+
+	"sedgevale/internal/peers"
 )
 
 // Most schedulers of a site.
@@ -54,13 +58,28 @@
 	return p, nil
 }
 
-// site is a fingerprint of what schedulers of one site have in common and no reload changes.
+// site is a fingerprint of what schedulers of one site have in common and no reload changes. Teams are not in it: schedulers
+// with old and new ones must hear each other.
 func (c *Config) site() uint64 {
 	h := fnv.New64a()
 	s := &c.Settings
 	fmt.Fprintf(h, "%d %d %q %q", len(c.Peers), s.Tier, s.Kinds, s.Zones)
-	for _, r := range s.Realms {
-		fmt.Fprintf(h, " %q", r.Name)
-	}
 	return h.Sum64()
 }
+
+// InForce returns what schedulers tell each other of this configuration: the operator's number, and a digest of what must be the
+// same for all and a reload takes over, the teams in any order and the classes.
+func (c *Config) InForce() peers.Revision {
+	teams := slices.Clone(c.Settings.Realms)
+	slices.SortFunc(teams, func(a, b Realm) int { return cmp.Compare(a.Name, b.Name) })
+	h := fnv.New32a()
+	for _, t := range teams {
+		fmt.Fprintf(h, "%q %v %v\n", t.Name, t.Share, t.Quota)
+	}
+	for _, k := range c.Settings.Classes {
+		on, in := k.RunsOn, k.RunsIn // as pointers they would be told by their addresses
+		k.RunsOn, k.RunsIn = nil, nil
+		fmt.Fprintf(h, "%+v %v %v\n", k, on, in)
+	}
+	return peers.Revision{Number: c.Revision, Digest: h.Sum32()}
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -35,12 +35,8 @@
 	PeersTotal int      `json:"peers_total" toml:"peers_total,omitempty"`
 	SlotNo     int      `json:"slot_no" toml:"slot_no,omitempty"`
 	Tier       int      `json:"tier" toml:"tier,omitempty"`
-	Realms     []struct {
-		Name  string  `json:"name" toml:"name,omitempty"`
-		Share float64 `json:"share" toml:"share,omitempty"`
-		Quota float64 `json:"quota_rps" toml:"quota_rps,omitempty"`
-	} `json:"realms" toml:"realms,omitempty"`
-	Report struct {
+	Realms     []Realm  `json:"realms" toml:"realms,omitempty"`
+	Report     struct {
 		Via string `json:"via" toml:"via,omitempty"`
 	} `json:"report" toml:"report,omitempty"`
 	Rules struct {
@@ -59,6 +55,13 @@
 	Zones   []string `json:"zones" toml:"zones,omitempty"`
 }
 
+// Realm is a team: a tenant of the module.
+type Realm struct {
+	Name  string  `json:"name" toml:"name,omitempty"`
+	Share float64 `json:"share" toml:"share,omitempty"`
+	Quota float64 `json:"quota_rps" toml:"quota_rps,omitempty"`
+}
+
 // Class is a class of requests.
 type Class struct {
 	Name       string  `json:"name" toml:"name,omitempty"`
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -34,8 +34,9 @@
 	Peers    []netip.AddrPort // by number, its own included
 	Self     int
 	Site     uint64
-	Watch    bool   // they watch who is there
-	Seed     uint64 // for what that draws at random
+	Watch    bool           // they watch who is there
+	Seed     uint64         // for what that draws at random
+	Revision peers.Revision // of the configuration that is in force at the start; told where they watch
 	Hearers  int
 	Least    int
 	Planners []*core.Planner
@@ -57,6 +58,7 @@
 	news   []sedgevale.Told
 
 	changes []peers.Change
+	lags    []peers.Lag
 }
 
 // New returns a Link that does nothing yet.
@@ -66,7 +68,7 @@
 	for i, a := range o.Peers {
 		l.numbers[a] = i
 	}
-	of := peers.Options{Self: o.Self, Members: len(o.Peers), Site: o.Site, Hearers: o.Hearers, Least: o.Least,
+	of := peers.Options{Self: o.Self, Members: len(o.Peers), Site: o.Site, Hearers: o.Hearers, Least: o.Least, Revision: o.Revision,
 		Incarnation: uint16(time.Now().UnixMilli() / 128)}
 	if o.Watch {
 		of.Watch = rand.New(rand.NewPCG(o.Seed, uint64(o.Self)))
@@ -158,6 +160,15 @@
 	}
 }
 
+// Revise tells the others which revision of the configuration is in force here from now on.
+func (l *Link) Revise(r peers.Revision) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.opt.Clock.Now()
+	l.node.Revise(now, r)
+	l.node.Flush(now, l.send)
+}
+
 func (l *Link) receive(from netip.AddrPort, datagram []byte) {
 	number, known := l.numbers[from]
 	if !known {
@@ -197,6 +208,35 @@
 	}
 }
 
+// lagging logs who is behind with the configuration for long, and who no longer is: one line each, or one for all.
+func (l *Link) lagging() {
+	l.lags = l.lags[:0]
+	l.node.Lags(func(lag peers.Lag) { l.lags = append(l.lags, lag) })
+	if len(l.lags) > fewChanges {
+		over := 0
+		for _, lag := range l.lags {
+			if lag.Over {
+				over++
+			}
+		}
+		l.opt.Log.Warn("many schedulers changed against the newest configuration", "newest", l.lags[0].Newest,
+			"behind", len(l.lags)-over, "level", over)
+		return
+	}
+	for _, lag := range l.lags {
+		who := "another scheduler"
+		if lag.Number == l.opt.Self {
+			who = "this scheduler"
+		}
+		at := []any{"number", lag.Number, "addr", l.opt.Peers[lag.Number], "revision", lag.Revision, "newest", lag.Newest}
+		if lag.Over {
+			l.opt.Log.Info(who+" is level again", at...)
+		} else {
+			l.opt.Log.Warn(who+" is behind", append(at, "for", lag.For.Round(time.Second))...)
+		}
+	}
+}
+
 // told takes in what a planner has out, in its goroutine.
 func (l *Link) told(planner int, changed []sedgevale.Told) {
 	l.mu.Lock()
@@ -263,6 +303,7 @@
 		l.parted()
 		l.deliver()
 		l.report()
+		l.lagging()
 		l.mu.Unlock()
 	}
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -44,6 +44,8 @@
 
 	// Watch is for what the watch on who is there draws at random; nil: nobody is watched.
 	Watch *rand.Rand
+	// Revision is the configuration that is in force at the start. It is told where there is a watch.
+	Revision Revision
 }
 
 // Node is what one scheduler tells and hears. It is not safe for concurrent use.
@@ -52,6 +54,7 @@
 	codec   codec
 	members []member
 	watch   watch
+	table   table
 	boxes   map[string]*box
 	order   []*box // the same, in the order in which they were named: what is told must not hang on a map's
 	keys    map[uint32]*box
@@ -126,7 +129,7 @@
 
 // New returns a Node.
 func New(o Options) *Node {
-	return &Node{opt: o, codec: newCodec(o.Site), members: make([]member, o.Members), watch: newWatch(o), boxes: map[string]*box{},
+	return &Node{opt: o, codec: newCodec(o.Site), members: make([]member, o.Members), watch: newWatch(o), table: newTable(o), boxes: map[string]*box{},
 		keys: map[uint32]*box{}, pending: make([]pending, o.Members), buf: make([]byte, 0, MaxDatagram)}
 }
 
@@ -261,6 +264,7 @@
 	}
 	n.sending = n.sending[:0]
 	n.post(send)
+	n.publish(send)
 }
 
 func (n *Node) tell(m uint16, b *box, send func(int, []byte)) {
@@ -321,6 +325,7 @@
 		n.heard, n.parted = heard, true
 	}
 	n.look(now)
+	n.compare(now)
 }
 
 func (n *Node) changed(b *box) {
@@ -359,11 +364,16 @@
 			floor: h.seq - firstBack, turned: now, sent: m.sent, loss: m.loss, got: firstBack - 1}
 	}
 	n.members[from].heard(now, h.seq)
-	if h.kind != kindHeld {
+	switch h.kind {
+	case kindPing, kindAck, kindAsk, kindTold:
 		n.control(now, from, h, body)
 		return nil
 	}
 	n.present(now, from, h.incarnation, 0, false)
+	if h.kind == kindWords || h.kind == kindHashes {
+		n.revisions(now, from, h, body)
+		return nil
+	}
 	for ; len(body) > 0; body = body[heldSize:] {
 		key, o := heldAt(body)
 		n.word(now, uint16(from), h.seq, key, o)
--- a/internal/peers/wire.go
+++ b/internal/peers/wire.go
@@ -42,6 +42,9 @@
 	kindAck  kind = 3 // is one
 	kindAsk  kind = 4 // asks for one of another member, or, of the sender's own number, for all that is known
 	kindTold kind = 5 // answers an ask: the first claim's member has given one
+
+	kindWords  kind = 6 // who has a revision of the configuration in force
+	kindHashes kind = 7 // hashes of parts of the table of those
 )
 
 // Why a datagram is refused.
@@ -112,10 +115,14 @@
 		entries--
 	case kindAsk:
 		entries -= 3
+	case kindWords:
+		entries, size = entries-wordsHead, wordSize
+	case kindHashes:
+		entries, size = entries-hashesHead, hashSize
 	default:
 		return h, nil, ErrKind
 	}
-	if entries < 0 || entries%size != 0 {
+	if entries < 0 || entries%size != 0 || entries == 0 && (h.kind == kindWords || h.kind == kindHashes) {
 		return h, nil, ErrLength
 	}
 	return h, body, nil
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -148,7 +148,7 @@
 		return nil, errors.Join(err, s.loop.Stop())
 	} else if plan != nil {
 		s.link = peerlink.New(peerlink.Options{Listen: plan.Listen, Peers: plan.Peers, Self: plan.Self, Site: plan.Site,
-			Watch: plan.Watch, Seed: c.SeedNumber(), Hearers: hearers, Least: leastPart, Planners: planners, Clock: s.clock, Log: opt.Log})
+			Watch: plan.Watch, Revision: c.InForce(), Seed: c.SeedNumber(), Hearers: hearers, Least: leastPart, Planners: planners, Clock: s.clock, Log: opt.Log})
 	}
 	s.members(sedgevale.ListStale, *c.Known)
 	s.rules = intake.New(s.clock, &intake.Terms{Classes: set.Classes, Tenants: set.Tenants})
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -79,6 +79,9 @@
 		}
 	}
 	s.current.Store(c)
+	if s.link != nil {
+		s.link.Revise(c.InForce())
+	}
 	set.Tenants = s.settings.Load().Tenants
 	s.settings.Store(&set)
 	s.planners.Retune(set)
