--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -84,6 +84,9 @@
 		}
 	}
 	s.current.Store(c)
+	if s.link != nil {
+		s.link.Revise(c.InForce())
+	}
 	before := s.settings.Swap(&set)
 	s.planners.Retune(set) // before the rules: whose jobs are let in is known there then
 	s.rules.Retune(&intake.Terms{Classes: set.Classes, Tenants: set.Tenants})
