--- a/internal/fleetrig/reconfigure.go
+++ b/internal/fleetrig/reconfigure.go
@@ -40,10 +40,27 @@
 	return os.Rename(next, s.file)
 }
 
-// Hangup has the scheduler read its file again. It must serve, or be frozen.
+// Hangup has the scheduler read its file again. One that is down or being started is told when it is up: until it has
+// asked for the signal, that would end it.
 func (s *Scheduler) Hangup() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.up {
+		s.owed = true
+		return nil
+	}
+	return s.cmd.Process.Signal(syscall.SIGHUP)
+}
+
+// settle notes that the scheduler is up, and tells it what it has missed.
+func (s *Scheduler) settle() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.up = true
+	if !s.owed {
+		return nil
+	}
+	s.owed = false
 	return s.cmd.Process.Signal(syscall.SIGHUP)
 }
 
--- a/internal/fleetrig/rig.go
+++ b/internal/fleetrig/rig.go
@@ -166,6 +166,8 @@
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
+	up      bool // it has served since its start, and was not killed
+	owed    bool // it is to be signalled to read its file again once it is up
 	outages []Span
 }
 
@@ -281,6 +283,7 @@
 	c := Command(s.file, dir, s.log)
 	s.mu.Lock()
 	s.cmd = c
+	s.up = false
 	s.begin()
 	err := c.Start()
 	s.mu.Unlock()
@@ -291,7 +294,7 @@
 		return fmt.Errorf("%s: %w; see %s", s.Name, err, s.log.Name())
 	}
 	s.end()
-	return nil
+	return s.settle()
 }
 
 // StartAll starts all schedulers.
@@ -355,6 +358,7 @@
 func (s *Scheduler) Kill() {
 	s.mu.Lock()
 	s.begin()
+	s.up = false
 	cmd := s.cmd
 	s.mu.Unlock()
 	if cmd != nil {
--- /dev/null
+++ b/internal/fleetrig/trial_test.go
@@ -0,0 +1,245 @@
+package fleetrig
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"sedgevale/internal/standin"
+)
+
+// inForceWithin is what a change may take until it is in force at a scheduler that has been told.
+const inForceWithin = 15 * time.Second
+
+// trial is a rig with clients of several teams, and all that they were told.
+type trial struct {
+	*Rig
+	t    *testing.T
+	ctx  context.Context
+	stop context.CancelFunc
+	busy sync.WaitGroup
+
+	mu     sync.Mutex
+	told   []standin.Told
+	probes int
+	since  time.Time // of the last change, or the beginning
+}
+
+// try starts a rig of sound boxes that begins with a configuration.
+func try(t *testing.T, schedulers int, c Configuration) *trial {
+	t.Helper()
+	o := Options{Dir: t.TempDir(), Seed: *seed, Schedulers: schedulers, Start: c}
+	for i := range 8 {
+		o.Boxes = append(o.Boxes, BoxOptions{Cell: i / 4, Slots: 4, Work: 60 * time.Millisecond})
+	}
+	f := &trial{Rig: run(t, o), t: t, since: time.Now()}
+	f.ctx, f.stop = context.WithCancel(t.Context())
+	t.Cleanup(func() { f.stop(); f.busy.Wait() })
+	if err := f.agree(agreeWithin); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+// crowd runs clients of one team at some schedulers until they are stopped, at the latest at the end.
+func (f *trial) crowd(team string, clients int, think time.Duration, at ...*Scheduler) (stop func()) {
+	ctx, stop := context.WithCancel(f.ctx)
+	f.busy.Go(func() {
+		told := f.Run(ctx, Crowd{Schedulers: at, Teams: []string{team}, Label: "-" + team, Clients: clients, Think: think, Timeout: timeout})
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.told = append(f.told, told...)
+	})
+	return stop
+}
+
+// ask hands one job of a team in and returns what was told of it.
+func (f *trial) ask(s *Scheduler, team string) standin.Told {
+	f.mu.Lock()
+	f.probes++
+	id := fmt.Sprintf("%s-%s-probe-%d", s.Name, team, f.probes)
+	f.mu.Unlock()
+	told := s.Post(f.t.Context(), id, "usage-view", team, timeout)
+	f.mu.Lock()
+	f.told = append(f.told, told)
+	f.mu.Unlock()
+	return told
+}
+
+// served asks at some schedulers with jobs of a team until one is served at each; stranger until one is told that its team
+// is not known.
+func (f *trial) served(team string, at ...*Scheduler) { f.t.Helper(); f.each(team, http.StatusOK, at) }
+func (f *trial) stranger(team string, at ...*Scheduler) {
+	f.t.Helper()
+	f.each(team, http.StatusBadRequest, at)
+}
+
+func (f *trial) each(team string, status int, at []*Scheduler) {
+	f.t.Helper()
+	type answer struct {
+		standin.Told
+		after time.Duration
+	}
+	answers := make(chan answer, len(at))
+	for _, s := range at {
+		go func() {
+			for began := time.Now(); ; time.Sleep(5 * time.Millisecond) {
+				told := f.ask(s, team)
+				if told.Status == status || time.Since(began) > inForceWithin {
+					answers <- answer{told, told.At.Sub(f.since)}
+					return
+				}
+			}
+		}()
+	}
+	var slowest time.Duration
+	for range at {
+		a := <-answers
+		if slowest = max(slowest, a.after); a.Status != status {
+			f.t.Errorf("%s: a job of %s is answered with %d %q after %v, want %d", a.Job, team, a.Status, a.Body, a.after, status)
+		}
+	}
+	f.t.Logf("jobs of %s are answered with %d at all of %d at the latest %v after the signal", team, status, len(at), slowest.Round(time.Millisecond))
+}
+
+// reconfigure gives some schedulers a new configuration.
+func (f *trial) reconfigure(c Configuration, at ...*Scheduler) {
+	f.t.Helper()
+	f.since = time.Now()
+	if err := f.Reconfigure(c, at...); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// finish ends all clients and judges what they were told.
+func (f *trial) finish() []standin.Told {
+	f.t.Helper()
+	f.stop()
+	f.busy.Wait()
+	f.judge(f.t, f.told)
+	return f.told
+}
+
+// of returns the answers to a team's jobs.
+func (f *trial) of(team string) (out []standin.Told) {
+	for _, t := range f.told {
+		if strings.Contains(t.Job, "-"+team+"-") {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// stayed reports what was told of the jobs of a team that stayed: each has its result but where its scheduler was out, and but
+// for refusals for want of time, which a loaded machine brings about; a change must not make those many.
+func (f *trial) stayed(team string) {
+	f.t.Helper()
+	f.ended(team, func(t standin.Told) bool { return t.Status == http.StatusOK })
+}
+
+// changing does so for a team that comes and goes, whose jobs may also be told that it is not known, and returns how many
+// of its jobs were under way when a moment came.
+func (f *trial) changing(team string, at time.Time) (under int) {
+	f.t.Helper()
+	f.ended(team, func(t standin.Told) bool {
+		if t.Status == http.StatusOK && t.Asked.Before(at) && t.At.After(at) {
+			under++
+		}
+		return t.Status == http.StatusOK || t.Status == http.StatusBadRequest
+	})
+	return under
+}
+
+func (f *trial) ended(team string, well func(standin.Told) bool) {
+	f.t.Helper()
+	e := f.Evidence(nil, timeout)
+	all, refused := f.of(team), 0
+	for _, t := range all {
+		scheduler, _, _ := strings.Cut(t.Job, "-")
+		switch {
+		case well(t) || t.Status == 0 && e.outage(scheduler, t.Asked, t.At): // else the referee finds it
+		case t.Status == http.StatusServiceUnavailable && strings.HasPrefix(t.Body, "cannot be in time"):
+			refused++
+		default:
+			f.t.Errorf("%s was told %d %q", t.Job, t.Status, t.Body)
+		}
+	}
+	f.t.Logf("%s: %d jobs, %d refused for want of time", team, len(all), refused)
+	if len(all) == 0 || refused > 10+len(all)/10 {
+		f.t.Errorf("%s: %d of %d jobs were refused", team, refused, len(all))
+	}
+}
+
+// account is what a scheduler's page says of the configurations in force.
+type account struct {
+	Self    int `json:"self"`
+	Newest  int `json:"newest"`
+	Members []struct {
+		Number   int    `json:"number"`
+		State    string `json:"state"`
+		Revision int    `json:"revision"`
+		Digest   string `json:"digest"`
+		BehindMS *int64 `json:"behind_ms"`
+		Differs  bool   `json:"differs"`
+	} `json:"members"`
+	Boxes []struct {
+		Tellers int `json:"tellers"`
+	} `json:"boxes"`
+	Counts struct {
+		Received uint64 `json:"received"`
+		Refused  uint64 `json:"refused"`
+	} `json:"counts"`
+}
+
+// behind returns whether a member is told to be behind; it fails where nothing is told.
+func (a *account) behind(i int) (bool, error) {
+	if i >= len(a.Members) || a.Members[i].BehindMS == nil {
+		return false, fmt.Errorf("nothing is told of whether %d is behind", i)
+	}
+	return *a.Members[i].BehindMS >= 0, nil
+}
+
+// awaitAccount asks for a scheduler's page until nothing is wrong with it.
+func (f *trial) awaitAccount(s *Scheduler, what string, wrong func(*account) error) account {
+	f.t.Helper()
+	for began := time.Now(); ; time.Sleep(10 * time.Millisecond) {
+		var a account
+		err := s.Read("/admin/peers", &a)
+		if err == nil {
+			if err = wrong(&a); err == nil {
+				f.t.Logf("%s: %s after %v", s.Name, what, time.Since(began).Round(time.Millisecond))
+				return a
+			}
+		}
+		if time.Since(began) > inForceWithin {
+			f.t.Fatalf("%s: %s: not after %v: %v", s.Name, what, time.Since(began), err)
+		}
+	}
+}
+
+// level awaits that each of some schedulers has all for level at a revision, by the same digest.
+func (f *trial) level(revision int, at ...*Scheduler) {
+	f.t.Helper()
+	for _, s := range at {
+		f.awaitAccount(s, fmt.Sprintf("all are level at %d", revision), func(a *account) error {
+			if a.Newest != revision {
+				return fmt.Errorf("the newest is %d", a.Newest)
+			}
+			for i, m := range a.Members {
+				if late, err := a.behind(i); err != nil || late || m.Differs || m.Revision != revision {
+					return fmt.Errorf("%+v, behind %v: %v", m, late, err)
+				}
+			}
+			return nil
+		})
+	}
+}
+
+// lossy has every datagram between schedulers lost by a chance.
+func (f *trial) lossy(share float64) {
+	(&Torment{Rig: f.Rig}).between(func(int, int) (Fault, bool) { return Fault{Loss: share}, true })
+}
