Load the test of changes more, and let make play a thousand changes at random

make changes plays TestTeamsChangeAgainAndAgain with CHANGES changes and freezes a scheduler for 10 s.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run torture powercut faults
+.PHONY: build test lint run torture powercut faults changes
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -33,3 +33,9 @@
 ROUNDS ?= 300
 faults:
 	go test -count=1 -timeout 0 -v ./internal/fleetrig -run TestManySchedulersThroughFaults -args -rounds $(ROUNDS) -seed $(SEED)
+
+# Teams that come, go and change their shares at many schedulers, with faults meanwhile; and a scheduler frozen for 10 s.
+CHANGES ?= 1000
+changes:
+	go test -count=1 -timeout 0 -v ./internal/fleetrig -run 'TestTeamsChangeAgainAndAgain|TestFrozenThroughAChange' \
+		-args -changes $(CHANGES) -long -seed $(SEED)
--- a/internal/fleetrig/teams_test.go
+++ b/internal/fleetrig/teams_test.go
@@ -25,8 +25,8 @@
 func TestTeamsChangeWhileServing(t *testing.T) {
 	f := try(t, 4, Configuration{1, []Team{{"valley", 0.5, 60}, {"east", 0.3, 40}, {"west", 0.2, 20}}})
 	all, restarted := f.Schedulers, f.Schedulers[1]
-	f.crowd("valley", 2, 100*time.Millisecond, all...)
-	f.crowd("east", 2, 100*time.Millisecond, all...)
+	f.crowd("valley", 2, 40*time.Millisecond, all...)
+	f.crowd("east", 2, 40*time.Millisecond, all...)
 	f.crowd("west", 3, 10*time.Millisecond, all...)
 	f.served("west", all...)
 	f.lossy(0.5)
