--- a/cmd/sedgevale/main.go
+++ b/cmd/sedgevale/main.go
@@ -21,6 +21,7 @@
 	Journal journalCmd `cmd:"" help:"Ask the journal of one-shot jobs."`
 	Peers   peersCmd   `cmd:"" help:"Ask a scheduler about the others of its site."`
 	Swarm   swarmCmd   `cmd:"" help:"Play an experiment of many schedulers in virtual time."`
+	Scale   scaleCmd   `cmd:"" help:"Measure what a scheduler costs at a size, with hollow workers and schedulers around real processes."`
 	Standin standinCmd `cmd:"" help:"Play the workers that an operator's file names, to try things out."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
