--- a/cmd/sedgevale/scale.go
+++ b/cmd/sedgevale/scale.go
@@ -49,6 +49,9 @@
 	began := time.Now()
 	all, err := scale.Run(ctx, &f, o, func(r scale.Result) { failed = errors.Join(failed, e.Encode(r)) })
 	took := time.Since(began)
+	if errors.Is(err, context.Canceled) {
+		err = fmt.Errorf("ended early, after %d points", len(all))
+	}
 	for _, one := range scale.Fits(&f, all) {
 		failed = errors.Join(failed, e.Encode(one))
 	}
--- a/internal/scale/config.go
+++ b/internal/scale/config.go
@@ -214,7 +214,7 @@
 	connectionKB = 80  // a task out at a real process: a client here, a worker's end here, and both in that process
 	workerKB     = 16  // a listener, its goroutine, and the worker in a real process
 	processKB    = 60 << 10
-	pairKB       = 0.2 // a worker and a team, in a real process: the dense state of sedgevale's tenants
+	pairKB       = 0.04 // a worker and a team, in a real process: the dense state of sedgevale's tenants
 	hereKB       = 80 << 10
 	mostSlots    = 31 // what a word between schedulers can tell of one box
 	mostMembers  = 4096
--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"time"
 )
 
@@ -42,9 +43,9 @@
 		for r := range max(1, s.Repeats) {
 			for i := range s.At {
 				size, _ := f.at(s, i) // as Check has seen
-				x := s.At[i]
+				x := f.pace(s.Of, s.At[i])
 				if s.With != "" {
-					x *= s.WithAt[i]
+					x *= f.pace(s.With, s.WithAt[i])
 				}
 				all = use(all, Point{Size: size, Repeat: r}, User{n, x})
 			}
@@ -53,6 +54,31 @@
 	return all
 }
 
+// perDay ends the keys of what comes so many times a day.
+const perDay = "_per_day"
+
+// pace turns what comes so many times a day into how often it comes a second in the run, and leaves the rest as it is.
+func (f *File) pace(key string, v float64) float64 {
+	if strings.HasSuffix(key, perDay) {
+		return v * f.Timelapse / (24 * 3600)
+	}
+	return v
+}
+
+// name is what a sweep's fits go by.
+func (s *Sweep) name() string {
+	one := func(key string) string {
+		if what, ok := strings.CutSuffix(key, perDay); ok {
+			return what + "/s"
+		}
+		return key
+	}
+	if s.With != "" {
+		return one(s.Of) + " x " + one(s.With)
+	}
+	return one(s.Of)
+}
+
 func use(all []Point, p Point, u User) []Point {
 	for i := range all {
 		if all[i].Size == p.Size && all[i].Repeat == p.Repeat {
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -26,14 +26,6 @@
 	{"discovery", "bytes/s", func(r *Result) float64 { return r.All.Discovery }},
 }
 
-// name is a sweep's keys.
-func (s *Sweep) name() string {
-	if s.With != "" {
-		return s.Of + " x " + s.With
-	}
-	return s.Of
-}
-
 // Fits fits each figure over each sweep. Points that do not count give nothing.
 func Fits(f *File, all []Result) (fits []Fit) {
 	for n := range f.Sweeps {
