--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -253,11 +253,12 @@
 // the hollow ones'.
 func (s *stage) await(ctx context.Context) (strange bool, err error) {
 	for _, p := range s.real {
-		if err := s.until(ctx, p, "does not serve", p.ready); err != nil {
+		if err := s.until(ctx, p, "does not serve", lookEvery/10, p.ready); err != nil {
 			return false, err
 		}
 		var status peers.Status
-		if err := s.until(ctx, p, "does not know all others and all workers", func() bool {
+		// Its page is long, and what it costs to write is to be small beside what is measured.
+		if err := s.until(ctx, p, "does not know all others and all workers", 2*lookEvery, func() bool {
 			var err error
 			status, err = p.status()
 			return err == nil && status.Counts.Boxes == s.size.Workers && !slices.ContainsFunc(status.Members, func(m peers.MemberStatus) bool {
@@ -287,7 +288,7 @@
 var errEnded = errors.New("ended by itself")
 
 // until waits for a condition on a real process.
-func (s *stage) until(ctx context.Context, p *process, what string, ok func() bool) error {
+func (s *stage) until(ctx context.Context, p *process, what string, every time.Duration, ok func() bool) error {
 	for deadline := time.Now().Add(settleFor); ; {
 		switch {
 		case ok():
@@ -296,7 +297,7 @@
 			return fmt.Errorf("real-%d %w: %s", p.number, errEnded, p.lastWords())
 		case time.Now().After(deadline):
 			return fmt.Errorf("real-%d %s after %v: %s", p.number, what, settleFor, p.lastWords())
-		case !pause(ctx, lookEvery/10):
+		case !pause(ctx, every):
 			return ctx.Err()
 		}
 	}
