--- a/cmd/sedgevale/scale_test.go
+++ b/cmd/sedgevale/scale_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -105,6 +106,13 @@
 			}
 			await(t, "two schedulers serve", func() bool { return serving() == 2 })
 			children := childrenOf(t, run.Process.Pid)
+			t.Cleanup(func() {
+				for _, c := range children {
+					if pid, err := strconv.Atoi(c.pid); err == nil && c.runs() {
+						_ = syscall.Kill(pid, syscall.SIGKILL)
+					}
+				}
+			})
 			if len(children) != 2 {
 				t.Fatalf("%v are its processes, want 2", children)
 			}
--- a/internal/scale/run_test.go
+++ b/internal/scale/run_test.go
@@ -114,6 +114,7 @@
 // Guards against figures of a run that had not the time to load anybody: its clock says so, and it gives no slope.
 func TestLateRunIsInvalid(t *testing.T) {
 	f := tiny(t, "")
+	f.LengthS = 0.2
 	all := play(t, f, time.Hour)
 	f.Sweeps = []Sweep{{Of: "workers", At: []float64{8, 16}}}
 	for i := range all {
--- a/internal/scale/site.go
+++ b/internal/scale/site.go
@@ -22,9 +22,9 @@
 
 const (
 	kind        = "hollow"
-	drainFor    = time.Second // before a worker is restarted or replaced
-	replaceFor  = time.Second // after a failure, until there is another
-	limitFactor = 10          // the longest that a task may take, in mean times
+	drainFor    = time.Second
+	replaceIn   = time.Second
+	limitFactor = 10 // the longest that a task may take, in mean times
 )
 
 // site is what all schedulers of a point share: the workers under the ids that they have now, and discovery.
@@ -37,6 +37,8 @@
 	addrs     []string
 	bytes     []atomic.Int64 // written by discovery, by real process
 	changes   atomic.Int64   // of the list
+	drainFor  time.Duration  // before a worker is restarted or replaced
+	replaceIn time.Duration  // after a failure, until there is another
 
 	mu      sync.Mutex
 	rand    *rand.Rand
@@ -49,7 +51,7 @@
 // newSite has discovery listen: at an address of its own for each real process, so that bytes are told apart.
 func newSite(f *File, size Size, w *Workers) (*site, error) {
 	s := &site{f: f, size: size, workers: w, rand: rand.New(rand.NewPCG(f.Seed, 0x517e)), bytes: make([]atomic.Int64, f.Real),
-		busy: make([]bool, size.Workers)}
+		busy: make([]bool, size.Workers), drainFor: drainFor, replaceIn: replaceIn}
 	for i := range size.Workers {
 		s.members = append(s.members, standin.Member{ID: fmt.Sprintf("w%d", i), HostPort: w.all[i].addr,
 			Locality: zoneName(i % f.Zones), Flavor: kind, Phase: "ready", Size: float64(size.Slots)})
@@ -140,7 +142,7 @@
 // restart drains workers and has them serve again, cold: as who they were, or replaced by others.
 func (s *site) restart(ctx context.Context, workers []int, replaced bool) {
 	s.set(false, workers, func(m *standin.Member) { m.Phase = "draining" })
-	if !pause(ctx, drainFor) {
+	if !pause(ctx, s.drainFor) {
 		return
 	}
 	for _, i := range workers {
@@ -157,7 +159,7 @@
 func (s *site) fail(ctx context.Context, worker int) {
 	s.workers.all[worker].restart()
 	s.set(true, []int{worker}, func(m *standin.Member) { m.Phase = "gone" })
-	if !pause(ctx, replaceFor) {
+	if !pause(ctx, s.replaceIn) {
 		return
 	}
 	s.set(true, []int{worker}, func(m *standin.Member) {
