--- a/internal/scale/workers.go
+++ b/internal/scale/workers.go
@@ -175,7 +175,7 @@
 	return fmt.Sprintf(`"x0":%d,"queue":%d`, max(0, w.slots-w.taken), len(w.waiting))
 }
 
-// mean draws a time with an exponential law: what is left of a task that runs has the same law as a new one's.
+// draw draws a time with an exponential law: what is left of a task that runs has the same law as a new one's.
 func (w *Workers) draw(class string) time.Duration {
 	mean := w.short
 	if class == longClass {
