Measure in the scale run after how long a team that a change adds is served

At the point of the file's own size, once the real processes have their load, a team is added to each file, SIGHUP follows, and short jobs of that team are asked for until one is not turned down with 400, for 15 s at most: from the outside, by what a client sees.

--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -68,6 +68,15 @@
 	}
 	fmt.Fprintf(out, "\n%d points in %v, %d of them invalid; %d processes at most; this one, with all that is hollow, had %.0f MB at most; changes and lists %g times as fast as a day's\n",
 		len(all), took.Round(time.Second), invalid, processes, hereMB, f.Timelapse)
+	for i, r := range all {
+		switch {
+		case r.InForceMost == 0:
+		case r.InForce == 0:
+			fmt.Fprintf(out, "point %d: jobs of a team that a change adds are not taken within %g s\n", i+1, r.InForceMost)
+		default:
+			fmt.Fprintf(out, "point %d: jobs of a team that a change adds are taken after %.3f s at the slowest real process\n", i+1, r.InForce)
+		}
+	}
 	fits := Fits(f, all)
 	if len(fits) == 0 {
 		return nil
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -46,6 +46,10 @@
 	Seconds   float64     `json:"seconds"`           // that the whole of it took
 	HereMB    float64     `json:"here_mb"`           // most memory of this process so far
 	Processes int         `json:"processes"`
+	// InForce is after how many seconds the slowest real process took a job of a team that a change had added; 0: not
+	// within InForceMost. At the point of the file's own size alone.
+	InForce     float64 `json:"in_force_s"`
+	InForceMost float64 `json:"in_force_most_s,omitempty"` // 0: not measured
 }
 
 // Measurement is of the mean real process over a time.
@@ -95,7 +99,7 @@
 		if o.Progress != nil {
 			o.Progress(i+1, len(points), p)
 		}
-		r, err := runPoint(ctx, f, o, p, workers)
+		r, err := runPoint(ctx, f, o, p, workers, i == 0)
 		if err != nil {
 			return all, err
 		}
@@ -121,7 +125,7 @@
 	wg      sync.WaitGroup
 }
 
-func runPoint(ctx context.Context, f *File, o Options, p Point, w *Workers) (r Result, err error) {
+func runPoint(ctx context.Context, f *File, o Options, p Point, w *Workers, first bool) (r Result, err error) {
 	began := time.Now()
 	r.Point = p
 	if err := w.begin(p.Size.Slots); err != nil {
@@ -172,6 +176,13 @@
 	if r.All, err = s.measure(ctx); err != nil {
 		return r, err
 	}
+	if first {
+		took, err := s.inForce(ctx)
+		if err != nil {
+			return r, err
+		}
+		r.InForce, r.InForceMost = took.Seconds(), inForceFor.Seconds()
+	}
 	r.Control.Load.StrangeAudience, r.All.Load.StrangeAudience = strange, strange
 	if why := r.Control.Load.verdict(); why != "" {
 		r.Invalid = "control: " + why
--- a/internal/scale/run_test.go
+++ b/internal/scale/run_test.go
@@ -111,6 +111,9 @@
 			t.Errorf("point %d: %v KB/s are sent with jobs, %v without", i, r.All.Sent, r.Control.Sent)
 		}
 	}
+	if one, two := all[0], all[1]; !(one.InForce > 0 && one.InForce < 15) || one.InForceMost != 15 || two.InForceMost != 0 {
+		t.Errorf("a new team's jobs are taken after %v s of %v; it was measured at the second point: %v", one.InForce, one.InForceMost, two.InForceMost)
+	}
 	for i := range all {
 		all[i].Invalid = ""
 	}
