--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -35,12 +36,8 @@
 	PeersTotal int      `json:"peers_total" toml:"peers_total,omitempty"`
 	SlotNo     int      `json:"slot_no" toml:"slot_no,omitempty"`
 	Tier       int      `json:"tier" toml:"tier,omitempty"`
-	Realms     []struct {
-		Name  string  `json:"name" toml:"name,omitempty"`
-		Share float64 `json:"share" toml:"share,omitempty"`
-		Quota float64 `json:"quota_rps" toml:"quota_rps,omitempty"`
-	} `json:"realms" toml:"realms,omitempty"`
-	Report struct {
+	Realms     []Realm  `json:"realms" toml:"realms,omitempty"`
+	Report     struct {
 		Via string `json:"via" toml:"via,omitempty"`
 	} `json:"report" toml:"report,omitempty"`
 	Rules struct {
@@ -59,6 +56,13 @@
 	Zones   []string `json:"zones" toml:"zones,omitempty"`
 }
 
+// Realm is a team: a tenant of the module.
+type Realm struct {
+	Name  string  `json:"name" toml:"name,omitempty"`
+	Share float64 `json:"share" toml:"share,omitempty"`
+	Quota float64 `json:"quota_rps" toml:"quota_rps,omitempty"`
+}
+
 // Class is a class of requests.
 type Class struct {
 	Name       string  `json:"name" toml:"name,omitempty"`
@@ -116,13 +120,22 @@
 			return wrong(at("window"), "missing, or not above 0 (seconds), though its effect is %s", c.Effect)
 		}
 	}
+	realms := make(map[string]bool, len(s.Realms))
 	for i, r := range s.Realms {
+		at := func(field string) string { return fmt.Sprintf("realms[%d].%s", i, field) }
 		switch {
 		case r.Name == "":
-			return wrong(fmt.Sprintf("realms[%d].name", i), "missing")
+			return wrong(at("name"), "missing")
+		case realms[r.Name]:
+			return wrong(at("name"), "%q is there twice", r.Name)
 		case !(r.Share > 0):
-			return wrong(fmt.Sprintf("realms[%d].share", i), "missing, or not above 0")
+			return wrong(at("share"), "missing, or not above 0")
+		case math.IsInf(r.Share, 1):
+			return wrong(at("share"), "without end")
+		case !(r.Quota >= 0) || math.IsInf(r.Quota, 1):
+			return wrong(at("quota_rps"), "want 0, for none, or a number above it (jobs a second)")
 		}
+		realms[r.Name] = true
 	}
 	if r := &s.Rules; r.WarmUp > 0 {
 		for _, f := range []struct {
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -34,8 +34,9 @@
 	Peers    []netip.AddrPort // by number, its own included
 	Self     int
 	Site     uint64
-	Watch    bool   // they watch who is there
-	Seed     uint64 // for what that draws at random
+	Watch    bool           // they watch who is there
+	Seed     uint64         // for what that draws at random
+	Revision peers.Revision // of the configuration that is in force at the start; told where they watch
 	Hearers  int
 	Least    int
 	Planners []*core.Planner
@@ -57,6 +58,7 @@
 	news   []sedgevale.Told
 
 	changes []peers.Change
+	lags    []peers.Lag
 }
 
 // New returns a Link that does nothing yet.
@@ -66,7 +68,7 @@
 	for i, a := range o.Peers {
 		l.numbers[a] = i
 	}
-	of := peers.Options{Self: o.Self, Members: len(o.Peers), Site: o.Site, Hearers: o.Hearers, Least: o.Least,
+	of := peers.Options{Self: o.Self, Members: len(o.Peers), Site: o.Site, Hearers: o.Hearers, Least: o.Least, Revision: o.Revision,
 		Incarnation: uint16(time.Now().UnixMilli() / 128)}
 	if o.Watch {
 		of.Watch = rand.New(rand.NewPCG(o.Seed, uint64(o.Self)))
@@ -158,6 +160,15 @@
 	}
 }
 
+// Revise tells the others which revision of the configuration is in force here from now on.
+func (l *Link) Revise(r peers.Revision) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.opt.Clock.Now()
+	l.node.Revise(now, r)
+	l.node.Flush(now, l.send)
+}
+
 func (l *Link) receive(from netip.AddrPort, datagram []byte) {
 	number, known := l.numbers[from]
 	if !known {
@@ -197,6 +208,32 @@
 	}
 }
 
+// lagging logs who is behind with the configuration for long, and who no longer is: one line each, or one for all.
+func (l *Link) lagging(lags []peers.Lag) {
+	if len(lags) > fewChanges {
+		level := 0
+		for _, lag := range lags {
+			if lag.Over {
+				level++
+			}
+		}
+		l.opt.Log.Warn("many schedulers are behind or level again", "behind", len(lags)-level, "level", level, "newest", lags[0].Newest)
+		return
+	}
+	for _, lag := range lags {
+		who := "another scheduler"
+		if lag.Number == l.opt.Self {
+			who = "this scheduler"
+		}
+		attrs := []any{"number", lag.Number, "addr", l.opt.Peers[lag.Number], "revision", lag.Revision, "newest", lag.Newest}
+		if lag.Over {
+			l.opt.Log.Info(who+" is level again", attrs...)
+		} else {
+			l.opt.Log.Warn(who+" is behind", append(attrs, "for", lag.For.Truncate(time.Second))...)
+		}
+	}
+}
+
 // told takes in what a planner has out, in its goroutine.
 func (l *Link) told(planner int, changed []sedgevale.Told) {
 	l.mu.Lock()
@@ -263,6 +300,9 @@
 		l.parted()
 		l.deliver()
 		l.report()
+		l.lags = l.lags[:0]
+		l.node.Lags(func(lag peers.Lag) { l.lags = append(l.lags, lag) })
+		l.lagging(l.lags)
 		l.mu.Unlock()
 	}
 }
--- a/internal/scale/site.go
+++ b/internal/scale/site.go
@@ -280,11 +280,7 @@
 		if i == size.Teams-1 {
 			share = shareMark
 		}
-		t.Realms = append(t.Realms, struct {
-			Name  string  `json:"name" toml:"name,omitempty"`
-			Share float64 `json:"share" toml:"share,omitempty"`
-			Quota float64 `json:"quota_rps" toml:"quota_rps,omitempty"`
-		}{teamName(i), share, quotaFactor * max(1, size.StartsPerS/float64(size.Teams))})
+		t.Realms = append(t.Realms, config.Realm{Name: teamName(i), Share: share, Quota: quotaFactor * max(1, size.StartsPerS/float64(size.Teams))})
 	}
 	if f.WorkersInFile {
 		for _, m := range members {
