--- a/internal/peers/revisions_test.go
+++ b/internal/peers/revisions_test.go
@@ -114,13 +114,6 @@
 	return who
 }
 
-func (n *net) sent() (bytes uint64) {
-	for _, node := range n.nodes {
-		bytes += node.Counts.SentBytes
-	}
-	return bytes
-}
-
 // Guards the times: what one changes, and what all change, is known to all within seconds, also with half of the datagrams lost.
 func TestAllLearnOfAChange(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/peers/revisions_wire_test.go
+++ b/internal/peers/revisions_wire_test.go
@@ -11,6 +11,14 @@
 	"time"
 )
 
+// sent returns the bytes that all have sent.
+func (n *net) sent() (bytes uint64) {
+	for _, node := range n.nodes {
+		bytes += node.Counts.SentBytes
+	}
+	return bytes
+}
+
 // Guards programs that do not watch: not one more byte is sent, and what they sent before is the same to the bit. The sums are
 // those of the program before there were revisions.
 func TestWithoutAWatchNothingIsTold(t *testing.T) {
