--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,10 +32,8 @@
 
 	Settings Settings `json:"settings"`
 
-	// Revision is the number that the operator gave this state of the configuration; 0: none.
-	Revision uint32 `json:"revision"`
-
 	// Of an operator's file alone.
+	Revision uint32   `json:"-"` // the number that the operator gave this state of the configuration; 0: none
 	SSE      *SSE     `json:"-"`
 	Journal  *Journal `json:"-"`
 	Web      *Web     `json:"-"`
