--- a/internal/scale/config.go
+++ b/internal/scale/config.go
@@ -64,6 +64,8 @@
 	WithAt  []float64          `toml:"with_at"`
 	Set     map[string]float64 `toml:"set"` // keys that are otherwise than in the file
 	Repeats int                `toml:"repeats"`
+	// Inverse has the fit go by 1 over the key: of what each has a part of.
+	Inverse bool `toml:"inverse"`
 }
 
 // Machine is what a run may use.
@@ -174,6 +176,8 @@
 		return errors.New("at: all points are the same")
 	case (s.With == "") != (len(s.WithAt) == 0) || s.With != "" && len(s.WithAt) != len(s.At):
 		return fmt.Errorf("with and with_at: %q and %d points, want a key and %d points, or neither", s.With, len(s.WithAt), len(s.At))
+	case s.Inverse && slices.Min(s.At) <= 0:
+		return errors.New("at: want more than 0 where inverse is true")
 	case s.Repeats < 0:
 		return fmt.Errorf("repeats: %d, want 1 or more, or none for 1", s.Repeats)
 	}
--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -44,6 +44,9 @@
 			for i := range s.At {
 				size, _ := f.at(s, i) // as Check has seen
 				x := f.pace(s.Of, s.At[i])
+				if s.Inverse {
+					x = 1 / x
+				}
 				if s.With != "" {
 					x *= f.pace(s.With, s.WithAt[i])
 				}
@@ -73,10 +76,14 @@
 		}
 		return key
 	}
+	of := one(s.Of)
+	if s.Inverse {
+		of = "1/" + of
+	}
 	if s.With != "" {
-		return one(s.Of) + " x " + one(s.With)
+		return of + " x " + one(s.With)
 	}
-	return one(s.Of)
+	return of
 }
 
 func use(all []Point, p Point, u User) []Point {
--- a/internal/scale/plan_test.go
+++ b/internal/scale/plan_test.go
@@ -88,6 +88,7 @@
 		{"sweep with too few", "", "[[sweep]]\nof = \"teams\"\nat = [4, 5]\nwith = \"workers\"\nwith_at = [8]\n", roomy, []string{"with and with_at", "want a key and 2 points"}},
 		{"sweep with nothing", "", "[[sweep]]\nof = \"teams\"\nat = [4, 5]\nwith = \"x\"\nwith_at = [8, 9]\n", roomy, []string{`with: "x" cannot be varied`}},
 		{"sweep that sets nothing", "", "[[sweep]]\nof = \"teams\"\nat = [4, 5]\nset = { x = 1 }\n", roomy, []string{`set: "x" cannot be varied`}},
+		{"inverse of 0", "", "[[sweep]]\nof = \"changes_per_day\"\nat = [0, 5]\ninverse = true\n", roomy, []string{"at: want more than 0"}},
 		{"repeats", "", "[[sweep]]\nof = \"teams\"\nat = [4, 5]\nrepeats = -1\n", roomy, []string{"repeats: -1, want 1 or more"}},
 		{"sweep beyond the machine", "", "[[sweep]]\nof = \"workers\"\nat = [8, 80]\n", Machine{MemoryMB: 12_000, Descriptors: 260, Processes: 2},
 			[]string{"sweep 1 (workers): point 2", "descriptors, want 260 at most"}},
@@ -164,6 +165,10 @@
 of = "changes_per_day"
 at = [0, 864]
 repeats = 2
+[[sweep]]
+of = "schedulers"
+at = [2, 4]
+inverse = true
 `, roomy)
 	if err != nil {
 		t.Fatal(err)
@@ -174,15 +179,17 @@
 		got = append(got, fmt.Sprintf("%d/%d/%d/%g/%d", p.Size.Workers, p.Size.Teams, p.Size.Running, p.Size.ChangesPerDay, p.Repeat))
 		users = append(users, p.Users)
 	}
-	want := []string{"8/4/24/0/0", "16/4/24/0/0", "4/2/12/0/0", "16/4/12/0/0", "8/4/24/864/0", "8/4/24/0/1", "8/4/24/864/1"}
+	want := []string{"8/4/24/0/0", "16/4/24/0/0", "4/2/12/0/0", "16/4/12/0/0", "8/4/24/864/0", "8/4/24/0/1", "8/4/24/864/1", "8/4/24/0/0", "8/4/24/0/0"}
 	if !reflect.DeepEqual(got, want) {
 		t.Errorf("points %v, want %v", got, want)
 	}
-	if want := [][]User{{{0, 8}, {2, 0}}, {{0, 16}}, {{1, 8}}, {{1, 64}}, {{2, 1}}, {{2, 0}}, {{2, 1}}}; !reflect.DeepEqual(users, want) {
+	if want := [][]User{{{0, 8}, {2, 0}}, {{0, 16}}, {{1, 8}}, {{1, 64}}, {{2, 1}}, {{2, 0}}, {{2, 1}}, {{3, 0.5}}, {{3, 0.25}}}; !reflect.DeepEqual(users, want) {
 		t.Errorf("they are used as %v, want %v", users, want)
 	}
-	if a, b, c := f.Sweeps[0].name(), f.Sweeps[1].name(), f.Sweeps[2].name(); a != "workers" || b != "teams x workers" || c != "changes/s" {
-		t.Errorf("sweeps are called %q, %q and %q", a, b, c)
+	for i, want := range []string{"workers", "teams x workers", "changes/s", "1/schedulers"} {
+		if got := f.Sweeps[i].name(); got != want {
+			t.Errorf("a sweep is called %q, want %q", got, want)
+		}
 	}
 }
 
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -49,14 +49,15 @@
 
 // Table writes points and fits for people.
 func Table(out io.Writer, f *File, all []Result, took time.Duration) error {
-	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "POINT\tWORKERS\tTEAMS\tRUNNING\tSTARTS/S\tSCHEDULERS\tCHANGES/S\tLIST/S\tCONTROL %\tALL %\tCONTROL MB\tALL MB\tCTL SENT KB/S\tSENT KB/S\tRECEIVED KB/S\tDATAGRAMS/S\tDISCOVERY B/S\t\t")
+	t := tabwriter.NewWriter(out, 0, 0, 1, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "\t\t\t\t\t\tCHANGES\tLIST\tCPU %\tCPU %\tMB\tMB\tSENT\tRECV\tDATA-\tDISC\t")
+	fmt.Fprintln(t, "POINT\tWORKERS\tTEAMS\tRUNNING\tSTARTS/S\tSCHED\t/S\t/S\tCONTROL\tALL\tCONTROL\tALL\tKB/S\tKB/S\tGRAMS/S\tBYTES/S\t")
 	hereMB, processes, invalid := 0.0, 0, 0
 	for i, r := range all {
 		s := r.Size
 		lists := float64(2) * (s.RestartsPerDay + s.FailuresPerDay) * f.Timelapse / 86400
-		fmt.Fprintf(t, "%d\t%d\t%d\t%d\t%g\t%d\t%.2f\t%.3f\t%.2f\t%.2f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.0f\t%.0f\t%s\t\n", i+1, s.Workers, s.Teams, s.Running,
-			s.StartsPerS, s.Schedulers, s.ChangesPerDay*f.Timelapse/86400, lists, r.Control.CPU, r.All.CPU, r.Control.RSS, r.All.RSS, r.Control.Sent,
+		fmt.Fprintf(t, "%d\t%d\t%d\t%d\t%g\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.1f\t%.1f\t%.1f\t%.1f\t%.0f\t%.0f\t%s\n", i+1, s.Workers, s.Teams, s.Running,
+			s.StartsPerS, s.Schedulers, s.ChangesPerDay*f.Timelapse/86400, lists, r.Control.CPU, r.All.CPU, r.Control.RSS, r.All.RSS,
 			r.All.Sent, r.All.Received, r.All.Datagrams, r.All.Discovery, mark(r.Invalid))
 		hereMB, processes = max(hereMB, r.HereMB), max(processes, r.Processes)
 		if r.Invalid != "" {
@@ -74,7 +75,7 @@
 	}
 	fmt.Fprintln(out)
 	t = tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "SWEEP\tFIGURE\tUNIT\tRUNS\tAT 0\tSLOPE\t+-\tLARGEST\tBY THE OTHERS\tMEASURED\t")
+	fmt.Fprintln(t, "SWEEP\tFIGURE\tUNIT\tRUNS\tAT 0\tSLOPE\t+-\tLARGEST\tBY THE OTHERS\tMEASURED\t20%")
 	for i := range fits {
 		one := &fits[i]
 		unit := ""
@@ -83,13 +84,13 @@
 				unit = g.unit
 			}
 		}
-		holds := "within 20%"
+		holds := "holds"
 		if math.IsNaN(one.Predicted) {
-			holds = "nothing to compare with"
+			holds = "unknown"
 		} else if !one.Holds() {
-			holds = "NOT within 20%"
+			holds = "NOT"
 		}
-		fmt.Fprintf(t, "%d %s\t%s\t%s\t%d\t%.3g\t%.3g\t%.2g\t%g\t%.4g\t%.4g\t%s\n", one.Sweep+1, one.Of, one.Figure, unit, one.N, one.Base, one.Slope,
+		fmt.Fprintf(t, "%d %s\t%s\t%s\t%d\t%.3g\t%.3g\t%.2g\t%.4g\t%.4g\t%.4g\t%s\n", one.Sweep+1, one.Of, one.Figure, unit, one.N, one.Base, one.Slope,
 			one.Error, one.Largest, one.Predicted, one.Measured, holds)
 	}
 	return t.Flush()
@@ -99,7 +100,7 @@
 	if invalid == "" {
 		return ""
 	}
-	return "INVALID: " + strings.ReplaceAll(invalid, "\t", " ")
+	return "  INVALID: " + strings.ReplaceAll(invalid, "\t", " ")
 }
 
 // MarshalJSON writes what is not known as null.
