--- a/internal/slopes/rest.go
+++ b/internal/slopes/rest.go
@@ -11,12 +11,14 @@
 // Told is what schedulers of a site told each other for a while.
 type Told struct {
 	Schedulers int
+	Words      float64 // a scheduler's boxes with tasks, times the others that hear of each
 	Entries    float64 // told a second by a scheduler, on average
 	Datagrams  float64 // sent a second by a scheduler
 	Sent       float64 // bytes a second by a scheduler
 	MostSent   float64 // by the one that sent most
 	Received   float64
-	Claims     float64       // bytes a second of what is not about tasks: the watch
+	Watch      float64       // bytes a second of the watch on who is there
+	Other      float64       // of what is neither that nor about tasks
 	Signals    time.Duration // processor time a second of a scheduler
 }
 
@@ -29,7 +31,9 @@
 	received []int
 	told     Told
 	spent    time.Duration
-	watching int
+	watch    int
+	other    int
+	words    int
 }
 
 // Rest plays a site where running tasks, over all schedulers together, do not change, for so long after a warm-up.
@@ -53,6 +57,14 @@
 				n.Out(0, id, peers.Out{Slots: slots[id]}, false)
 			}
 		}
+		for _, b := range n.Status(0).Boxes {
+			if b.Ours != (peers.Out{}) {
+				r.words += len(b.Audience)
+				if slices.Contains(b.Audience, uint16(i)) {
+					r.words--
+				}
+			}
+		}
 		r.nodes = append(r.nodes, n)
 		r.after(time.Duration(rng.Int64N(int64(peers.TickEvery))), event{kind: dueTick, to: int32(i)})
 	}
@@ -60,7 +72,7 @@
 	r.run(warm)
 	clear(r.sent)
 	clear(r.received)
-	r.told, r.spent, r.watching = Told{}, 0, 0
+	r.told, r.spent, r.watch, r.other = Told{}, 0, 0, 0
 	r.run(warm + length)
 	t, per := r.told, 1/length.Seconds()/float64(l.Schedulers)
 	for i := range r.sent {
@@ -69,7 +81,8 @@
 	}
 	t.MostSent = float64(slices.Max(r.sent)) / length.Seconds()
 	t.Schedulers, t.Entries, t.Datagrams = l.Schedulers, t.Entries*per, t.Datagrams*per
-	t.Claims = float64(r.watching) * per
+	t.Words = float64(r.words) / float64(l.Schedulers)
+	t.Watch, t.Other = float64(r.watch)*per, float64(r.other)*per
 	t.Signals = time.Duration(float64(r.spent) * per)
 	return t
 }
@@ -94,8 +107,11 @@
 			entries := entriesOf(datagram)
 			r.told.Entries += float64(entries)
 			r.told.Datagrams++
-			if entries == 0 {
-				r.watching += len(datagram)
+			switch kind := datagram[0] & 15; {
+			case kind > lastWatch:
+				r.other += len(datagram)
+			case kind > kindHeld:
+				r.watch += len(datagram)
 			}
 			r.sent[e.to] += len(datagram)
 			r.after(way, event{kind: dueDatagram, to: int32(to), job: e.to, data: slices.Clone(datagram)})
@@ -110,6 +126,7 @@
 	headAndCheck = 8
 	entrySize    = 4
 	kindHeld     = 1
+	lastWatch    = 5
 )
 
 // entriesOf returns how many boxes a datagram tells of: none if it is of the watch on who is there.
--- a/internal/slopes/site.go
+++ b/internal/slopes/site.go
@@ -18,7 +18,7 @@
 const (
 	way       = 200 * time.Microsecond // to a worker or another scheduler
 	longRun   = 80_000 * time.Second   // 41,000 running at 44,000 starts a day (Little's law)
-	bringFor  = 10 * time.Second       // long tasks come in within it
+	bringFor  = 5 * time.Second        // long tasks come in within it
 	idsAtOnce = 4096
 	mostSends = 6
 )
--- a/internal/slopes/slopes_test.go
+++ b/internal/slopes/slopes_test.go
@@ -79,9 +79,13 @@
 	bound{"entries told for a job", 13.9}.check(t, entries)
 	l.Workers = 200
 	told := Rest(l, 2000, 5*time.Second)
-	bound{"bytes of a word, with its part of the datagram", 4.2}.check(t, (told.Sent-told.Claims)/told.Entries)
+	bound{"bytes of a word, with its part of the datagram", 4.2}.check(t, (told.Sent-told.Watch-told.Other)/told.Words)
+	bound{"times a second that an unchanged word is told", 1}.check(t, told.Entries/told.Words)
 	bound{"words a second for a task that does not change", 4.0}.check(t, told.Entries*float64(l.Schedulers)/2000)
-	bound{"bytes a second of the watch", 72}.check(t, told.Claims)
+	bound{"bytes a second of the watch", 72}.check(t, told.Watch)
+	if told.Other > 200 {
+		t.Errorf("%.0f bytes a second of neither tasks nor the watch, 200 at most", told.Other)
+	}
 }
 
 // Guards the measure itself: the load is reached, rounds keep their pace, nothing is refused, and the same seed gives the same.
--- /dev/null
+++ b/internal/slopes/times_test.go
@@ -0,0 +1,109 @@
+package slopes
+
+import "testing"
+
+// What follows is timed: it wants a machine that does nothing else.
+
+// times: a round and a job against workers, teams, running tasks and jobs a second, each alone around the half of the target.
+func times(t *testing.T) {
+	target := form().target
+	var rows [][]float64
+	var round, job []float64
+	row := func(l Load) []float64 {
+		return []float64{1, float64(l.Workers), float64(l.Teams), float64(l.Running), l.JobsPerS}
+	}
+	half := target
+	half.Workers, half.Teams, half.Running, half.JobsPerS = target.Workers/2, target.Teams/2, target.Running/2, target.JobsPerS/2
+	for _, vary := range []struct {
+		name string
+		set  func(l *Load, by float64)
+	}{
+		{"workers", func(l *Load, by float64) { l.Workers = scaled(target.Workers, by) }},
+		{"teams", func(l *Load, by float64) { l.Teams = scaled(target.Teams, by) }},
+		{"running", func(l *Load, by float64) { l.Running = scaled(target.Running, by) }},
+		{"jobs", func(l *Load, by float64) { l.JobsPerS = target.JobsPerS * by }},
+	} {
+		for _, by := range parts {
+			l := half
+			vary.set(&l, by)
+			points := measured(t, "times "+vary.name, l)
+			for _, p := range points {
+				rows, round, job = append(rows, row(l)), append(round, p.RoundUS), append(job, p.JobUS)
+			}
+			r, r0, r1 := mean(points, func(p Point) float64 { return p.RoundUS })
+			j, j0, j1 := mean(points, func(p Point) float64 { return p.JobUS })
+			t.Logf("%s at %.2f of the target, the rest at half: a round %.0f us (%.0f to %.0f), a job %.1f us (%.1f to %.1f)", vary.name, by, r, r0, r1, j, j0, j1)
+		}
+	}
+	points := measured(t, "times target", target)
+	r, _, _ := mean(points, func(p Point) float64 { return p.RoundUS })
+	j, _, _ := mean(points, func(p Point) float64 { return p.JobUS })
+	share, least, most := mean(points, func(p Point) float64 { return p.Share })
+	names := []string{"base", "worker", "team", "task", "job a second"}
+	fitted(t, "a round", "microseconds", names, rows, round, row(target), r)
+	fitted(t, "a job", "microseconds", names, rows, job, row(target), j)
+	t.Logf("module at the target: %.2f%% of a core (%.2f to %.2f), of which rounds %.2f%%", share, least, most, 100*r*10/1e6)
+	one := target
+	one.JobsPerS, one.Running, one.Schedulers, one.Part = 14*target.JobsPerS, form().running(), 1, false
+	p := MeasureFor(one, form().minute)
+	note(t, "times all in one", p)
+	t.Logf("all %.0f jobs a second and %d tasks in one scheduler: a round %.0f us, a job %.1f us, %.2f%% of a core; %d refused, %d sent to full workers",
+		one.JobsPerS, one.Running, p.RoundUS, p.JobUS, p.Share, p.Refused, p.Full)
+}
+
+// lists: a list of workers, by the module and by the Node.
+func lists(t *testing.T) {
+	var rows [][]float64
+	var whole, patch, audiences, replaced []float64
+	workers := form().target.Workers
+	point := func(workers, schedulers int) ListPoint {
+		l := form().target
+		l.Workers, l.Schedulers = workers, schedulers
+		p := Lists(l, form().lists)
+		note(t, "lists", p)
+		t.Logf("%d workers, %d schedulers: whole list %.2f ms, one entry %.4f ms, %d replaced %.2f ms, audiences %.2f ms", workers, schedulers,
+			p.WholeMS, p.PatchMS, p.Replaced, p.ReplacedMS, p.AudiencesMS)
+		return p
+	}
+	for _, by := range parts {
+		for range form().repeats {
+			p := point(scaled(workers, by), 14)
+			rows = append(rows, []float64{1, float64(p.Workers)})
+			whole, patch = append(whole, p.WholeMS), append(patch, p.PatchMS)
+			audiences, replaced = append(audiences, p.AudiencesMS), append(replaced, p.ReplacedMS)
+		}
+	}
+	direct := point(workers, 14)
+	names, at := []string{"base", "worker"}, []float64{1, float64(workers)}
+	fitted(t, "a whole list", "ms", names, rows, whole, at, direct.WholeMS)
+	fitted(t, "one entry of a list", "ms", names, rows, patch, at, direct.PatchMS)
+	fitted(t, "a list with 170 others", "ms", names, rows, replaced, at, direct.ReplacedMS)
+	fitted(t, "audiences, 14 schedulers", "ms", names, rows, audiences, at, direct.AudiencesMS)
+	for _, n := range form().others {
+		point(workers, n)
+	}
+}
+
+// signalTimes: what Nodes spend for tasks that do not change.
+func signalTimes(t *testing.T) {
+	for _, n := range append([]int{14}, form().others...) {
+		l := form().target
+		l.Schedulers = n
+		for range form().repeats {
+			told := Rest(l, form().running(), form().rest/2)
+			note(t, "signals", told)
+			t.Logf("%d schedulers, %d running: %.3f%% of a core for the Node of each", n, form().running(), 100*told.Signals.Seconds())
+		}
+	}
+	l := form().target
+	s := newSite(l, l.Schedulers, true)
+	length := form().minute / 6
+	s.run(2 * length)
+	s.spent = Spent{}
+	s.run(3 * length)
+	per := 100 / length.Seconds() / float64(l.Schedulers)
+	t.Logf("%d real schedulers, %.0f jobs a second and %d tasks in all: signals %.2f%%, rounds %.2f%%, jobs %.2f%% of a core each; sent %.1f KB/s each; %d refused, %d sent to full workers, %d jobs",
+		l.Schedulers, l.JobsPerS*float64(l.Schedulers), form().running(), per*s.spent.Signals.Seconds(), per*s.spent.Round.Seconds(), per*s.spent.Job.Seconds(),
+		float64(s.spent.Bytes)/length.Seconds()/float64(l.Schedulers)/1000, s.spent.Refused, s.spent.Full, s.spent.Jobs)
+	note(t, "site", s.spent)
+}
