--- a/internal/slopes/measure.go
+++ b/internal/slopes/measure.go
@@ -1,12 +1,14 @@
 package slopes
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"runtime"
 	"time"
 
 	"sedgevale"
+	"sedgevale/internal/discovery"
 	"sedgevale/internal/peers"
 )
 
@@ -111,13 +113,16 @@
 	return float64(with.Bytes-without.Bytes) / jobs, float64(with.Entries-without.Entries) / jobs, float64(with.Sends) / jobs
 }
 
-// ListPoint is the processor time of a list of workers, in milliseconds.
+// ListPoint is the processor time of a list of workers, in milliseconds, and its bytes.
 type ListPoint struct {
 	Workers, Schedulers int
 	WholeMS, PatchMS    float64 // by the Dispatcher: the list anew, and one entry of it
 	AudiencesMS         float64 // by the Node: who hears of whom
-	ReplacedMS          float64 // by the Dispatcher: a whole list in which 170 workers are others
+	ReplacedMS          float64 // by the Dispatcher: a whole list in which up to 170 workers are others
 	Replaced            int
+	RetuneMS            float64 // by the Dispatcher: the same settings again
+	ParseMS             float64 // of the whole list as discovery tells it
+	Bytes               int     // of that
 }
 
 // Lists measures what a list costs.
@@ -128,7 +133,19 @@
 	d := s.scheds[0].d
 	p := ListPoint{Workers: l.Workers, Schedulers: l.Schedulers, Replaced: min(170, l.Workers/2)}
 	node := l.node(0)
+	text := listText(l.Workers)
+	p.Bytes = len(text)
 	for range repeats {
+		p.ParseMS += timed(func() {
+			if _, err := discovery.Parse(text); err != nil {
+				panic(err) // the list is ours
+			}
+		})
+		p.RetuneMS += timed(func() {
+			if err := d.Retune(l.settings()); err != nil {
+				panic(err) // the settings are ours
+			}
+		})
 		p.WholeMS += timed(func() { d.Members(s.now, sedgevale.ListWhole, s.members) })
 		one := s.members[s.rand.IntN(len(s.members))]
 		one.State = sedgevale.Leaving
@@ -143,10 +160,25 @@
 		d.Members(s.now, sedgevale.ListWhole, s.members)
 	}
 	n := float64(repeats)
+	p.ParseMS, p.RetuneMS = p.ParseMS/n, p.RetuneMS/n
 	p.WholeMS, p.PatchMS, p.AudiencesMS, p.ReplacedMS = p.WholeMS/n, p.PatchMS/n, p.AudiencesMS/n, p.ReplacedMS/n
 	return p
 }
 
+// listText is a whole list as discovery writes it.
+func listText(workers int) []byte {
+	list := discovery.List{Revision: 1, Complete: true}
+	for i, id := range workerIDs(rand.New(rand.NewPCG(1, 1)), workers) {
+		list.Members = append(list.Members, discovery.Member{ID: id, HostPort: fmt.Sprintf("10.%d.%d.%d:8080", i>>16, i>>8&255, i&255),
+			Locality: fmt.Sprintf("zone-%02d", i%19), Flavor: "kind-1", Cell: i / 8, Phase: "ready", Size: 16, UpSince: 1_796_000_000_000})
+	}
+	text, err := json.Marshal(list)
+	if err != nil {
+		panic(err) // the list is ours
+	}
+	return text
+}
+
 func timed(do func()) (ms float64) {
 	from := time.Now()
 	do()
--- a/internal/slopes/times_test.go
+++ b/internal/slopes/times_test.go
@@ -54,15 +54,15 @@
 // lists: a list of workers, by the module and by the Node.
 func lists(t *testing.T) {
 	var rows [][]float64
-	var whole, patch, audiences, replaced []float64
+	var whole, patch, audiences, replaced, parse []float64
 	workers := form().target.Workers
 	point := func(workers, schedulers int) ListPoint {
 		l := form().target
 		l.Workers, l.Schedulers = workers, schedulers
 		p := Lists(l, form().lists)
 		note(t, "lists", p)
-		t.Logf("%d workers, %d schedulers: whole list %.2f ms, one entry %.4f ms, %d replaced %.2f ms, audiences %.2f ms", workers, schedulers,
-			p.WholeMS, p.PatchMS, p.Replaced, p.ReplacedMS, p.AudiencesMS)
+		t.Logf("%d workers, %d schedulers: whole list %.2f ms, one entry %.4f ms, %d replaced %.2f ms, audiences %.2f ms; %d bytes parsed in %.2f ms; settings again %.2f ms",
+			workers, schedulers, p.WholeMS, p.PatchMS, p.Replaced, p.ReplacedMS, p.AudiencesMS, p.Bytes, p.ParseMS, p.RetuneMS)
 		return p
 	}
 	for _, by := range parts {
@@ -71,6 +71,7 @@
 			rows = append(rows, []float64{1, float64(p.Workers)})
 			whole, patch = append(whole, p.WholeMS), append(patch, p.PatchMS)
 			audiences, replaced = append(audiences, p.AudiencesMS), append(replaced, p.ReplacedMS)
+			parse = append(parse, p.ParseMS)
 		}
 	}
 	direct := point(workers, 14)
@@ -78,6 +79,7 @@
 	fitted(t, "a whole list", "ms", names, rows, whole, at, direct.WholeMS)
 	fitted(t, "one entry of a list", "ms", names, rows, patch, at, direct.PatchMS)
 	fitted(t, "a list with 170 others", "ms", names, rows, replaced, at, direct.ReplacedMS)
+	fitted(t, "a whole list parsed", "ms", names, rows, parse, at, direct.ParseMS)
 	fitted(t, "audiences, 14 schedulers", "ms", names, rows, audiences, at, direct.AudiencesMS)
 	for _, n := range form().others {
 		point(workers, n)
