Let hollow workers keep jobs until a slot is free, and time a scheduler that is full

Where there are more jobs than slots the module goes round all teams at each event; by reading that grows with teams.

--- a/internal/slopes/full_test.go
+++ b/internal/slopes/full_test.go
@@ -54,7 +54,7 @@
 		run  func(t *testing.T)
 	}{
 		{"heap", heapSlopes}, {"allocations", allocationSlopes}, {"node", nodeHeap}, {"rest", restSlopes}, {"words", wordSlopes},
-		{"way", wayThere}, {"unlearned", unlearned}, {"times", times}, {"lists", lists}, {"signals", signalTimes},
+		{"way", wayThere}, {"unlearned", unlearned}, {"times", times}, {"crowded", crowded}, {"lists", lists}, {"signals", signalTimes},
 	} {
 		t.Run(part.name, part.run)
 	}
--- a/internal/slopes/site.go
+++ b/internal/slopes/site.go
@@ -23,7 +23,7 @@
 	mostSends = 6
 )
 
-// site is schedulers of one site over hollow workers, which start each job at once and keep their time to the microsecond.
+// site is schedulers of one site over hollow workers, which start jobs in the order in which they come, as slots are free.
 type site struct {
 	clock
 	load    Load
@@ -31,7 +31,8 @@
 	members []sedgevale.WorkerInfo
 	ids     []string // of workers
 	index   map[string]int32
-	taken   []int32 // slots, by worker
+	taken   []int32   // slots, by worker
+	queues  [][]place // jobs that wait there
 	jobs    []job
 	names   []string
 	byID    map[string]int32
@@ -40,6 +41,11 @@
 	spent   Spent
 }
 
+// place is an attempt that waits at a worker.
+type place struct {
+	job, n, sched int32
+}
+
 // job is what a client wants.
 type job struct {
 	id     string
@@ -49,6 +55,7 @@
 	sends  int8 // attempts
 	open   int8 // of those, not over
 	ended  bool
+	began  uint8            // attempts that a worker has started, a bit each
 	where  [mostSends]int32 // worker by attempt; -1: over
 }
 
@@ -83,7 +90,7 @@
 		s.index[id] = int32(i)
 		s.members = append(s.members, sedgevale.WorkerInfo{Worker: id, Zone: i % 19, Cell: i / 8, Weight: float64(l.Slots)})
 	}
-	s.taken = make([]int32, l.Workers)
+	s.taken, s.queues = make([]int32, l.Workers), make([][]place, l.Workers)
 	for i := range scheds {
 		s.start(int32(i), signals)
 	}
@@ -199,7 +206,35 @@
 	c.tell()
 }
 
-func (s *site) freeAt(worker int32) float64 { return float64(int32(s.load.Slots) - s.taken[worker]) }
+// freeAt is what a worker reports: below 0 if jobs wait there.
+func (s *site) freeAt(worker int32) float64 {
+	return float64(s.load.Slots - int(s.taken[worker]) - len(s.queues[worker]))
+}
+
+// begin has a worker start an attempt on a free slot.
+func (s *site) begin(worker int32, p place) {
+	s.taken[worker]++
+	j := &s.jobs[p.job]
+	j.began |= 1 << p.n
+	s.after(2*way, event{kind: dueStarted, to: p.sched, job: p.job, n: p.n})
+	if j.class == short {
+		s.after(2*way+j.run, event{kind: dueEnded, to: p.sched, job: p.job, n: p.n})
+	}
+}
+
+// leave has an attempt leave a worker, and the next that waits begin.
+func (s *site) leave(worker, job, n int32) {
+	if s.jobs[job].began&(1<<n) == 0 {
+		s.queues[worker] = slices.DeleteFunc(s.queues[worker], func(p place) bool { return p.job == job && p.n == n })
+		return
+	}
+	s.taken[worker]--
+	if q := s.queues[worker]; len(q) > 0 {
+		next := q[0]
+		s.queues[worker] = slices.Delete(q, 0, 1)
+		s.begin(worker, next)
+	}
+}
 
 // take has a client hand in a job.
 func (c *sched) take(class int, run time.Duration) {
@@ -236,7 +271,7 @@
 	}
 	worker := j.where[e.n]
 	j.where[e.n] = -1
-	s.taken[worker]--
+	s.leave(worker, e.job, e.n)
 	j.open--
 	o := sedgevale.Served
 	if e.kind == dueCancelled {
@@ -261,7 +296,7 @@
 
 // What follows is the scheduler's side of sedgevale.Host.
 
-// Send has a hollow worker start the job at once.
+// Send has a hollow worker start the job, or keep it until a slot is free.
 func (c *sched) Send(id, worker string, _ time.Duration) {
 	s := c.s
 	at, w := s.byID[id], s.index[worker]
@@ -271,12 +306,11 @@
 	j.sends++
 	j.open++
 	s.spent.Sends++
-	if s.taken[w]++; s.taken[w] > int32(s.load.Slots) {
+	if p := (place{at, n, c.number}); s.taken[w] < int32(s.load.Slots) {
+		s.begin(w, p)
+	} else {
 		s.spent.Full++
-	}
-	s.after(2*way, event{kind: dueStarted, to: c.number, job: at, n: n})
-	if j.class == short {
-		s.after(2*way+j.run, event{kind: dueEnded, to: c.number, job: at, n: n})
+		s.queues[w] = append(s.queues[w], p)
 	}
 }
 
--- a/internal/slopes/times_test.go
+++ b/internal/slopes/times_test.go
@@ -51,6 +51,36 @@
 		one.JobsPerS, one.Running, p.RoundUS, p.JobUS, p.Share, p.Refused, p.Full)
 }
 
+// crowded: a round and a job against teams where there are more jobs than slots, so that jobs are held and refused.
+func crowded(t *testing.T) {
+	target := form().target
+	for _, over := range []float64{0.95, 1.2} {
+		var rows [][]float64
+		var job []float64
+		l := Load{Workers: 100, Slots: 1, Schedulers: 1, JobsPerS: 100 * over, ShortS: 1}
+		play := func(by float64) float64 {
+			l.Teams = scaled(target.Teams, by)
+			sum := 0.0
+			for seed := range form().repeats {
+				l.Seed = uint64(seed + 1)
+				p := MeasureFor(l, form().minute)
+				note(t, "crowded", p)
+				t.Logf("%d teams, %.2f times the slots: a round %.0f us, a job %.1f us, %.2f%% of a core, %d refused of %d", l.Teams, over, p.RoundUS, p.JobUS,
+					p.Share, p.Refused, p.Jobs)
+				rows, job = append(rows, []float64{1, float64(l.Teams)}), append(job, p.JobUS)
+				sum += p.JobUS
+			}
+			return sum / float64(form().repeats)
+		}
+		for _, by := range parts {
+			play(by)
+		}
+		rows4, job4 := rows, job
+		direct := play(1)
+		fitted(t, "a job where all is full", "microseconds", []string{"base", "team"}, rows4, job4, []float64{1, float64(target.Teams)}, direct)
+	}
+}
+
 // lists: a list of workers, by the module and by the Node.
 func lists(t *testing.T) {
 	var rows [][]float64
