--- a/internal/slopes/full_test.go
+++ b/internal/slopes/full_test.go
@@ -54,7 +54,7 @@
 		run  func(t *testing.T)
 	}{
 		{"heap", heapSlopes}, {"allocations", allocationSlopes}, {"node", nodeHeap}, {"rest", restSlopes}, {"words", wordSlopes},
-		{"way", wayThere}, {"unlearned", unlearned}, {"times", times}, {"crowded", crowded}, {"lists", lists}, {"signals", signalTimes},
+		{"way", wayThere}, {"unlearned", unlearned}, {"assumptions", assumptions}, {"times", times}, {"crowded", crowded}, {"lists", lists}, {"signals", signalTimes},
 	} {
 		t.Run(part.name, part.run)
 	}
@@ -319,3 +319,33 @@
 		t.Logf("%d long tasks running, class not learned %v: %.0f slots on the books after a minute, those of short jobs included", l.Running, u, p.Held)
 	}
 }
+
+// assumptions varies what the letter leaves open.
+func assumptions(t *testing.T) {
+	target := form().target
+	play := func(what string, l Load) {
+		p := MeasureFor(l, form().minute)
+		note(t, "assumptions", p)
+		told := Rest(l, form().running(), form().rest/2)
+		t.Logf("%s: heap %.4g bytes, %d refused, %d jobs had to wait at a worker; at rest sent %.1f KB/s", what, p.Heap, p.Refused, p.Full, told.Sent/1000)
+	}
+	play("as assumed", target)
+	for _, slots := range []int{13, 32} {
+		l := target
+		l.Slots = slots
+		play(fmt.Sprintf("%d slots a worker", slots), l)
+	}
+	for _, s := range []float64{0.1, 10} {
+		l := target
+		l.ShortS = s
+		play(fmt.Sprintf("short jobs of %g s", s), l)
+	}
+	for _, by := range []float64{0.1, 0.5} {
+		l := target
+		l.Running = scaled(target.Running, by)
+		p := MeasureFor(l, form().minute)
+		told := Rest(l, scaled(form().running(), by), form().rest/2)
+		note(t, "assumptions", p)
+		t.Logf("%d tasks running here: heap %.4g bytes; at rest sent %.1f KB/s", l.Running, p.Heap, told.Sent/1000)
+	}
+}
