Time what the two processes of an upgrade tell each other, against workers in use

By reading, internal/core's Shared has each worker ever used, as JSON, after each send, start or end, every 10 ms at most; that grows as jobs times workers.

--- a/internal/slopes/full_test.go
+++ b/internal/slopes/full_test.go
@@ -54,7 +54,7 @@
 		run  func(t *testing.T)
 	}{
 		{"heap", heapSlopes}, {"allocations", allocationSlopes}, {"node", nodeHeap}, {"rest", restSlopes}, {"words", wordSlopes},
-		{"way", wayThere}, {"unlearned", unlearned}, {"assumptions", assumptions}, {"times", times}, {"crowded", crowded}, {"lists", lists}, {"signals", signalTimes},
+		{"way", wayThere}, {"unlearned", unlearned}, {"assumptions", assumptions}, {"times", times}, {"crowded", crowded}, {"lists", lists}, {"signals", signalTimes}, {"upgrades", upgrades},
 	} {
 		t.Run(part.name, part.run)
 	}
--- a/internal/slopes/measure.go
+++ b/internal/slopes/measure.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sedgevale"
+	"sedgevale/internal/core"
 	"sedgevale/internal/discovery"
 	"sedgevale/internal/peers"
 )
@@ -165,6 +166,43 @@
 	return p
 }
 
+// SharePoint is what one telling between the two processes of an upgrade costs, in milliseconds, and its bytes.
+type SharePoint struct {
+	Load
+	Busy   int // workers where something is out
+	Bytes  int
+	TellMS float64 // what is out at each worker, written
+	HearMS float64 // read, and taken in
+}
+
+// Sharing measures the telling of an upgrade (internal/core's Shared) for a load after a minute.
+func Sharing(l Load, minute time.Duration, repeats int) SharePoint {
+	s := newSite(l, 1, false)
+	s.run(minute)
+	d, p := s.scheds[0].d, SharePoint{Load: l}
+	s.run(s.now + way) // nothing else is due in the same moment
+	for range repeats {
+		var text []byte
+		p.TellMS += timed(func() {
+			var err error
+			if text, err = json.Marshal(core.Shared{Out: d.Out()}); err != nil {
+				panic(err) // what is told is ours
+			}
+		})
+		p.HearMS += timed(func() {
+			var got core.Shared
+			if err := json.Unmarshal(text, &got); err != nil {
+				panic(err) // it was just written
+			}
+			d.Beside(s.now, got.Out)
+		})
+		p.Bytes = len(text)
+	}
+	p.Busy = len(d.Out())
+	p.TellMS, p.HearMS = p.TellMS/float64(repeats), p.HearMS/float64(repeats)
+	return p
+}
+
 // listText is a whole list as discovery writes it.
 func listText(workers int) []byte {
 	list := discovery.List{Revision: 1, Complete: true}
--- a/internal/slopes/times_test.go
+++ b/internal/slopes/times_test.go
@@ -1,6 +1,10 @@
 package slopes
 
-import "testing"
+import (
+	"fmt"
+	"math"
+	"testing"
+)
 
 // What follows is timed: it wants a machine that does nothing else.
 
@@ -139,3 +143,30 @@
 		float64(s.spent.Bytes)/length.Seconds()/float64(l.Schedulers)/1000, s.spent.Refused, s.spent.Full, s.spent.Jobs)
 	note(t, "site", s.spent)
 }
+
+// upgrades: what the two processes of an upgrade tell each other while both live: at once after a send, a start or an end, but
+// every 10 ms at most (internal/core's shareEvery). The new process takes the jobs and writes; the old one takes it in.
+func upgrades(t *testing.T) {
+	target := form().target
+	const every = 0.01
+	play := func(name string, l Load) {
+		p := Sharing(l, form().minute, form().lists)
+		events := 3 * l.JobsPerS
+		rate := 1 / (every + math.Exp(-events*every)/events)
+		note(t, "upgrades", map[string]any{"name": name, "point": p, "rate": rate})
+		t.Logf("%s: %d workers told of, %d bytes: written in %.2f ms, taken in in %.2f ms; at %.0f a second %.1f%% and %.1f%% of a core",
+			name, p.Busy, p.Bytes, p.TellMS, p.HearMS, rate, rate*p.TellMS/10, rate*p.HearMS/10)
+	}
+	for _, by := range form().steps {
+		l := target
+		between := func(from, to float64) float64 { return from + by*(to-from) }
+		l.Workers, l.Teams = int(between(benchWorkers, float64(target.Workers))), int(between(benchTeams, float64(target.Teams)))
+		l.JobsPerS, l.Running = between(benchJobs, target.JobsPerS), scaled(target.Running, by)
+		play(fmt.Sprintf("share %.2f, %d schedulers", by, l.Schedulers), l)
+	}
+	for _, n := range form().others {
+		l := target
+		l.Schedulers, l.JobsPerS, l.Running = n, target.JobsPerS*14/float64(n), form().running()/n
+		play(fmt.Sprintf("target, %d schedulers", n), l)
+	}
+}
