--- a/internal/slopes/site.go
+++ b/internal/slopes/site.go
@@ -101,8 +101,8 @@
 	set := sedgevale.Settings{Peers: max(1, l.Schedulers), MaxAttempts: mostSends, ParallelTries: true, MayCancel: true, TellsStart: true, InOrder: true,
 		MaxRetryAfter: 2 * time.Second, Weights: sedgevale.WeightSize, Classes: theClasses}
 	rate := l.JobsPerS*float64(max(1, l.Schedulers)) + float64(l.Running)/longRun.Seconds()
-	for i := range l.Teams {
-		set.Tenants = append(set.Tenants, sedgevale.Tenant{Name: fmt.Sprintf("team-%04d", i), Share: 1, Quota: 2 * max(1, rate) / float64(l.Teams)})
+	for i := range l.Tenants {
+		set.Tenants = append(set.Tenants, sedgevale.Tenant{Name: fmt.Sprintf("tenant-%04d", i), Share: 1, Quota: 2 * max(1, rate) / float64(l.Tenants)})
 	}
 	return set
 }
@@ -247,8 +247,8 @@
 	}
 	j := job{id: s.names[len(s.names)-1], run: run, class: class}
 	s.names = s.names[:len(s.names)-1]
-	if s.load.Teams > 0 {
-		j.tenant = s.rand.IntN(s.load.Teams)
+	if s.load.Tenants > 0 {
+		j.tenant = s.rand.IntN(s.load.Tenants)
 	}
 	at := int32(len(s.jobs))
 	s.jobs = append(s.jobs, j)
--- a/internal/slopes/slopes.go
+++ b/internal/slopes/slopes.go
@@ -12,7 +12,7 @@
 // Load is what surrounds a scheduler.
 type Load struct {
 	Workers    int
-	Teams      int
+	Tenants    int
 	Slots      int     // of a worker
 	Schedulers int     // of the site
 	Part       bool    // the scheduler keeps to its part of the workers
@@ -27,7 +27,7 @@
 // tasks are divided evenly. What their letter leaves open is assumed: 16 slots a worker, since 41,000 tasks on 3,200 workers
 // are 12.8 each, and a second for a short job.
 func Target() Load {
-	return Load{Workers: 3200, Teams: 550, Slots: 16, Schedulers: 14, Part: true, JobsPerS: 100, ShortS: 1, Running: 2929, Seed: 1}
+	return Load{Workers: 3200, Tenants: 550, Slots: 16, Schedulers: 14, Part: true, JobsPerS: 100, ShortS: 1, Running: 2929, Seed: 1}
 }
 
 // The audiences that a scheduler has without other settings (scheduler.hearers and leastPart).
