--- a/internal/fleetrig/reconfigure.go
+++ b/internal/fleetrig/reconfigure.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -116,17 +115,7 @@
 	q.Header.Set("Request-Id", id)
 	q.Header.Set("Tenant", team)
 	q.Header.Set("Request-Timeout", fmt.Sprintf("%dm", timeout.Milliseconds()))
-	a, err := http.DefaultClient.Do(q)
-	if err != nil {
-		t.At = time.Now()
-		return t
-	}
-	defer a.Body.Close()
-	body, err := io.ReadAll(a.Body)
-	if t.At = time.Now(); err == nil {
-		t.Status, t.Body = a.StatusCode, string(body)
-	}
-	return t
+	return t.Do(http.DefaultClient, q)
 }
 
 // Crowd is clients of some schedulers, all of the same teams.
--- a/internal/standin/clients.go
+++ b/internal/standin/clients.go
@@ -92,6 +92,11 @@
 	if kind.Keyed {
 		q.Header.Set("Idempotency-Key", "key-"+id)
 	}
+	return t.Do(h, q)
+}
+
+// Do sends a job's request and returns what was told of it: a status only with a whole answer.
+func (t Told) Do(h *http.Client, q *http.Request) Told {
 	a, err := h.Do(q)
 	if err != nil {
 		t.At = time.Now()
