--- a/internal/fleetrig/trial_test.go
+++ b/internal/fleetrig/trial_test.go
@@ -191,7 +191,7 @@
 		}
 	}
 	f.t.Logf("%s: %d jobs, %d refused for want of time, %d late", team, len(all), refused, late)
-	if len(all) == 0 || refused > 10+len(all)/10 || late > 1+len(all)/100 {
+	if len(all) == 0 || refused > 5+len(all)/10 || late > 1+len(all)/100 {
 		f.t.Errorf("%s: of %d jobs %d were refused and %d late", team, len(all), refused, late)
 	}
 }
