Let a co-op that is taken back go on at its place at the door, not beside itself

Now it finds also those that are gone and still have somebody here, as the module does with tenants.

--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -158,20 +158,25 @@
 	if err := checkCoops(coops); err != nil {
 		return err
 	}
-	former := d.numbers
+	former := make(map[string]int, len(d.coops)) // also those that are gone and still have somebody here
+	for i := range d.coops {
+		if d.coops[i].flows != nil {
+			former[d.coops[i].name] = i
+		}
+	}
 	d.numbers = make(map[string]int, len(coops))
 	sum := 0.0
 	for _, c := range coops {
 		sum += c.Share
 		if i, stays := former[c.Name]; stays {
 			d.numbers[c.Name] = i
-			d.coops[i].weight = c.Share
+			d.coops[i].weight, d.coops[i].gone = c.Share, false
 		}
 	}
 	var free []int
 	for i := range d.coops {
 		c := &d.coops[i]
-		if at, stays := d.numbers[c.name]; !stays || at != i {
+		if _, stays := d.numbers[c.name]; !stays || c.flows == nil {
 			c.gone = true
 		}
 		if c.gone && c.waiting == 0 && c.jobs == 0 {
--- a/internal/door/retune_test.go
+++ b/internal/door/retune_test.go
@@ -215,3 +215,22 @@
 		})
 	})
 }
+
+// Guards against a co-op that counts twice: gone with jobs that wait and there again, it goes on at its place, by one share.
+func TestCoopIsTakenBack(t *testing.T) {
+	d := atDoor(t, 1, Coop{"a", 1}, Coop{"b", 1})
+	d.asks(t, "a", 60)
+	d.asks(t, "b", 30)
+	for _, coops := range [][]Coop{{{"a", 1}}, {{"b", 1}, {"a", 1}}} {
+		if err := d.Retune(coops); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := d.Number("b"); got != 1 || len(d.coops) != 2 || d.coops[1].gone || d.coops[1].waiting != 30 {
+		t.Errorf("it has number %d of %d: %+v", got, len(d.coops), d.coops[1].gone)
+	}
+	d.asks(t, "b", 30)
+	if in := d.letIn(t, 40, 0); math.Abs(float64(in["a"]-in["b"])) > 2 {
+		t.Errorf("by equal shares %v went in", in)
+	}
+}
