--- a/cmd/sedgevale/main.go
+++ b/cmd/sedgevale/main.go
@@ -16,6 +16,9 @@
 
 type cli struct {
 	Serve   serveCmd   `cmd:"" help:"Schedule jobs until SIGTERM; SIGHUP reads the file again."`
+	Edge    edgeCmd    `cmd:"" help:"Serve clients on an edge machine; settings by SEDGEVALE_SETTINGS."`
+	Side    sideCmd    `cmd:"" help:"Serve the worker on a side machine; settings by SEDGEVALE_SETTINGS."`
+	Core    coreCmd    `cmd:"" help:"Keep the system's state on a core machine; settings by SEDGEVALE_SETTINGS."`
 	Import  importCmd  `cmd:"" help:"Make an operator's file of HAProxy's configuration."`
 	Check   checkCmd   `cmd:"" help:"Check an operator's file."`
 	Journal journalCmd `cmd:"" help:"Ask the journal of one-shot jobs."`
--- /dev/null
+++ b/internal/avrocodec/codec.go
@@ -0,0 +1,85 @@
+// Package avrocodec encodes messages and records as Avro. The schemas are derived from the Go types, field
+// by field in their order, so all programs of one release agree on them.
+package avrocodec
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"sync"
+
+	"github.com/hamba/avro/v2"
+)
+
+var schemas sync.Map // reflect.Type to avro.Schema
+
+// SchemaOf returns the Avro schema of a message type.
+func SchemaOf(message reflect.Type) (avro.Schema, error) {
+	if known, ok := schemas.Load(message); ok {
+		return known.(avro.Schema), nil
+	}
+	text := schemaText(message, map[reflect.Type]bool{})
+	schema, err := avro.ParseWithCache(text, "", &avro.SchemaCache{})
+	if err != nil {
+		return nil, fmt.Errorf("schema of %v: %w", message, err)
+	}
+	schemas.Store(message, schema)
+	return schema, nil
+}
+
+// schemaText writes the schema of a type as JSON. A record that was named before is referred to by name.
+func schemaText(t reflect.Type, named map[reflect.Type]bool) string {
+	switch t.Kind() {
+	case reflect.String:
+		return `"string"`
+	case reflect.Bool:
+		return `"boolean"`
+	case reflect.Int, reflect.Int64:
+		return `"long"`
+	case reflect.Float64:
+		return `"double"`
+	case reflect.Slice:
+		if t.Elem().Kind() == reflect.Uint8 {
+			return `"bytes"`
+		}
+		return `{"type":"array","items":` + schemaText(t.Elem(), named) + `}`
+	case reflect.Map:
+		return `{"type":"map","values":` + schemaText(t.Elem(), named) + `}`
+	case reflect.Struct:
+		return recordText(t, named)
+	default:
+		panic(fmt.Sprintf("avrocodec: no schema for %v", t))
+	}
+}
+
+func recordText(t reflect.Type, named map[reflect.Type]bool) string {
+	name := strings.ReplaceAll(t.PkgPath(), "/", "_") + "_" + t.Name()
+	if named[t] {
+		return `"` + name + `"`
+	}
+	named[t] = true
+	var fields []string
+	for i := range t.NumField() {
+		field := t.Field(i)
+		fields = append(fields, `{"name":"`+field.Name+`","type":`+schemaText(field.Type, named)+`}`)
+	}
+	return `{"type":"record","name":"` + name + `","fields":[` + strings.Join(fields, ",") + `]}`
+}
+
+// Encode returns the Avro encoding of a message, given by pointer.
+func Encode(message any) ([]byte, error) {
+	schema, err := SchemaOf(reflect.TypeOf(message).Elem())
+	if err != nil {
+		return nil, err
+	}
+	return avro.Marshal(schema, message)
+}
+
+// Decode reads a message into a pointer.
+func Decode(body []byte, message any) error {
+	schema, err := SchemaOf(reflect.TypeOf(message).Elem())
+	if err != nil {
+		return err
+	}
+	return avro.Unmarshal(schema, body, message)
+}
--- /dev/null
+++ b/internal/system/core/config.go
@@ -0,0 +1,133 @@
+package core
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"sedgevale/internal/avrocodec"
+	"sedgevale/internal/system/opconfig"
+	"sedgevale/internal/system/result"
+)
+
+// historyLength is how many changes are remembered, so that one that is sent again is told from a new one.
+const historyLength = 256
+
+// configRecord is the value of the configuration's register.
+type configRecord struct {
+	Version int64
+	Text    []byte // as the operator sent it, or as patches made it
+	History []appliedChange
+}
+
+// appliedChange names a change that was taken.
+type appliedChange struct {
+	Version int64
+	Digest  string
+}
+
+// configState is the newest configuration that this scheduler knows to be chosen.
+type configState struct {
+	record configRecord
+	config *opconfig.Config
+	table  *opconfig.Table
+}
+
+// operatorChange is an operator's order.
+type operatorChange struct {
+	patch  bool
+	match  int64 // the version that it builds on
+	body   []byte
+	digest string
+}
+
+func newOperatorChange(patch bool, match int64, body []byte) *operatorChange {
+	hash := sha256.New()
+	if patch {
+		hash.Write([]byte("patch "))
+	}
+	hash.Write(body)
+	return &operatorChange{patch: patch, match: match, body: body, digest: hex.EncodeToString(hash.Sum(nil)[:16])}
+}
+
+// apply is the compare-and-swap: it returns the register's next value, or why there is none. A change that
+// was taken before leaves the value as it is and is no error.
+func (o *operatorChange) apply(current []byte) ([]byte, error) {
+	var record configRecord
+	if current != nil {
+		if err := avrocodec.Decode(current, &record); err != nil {
+			return nil, result.Errorf(result.Unavailable, "current configuration: %w", err)
+		}
+	}
+	for _, taken := range record.History {
+		if taken.Digest == o.digest {
+			return current, nil
+		}
+	}
+	text := o.body
+	if o.patch {
+		if o.match != record.Version || record.Version == 0 {
+			return nil, o.conflict(record.Version)
+		}
+		patched, err := opconfig.Apply(record.Text, o.body)
+		if err != nil {
+			return nil, result.Errorf(result.Invalid, "patch: %w", err)
+		}
+		text = patched
+	}
+	config, err := opconfig.Parse(text)
+	if err == nil {
+		err = config.Check()
+	}
+	if err != nil {
+		return nil, result.Errorf(result.Invalid, "configuration: %w", err)
+	}
+	if o.match != record.Version {
+		return nil, o.conflict(record.Version)
+	}
+	if config.Version <= record.Version {
+		return nil, result.Errorf(result.Invalid, "version: %d is not above %d", config.Version, record.Version)
+	}
+	history := append(record.History, appliedChange{config.Version, o.digest})
+	if len(history) > historyLength {
+		history = history[len(history)-historyLength:]
+	}
+	return avrocodec.Encode(&configRecord{Version: config.Version, Text: text, History: history})
+}
+
+func (o *operatorChange) conflict(version int64) error {
+	return result.Errorf(result.Conflict, "If-Match: version %d is current, %d came", version, o.match)
+}
+
+// useConfig takes a newer configuration. The lock is held.
+func (c *Core) useConfig(value []byte) {
+	state := &configState{}
+	if err := avrocodec.Decode(value, &state.record); err != nil {
+		c.logger.Error(err, "configuration cannot be read")
+		return
+	}
+	config, err := opconfig.Parse(state.record.Text)
+	if err != nil {
+		c.logger.Error(err, "configuration cannot be read", "version", state.record.Version)
+		return
+	}
+	state.config = config
+	state.table = opconfig.NewTable(config)
+	c.config = state
+	for _, o := range c.owners {
+		o.configure(state)
+	}
+	c.logger.V(1).Info("configuration in force", "version", state.record.Version)
+}
+
+// currentConfig returns the newest configuration that is known, or nil.
+func (c *Core) currentConfig() *configState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.config
+}
+
+const freshFor = 700 * time.Millisecond // a quorum's word counts for so long
+
+// configFresh reports whether a quorum has confirmed the configuration a moment ago.
+func (c *Core) configFresh() bool { return time.Since(c.confirmedAt(registerName)) < freshFor }
--- /dev/null
+++ b/internal/system/core/ownership.go
@@ -0,0 +1,213 @@
+package core
+
+import (
+	"context"
+	"time"
+
+	"sedgevale/coord/rendezvous"
+	"sedgevale/coord/shard"
+	"sedgevale/coord/view"
+	"sedgevale/internal/avrocodec"
+	"sedgevale/internal/system/result"
+	"sedgevale/internal/system/rpc"
+)
+
+const (
+	ownEvery        = 60 * time.Millisecond
+	firstOwnAfter   = 600 * time.Millisecond // after the start, others may be up by then
+	takeoverPause   = 400 * time.Millisecond
+	takeoverTimeout = 2500 * time.Millisecond
+	ownerPrefix     = "owner/"
+)
+
+// ownerRecord is the value of a shard's ownership register.
+type ownerRecord struct {
+	Address string
+	Token   int64
+}
+
+func (c *Core) handleShards(server *rpc.Server) {
+	rpc.Handle(server, methodSeal, c.store.seal)
+	rpc.Handle(server, methodFetch, c.store.fetch)
+	rpc.Handle(server, methodRepair, c.store.repair)
+	rpc.Handle(server, methodWrite, c.store.write)
+}
+
+// ownLoop takes over shards that nobody alive owns, where this scheduler is the one to do it.
+func (c *Core) ownLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(ownEvery)
+		state := c.currentConfig()
+		if state == nil || time.Since(c.started) < firstOwnAfter || !c.quorumHeard() {
+			continue
+		}
+		for _, service := range state.config.Services {
+			if c.shouldOwn(service.Name) {
+				c.mu.Lock()
+				c.takeover[service.Name] = time.Now().Add(takeoverTimeout)
+				c.mu.Unlock()
+				go c.takeOver(ctx, service.Name)
+			}
+		}
+		c.dropDeposed()
+	}
+}
+
+// shouldOwn reports whether nobody owns a shard and this scheduler is the first of those alive to take it.
+func (c *Core) shouldOwn(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leaving || time.Now().Before(c.takeover[name]) {
+		return false
+	}
+	if o := c.owners[name]; o != nil && !o.isDeposed() {
+		return false
+	}
+	for _, p := range c.peers {
+		if !p.alive() {
+			continue
+		}
+		for _, one := range p.last.Claims {
+			if one.Shard == name && one.Fresh {
+				return false
+			}
+		}
+	}
+	candidates := append(c.aliveAddresses(), c.address)
+	return rendezvous.First(name, candidates) == c.address
+}
+
+// dropDeposed forgets shards that another scheduler owns by now.
+func (c *Core) dropDeposed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, o := range c.owners {
+		if o.isDeposed() {
+			delete(c.owners, name)
+			c.notify()
+		}
+	}
+}
+
+// takeOver makes this scheduler the owner of a shard, under the next fencing token.
+func (c *Core) takeOver(ctx context.Context, name string) {
+	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
+	defer cancel()
+	began := time.Now()
+	o, err := c.acquire(ctx, name)
+	c.mu.Lock()
+	c.takeover[name] = time.Now().Add(takeoverPause + jitter(takeoverPause))
+	if err == nil {
+		c.owners[name] = o
+		c.notify()
+	}
+	c.mu.Unlock()
+	if err != nil {
+		c.logger.Info("shard not taken over", "shard", name, "error", err.Error())
+		return
+	}
+	c.logger.Info("shard taken over", "shard", name, "token", o.token, "records", o.primary.Set.Len(),
+		"took_ms", time.Since(began).Milliseconds())
+	go c.pingAll(context.Background())
+}
+
+func (c *Core) acquire(ctx context.Context, name string) (*owner, error) {
+	token, err := c.nextToken(ctx, name)
+	if err != nil {
+		return nil, err
+	}
+	v := c.store.currentView()
+	sealed, err := c.sealAll(v, name, token)
+	if err != nil {
+		return nil, err
+	}
+	set, err := c.collect(ctx, v, name, sealed)
+	if err != nil {
+		return nil, err
+	}
+	o := newOwner(c, name, token, v, set)
+	for slot, answer := range sealed {
+		o.links[slot].incarnation = answer.Incarnation
+		o.links[slot].counts = true
+	}
+	o.startLinks()
+	if err := o.waitInStep(ctx); err != nil {
+		o.close()
+		return nil, err
+	}
+	if err := o.begin(c.currentConfig()); err != nil {
+		o.close()
+		return nil, err
+	}
+	return o, nil
+}
+
+// nextToken raises the fencing token of a shard in its ownership register.
+func (c *Core) nextToken(ctx context.Context, name string) (int64, error) {
+	value, err := c.propose(ctx, ownerPrefix+name, func(current []byte) ([]byte, error) {
+		var record ownerRecord
+		if current != nil {
+			if err := avrocodec.Decode(current, &record); err != nil {
+				return nil, err
+			}
+		}
+		return avrocodec.Encode(&ownerRecord{Address: c.address, Token: record.Token + 1})
+	})
+	if err != nil {
+		return 0, err
+	}
+	var record ownerRecord
+	err = avrocodec.Decode(value, &record)
+	return record.Token, err
+}
+
+// sealAll has a majority of voting replicas turn down all earlier owners.
+func (c *Core) sealAll(v view.View, name string, token int64) (map[int]*sealResponse, error) {
+	answers, count := broadcast(c, v, methodSeal, c.store.seal, &sealRequest{View: v, Shard: name, Token: token})
+	sealed := map[int]*sealResponse{}
+	var failed error
+	for range count {
+		a := <-answers
+		if a.err != nil {
+			failed = a.err
+			continue
+		}
+		if !a.response.Voter {
+			continue
+		}
+		sealed[a.slot] = a.response
+		if len(sealed) >= view.Majority(len(v.Slots)) {
+			return sealed, nil
+		}
+	}
+	return nil, result.Errorf(result.Unavailable, "shard %s: %d replicas sealed, last failure: %w", name, len(sealed), failed)
+}
+
+// collect merges the records of the sealed replicas that were in step with the newest owner before.
+func (c *Core) collect(ctx context.Context, v view.View, name string, sealed map[int]*sealResponse) (*shard.Set, error) {
+	answers := map[int]shard.Sealed{}
+	for slot, answer := range sealed {
+		answers[slot] = shard.Sealed{InStep: answer.InStep, Digests: answer.Digests}
+	}
+	set := shard.NewSet()
+	for _, slot := range shard.Newest(answers) {
+		buckets := shard.Differing(set.Digests(), answers[slot].Digests)
+		request := &fetchRequest{Shard: name}
+		for _, bucket := range buckets {
+			request.Buckets = append(request.Buckets, int64(bucket))
+		}
+		response, err := replicaCall(ctx, c, v.Slots[slot].Address, methodFetch, c.store.fetch, request)
+		if err != nil {
+			return nil, err
+		}
+		if response.Incarnation != sealed[slot].Incarnation {
+			return nil, result.Errorf(result.WrongReplica, "shard %s: slot %d was replaced meanwhile", name, slot)
+		}
+		for _, part := range response.Ranges {
+			for _, record := range part.Records {
+				set.Apply(record)
+			}
+		}
+	}
+	return set, nil
+}
--- /dev/null
+++ b/internal/system/core/watch.go
@@ -0,0 +1,98 @@
+package core
+
+import (
+	"context"
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sedgevale/internal/system/api"
+	"sedgevale/internal/system/rpc"
+)
+
+const maxWatchWait = time.Second
+
+func (c *Core) handleWatch(server *rpc.Server) {
+	rpc.Handle(server, api.MethodWatch, c.watch)
+}
+
+// watch answers once something differs from what the caller knows, or after some time.
+func (c *Core) watch(ctx context.Context, r *api.WatchRequest) (*api.WatchResponse, error) {
+	until := time.After(min(time.Duration(r.WaitMS)*time.Millisecond, maxWatchWait))
+	for {
+		c.mu.Lock()
+		changed := c.changed
+		answer := c.watchResponse(r)
+		c.mu.Unlock()
+		answer.Fresh = c.configFresh()
+		if !answer.Fresh || answer.ConfigVersion != r.ConfigVersion || answer.OwnersDigest != r.OwnersDigest {
+			return answer, nil
+		}
+		select {
+		case <-changed:
+		case <-until:
+			return answer, nil
+		case <-ctx.Done():
+			return answer, nil
+		}
+	}
+}
+
+// watchResponse returns what is known now. The lock is held.
+func (c *Core) watchResponse(r *api.WatchRequest) *api.WatchResponse {
+	answer := &api.WatchResponse{Owners: c.knownOwners(), Cores: c.coreAddresses()}
+	answer.OwnersDigest = ownersDigest(answer)
+	if c.config == nil {
+		return answer
+	}
+	answer.ConfigVersion = c.config.record.Version
+	if r.WantConfig && answer.ConfigVersion > r.ConfigVersion {
+		answer.Config = c.config.record.Text
+	}
+	return answer
+}
+
+// knownOwners returns the newest claim to each shard. The lock is held.
+func (c *Core) knownOwners() []api.Owner {
+	newest := map[string]api.Owner{}
+	consider := func(name, address string, token int64) {
+		if token > newest[name].Token {
+			newest[name] = api.Owner{Shard: name, Address: address, Token: token}
+		}
+	}
+	for name, o := range c.owners {
+		if o.active() && o.fresh() {
+			consider(name, c.address, o.token)
+		}
+	}
+	for address, p := range c.peers {
+		if !p.alive() {
+			continue
+		}
+		for _, one := range p.last.Claims {
+			if one.Fresh {
+				consider(one.Shard, address, one.Token)
+			}
+		}
+	}
+	owners := make([]api.Owner, 0, len(newest))
+	for _, o := range newest {
+		owners = append(owners, o)
+	}
+	sort.Slice(owners, func(i, j int) bool { return owners[i].Shard < owners[j].Shard })
+	return owners
+}
+
+// ownersDigest names the owners and core schedulers of an answer.
+func ownersDigest(r *api.WatchResponse) int64 {
+	hash := xxhash.New()
+	for _, o := range r.Owners {
+		_, _ = hash.WriteString(o.Shard + " " + o.Address + " " + strconv.FormatInt(o.Token, 10) + "\n")
+	}
+	for _, address := range r.Cores {
+		_, _ = hash.WriteString(address + "\n")
+	}
+	return int64(hash.Sum64())
+}
--- /dev/null
+++ b/internal/system/directory/directory.go
@@ -0,0 +1,157 @@
+// Package directory keeps a scheduler on an edge or side machine informed: which core schedulers there are,
+// who owns which shard, and the newest configuration. It subscribes to one core scheduler, its home, and
+// goes on to another when that falls silent or has lost touch with the majority.
+package directory
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"sedgevale/coord/rendezvous"
+	"sedgevale/internal/system/api"
+	"sedgevale/internal/system/node"
+	"sedgevale/internal/system/opconfig"
+)
+
+const (
+	watchWait    = 500 * time.Millisecond
+	watchTimeout = watchWait + 400*time.Millisecond
+	retryPause   = 60 * time.Millisecond
+)
+
+// Directory is what a scheduler knows of the system.
+type Directory struct {
+	process    *node.Process
+	logger     logr.Logger
+	wantConfig bool
+
+	mu      sync.Mutex
+	cores   []string
+	owners  map[string]api.Owner
+	digest  int64
+	table   *opconfig.Table
+	version int64
+	fresh   time.Time // when the newest confirmed answer was asked for
+	changed chan struct{}
+}
+
+// New returns a Directory that knows the seeds. Configurations are told only where they are wanted.
+func New(p *node.Process, wantConfig bool) *Directory {
+	return &Directory{
+		process: p, logger: p.Logger, wantConfig: wantConfig, owners: map[string]api.Owner{},
+		changed: make(chan struct{}),
+	}
+}
+
+// Run follows the system until the context ends.
+func (d *Directory) Run(ctx context.Context) {
+	next := 0
+	for ctx.Err() == nil {
+		candidates := d.candidates()
+		home := candidates[next%len(candidates)]
+		if d.watch(ctx, home) {
+			continue
+		}
+		next++
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+// candidates returns the core schedulers to subscribe to, the preferred one first.
+func (d *Directory) candidates() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	known := slices.Clone(d.cores)
+	for _, seed := range d.process.Current().SeedAddresses() {
+		if !slices.Contains(known, seed) {
+			known = append(known, seed)
+		}
+	}
+	return rendezvous.Rank(d.process.Settings.Node, known)
+}
+
+// watch asks a core scheduler once. It reports whether its answer is of use.
+func (d *Directory) watch(ctx context.Context, home string) bool {
+	d.mu.Lock()
+	request := &api.WatchRequest{
+		Node: d.process.Settings.Node, ConfigVersion: d.version, WantConfig: d.wantConfig, OwnersDigest: d.digest,
+		WaitMS: watchWait.Milliseconds(),
+	}
+	stale := time.Since(d.fresh) > watchTimeout
+	d.mu.Unlock()
+	if stale {
+		request.WaitMS = 0
+	}
+	call, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	sentAt := time.Now()
+	answer := &api.WatchResponse{}
+	if err := d.process.Client.Call(call, home, api.MethodWatch, request, answer); err != nil {
+		d.logger.V(1).Info("core scheduler not heard", "address", home, "error", err.Error())
+		return false
+	}
+	d.take(answer, sentAt)
+	return answer.Fresh
+}
+
+func (d *Directory) take(answer *api.WatchResponse, sentAt time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(answer.Cores) > 0 {
+		d.cores = answer.Cores
+	}
+	for _, o := range answer.Owners {
+		if o.Token >= d.owners[o.Shard].Token {
+			d.owners[o.Shard] = o
+		}
+	}
+	d.digest = answer.OwnersDigest
+	if answer.ConfigVersion > d.version {
+		d.useConfig(answer)
+	}
+	if answer.Fresh && answer.ConfigVersion >= d.version {
+		d.fresh = sentAt
+	}
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// useConfig takes a newer configuration, whole. The lock is held.
+func (d *Directory) useConfig(answer *api.WatchResponse) {
+	if !d.wantConfig {
+		d.version = answer.ConfigVersion
+		return
+	}
+	if len(answer.Config) == 0 {
+		return
+	}
+	config, err := opconfig.Parse(answer.Config)
+	if err != nil {
+		d.logger.Error(err, "configuration cannot be read", "version", answer.ConfigVersion)
+		return
+	}
+	d.table = opconfig.NewTable(config)
+	d.version = answer.ConfigVersion
+	d.logger.V(1).Info("configuration in force", "version", d.version)
+}
+
+// Table returns the newest configuration, or nil, its version, and how long ago it was confirmed.
+func (d *Directory) Table() (table *opconfig.Table, version int64, age time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table, d.version, time.Since(d.fresh)
+}
+
+// Owner returns the address of a shard's owner, or "", and a channel that is closed when anything changes.
+func (d *Directory) Owner(shard string) (string, <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.owners[shard].Address, d.changed
+}
--- /dev/null
+++ b/internal/system/opconfig/table.go
@@ -0,0 +1,45 @@
+package opconfig
+
+import (
+	"net"
+	"sort"
+	"strings"
+)
+
+// Table finds the route of a request. It is built once for a configuration and not changed.
+type Table struct {
+	Config *Config
+	byHost map[string][]*Route // longest prefix first
+	byName map[string]*Route
+}
+
+// NewTable builds the table of a configuration.
+func NewTable(c *Config) *Table {
+	t := &Table{Config: c, byHost: map[string][]*Route{}, byName: map[string]*Route{}}
+	for i := range c.Routes {
+		route := &c.Routes[i]
+		host := strings.ToLower(route.Host)
+		t.byHost[host] = append(t.byHost[host], route)
+		t.byName[route.Name] = route
+	}
+	for _, routes := range t.byHost {
+		sort.Slice(routes, func(i, j int) bool { return len(routes[i].PathPrefix) > len(routes[j].PathPrefix) })
+	}
+	return t
+}
+
+// Match returns the route of a host and a path, and what follows the prefix; nil where there is none.
+func (t *Table) Match(host, path string) (*Route, string) {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, route := range t.byHost[strings.ToLower(host)] {
+		if rest, ok := strings.CutPrefix(path, route.PathPrefix); ok {
+			return route, rest
+		}
+	}
+	return nil, ""
+}
+
+// Route returns a route by name, or nil.
+func (t *Table) Route(name string) *Route { return t.byName[name] }
--- /dev/null
+++ b/internal/system/statefile/statefile.go
@@ -0,0 +1,341 @@
+// Package statefile keeps the durable state of a core scheduler on its disk.
+//
+// A generation is a snapshot file, written aside, synced and renamed, and a log of what came after it.
+// Each start and each compaction begins a new generation; the older ones are removed once the names of
+// the new one are durable. Frames have a length and a CRC-32C, so what a loss of power tore is found and
+// left out: nothing after the first bad frame was ever acknowledged. Appends are committed in groups, one
+// sync for all that wait.
+package statefile
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"os"
+	"path/filepath"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	formatVersion  = 1
+	frameHeader    = 8
+	maxFrame       = 64 << 20
+	compactAfter   = 6 << 20  // bytes of log before a new generation
+	maxQueued      = 48 << 20 // bytes that wait for a slow disk
+	snapshotPrefix = "state-"
+	logPrefix      = "log-"
+	asideSuffix    = ".aside"
+)
+
+var (
+	crcTable = crc32.MakeTable(crc32.Castagnoli)
+	magic    = []byte("sedgevale-state\x00")
+	endMark  = []byte("end")
+)
+
+// ErrQueueFull tells that the disk is too slow for more.
+var ErrQueueFull = errors.New("statefile: too much waits for the disk")
+
+// Log appends entries to the newest generation.
+type Log struct {
+	dir      string
+	snapshot func(emit func([]byte) error) error
+
+	mu     sync.Mutex
+	queue  []*Ticket
+	queued int
+	wake   chan struct{}
+
+	// Of the writer alone.
+	generation int64
+	file       *os.File
+	written    int64
+}
+
+// Ticket is an append under way.
+type Ticket struct {
+	payload []byte
+	done    chan struct{}
+	err     error
+}
+
+// Done is closed when the entry is durable or has failed.
+func (t *Ticket) Done() <-chan struct{} { return t.done }
+
+// Err returns how the append ended, once Done is closed.
+func (t *Ticket) Err() error { return t.err }
+
+// Open replays the newest whole generation in dir, entry by entry, and begins a new one. The state that
+// snapshot emits must hold every entry that was appended so far; it is called from the writer.
+func Open(dir string, replay func([]byte) error, snapshot func(emit func([]byte) error) error) (*Log, error) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, fmt.Errorf("statefile: %w", err)
+	}
+	newest, err := Replay(dir, replay)
+	if err != nil {
+		return nil, err
+	}
+	l := &Log{dir: dir, snapshot: snapshot, wake: make(chan struct{}, 1), generation: newest}
+	if err := l.rotate(); err != nil {
+		return nil, err
+	}
+	go l.write()
+	return l, nil
+}
+
+// Append queues an entry. The state that snapshots are made of must hold it already.
+func (l *Log) Append(payload []byte) *Ticket {
+	t := &Ticket{payload: payload, done: make(chan struct{})}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.queued > maxQueued {
+		t.err = ErrQueueFull
+		close(t.done)
+		return t
+	}
+	l.queue = append(l.queue, t)
+	l.queued += len(payload)
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+	return t
+}
+
+func (l *Log) write() {
+	for range l.wake {
+		l.mu.Lock()
+		batch := l.queue
+		l.queue = nil
+		l.queued = 0
+		l.mu.Unlock()
+		if len(batch) == 0 {
+			continue
+		}
+		err := l.commit(batch)
+		for _, t := range batch {
+			t.err = err
+			close(t.done)
+		}
+	}
+}
+
+// commit makes a batch durable, by a new generation where the log is long or a write to it has failed.
+func (l *Log) commit(batch []*Ticket) error {
+	if l.file == nil || l.written > compactAfter {
+		return l.rotate()
+	}
+	var buffer []byte
+	for _, t := range batch {
+		buffer = appendFrame(buffer, t.payload)
+	}
+	_, err := l.file.Write(buffer)
+	if err == nil {
+		err = unix.Fdatasync(int(l.file.Fd()))
+	}
+	if err != nil {
+		l.file.Close()
+		l.file = nil
+		return fmt.Errorf("statefile: %w", err)
+	}
+	l.written += int64(len(buffer))
+	return nil
+}
+
+func appendFrame(buffer, payload []byte) []byte {
+	buffer = binary.LittleEndian.AppendUint32(buffer, uint32(len(payload)))
+	buffer = binary.LittleEndian.AppendUint32(buffer, crc32.Checksum(payload, crcTable))
+	return append(buffer, payload...)
+}
+
+// rotate writes a snapshot of the whole state and begins an empty log beside it.
+func (l *Log) rotate() error {
+	next := l.generation + 1
+	if err := l.writeSnapshot(next); err != nil {
+		return fmt.Errorf("statefile: snapshot %d: %w", next, err)
+	}
+	file, err := os.OpenFile(filepath.Join(l.dir, name(logPrefix, next)), os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o644)
+	if err == nil {
+		err = file.Sync()
+	}
+	if err == nil {
+		err = syncDir(l.dir)
+	}
+	if err != nil {
+		return fmt.Errorf("statefile: log %d: %w", next, err)
+	}
+	if l.file != nil {
+		l.file.Close()
+	}
+	l.file = file
+	l.generation = next
+	l.written = 0
+	l.removeBelow(next)
+	return nil
+}
+
+func (l *Log) writeSnapshot(generation int64) error {
+	aside := filepath.Join(l.dir, name(snapshotPrefix, generation)+asideSuffix)
+	file, err := os.Create(aside)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	buffer := append([]byte{}, magic...)
+	buffer = append(buffer, formatVersion)
+	err = l.snapshot(func(payload []byte) error {
+		buffer = appendFrame(buffer, payload)
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	buffer = appendFrame(buffer, endMark)
+	if _, err := file.Write(buffer); err != nil {
+		return err
+	}
+	if err := file.Sync(); err != nil {
+		return err
+	}
+	if err := os.Rename(aside, strings.TrimSuffix(aside, asideSuffix)); err != nil {
+		return err
+	}
+	return syncDir(l.dir)
+}
+
+func syncDir(dir string) error {
+	handle, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	defer handle.Close()
+	return handle.Sync()
+}
+
+// removeBelow drops older generations. What cannot be removed is tried again at the next rotation.
+func (l *Log) removeBelow(generation int64) {
+	entries, err := os.ReadDir(l.dir)
+	if err != nil {
+		return
+	}
+	for _, entry := range entries {
+		old, ok := generationOf(entry.Name())
+		if ok && old < generation {
+			_ = os.Remove(filepath.Join(l.dir, entry.Name()))
+		}
+	}
+}
+
+func name(prefix string, generation int64) string { return fmt.Sprintf("%s%08d", prefix, generation) }
+
+func generationOf(file string) (int64, bool) {
+	file = strings.TrimSuffix(file, asideSuffix)
+	for _, prefix := range []string{snapshotPrefix, logPrefix} {
+		if digits, ok := strings.CutPrefix(file, prefix); ok {
+			n, err := strconv.ParseInt(digits, 10, 64)
+			return n, err == nil
+		}
+	}
+	return 0, false
+}
+
+// Replay reads the newest generation whose snapshot is whole, and the logs from it on, and returns the
+// newest generation that any file in dir bears.
+func Replay(dir string, replay func([]byte) error) (newest int64, err error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return 0, fmt.Errorf("statefile: %w", err)
+	}
+	var snapshots, logs []int64
+	for _, entry := range entries {
+		generation, ok := generationOf(entry.Name())
+		if !ok {
+			continue
+		}
+		newest = max(newest, generation)
+		switch {
+		case strings.HasSuffix(entry.Name(), asideSuffix):
+		case strings.HasPrefix(entry.Name(), snapshotPrefix):
+			snapshots = append(snapshots, generation)
+		default:
+			logs = append(logs, generation)
+		}
+	}
+	sort.Slice(snapshots, func(i, j int) bool { return snapshots[i] > snapshots[j] })
+	sort.Slice(logs, func(i, j int) bool { return logs[i] < logs[j] })
+	from := int64(0)
+	for _, generation := range snapshots {
+		payloads, whole := readSnapshot(filepath.Join(dir, name(snapshotPrefix, generation)))
+		if !whole {
+			continue
+		}
+		for _, payload := range payloads {
+			if err := replay(payload); err != nil {
+				return newest, fmt.Errorf("statefile: snapshot %d: %w", generation, err)
+			}
+		}
+		from = generation
+		break
+	}
+	for _, generation := range logs {
+		if generation < from {
+			continue
+		}
+		payloads, _ := readFrames(filepath.Join(dir, name(logPrefix, generation)), 0)
+		for _, payload := range payloads {
+			if err := replay(payload); err != nil {
+				return newest, fmt.Errorf("statefile: log %d: %w", generation, err)
+			}
+		}
+	}
+	return newest, nil
+}
+
+// readSnapshot returns the entries of a snapshot and whether it is whole.
+func readSnapshot(path string) ([][]byte, bool) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, false
+	}
+	head := make([]byte, len(magic)+1)
+	_, err = io.ReadFull(file, head)
+	file.Close()
+	if err != nil || string(head[:len(magic)]) != string(magic) || head[len(magic)] != formatVersion {
+		return nil, false
+	}
+	payloads, _ := readFrames(path, int64(len(head)))
+	if len(payloads) == 0 || string(payloads[len(payloads)-1]) != string(endMark) {
+		return nil, false
+	}
+	return payloads[:len(payloads)-1], true
+}
+
+// readFrames returns the whole frames of a file and how many bytes behind them are no frame.
+func readFrames(path string, from int64) (payloads [][]byte, torn int64) {
+	text, err := os.ReadFile(path)
+	if err != nil || int64(len(text)) < from {
+		return nil, 0
+	}
+	text = text[from:]
+	for len(text) >= frameHeader {
+		size := binary.LittleEndian.Uint32(text)
+		sum := binary.LittleEndian.Uint32(text[4:])
+		if size > maxFrame || int(size) > len(text)-frameHeader {
+			break
+		}
+		payload := text[frameHeader : frameHeader+int(size)]
+		if crc32.Checksum(payload, crcTable) != sum {
+			break
+		}
+		payloads = append(payloads, payload)
+		text = text[frameHeader+int(size):]
+	}
+	return payloads, int64(len(text))
+}
--- /dev/null
+++ b/jobs/queue.go
@@ -0,0 +1,130 @@
+package jobs
+
+import (
+	"time"
+
+	"github.com/google/btree"
+
+	"sedgevale/admission"
+)
+
+// QueueConfig is what the configuration says of a queue. Times are in milliseconds.
+type QueueConfig struct {
+	Name            string
+	Priority        int64
+	Retries         int64
+	Extension       float64
+	TargetLatencyMS float64
+}
+
+// Queue holds the work of one route and what was learned for it.
+type Queue struct {
+	QueueConfig
+	waiting  *btree.BTreeG[*unit] // by deadline
+	wanted   float64              // parts of a worker that wait
+	held     float64              // parts of workers that its runs hold
+	local    float64              // the local share
+	sigma    float64              // the admission limit on held
+	deficit  admission.Deficit
+	runTime  float64 // EWMA of a task's run time over its estimate
+	jobs     uint64
+	shares   map[string]admission.Share // alpha, by worker
+	removed  bool                       // no configuration has it any more
+	pending  int                        // jobs that have not ended
+	backlog  bool
+	meanPart float64 // EWMA of the part of a worker that one task takes
+}
+
+// unit is what waits of one step in one time: its tasks are alike. A gang leaves as a whole.
+type unit struct {
+	job      *Job
+	time     *Time
+	stage    int
+	queue    *Queue
+	tasks    []int // indexes of waiting tasks
+	deadline time.Duration
+	order    uint64 // between equal deadlines
+	since    time.Duration
+	gang     bool
+}
+
+func lessUnit(a, b *unit) bool {
+	if a.deadline != b.deadline {
+		return a.deadline < b.deadline
+	}
+	return a.order < b.order
+}
+
+func newQueue(c QueueConfig) *Queue {
+	return &Queue{
+		QueueConfig: c,
+		waiting:     btree.NewG(8, lessUnit),
+		local:       1, sigma: 1, runTime: 1,
+		shares: map[string]admission.Share{},
+	}
+}
+
+const (
+	shareGain = 1.0 / 128 // weight of one start in alpha
+	quantileQ = 0.5       // of the learned limits over the workers that a queue used
+	rampStep  = 0.2       // of the unused limit, by which a local share ramps in a round
+)
+
+// use notes a start at a worker.
+func (q *Queue) use(w *Worker) {
+	q.jobs++
+	q.shares[w.Ref] = q.shares[w.Ref].Add(q.jobs, shareGain)
+}
+
+// quantile returns Q(sigma_d/alpha_d, q) over the workers that the queue used.
+func (q *Queue) quantile(workers map[string]*Worker, scratch []float64) float64 {
+	n := float64(max(1, len(workers)))
+	jobs := min(float64(q.jobs), 1/shareGain)
+	values := scratch[:0]
+	for ref, share := range q.shares {
+		w := workers[ref]
+		if w == nil || w.State != Ready {
+			continue
+		}
+		values = append(values, w.sigma/admission.Smoothed(share.Now(q.jobs, shareGain), jobs, n))
+	}
+	return admission.Quantile(values, quantileQ)
+}
+
+// shareOf is a queue's weight beside others, by its priority; 0 comes first.
+func shareOf(priority int64) float64 {
+	weight := 8.0
+	for range min(priority, 6) {
+		weight /= 2
+	}
+	return weight
+}
+
+// endRound is the admission round over all queues: sigma = min(local share, Q(sigma_d/alpha_d, q)).
+func (b *Book) endRound() {
+	limit := 0.0
+	for _, w := range b.workers {
+		w.endRound()
+		if w.State == Ready {
+			limit += w.sigma
+		}
+	}
+	claimants := b.claimants[:0]
+	demand, weights := 0.0, 0.0
+	for _, q := range b.order {
+		weights += shareOf(q.Priority)
+		demand += q.held + q.wanted
+	}
+	for _, q := range b.order {
+		claimants = append(claimants, admission.Claimant{Want: q.held + q.wanted, Share: shareOf(q.Priority) / weights})
+	}
+	b.claimants = claimants
+	level := 0.0
+	if demand > limit {
+		level = admission.FairLevel(claimants, limit)
+	}
+	for i, q := range b.order {
+		q.local = admission.LocalShare(q.local, claimants[i], demand, limit, level, rampStep)
+		q.sigma = min(q.local, q.quantile(b.workers, b.scratch))
+	}
+}
