Empty workers that leave, weigh queues by priority, learn usual run times, prompt heartbeats

Change: evacuation by what remains, runs on leaving workers do not count for their queue, weights by 8 a priority, run times as geometric mean of usual and corrected estimate, late units behind timely ones, heartbeats every 25 ms while tasks run.

--- a/internal/system/core/owner.go
+++ b/internal/system/core/owner.go
@@ -14,6 +14,7 @@
 
 const (
 	tickEvery       = 100 * time.Millisecond
+	summaryRounds   = 10                      // between two summaries in the log
 	ownerFreshFor   = 1500 * time.Millisecond // how long an owner acts after a quorum's last word
 	replicaTimeout  = 900 * time.Millisecond
 	heartbeatEvery  = 250 * time.Millisecond
@@ -172,7 +173,7 @@
 func (o *owner) tickLoop() {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
-	for {
+	for round := 0; ; round++ {
 		select {
 		case <-o.done.Done():
 			return
@@ -183,6 +184,9 @@
 			o.book.Tick(o.steady(), wallMS())
 			o.flush()
 		}
+		if round%summaryRounds == 0 {
+			o.logSummary()
+		}
 		for _, side := range o.sides {
 			side.poke()
 		}
@@ -190,6 +194,23 @@
 	}
 }
 
+// logSummary logs how the shard stands, at the verbose level. The lock is held.
+func (o *owner) logSummary() {
+	logger := o.core.logger.V(1)
+	if !logger.Enabled() {
+		return
+	}
+	queues, workers := o.book.Summary()
+	for _, q := range queues {
+		logger.Info("queue", "shard", o.name, "name", q.Name, "priority", q.Priority, "pending", q.Pending, "held", q.Held,
+			"wanted", q.Wanted, "sigma", q.Sigma, "usual_ms", q.UsualMS)
+	}
+	for _, w := range workers {
+		logger.Info("worker", "shard", o.name, "ref", w.Ref, "state", w.State, "runs", w.Runs, "held", w.Held,
+			"sigma", w.Sigma, "failing", w.Failing, "pace", w.Pace, "free", w.Free)
+	}
+}
+
 // flush releases what may start, hands all changes to the replication and tells side agents what is
 // durable. It returns the number of the last change. The lock is held.
 func (o *owner) flush() int64 {
--- a/internal/system/side/side.go
+++ b/internal/system/side/side.go
@@ -25,8 +25,8 @@
 	checkEvery   = 50 * time.Millisecond
 	reportEvery  = 400 * time.Millisecond
 	reportCall   = 700 * time.Millisecond
-	answerAfter  = 60 * time.Millisecond // a heartbeat without orders is answered after so long
-	retryAfterMS = 20
+	answerAfter  = 700 * time.Millisecond // an idle worker's heartbeat is answered after so long without orders
+	retryAfterMS = 25                     // between an answer and the next heartbeat
 	maxBeatBytes = 8 << 20
 	keepLapsed   = 20 * time.Second
 )
--- a/internal/system/side/worker.go
+++ b/internal/system/side/worker.go
@@ -8,8 +8,8 @@
 	"sedgevale/workeragent"
 )
 
-// heartbeat takes a worker's account of itself and answers with orders. Without any, the answer waits a
-// little, so that an order which comes meanwhile starts at once.
+// heartbeat takes a worker's account of itself and answers with orders. Where the worker runs nothing, so that
+// no end can come, the answer waits for an order, which then starts at once.
 func (s *Side) heartbeat(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBeatBytes))
 	if err != nil {
@@ -29,10 +29,10 @@
 		http.Error(w, "sequence: a later heartbeat came before", http.StatusConflict)
 		return
 	}
-	pending := one.agent.Pending(s.now())
+	waits := one.agent.Idle() && !one.agent.Pending(s.now())
 	s.mu.Unlock()
 	poke(one.tell)
-	if !pending {
+	if waits {
 		select {
 		case <-one.orders:
 		case <-time.After(answerAfter):
--- a/jobs/book.go
+++ b/jobs/book.go
@@ -210,18 +210,18 @@
 
 // deadline returns when a job should be done: its longest chain of estimates, extended, and the queue's target.
 func (b *Book) deadline(q *Queue, job *Job, t *Time) time.Duration {
-	chain := make([]int64, len(job.Spec.Stages))
-	longest := int64(0)
-	for i, stage := range job.Spec.Stages {
-		before := int64(0)
-		for _, earlier := range stage.DependsOn {
+	chain := make([]time.Duration, len(job.Spec.Stages))
+	longest := time.Duration(0)
+	for i := range job.Spec.Stages {
+		before := time.Duration(0)
+		for _, earlier := range job.Spec.Stages[i].DependsOn {
 			before = max(before, chain[earlier])
 		}
-		chain[i] = before + stage.EstimateMS
+		chain[i] = before + q.expected(&job.Spec.Stages[i])
 		longest = max(longest, chain[i])
 	}
-	objective := q.TargetLatencyMS + q.Extension*float64(longest)
-	return t.due + time.Duration(objective*float64(time.Millisecond))
+	target := time.Duration(q.TargetLatencyMS * float64(time.Millisecond))
+	return t.due + target + time.Duration(q.Extension*float64(longest))
 }
 
 // dequeue takes tasks out of a unit, and the unit out of its queue when it is empty.
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -9,6 +9,7 @@
 const (
 	quantum       = 200.0                  // core-seconds that a queue of weight 1 may release in a turn
 	maxTurns      = 64                     // turns of all queues in one release
+	lateTurn      = 4                      // in one of so many passes late units keep their place
 	maxUnits      = 256                    // units of a queue that are looked at in one turn
 	gpuCores      = 8                      // what a GPU counts, in cores
 	thresholdOver = 0.1                    // over the mean of what workers hold, for the random pick
@@ -19,11 +20,12 @@
 
 // pass is the state of one release.
 type pass struct {
-	now      time.Duration
-	blocked  map[*unit]bool
-	reserved map[*Worker]*unit
-	ready    []*Worker
-	mean     float64 // of what ready workers hold
+	now       time.Duration
+	blocked   map[*unit]bool
+	reserved  map[*Worker]*unit
+	ready     []*Worker
+	mean      float64 // of what ready workers hold
+	lateFirst bool    // units that are late already are not put behind
 }
 
 // Schedule lets waiting work go to workers: queues of the first priority before others, and among equals by
@@ -33,7 +35,8 @@
 		return
 	}
 	b.wake = false
-	p := &pass{now: now, blocked: map[*unit]bool{}, reserved: map[*Worker]*unit{}}
+	b.pass++
+	p := &pass{now: now, lateFirst: b.pass%lateTurn == 0, blocked: map[*unit]bool{}, reserved: map[*Worker]*unit{}}
 	for _, w := range b.workers {
 		if w.State == Ready {
 			p.ready = append(p.ready, w)
@@ -75,14 +78,7 @@
 	if q.deficit <= 0 {
 		return true
 	}
-	var units []*unit
-	q.waiting.Ascend(func(u *unit) bool {
-		if !p.blocked[u] {
-			units = append(units, u)
-		}
-		return len(units) < maxUnits
-	})
-	for _, u := range units {
+	for _, u := range p.inOrder(q) {
 		if q.held >= q.sigma && q.held > 0 {
 			return false
 		}
@@ -99,11 +95,28 @@
 	return false
 }
 
+// inOrder returns the units of a queue that are not blocked, the first deadlines first. Those that are late
+// already come behind, but for a pass in every few, so that they get their turn too.
+func (p *pass) inOrder(q *Queue) []*unit {
+	var timely, late []*unit
+	q.waiting.Ascend(func(u *unit) bool {
+		switch {
+		case p.blocked[u]:
+		case u.deadline < p.now && !p.lateFirst:
+			late = append(late, u)
+		default:
+			timely = append(timely, u)
+		}
+		return len(timely)+len(late) < maxUnits
+	})
+	return append(timely, late...)
+}
+
 // work is the estimated work of a task, in core-seconds.
 func (b *Book) work(u *unit) float64 {
 	step := &u.job.Spec.Stages[u.stage]
 	cores := float64(step.CPU)/1000 + gpuCores*float64(step.GPU)
-	return cores * float64(step.EstimateMS) / 1000 * u.queue.runTime
+	return cores * u.queue.expected(step).Seconds()
 }
 
 // releaseTasks places tasks of a unit one by one. It reports whether the queue still has credit.
--- a/jobs/queue.go
+++ b/jobs/queue.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"math"
 	"time"
 
 	"github.com/google/btree"
@@ -20,19 +21,19 @@
 // Queue holds the work of one route and what was learned for it.
 type Queue struct {
 	QueueConfig
-	waiting  *btree.BTreeG[*unit] // by deadline
-	wanted   float64              // parts of a worker that wait
-	held     float64              // parts of workers that its runs hold
-	local    float64              // the local share
-	sigma    float64              // the admission limit on held
-	deficit  admission.Deficit
-	runTime  float64 // EWMA of a task's run time over its estimate
-	jobs     uint64
-	shares   map[string]admission.Share // alpha, by worker
-	removed  bool                       // no configuration has it any more
-	pending  int                        // jobs that have not ended
-	backlog  bool
-	meanPart float64 // EWMA of the part of a worker that one task takes
+	waiting *btree.BTreeG[*unit] // by deadline
+	wanted  float64              // parts of a worker that wait
+	held    float64              // parts of workers that its runs hold
+	local   float64              // the local share
+	sigma   float64              // the admission limit on held
+	deficit admission.Deficit
+	usual   float64 // EWMA of the logarithm of a task's run time in seconds
+	bias    float64 // EWMA of the logarithm of a task's run time over its estimate
+	ends    int64   // that the two were learned from
+	jobs    uint64
+	shares  map[string]admission.Share // alpha, by worker
+	removed bool                       // no configuration has it any more
+	pending int                        // jobs that have not ended
 }
 
 // unit is what waits of one step in one time: its tasks are alike. A gang leaves as a whole.
@@ -59,7 +60,7 @@
 	return &Queue{
 		QueueConfig: c,
 		waiting:     btree.NewG(8, lessUnit),
-		local:       1, sigma: 1, runTime: 1,
+		local:       1, sigma: 1,
 		shares: map[string]admission.Share{},
 	}
 }
@@ -91,15 +92,41 @@
 	return admission.Quantile(values, quantileQ)
 }
 
+// learn takes the run time of a task that ended well.
+func (q *Queue) learn(took, estimate time.Duration) {
+	q.ends++
+	gain := max(runTimeGain, 1/float64(q.ends))
+	seconds := max(took.Seconds(), 0.001)
+	q.usual += gain * (math.Log(seconds) - q.usual)
+	q.bias += gain * (math.Log(seconds/max(estimate.Seconds(), 0.001)) - q.bias)
+}
+
+// expected returns how long a task of a step is expected to run: the geometric mean of what its queue's
+// tasks usually take and of its corrected estimate, since guesses of a task and means of a queue err apart.
+func (q *Queue) expected(s *Stage) time.Duration {
+	estimate := float64(s.EstimateMS) / 1000
+	if q.ends < learnedAfter || estimate <= 0 {
+		return time.Duration(s.EstimateMS) * time.Millisecond
+	}
+	corrected := math.Log(estimate) + q.bias
+	return time.Duration(math.Exp((q.usual+corrected)/2) * float64(time.Second))
+}
+
+// learnedAfter is the number of ends from which on a queue's usual run time counts.
+const learnedAfter = 8
+
 // shareOf is a queue's weight beside others, by its priority; 0 comes first.
 func shareOf(priority int64) float64 {
-	weight := 8.0
+	weight := 1.0
 	for range min(priority, 6) {
-		weight /= 2
+		weight /= priorityStep
 	}
 	return weight
 }
 
+// priorityStep is how much more a queue weighs than one of the next lower priority.
+const priorityStep = 8
+
 // endRound is the admission round over all queues: sigma = min(local share, Q(sigma_d/alpha_d, q)).
 func (b *Book) endRound() {
 	limit := 0.0
--- a/jobs/report.go
+++ b/jobs/report.go
@@ -3,11 +3,12 @@
 import "time"
 
 const (
-	resendAfter = 300 * time.Millisecond // an order that was not seen at the worker is sent again
-	learnGain   = 0.2                    // weight of one outcome in what is known of a worker
-	runTimeGain = 0.05                   // weight of one run in a queue's usual run time
-	failDecay   = 0.98                   // of a worker's share of failures, a round
-	silentMS    = 2500                   // a worker without a heartbeat for so long gets no starts
+	resendAfter  = 300 * time.Millisecond // an order that was not seen at the worker is sent again
+	learnGain    = 0.2                    // weight of one outcome in what is known of a worker
+	runTimeGain  = 0.05                   // weight of one run in a queue's usual run time
+	failDecay    = 0.98                   // of a worker's share of failures, a round
+	trustPercent = 10                     // from which on a run's progress tells when it ends
+	silentMS     = 2500                   // a worker without a heartbeat for so long gets no starts
 )
 
 // Report takes what a side agent tells of its worker.
@@ -76,8 +77,11 @@
 	if state == Draining {
 		w.Leaves = now + time.Duration(r.RemainingMS)*time.Millisecond
 	}
+	if r.LapsesInMS > 0 {
+		w.expiry = min(w.expiry, now+time.Duration(r.LapsesInMS)*time.Millisecond)
+	}
 	if w.State != state || w.Capacity != r.Capacity {
-		w.State = state
+		w.setState(state)
 		w.Capacity = r.Capacity
 		for _, run := range w.Runs {
 			w.resize(run)
@@ -86,6 +90,36 @@
 		b.wake = true
 	}
 	w.Labels = r.Labels
+	if state == Draining || state == Gone {
+		b.evacuate(now, w)
+	}
+}
+
+// evacuate stops the runs of a worker that is to leave which would not end before. They go on elsewhere, from
+// their checkpoints where they have any.
+func (b *Book) evacuate(now time.Duration, w *Worker) {
+	for _, run := range w.Runs {
+		if run.stopping || run.job == nil || run.job.over() || run.queue == nil {
+			continue
+		}
+		if run.job.lasts(run.at.stage) || now+b.remaining(now, run) > w.Leaves {
+			run.stopping = true
+			run.lastSent = 0
+		}
+	}
+}
+
+// remaining is how long a run may still take.
+func (b *Book) remaining(now time.Duration, run *Run) time.Duration {
+	usual := run.queue.expected(&run.job.Spec.Stages[run.at.stage])
+	if run.began == 0 {
+		return usual
+	}
+	elapsed := now - run.began
+	if run.percent >= trustPercent {
+		return elapsed * time.Duration(100-run.percent) / time.Duration(run.percent)
+	}
+	return max(usual-elapsed, usual/4)
 }
 
 // measure works out the mean worker, by which the size of tasks is told.
@@ -266,9 +300,10 @@
 	if estimate <= 0 || run.queue == nil {
 		return
 	}
-	ratio := float64((now - run.placed).Milliseconds()) / float64(estimate)
-	run.queue.runTime += runTimeGain * (min(ratio, 10) - run.queue.runTime)
-	w.pace += learnGain * (min(ratio/max(run.queue.runTime, 0.1), 10) - w.pace)
+	expected := run.queue.expected(&run.job.Spec.Stages[run.at.stage])
+	took := now - run.placed
+	run.queue.learn(took, time.Duration(estimate)*time.Millisecond)
+	w.pace += learnGain * (min(took.Seconds()/max(expected.Seconds(), 0.001), 10) - w.pace)
 }
 
 // endTask moves a task on after the end of its run.
@@ -367,7 +402,7 @@
 	for key := range w.Runs {
 		b.endRun(now, w, key, "lapsed", "")
 	}
-	w.State = Lapsed
+	w.setState(Lapsed)
 }
 
 // Tick is the round: times that became due, workers that are surely gone, and the limits of admission.
--- /dev/null
+++ b/jobs/summary.go
@@ -0,0 +1,49 @@
+package jobs
+
+import (
+	"math"
+	"sort"
+)
+
+// QueueSummary is how a queue stands. Held and Wanted are in parts of workers.
+type QueueSummary struct {
+	Name     string
+	Priority int64
+	Pending  int64   // jobs that have not ended
+	Held     float64 // by what runs
+	Wanted   float64 // by what waits
+	Sigma    float64 // the admission limit on Held
+	UsualMS  float64 // usual run time of a task
+}
+
+// WorkerSummary is how a worker stands.
+type WorkerSummary struct {
+	Ref     string
+	State   string
+	Runs    int64
+	Held    float64 // part of it that runs take
+	Sigma   float64 // learned limit on Held
+	Failing float64 // share of runs that failed lately
+	Pace    float64 // run time over the usual
+	Free    Resources
+}
+
+// Summary tells how all queues and workers stand, for operators.
+func (b *Book) Summary() ([]QueueSummary, []WorkerSummary) {
+	var queues []QueueSummary
+	for _, q := range b.order {
+		queues = append(queues, QueueSummary{
+			Name: q.Name, Priority: q.Priority, Pending: int64(q.pending), Held: q.held, Wanted: q.wanted, Sigma: q.sigma,
+			UsualMS: 1000 * math.Exp(q.usual),
+		})
+	}
+	var workers []WorkerSummary
+	for _, w := range b.workers {
+		workers = append(workers, WorkerSummary{
+			Ref: w.Ref, State: string(w.State), Runs: int64(len(w.Runs)), Held: w.held, Sigma: w.sigma, Failing: w.failing,
+			Pace: w.pace, Free: w.free(),
+		})
+	}
+	sort.Slice(workers, func(i, j int) bool { return workers[i].Ref < workers[j].Ref })
+	return queues, workers
+}
--- a/jobs/worker.go
+++ b/jobs/worker.go
@@ -100,6 +100,7 @@
 	sigma   float64 // the learned limit on held
 	failing float64 // weighted share of runs that failed lately
 	pace    float64 // weighted run time over what was expected
+	counts  bool    // its runs count for their queues
 	cut     bool    // an outcome lowered sigma in this round
 
 	heard   time.Duration // when its side agent was last heard
@@ -119,8 +120,28 @@
 	w.Runs[r.Key] = r
 	w.used = w.used.plus(r.demand)
 	w.held += r.part
-	if r.queue != nil {
-		r.queue.held += r.part
+	w.count(r, r.part)
+}
+
+// count adds to what a queue holds of the workers that take tasks; runs on others take no room that
+// anything could use.
+func (w *Worker) count(r *Run, part float64) {
+	if r.queue != nil && w.counts {
+		r.queue.held += part
+	}
+}
+
+// setState notes whether the worker takes tasks, and with it whether its runs count for their queues.
+func (w *Worker) setState(state WorkerState) {
+	w.State = state
+	if counts := state == Ready || state == Silent; counts != w.counts {
+		for _, r := range w.Runs {
+			w.count(r, -r.part)
+		}
+		w.counts = counts
+		for _, r := range w.Runs {
+			w.count(r, r.part)
+		}
 	}
 }
 
@@ -131,18 +152,14 @@
 	if len(w.Runs) == 0 {
 		w.held = 0
 	}
-	if r.queue != nil {
-		r.queue.held -= r.part
-	}
+	w.count(r, -r.part)
 }
 
 // resize reckons anew what part of the worker a run takes.
 func (w *Worker) resize(r *Run) {
 	part := min(1, w.Capacity.part(r.demand))
 	w.held += part - r.part
-	if r.queue != nil {
-		r.queue.held += part - r.part
-	}
+	w.count(r, part-r.part)
 	r.part = part
 }
 
@@ -209,6 +226,7 @@
 	Missed      int64    // heartbeats that did not come and answers that were dropped, since its life began
 	SinceBeatMS int64    // since the last heartbeat
 	Unknown     int64    // active runs of which the side agent does not know what they take
+	LapsesInMS  int64    // when all its runs have surely lapsed, where no more holds are granted; 0 where they are
 	Superseded  []string // instances that this worker has surely replaced
 }
 
--- a/workeragent/agent.go
+++ b/workeragent/agent.go
@@ -146,7 +146,7 @@
 	for ref := range a.stops {
 		answer.Stopped = append(answer.Stopped, RunRef{ref.Task, ref.Attempt})
 	}
-	if now >= a.leaseUntil {
+	if now >= a.leaseUntil || a.gone {
 		return answer
 	}
 	answer.HoldMS = a.timing.Hold.Milliseconds()
@@ -342,6 +342,11 @@
 // SafelyDead reports whether nothing of this incarnation can still run.
 func (a *Agent) SafelyDead() bool { return a.lapsed }
 
+// Idle reports whether nothing of ours is at the worker or on its way there, so that no end can come.
+func (a *Agent) Idle() bool {
+	return len(a.active) == 0 && len(a.beat.Finished) == 0 && len(a.held) == 0
+}
+
 // Draining reports whether the worker has announced its end.
 func (a *Agent) Draining() bool { return a.gone || a.beat.State != string(jobs.Ready) }
 
@@ -357,6 +362,9 @@
 	if a.lapsed {
 		return r
 	}
+	if a.gone {
+		r.LapsesInMS = max(1, (a.holdUntil - now).Milliseconds())
+	}
 	for _, run := range a.beat.Active {
 		r.Active = append(r.Active, jobs.ActiveRun{
 			Task: run.Task, Attempt: run.Attempt, Saved: run.Saved, Percent: int64(run.Percent),
