--- a/internal/system/side/side.go
+++ b/internal/system/side/side.go
@@ -41,20 +41,20 @@
 	life      string
 	started   time.Time
 
-	mu       sync.Mutex
-	agents   map[string]*incarnation
-	newest   string
-	replaced []string // instances that have surely ended
+	mu     sync.Mutex
+	agents map[string]*incarnation
+	newest string
 }
 
 // incarnation is one incarnation of the worker and what waits for it.
 type incarnation struct {
-	agent    *workeragent.Agent
-	service  string
-	orders   chan struct{} // poked when there is something for the worker
-	tell     chan struct{} // poked when there is something for the owner
-	lapsedAt time.Duration
-	ended    bool
+	agent     *workeragent.Agent
+	service   string
+	orders    chan struct{} // poked when there is something for the worker
+	tell      chan struct{} // poked when there is something for the owner
+	lapsedAt  time.Duration
+	ended     bool // another incarnation has replaced it
+	confirmed bool
 }
 
 func poke(wake chan struct{}) {
@@ -103,16 +103,27 @@
 		orders: make(chan struct{}, 1), tell: make(chan struct{}, 1),
 	}
 	s.agents[instance] = one
-	for other, old := range s.agents {
-		// A worker that crashed comes back under another name. One that said good-bye may still be at work.
-		if other != instance && !old.agent.Draining() && !old.ended {
+	return one
+}
+
+// certainBeats is how many heartbeats make an incarnation certain: a late one of an incarnation that has
+// crashed is not followed by another.
+const certainBeats = 2
+
+// confirm notes that an incarnation is certainly there. A worker that crashed comes back under another name,
+// so the others have ended, but for those that announced their end and may still be at work. The lock is held.
+func (s *Side) confirm(one *incarnation) {
+	if one.confirmed || one.agent.Beats() < certainBeats {
+		return
+	}
+	one.confirmed = true
+	s.newest = one.agent.Instance
+	for _, old := range s.agents {
+		if old != one && !old.agent.Draining() {
 			old.ended = true
-			s.replaced = append(s.replaced, other)
 		}
 	}
-	s.newest = instance
 	go s.reportLoop(one)
-	return one
 }
 
 // takeOrders passes an owner's orders to the agent.
@@ -175,9 +186,6 @@
 	now := s.now()
 	report := one.agent.Report(now)
 	report.Side = s.settings.InternalAddress()
-	if one.agent.Instance == s.newest {
-		report.Superseded = append(report.Superseded, s.replaced...)
-	}
 	service := one.service
 	s.mu.Unlock()
 	owner, _ := s.directory.Owner(service)
--- a/internal/system/side/worker.go
+++ b/internal/system/side/worker.go
@@ -29,7 +29,13 @@
 		http.Error(w, "sequence: a later heartbeat came before", http.StatusConflict)
 		return
 	}
-	waits := one.agent.Idle() && !one.agent.Pending(s.now())
+	if one.ended {
+		s.mu.Unlock()
+		w.WriteHeader(http.StatusOK) // without a hold it runs nothing
+		return
+	}
+	s.confirm(one)
+	waits := one.confirmed && one.agent.Idle() && !one.agent.Pending(s.now())
 	s.mu.Unlock()
 	poke(one.tell)
 	if waits {
--- a/jobs/report.go
+++ b/jobs/report.go
@@ -55,12 +55,16 @@
 	return w
 }
 
-// supersede ends the incarnations that a report's worker has surely replaced.
+// supersede ends the other incarnations at a report's side agent. There is one worker on a machine, so one with a new
+// name has replaced one that crashed; only one that is known to leave may still be at work for a while.
 func (b *Book) supersede(now time.Duration, r *Report) {
-	for _, instance := range r.Superseded {
-		if old := b.workers[RefOf(instance, r.Side)]; old != nil {
+	for ref, old := range b.workers {
+		if old.Side != r.Side || old.Instance == r.Instance || old.State == Draining || old.State == Gone {
+			continue
+		}
+		if WorkerState(r.State) == Ready {
 			b.lapse(now, old)
-			delete(b.workers, old.Ref)
+			delete(b.workers, ref)
 		}
 	}
 }
--- a/jobs/worker.go
+++ b/jobs/worker.go
@@ -227,7 +227,6 @@
 	SinceBeatMS int64    // since the last heartbeat
 	Unknown     int64    // active runs of which the side agent does not know what they take
 	LapsesInMS  int64    // when all its runs have surely lapsed, where no more holds are granted; 0 where they are
-	Superseded  []string // instances that this worker has surely replaced
 }
 
 // RunRef names a run in messages.
--- a/workeragent/agent.go
+++ b/workeragent/agent.go
@@ -391,3 +391,6 @@
 
 // IsNewest reports whether no heartbeat came after the one with a sequence number.
 func (a *Agent) IsNewest(sequence int64) bool { return a.beat.Sequence == sequence }
+
+// Beats returns how many heartbeats have come.
+func (a *Agent) Beats() int64 { return a.beats }
