Bound a worker's load by its learned limit, not the sum of its tasks' largest parts

Change: room is judged by the resource of which least is left; sigma is scaled to the measure of parts for the shares of queues. Ruled out: overload alone; free processor beside waiting first priority was in every second's summary.

--- a/jobs/queue.go
+++ b/jobs/queue.go
@@ -87,7 +87,7 @@
 		if w == nil || w.State != Ready {
 			continue
 		}
-		values = append(values, w.sigma/admission.Smoothed(share.Now(q.jobs, shareGain), jobs, n))
+		values = append(values, w.limit()/admission.Smoothed(share.Now(q.jobs, shareGain), jobs, n))
 	}
 	return admission.Quantile(values, quantileQ)
 }
@@ -133,7 +133,7 @@
 	for _, w := range b.workers {
 		w.endRound()
 		if w.State == Ready {
-			limit += w.sigma
+			limit += w.limit()
 		}
 	}
 	claimants := b.claimants[:0]
--- a/jobs/worker.go
+++ b/jobs/worker.go
@@ -96,8 +96,8 @@
 
 	Runs    map[RunKey]*Run
 	used    Resources
-	held    float64 // the sum of its runs' parts
-	sigma   float64 // the learned limit on held
+	held    float64 // the sum of its runs' parts; more than its load where they want different resources
+	sigma   float64 // the learned limit on its load
 	failing float64 // weighted share of runs that failed lately
 	pace    float64 // weighted run time over what was expected
 	counts  bool    // its runs count for their queues
@@ -189,13 +189,13 @@
 		return
 	}
 	w.cut = true
-	w.sigma = tuning.Cut(w.sigma, max(w.held, tuning.Least))
+	w.sigma = tuning.Cut(w.sigma, max(w.load(), tuning.Least))
 }
 
 // endRound raises the limit after a clean round, never above the announced capacity.
 func (w *Worker) endRound() {
 	if !w.cut {
-		w.sigma = min(1, tuning.Raise(w.sigma, w.sigma-w.held))
+		w.sigma = min(1, tuning.Raise(w.sigma, w.sigma-w.load()))
 	}
 	w.cut = false
 }
@@ -206,9 +206,25 @@
 	if w.State != Ready || !w.free().Holds(demand) {
 		return false
 	}
-	return len(w.Runs) == 0 || w.held+w.Capacity.part(demand) <= w.sigma+1e-9
+	return len(w.Runs) == 0 || w.Capacity.part(w.used.plus(demand)) <= w.sigma+1e-9
 }
 
+// load is how full the worker is, in the resource of which it has least left.
+func (w *Worker) load() float64 { return w.Capacity.part(w.used) }
+
+// limit is sigma in the measure of held: tasks that want different resources go together, so that their parts may
+// sum up to more than 1.
+func (w *Worker) limit() float64 {
+	load := w.load()
+	if load < leastLoad {
+		return w.sigma
+	}
+	return w.sigma * max(1, w.held/load)
+}
+
+// leastLoad is the load from which on it tells how well tasks go together.
+const leastLoad = 0.3
+
 // Report is what a side agent tells of one incarnation of its worker.
 type Report struct {
 	Side        string // where the side agent hears the owner
