--- /dev/null
+++ b/admission/admission_test.go
@@ -0,0 +1,124 @@
+package admission
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+func TestCutAndRaise(t *testing.T) {
+	tuning := Tuning{CutFactor: 0.5, RiseStep: 0.1, Least: 0.1}
+	if got := tuning.Cut(8, 4); got != 2 {
+		t.Errorf("cut to %v from what was out there", got)
+	}
+	if got := tuning.Cut(0.1, 0); got != 0.1 {
+		t.Errorf("cut to %v, below the least", got)
+	}
+	if got := tuning.Raise(4, 2); math.Abs(got-4.2) > 1e-9 {
+		t.Errorf("raised to %v", got)
+	}
+	if got := tuning.Raise(4, -2); got != 4 {
+		t.Errorf("raised to %v without spare room", got)
+	}
+}
+
+func TestShareFades(t *testing.T) {
+	const gain = 0.25
+	s := Share{}.Add(1, gain)
+	if s.Value != gain || s.Now(2, gain) != gain*(1-gain) {
+		t.Errorf("share %v", s)
+	}
+	if got := Smoothed(1, 0, 4); got != 0.25 {
+		t.Errorf("without jobs the share is %v, not the even one", got)
+	}
+}
+
+func TestQuantile(t *testing.T) {
+	if got := Quantile([]float64{4, 1, 3, 2, 5}, 0.5); got != 3 {
+		t.Errorf("median %v", got)
+	}
+	if got := Quantile(nil, 0.5); got != Unlimited {
+		t.Errorf("quantile of nothing %v", got)
+	}
+}
+
+// The max-min level never gives out more than the limit, and leaves nothing while somebody wants more.
+func TestFairLevelIsMaxMin(t *testing.T) {
+	properties := gopter.NewProperties(gopter.DefaultTestParameters())
+	properties.Property("max-min", prop.ForAll(func(wants []float64) bool {
+		if len(wants) == 0 {
+			return true
+		}
+		claimants := make([]Claimant, len(wants))
+		total := 0.0
+		for i, want := range wants {
+			claimants[i] = Claimant{Want: want, Share: 1 / float64(len(wants))}
+			total += want
+		}
+		const limit = 10
+		level := FairLevel(claimants, limit)
+		given := 0.0
+		for _, c := range claimants {
+			given += min(c.Want, level*c.Share)
+		}
+		return given <= limit+1e-6 && (total <= limit || given > limit-1e-6)
+	}, gen.SliceOf(gen.Float64Range(0, 20))))
+	properties.TestingRun(t)
+}
+
+func TestLocalShare(t *testing.T) {
+	if got := LocalShare(1, Claimant{Want: 2, Share: 0.5}, 4, 10, 0, 0.5); got != 5 {
+		t.Errorf("while the demand is met the share ramps to %v", got)
+	}
+	if got := LocalShare(9, Claimant{Want: 8, Share: 0.5}, 20, 10, 12, 0.5); got != 6 {
+		t.Errorf("beyond it is %v", got)
+	}
+	if got := LocalShare(9, Claimant{Want: 1, Share: 0.5}, 20, 10, 12, 0.5); got != 5 {
+		t.Errorf("below the own share: %v", got)
+	}
+}
+
+// Two queues with units of different cost get equal work by deficit round robin.
+func TestDeficitSharesWork(t *testing.T) {
+	var deficits [2]Deficit
+	costs := [2]float64{1, 7}
+	var done [2]float64
+	for range 1000 {
+		for i := range deficits {
+			deficits[i].Visit(5, true)
+			for deficits[i] > 0 {
+				done[i] += costs[i]
+				deficits[i].Pay(costs[i])
+			}
+		}
+	}
+	if ratio := done[0] / done[1]; ratio < 0.95 || ratio > 1.05 {
+		t.Errorf("work %v", done)
+	}
+	deficits[0].Visit(5, false)
+	if deficits[0] != 0 {
+		t.Error("a queue without work keeps credit")
+	}
+}
+
+func TestPickBelowTheThreshold(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	candidates := []Candidate{{0.9}, {0.2}, {0.3}, {0.8}}
+	counts := make([]int, len(candidates))
+	for range 1000 {
+		counts[PickBelow(candidates, 0.5, random.IntN)]++
+	}
+	if counts[0]+counts[3] > 0 || counts[1] < 400 || counts[2] < 400 {
+		t.Errorf("picks %v", counts)
+	}
+	if got := PickBelow(candidates, 0.1, random.IntN); got != 1 {
+		t.Errorf("above the threshold the least loaded is picked, not %d", got)
+	}
+	if got := PickBelow(nil, 1, random.IntN); got != -1 {
+		t.Errorf("picked %d of none", got)
+	}
+}
--- /dev/null
+++ b/coord/shard/shard_test.go
@@ -0,0 +1,123 @@
+package shard
+
+import (
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+func record(key string, token, sequence int64) Record {
+	return Record{Key: key, Version: Version{token, sequence}, Value: []byte(key)}
+}
+
+func TestSetKeepsTheNewestVersion(t *testing.T) {
+	s := NewSet()
+	if !s.Apply(record("a", 1, 2)) || s.Apply(record("a", 1, 1)) || s.Apply(record("a", 1, 2)) || !s.Apply(record("a", 2, 1)) {
+		t.Error("a set takes just newer versions")
+	}
+	s.Apply(Record{Key: "a", Version: Version{2, 2}, Deleted: true})
+	if s.Len() != 0 {
+		t.Error("a deleted record stayed")
+	}
+}
+
+// Sets with equal records have equal digests, in whatever order they came; a version that differs shows.
+func TestDigestsTellSetsApart(t *testing.T) {
+	properties := gopter.NewProperties(gopter.DefaultTestParameters())
+	properties.Property("order does not matter, versions do", prop.ForAll(func(keys []string) bool {
+		one, two := NewSet(), NewSet()
+		for i, key := range keys {
+			one.Apply(record(key, 1, int64(i+1)))
+		}
+		for i := len(keys) - 1; i >= 0; i-- {
+			two.Apply(record(keys[i], 1, int64(i+1)))
+		}
+		if len(Differing(one.Digests(), two.Digests())) != 0 {
+			return false
+		}
+		if len(keys) == 0 {
+			return true
+		}
+		two.Apply(record(keys[0], 2, 1))
+		return len(Differing(one.Digests(), two.Digests())) == 1
+	}, gen.SliceOf(gen.Identifier())))
+	properties.TestingRun(t)
+}
+
+func TestRepairBringsAReplicaToTheOwnersState(t *testing.T) {
+	set := NewSet()
+	for i, key := range []string{"a", "b", "c", "d"} {
+		set.Apply(record(key, 1, int64(i+1)))
+	}
+	p := NewPrimary(2, set, 3, 2)
+	replica := NewReplica(false)
+	replica.Set.Apply(record("a", 1, 1))
+	replica.Set.Apply(record("stale", 1, 9)) // was never acknowledged by a majority
+	ranges, upTo := p.BeginRepair(0, replica.Set.Digests())
+	if !replica.Repair(2, ranges, true) || !replica.Voter || replica.InStep != 2 {
+		t.Fatalf("replica %+v", replica)
+	}
+	if len(Differing(set.Digests(), replica.Set.Digests())) != 0 {
+		t.Error("the replica differs after the repair")
+	}
+	if _, there := replica.Set.Get("stale"); there {
+		t.Error("a record that the owner does not have stayed")
+	}
+	p.Acked(0, upTo)
+}
+
+func TestOlderOwnerIsFenced(t *testing.T) {
+	replica := NewReplica(true)
+	replica.Repair(3, nil, true)
+	if !replica.Write(3, []Record{record("a", 3, 1)}) {
+		t.Error("the owner's write was turned down")
+	}
+	replica.Seal(4)
+	if replica.Write(3, []Record{record("a", 3, 2)}) || replica.Seal(3) || replica.Repair(3, nil, true) {
+		t.Error("an older token still works")
+	}
+	if replica.Write(4, nil) {
+		t.Error("an owner wrote to a replica that it has not brought in step")
+	}
+}
+
+func TestCommittedNeedsAMajority(t *testing.T) {
+	p := NewPrimary(1, NewSet(), 3, 2)
+	for i := range 3 {
+		p.BeginRepair(i, p.Set.Digests())
+	}
+	n := p.Put("a", []byte("x"))
+	p.Acked(0, n)
+	if p.Committed() >= n {
+		t.Error("one replica of three is no majority")
+	}
+	p.Acked(2, n)
+	if p.Committed() != n || p.Everywhere() >= n {
+		t.Errorf("committed %d, everywhere %d", p.Committed(), p.Everywhere())
+	}
+	p.Lost(2)
+	if p.Committed() >= n {
+		t.Error("a replica that was lost counts on")
+	}
+}
+
+func TestNextTellsEachChangeOnce(t *testing.T) {
+	p := NewPrimary(1, NewSet(), 3, 2)
+	p.BeginRepair(1, p.Set.Digests())
+	p.Put("a", []byte("x"))
+	p.Put("a", []byte("y"))
+	p.Delete("b")
+	records, upTo := p.Next(1)
+	if len(records) != 2 || upTo != 3 || p.HasPending(1) || p.HasPending(0) {
+		t.Errorf("records %+v up to %d", records, upTo)
+	}
+}
+
+func TestNewestAreThoseInStepWithTheLastOwner(t *testing.T) {
+	got := Newest(map[int]Sealed{0: {InStep: 3}, 1: {InStep: 5}, 2: {InStep: 5}})
+	if len(got) != 2 || got[0] != 1 || got[1] != 2 {
+		t.Errorf("newest %v", got)
+	}
+}
--- /dev/null
+++ b/workeragent/agent_test.go
@@ -0,0 +1,378 @@
+package workeragent
+
+import (
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"sedgevale/internal/system/result"
+	"sedgevale/jobs"
+)
+
+// A timeline is a text with one line an event: the time in milliseconds, the column of who acts, and what it does.
+// The columns are the worker, the agent's own clock, and owners with their fencing tokens. Lines with = tell
+// what must be seen.
+//
+//	beat S=1 a:t1 f:3/t2/done ready   a heartbeat: sequence, active runs, finished ones, state
+//	=> answer hold start t1 stop t2   what the answer holds
+//	7: start t1 500 | stop t1 | lease | noted 3   an owner's orders under token 7
+//	restart                           the agent's process is a new one
+type timeline struct {
+	t     *testing.T
+	agent *Agent
+	lives int
+}
+
+var testTiming = Timing{Hold: 4 * time.Second, Lease: 8 * time.Second}
+
+func play(t *testing.T, text string) *Agent {
+	t.Helper()
+	line := &timeline{t: t}
+	for _, row := range strings.Split(text, "\n") {
+		row = strings.TrimSpace(row)
+		if row == "" || strings.HasPrefix(row, "#") {
+			continue
+		}
+		at, rest, _ := strings.Cut(row, " ")
+		ms, err := strconv.Atoi(at)
+		if err != nil {
+			t.Fatalf("%q: %v", row, err)
+		}
+		line.step(time.Duration(ms)*time.Millisecond, strings.TrimSpace(rest), row)
+	}
+	return line.agent
+}
+
+func (l *timeline) step(now time.Duration, what, row string) {
+	l.t.Helper()
+	if l.agent == nil || what == "restart" {
+		l.lives++
+		l.agent = New(now, "i-1", "life"+strconv.Itoa(l.lives), testTiming)
+	}
+	fields := strings.Fields(what)
+	switch {
+	case what == "restart":
+	case fields[0] == "beat":
+		l.agent.OnBeat(now, parseBeat(fields[1:]))
+	case fields[0] == "check":
+		l.expect(row, fmt.Sprint(l.agent.Check(now)), fields[1])
+	case fields[0] == "leave":
+		l.agent.OnLeave(now)
+	case fields[0] == "=>":
+		l.expect(row, describe(l.agent.Answer(now)), strings.Join(fields[1:], " "))
+	case fields[0] == "dropped":
+		l.expect(row, droppedOf(l.agent.Report(now)), strings.Join(fields[1:], " "))
+	default:
+		token, err := strconv.ParseInt(strings.TrimSuffix(fields[0], ":"), 10, 64)
+		if err != nil {
+			l.t.Fatalf("%q: %v", row, err)
+		}
+		l.owner(now, token, fields[1:], row)
+	}
+}
+
+func (l *timeline) owner(now time.Duration, token int64, fields []string, row string) {
+	l.t.Helper()
+	orders := &jobs.Orders{Instance: "i-1", Life: l.agent.Life()}
+	refused := fields[len(fields)-1] == "refused"
+	if refused {
+		fields = fields[:len(fields)-1]
+	}
+	var err error
+	switch fields[0] {
+	case "lease":
+		err = l.agent.OnLease(now, token, 0)
+	case "noted":
+		orders.Noted, _ = strconv.ParseInt(fields[1], 10, 64)
+		err = l.agent.OnOrders(now, token, orders)
+	case "start", "known":
+		start := jobs.Start{Task: fields[1], Attempt: 1, Text: "text"}
+		start.Demand.CPU, _ = strconv.ParseInt(fields[2], 10, 64)
+		if fields[0] == "known" {
+			orders.Known = []jobs.Start{start}
+		} else {
+			orders.Starts = []jobs.Start{start}
+		}
+		err = l.agent.OnOrders(now, token, orders)
+	case "stop":
+		orders.Stops = []jobs.RunRef{{Task: fields[1], Attempt: 1}}
+		err = l.agent.OnOrders(now, token, orders)
+	case "old-life":
+		orders.Life = "life0/0"
+		err = l.agent.OnOrders(now, token, orders)
+	}
+	if (err != nil) != refused {
+		l.t.Errorf("%q: error %v", row, err)
+	}
+	if refused && result.CodeOf(err) != result.Fenced && result.CodeOf(err) != result.WrongInstance {
+		l.t.Errorf("%q: code of %v", row, err)
+	}
+}
+
+func (l *timeline) expect(row, got, want string) {
+	l.t.Helper()
+	if got != want {
+		l.t.Errorf("%q: got %q", row, got)
+	}
+}
+
+func parseBeat(fields []string) Heartbeat {
+	beat := Heartbeat{State: "ready", Capacity: Capacity{CPU: 1000}}
+	for _, field := range fields {
+		name, value, _ := strings.Cut(field, ":")
+		switch name {
+		case "a":
+			beat.Active = append(beat.Active, Active{Task: value, Attempt: 1})
+		case "f":
+			parts := strings.Split(value, "/")
+			number, _ := strconv.ParseInt(parts[0], 10, 64)
+			beat.Finished = append(beat.Finished, Finished{Number: number, Task: parts[1], Attempt: 1, How: parts[2]})
+		case "S":
+			beat.Sequence, _ = strconv.ParseInt(value, 10, 64)
+		default:
+			beat.State = field
+		}
+	}
+	return beat
+}
+
+func describe(a Answer) string {
+	var words []string
+	if a.HoldMS > 0 {
+		words = append(words, "hold")
+	}
+	if a.LastSeen > 0 {
+		words = append(words, "seen"+strconv.FormatInt(a.LastSeen, 10))
+	}
+	var starts, stops []string
+	for _, s := range a.Started {
+		starts = append(starts, "start", s.Task)
+	}
+	for _, s := range a.Stopped {
+		stops = append(stops, "stop", s.Task)
+	}
+	words = append(append(words, starts...), stops...)
+	if len(words) == 0 {
+		return "nothing"
+	}
+	return strings.Join(words, " ")
+}
+
+func droppedOf(r *jobs.Report) string {
+	var names []string
+	for _, ref := range r.Dropped {
+		names = append(names, ref.Task)
+	}
+	sort.Strings(names)
+	if len(names) == 0 {
+		return "nothing"
+	}
+	return strings.Join(names, " ")
+}
+
+func TestOrderStartsInTheNextAnswer(t *testing.T) {
+	play(t, `
+	0    7: lease
+	10   beat S:1
+	20   7: start t1 500
+	30   => hold start t1
+	40   beat S:2 a:t1
+	50   => hold`)
+}
+
+// Trap 5: an answer that the worker dropped is seen in the next heartbeat, and the order is given again.
+func TestDroppedAnswerIsRepeated(t *testing.T) {
+	play(t, `
+	0    7: lease
+	10   beat S:1
+	20   7: start t1 500
+	30   => hold start t1
+	1100 beat S:2
+	1110 => hold start t1
+	1120 beat S:3 a:t1
+	1130 => hold`)
+}
+
+// Trap 7: what runs, what is being stopped and what is on its way counts against the capacity of 1000.
+func TestCapacityCountsAllThatMayRun(t *testing.T) {
+	play(t, `
+	0    7: lease
+	10   beat S:1
+	20   7: start t1 700
+	30   => hold start t1
+	35   7: start t2 500
+	40   => hold
+	50   beat S:2 a:t1
+	60   => hold
+	70   7: stop t1
+	80   => hold stop t1
+	90   beat S:3 a:t1
+	100  => hold stop t1
+	110  beat S:4 f:1/t1/stopped
+	120  => hold start t2`)
+}
+
+// Trap 7: a new agent process learns from the next heartbeat and from the owner what runs, before it starts anything.
+func TestNewAgentStartsNothingBesideUnknownRuns(t *testing.T) {
+	play(t, `
+	0    7: lease
+	0    restart
+	10   7: lease
+	20   beat S:9 a:t1
+	30   7: start t2 500
+	40   => hold
+	50   7: known t1 400
+	60   => hold start t2`)
+}
+
+// Trap 6: the older fencing token does nothing, also after a freeze.
+func TestOlderOwnerIsTurnedDown(t *testing.T) {
+	play(t, `
+	0    7: lease
+	10   beat S:1
+	20   8: lease
+	6000 7: start t1 500 refused
+	6010 7: lease refused
+	6020 beat S:2
+	6030 => hold`)
+}
+
+func TestOrdersForAnEarlierLifeAreVoid(t *testing.T) {
+	play(t, `
+	0    7: lease
+	10   beat S:1
+	20   7: old-life refused`)
+}
+
+// Without a lease the worker is neither let hold on nor told to start.
+func TestNoHoldWithoutALease(t *testing.T) {
+	play(t, `
+	0     7: lease
+	10    beat S:1
+	20    7: start t1 500
+	30    => hold start t1
+	8100  beat S:2 a:t1
+	8110  => nothing
+	8120  8: lease
+	8130  => hold`)
+}
+
+// Trap 5: the hold lapses on a clock that runs 2% slow, counted from the last answer that may have reached the worker.
+func TestHoldLapsesOnASlowClock(t *testing.T) {
+	a := play(t, `
+	0    7: lease
+	0    beat S:1
+	10   7: start t1 500
+	1000 beat S:2
+	1010 => hold start t1
+	5050 check false
+	5170 check false
+	5190 check true
+	5200 check false`)
+	if a.State(0) != jobs.Lapsed || len(a.Report(0).Active) != 0 {
+		t.Errorf("state %s", a.State(0))
+	}
+}
+
+// A mutation: without the 2% the lapse would be told before the worker's clock has reached it.
+func TestLapseAllowsForDrift(t *testing.T) {
+	if stretch(4*time.Second) < 4*time.Second*100/98 {
+		t.Errorf("%v for a clock that runs 2%% slow", stretch(4*time.Second))
+	}
+	if testTiming.LapseAfter() < testTiming.Lease+testTiming.Hold*100/98 {
+		t.Errorf("an owner waits just %v", testTiming.LapseAfter())
+	}
+}
+
+// An order that was never given to the worker can be taken back at once; one that may have reached it not before
+// the next heartbeat tells.
+func TestStopOfWhatMayNotHaveStarted(t *testing.T) {
+	play(t, `
+	0    7: lease
+	10   beat S:1
+	20   7: start t1 900
+	30   => hold start t1
+	40   7: start t2 900
+	50   7: stop t2
+	60   dropped t2
+	70   7: stop t1
+	80   dropped t2
+	90   beat S:2
+	100  dropped t1 t2
+	110  7: start t1 900
+	120  => hold`)
+}
+
+// Trap 9: nothing starts on a worker that drains or has said good-bye; what was ordered is given back.
+func TestDrainStartsNothing(t *testing.T) {
+	play(t, `
+	0    7: lease
+	10   beat S:1
+	20   7: start t1 900
+	30   beat S:2 draining
+	40   dropped t1
+	50   => hold
+	60   7: start t2 500
+	70   dropped t1 t2`)
+}
+
+func TestGoodbyeWithoutDraining(t *testing.T) {
+	a := play(t, `
+	0    7: lease
+	10   beat S:1 a:t1
+	20   => hold
+	30   leave
+	40   7: start t2 500
+	50   beat S:2 a:t1
+	60   => nothing`)
+	if r := a.Report(60 * time.Millisecond); r.LapsesInMS <= 0 || r.State != string(jobs.Gone) {
+		t.Errorf("report %+v", r)
+	}
+}
+
+// A heartbeat that comes late, out of order, changes nothing.
+func TestLateHeartbeatIsLeftOut(t *testing.T) {
+	a := play(t, `
+	0    7: lease
+	10   beat S:5 a:t1
+	900  beat S:4 a:t9
+	910  => hold`)
+	if r := a.Report(0); len(r.Active) != 1 || r.Active[0].Task != "t1" {
+		t.Errorf("active %+v", r.Active)
+	}
+}
+
+// Trap 4: an end is reported until the owner has noted it, and last_seen never passes one that was not.
+func TestLastSeenWaitsForTheOwner(t *testing.T) {
+	a := play(t, `
+	0    7: lease
+	10   beat S:1 f:1/t1/done f:2/t2/failed
+	20   => hold
+	30   7: noted 1
+	40   => hold seen1`)
+	if r := a.Report(0); len(r.Finished) != 1 || r.Finished[0].Number != 2 {
+		t.Errorf("finished %+v", r.Finished)
+	}
+}
+
+func TestTuplesAreReadAndWritten(t *testing.T) {
+	text := `{"sequence":3,"state":"ready","active":[["j.0.1.17",2,"0bb8",41.5]],"finished":[[58,"j.0.1.9",1,"done",""]]}`
+	beat := Heartbeat{}
+	if err := beat.UnmarshalJSON([]byte(text)); err != nil {
+		t.Fatal(err)
+	}
+	if beat.Active[0] != (Active{"j.0.1.17", 2, "0bb8", 41.5}) || beat.Finished[0] != (Finished{58, "j.0.1.9", 1, "done", ""}) {
+		t.Errorf("beat %+v", beat)
+	}
+	answer := Answer{HoldMS: 4, Started: []Start{{"t", 1, "x", ""}}, Stopped: []RunRef{{"u", 2}}}
+	out, _ := answer.MarshalJSON()
+	if string(out) != `{"hold_ms":4,"started":[["t",1,"x",""]],"stopped":[["u",2]]}` {
+		t.Errorf("answer %s", out)
+	}
+	if err := beat.UnmarshalJSON([]byte(`{"active":[["j",{}]]}`)); err == nil {
+		t.Error("a number was read from an object")
+	}
+}
