--- a/internal/system/core/store.go
+++ b/internal/system/core/store.go
@@ -93,7 +93,7 @@
 
 func (s *store) begin(first view.View, bootstrap bool) {
 	if len(s.view.Slots) == 0 {
-		s.view = first
+		s.view = first.Clone()
 	}
 	if s.identity.Incarnation != "" || s.identity.Generation > 0 {
 		return
