Share the arithmetic of admission between dispatcher and job scheduler; go-arg for kong

Cause: the design asks for one mechanism, not a copy; the house style for one parser of the command line. Change: limits, quantile, shares and the max-min level of the dispatcher are calls into package admission; commands keep their words and flags under go-arg, lists still take commas. Ruled out: moving the dispatcher's decisions too; they stand on its own types.

--- a/cmd/sedgevale/import.go
+++ b/cmd/sedgevale/import.go
@@ -11,23 +11,30 @@
 )
 
 type importCmd struct {
-	Config   []string          `arg:"" type:"existingfile" help:"HAProxy's configuration; several files are read as one."`
-	Out      string            `short:"o" type:"path" help:"The file to write; standard output without it."`
-	Report   string            `enum:"text,json" default:"text" help:"The report on standard error: text for people, json with a line for each directive."`
-	All      bool              `help:"With --report text: a line for every directive, not only for those that ask for attention."`
-	Strict   bool              `help:"Exit with 3 if anything is not carried over."`
-	Env      map[string]string `placeholder:"NAME=VALUE" help:"Environment variables that the configuration uses."`
-	Define   []string          `placeholder:"NAME" help:"Names for which .if defined(NAME) holds."`
-	Host     map[string]string `placeholder:"NAME=ADDRESS" help:"Addresses of host names, which are not looked up."`
-	Name     string            `help:"Name of the scheduler; that of the first frontend without it."`
-	Explain  string            `placeholder:"REQUEST-LINE" help:"Write nothing, but say where a request as \"GET /path\" would go."`
-	Frontend string            `help:"With --explain: the frontend it comes to, the first without it."`
-	Header   []string          `sep:"none" placeholder:"NAME: VALUE" help:"With --explain: a header field; may be given several times."`
-	Source   string            `help:"With --explain: the client's address."`
+	Config   []string          `arg:"positional,required" help:"HAProxy's configuration; several files are read as one."`
+	Out      string            `arg:"-o,--out" help:"The file to write; standard output without it."`
+	Report   string            `arg:"--report" default:"text" help:"The report on standard error: text for people, json with a line for each directive."`
+	All      bool              `arg:"--all" help:"With --report text: a line for every directive, not only for those that ask for attention."`
+	Strict   bool              `arg:"--strict" help:"Exit with 3 if anything is not carried over."`
+	Env      map[string]string `arg:"separate,--env" placeholder:"NAME=VALUE" help:"Environment variables that the configuration uses."`
+	Define   []string          `arg:"separate,--define" placeholder:"NAME" help:"Names for which .if defined(NAME) holds."`
+	Host     map[string]string `arg:"separate,--host" placeholder:"NAME=ADDRESS" help:"Addresses of host names, which are not looked up."`
+	Name     string            `arg:"--name" help:"Name of the scheduler; that of the first frontend without it."`
+	Explain  string            `arg:"--explain" placeholder:"REQUEST-LINE" help:"Write nothing, but say where a request as \"GET /path\" would go."`
+	Frontend string            `arg:"--frontend" help:"With --explain: the frontend it comes to, the first without it."`
+	Header   []string          `arg:"separate,--header" placeholder:"NAME: VALUE" help:"With --explain: a header field; may be given several times."`
+	Source   string            `arg:"--source" help:"With --explain: the client's address."`
 }
 
 // Run writes the operator's file, and reports on standard error what became of each line.
 func (c importCmd) Run() error {
+	c.Define = splitCommas(c.Define)
+	if err := existing(c.Config...); err != nil {
+		return err
+	}
+	if c.Report != "text" && c.Report != "json" {
+		return fmt.Errorf("--report: %q is neither text nor json", c.Report)
+	}
 	opt := haproxy.Options{Env: c.Env, Defines: map[string]bool{}, Hosts: c.Host, Name: c.Name}
 	for _, d := range c.Define {
 		opt.Defines[d] = true
--- a/cmd/sedgevale/journal.go
+++ b/cmd/sedgevale/journal.go
@@ -22,17 +22,17 @@
 )
 
 type journalCmd struct {
-	Ask    askCmd    `cmd:"" help:"Tell what became of a job."`
-	List   listCmd   `cmd:"" help:"List jobs."`
-	Verify verifyCmd `cmd:"" help:"Check that nothing was lost or altered; exit status 2 if something was."`
-	Settle settleCmd `cmd:"" help:"Record what an operator found out about a job of unknown fate."`
-	Export exportCmd `cmd:"" help:"Write all jobs as lines of JSON."`
+	Ask    *askCmd    `arg:"subcommand:ask" help:"Tell what became of a job."`
+	List   *listCmd   `arg:"subcommand:list" help:"List jobs."`
+	Verify *verifyCmd `arg:"subcommand:verify" help:"Check that nothing was lost or altered; exit status 2 if something was."`
+	Settle *settleCmd `arg:"subcommand:settle" help:"Record what an operator found out about a job of unknown fate."`
+	Export *exportCmd `arg:"subcommand:export" help:"Write all jobs as lines of JSON."`
 }
 
 // where is the journal that a command is about.
 type where struct {
-	Dir string `required:"" placeholder:"DIR" help:"The journal's directory: dir of [journal]."`
-	Key string `placeholder:"FILE" help:"The journal's key: key_file of [journal]; \"key\" in the directory without it."`
+	Dir string `arg:"required,--dir" placeholder:"DIR" help:"The journal's directory: dir of [journal]."`
+	Key string `arg:"--key" placeholder:"FILE" help:"The journal's key: key_file of [journal]; \"key\" in the directory without it."`
 }
 
 func (w where) secret() ([]byte, error) { return store.ReadKey(store.KeyPath(w.Dir, w.Key)) }
@@ -57,8 +57,8 @@
 
 type askCmd struct {
 	where
-	ID   string `arg:"" help:"The job's Request-Id."`
-	JSON bool   `help:"Answer with a line of JSON for each job of that id."`
+	ID   string `arg:"positional,required" help:"The job's Request-Id."`
+	JSON bool   `arg:"--json" help:"Answer with a line of JSON for each job of that id."`
 }
 
 func (c askCmd) Run() error {
@@ -113,14 +113,14 @@
 
 type listCmd struct {
 	where
-	Open    bool   `help:"Only jobs that a scheduler still has."`
-	Verdict string `placeholder:"V" help:"Only jobs of this verdict: ran, did_not_run or unknown."`
-	Class   string `help:"Only jobs of this class."`
-	Worker  string `help:"Only jobs of which an attempt was to go to this worker."`
-	Tenant  string `help:"Only jobs of this tenant."`
-	Since   string `placeholder:"T" help:"Only jobs taken at T or later: RFC 3339, or a time ago as 15m."`
-	Until   string `placeholder:"T" help:"Only jobs taken before T."`
-	JSON    bool   `help:"A line of JSON for each job."`
+	Open    bool   `arg:"--open" help:"Only jobs that a scheduler still has."`
+	Verdict string `arg:"--verdict" placeholder:"V" help:"Only jobs of this verdict: ran, did_not_run or unknown."`
+	Class   string `arg:"--class" help:"Only jobs of this class."`
+	Worker  string `arg:"--worker" help:"Only jobs of which an attempt was to go to this worker."`
+	Tenant  string `arg:"--tenant" help:"Only jobs of this tenant."`
+	Since   string `arg:"--since" placeholder:"T" help:"Only jobs taken at T or later: RFC 3339, or a time ago as 15m."`
+	Until   string `arg:"--until" placeholder:"T" help:"Only jobs taken before T."`
+	JSON    bool   `arg:"--json" help:"A line of JSON for each job."`
 }
 
 func (c listCmd) Run() error {
@@ -191,8 +191,8 @@
 }
 
 type exportCmd struct {
-	Dir string `arg:"" help:"The journal's directory."`
-	Key string `placeholder:"FILE" help:"The journal's key; \"key\" in the directory without it."`
+	Dir string `arg:"positional,required" help:"The journal's directory."`
+	Key string `arg:"--key" placeholder:"FILE" help:"The journal's key; \"key\" in the directory without it."`
 }
 
 func (c exportCmd) Run() error {
@@ -204,8 +204,8 @@
 }
 
 type verifyCmd struct {
-	Dir string `arg:"" help:"The journal's directory."`
-	Key string `placeholder:"FILE" help:"The journal's key; \"key\" in the directory without it."`
+	Dir string `arg:"positional,required" help:"The journal's directory."`
+	Key string `arg:"--key" placeholder:"FILE" help:"The journal's key; \"key\" in the directory without it."`
 }
 
 // Run says of each lane how it stands.
@@ -240,10 +240,10 @@
 
 type settleCmd struct {
 	where
-	ID      string `arg:"" help:"The job's Request-Id."`
-	Verdict string `required:"" placeholder:"V" help:"ran, did_not_run or unknown."`
-	Why     string `required:"" placeholder:"TEXT" help:"How that is known."`
-	By      string `env:"USER" default:"an operator" help:"Who says so."`
+	ID      string `arg:"positional,required" help:"The job's Request-Id."`
+	Verdict string `arg:"required,--verdict" placeholder:"V" help:"ran, did_not_run or unknown."`
+	Why     string `arg:"required,--why" placeholder:"TEXT" help:"How that is known."`
+	By      string `arg:"--by,env:USER" default:"an operator" help:"Who says so."`
 }
 
 func (c settleCmd) Run() error {
--- a/cmd/sedgevale/peers.go
+++ b/cmd/sedgevale/peers.go
@@ -16,13 +16,13 @@
 )
 
 type peersCmd struct {
-	Show peersShowCmd `cmd:"" help:"Show who is there, and what is told of each box."`
+	Show *peersShowCmd `arg:"subcommand:show" help:"Show who is there, and what is told of each box."`
 }
 
 type peersShowCmd struct {
-	Ops  string `required:"" placeholder:"HOST:PORT" help:"The scheduler's second address: ops in its file."`
-	JSON bool   `help:"Write JSON instead of tables."`
-	All  bool   `help:"Show all boxes, also those where nobody has anything out."`
+	Ops  string `arg:"required,--ops" placeholder:"HOST:PORT" help:"The scheduler's second address: ops in its file."`
+	JSON bool   `arg:"--json" help:"Write JSON instead of tables."`
+	All  bool   `arg:"--all" help:"Show all boxes, also those where nobody has anything out."`
 }
 
 // askFor is how long a scheduler may take to answer a question.
--- a/cmd/sedgevale/scale.go
+++ b/cmd/sedgevale/scale.go
@@ -14,15 +14,18 @@
 )
 
 type scaleCmd struct {
-	File   string `arg:"" type:"existingfile" help:"What is to be run (docs/SCALE.md)."`
-	JSON   string `placeholder:"FILE" help:"Write a line of JSON for each point and each fit; - for standard output."`
-	Binary string `placeholder:"PROGRAM" help:"What the real schedulers are started from. Without it: this program."`
-	Dir    string `placeholder:"DIR" help:"Keep files and logs there. Without it they go when the run ends."`
-	Quiet  bool   `short:"q" help:"Do not tell which point is under way."`
+	File   string `arg:"positional,required" help:"What is to be run (docs/SCALE.md)."`
+	JSON   string `arg:"--json" placeholder:"FILE" help:"Write a line of JSON for each point and each fit; - for standard output."`
+	Binary string `arg:"--binary" placeholder:"PROGRAM" help:"What the real schedulers are started from. Without it: this program."`
+	Dir    string `arg:"--dir" placeholder:"DIR" help:"Keep files and logs there. Without it they go when the run ends."`
+	Quiet  bool   `arg:"-q,--quiet" help:"Do not tell which point is under way."`
 }
 
 // Run measures and prints a table. On SIGINT and SIGTERM it ends early and leaves no process behind.
 func (c scaleCmd) Run() error {
+	if err := existing(c.File); err != nil {
+		return err
+	}
 	machine, err := scale.ThisMachine()
 	if err != nil {
 		return err
--- a/cmd/sedgevale/standin.go
+++ b/cmd/sedgevale/standin.go
@@ -14,14 +14,18 @@
 )
 
 type standinCmd struct {
-	File  string        `short:"f" required:"" type:"existingfile" help:"Operator's file whose workers are played."`
-	Seed  uint64        `default:"1" help:"For what is drawn at random."`
-	Work  time.Duration `default:"100ms" help:"How long a job takes on average."`
-	Fault []string      `placeholder:"POINT=SHARE" help:"Fail at a point for a share of the jobs: turn-away, cut-early, error, cut-begun, garbage, hang, cut-done, failed."`
+	File  string        `arg:"-f,required,--file" help:"Operator's file whose workers are played."`
+	Seed  uint64        `arg:"--seed" default:"1" help:"For what is drawn at random."`
+	Work  time.Duration `arg:"--work" default:"100ms" help:"How long a job takes on average."`
+	Fault []string      `arg:"separate,--fault" placeholder:"POINT=SHARE" help:"Fail at a point for a share of the jobs: turn-away, cut-early, error, cut-begun, garbage, hang, cut-done, failed."`
 }
 
 // Run plays the workers of an operator's file until SIGTERM or SIGINT.
 func (c standinCmd) Run() error {
+	c.Fault = splitCommas(c.Fault)
+	if err := existing(c.File); err != nil {
+		return err
+	}
 	file, err := scheduler.ReadFile(c.File)
 	if err != nil {
 		return err
--- a/cmd/sedgevale/swarm.go
+++ b/cmd/sedgevale/swarm.go
@@ -12,14 +12,17 @@
 )
 
 type swarmCmd struct {
-	File  string `arg:"" type:"existingfile" help:"The experiment (docs/SWARM.md)."`
-	JSON  string `placeholder:"FILE" help:"Write a line of JSON for each play; - for standard output."`
-	HTML  string `placeholder:"FILE" help:"Write a page with plots."`
-	Quiet bool   `short:"q" help:"No progress bar."`
+	File  string `arg:"positional,required" help:"The experiment (docs/SWARM.md)."`
+	JSON  string `arg:"--json" placeholder:"FILE" help:"Write a line of JSON for each play; - for standard output."`
+	HTML  string `arg:"--html" placeholder:"FILE" help:"Write a page with plots."`
+	Quiet bool   `arg:"-q,--quiet" help:"No progress bar."`
 }
 
 // Run plays an experiment and prints how its variants compare.
 func (c swarmCmd) Run() error {
+	if err := existing(c.File); err != nil {
+		return err
+	}
 	f, err := swarm.Read(c.File)
 	if err != nil {
 		return err
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -9,9 +9,10 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
+
+	"sedgevale/admission"
 )
 
 // The tunable constants. None comes from a particular deployment.
@@ -91,7 +92,10 @@
 	tokenSettle
 )
 
-var inf = math.Inf(1)
+var (
+	inf    = admission.Unlimited
+	tuning = admission.Tuning{CutFactor: cutFactor, RiseStep: riseStep, Least: minSigma}
+)
 
 // Request takes a job from a client.
 func (d *Dispatcher) Request(now time.Duration, q Request) error {
@@ -315,7 +319,7 @@
 		return
 	}
 	w.cutIn = d.round
-	d.setSigma(w, max(minSigma, cutFactor*min(w.sigma, w.held+slots)))
+	d.setSigma(w, tuning.Cut(w.sigma, w.held+slots))
 }
 
 // endRound is Wisp's Algorithm 1.
@@ -328,7 +332,7 @@
 			if now-w.freeAt < d.fresh() && w.freeAt > 0 {
 				spare = w.free
 			}
-			d.setSigma(w, w.sigma+riseStep*min(1, w.sigma)*max(0, spare))
+			d.setSigma(w, tuning.Raise(w.sigma, spare))
 		}
 	}
 	d.touched = d.touched[:0]
@@ -378,15 +382,12 @@
 	for _, t := range d.tenants {
 		demand += t.inflight + t.waiting
 	}
-	if demand <= limit {
-		for _, t := range d.tenants {
-			t.local = max(t.local, t.inflight+t.waiting) + riseStep*(limit-demand)
-		}
-		return
+	level := 0.0
+	if demand > limit {
+		level = d.fairLevel(limit)
 	}
-	level := d.fairLevel(limit)
 	for _, t := range d.tenants {
-		t.local = max(min(t.inflight+t.waiting, level*t.share), limit*t.share)
+		t.local = admission.LocalShare(t.local, t.claim(), demand, limit, level, riseStep)
 	}
 }
 
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -527,7 +527,7 @@
 	for i, sigma := range []float64{1, 2, 6, 8, 3} {
 		d.setSigma(d.workers[i], sigma)
 		tn.use(d.workers[i])
-		tn.alpha[i] = alpha{value: []float64{0.5, 0.125, 0.125, 0.125, 0.125}[i], at: 1000, used: true}
+		tn.alpha[i] = alpha{Value: []float64{0.5, 0.125, 0.125, 0.125, 0.125}[i], At: 1000, Used: true}
 	}
 	tn.jobs = 1000
 	// alpha drawn to a fifth by 5 jobs of 133: 65/133, then 17/133 four times; the second lowest of five.
@@ -543,13 +543,13 @@
 	for range 2000 {
 		tn.use(d.workers[0])
 	}
-	if a := tn.alpha[0].now(tn.jobs); math.Abs(a-1) > 0.01 {
+	if a := tn.alpha[0].Now(tn.jobs, alphaGain); math.Abs(a-1) > 0.01 {
 		t.Errorf("alpha %v of the only worker used", a)
 	}
 	for range 128 {
 		tn.use(d.workers[1])
 	}
-	if a := tn.alpha[0].now(tn.jobs); math.Abs(a-math.Pow(1-alphaGain, 128)) > 0.01 {
+	if a := tn.alpha[0].Now(tn.jobs, alphaGain); math.Abs(a-math.Pow(1-alphaGain, 128)) > 0.01 {
 		t.Errorf("alpha %v after 128 jobs elsewhere", a)
 	}
 }
--- a/state.go
+++ b/state.go
@@ -7,10 +7,11 @@
 	"cmp"
 	"container/heap"
 	"iter"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"sedgevale/admission"
 )
 
 // worker is what this dispatcher knows of a worker.
@@ -118,12 +119,8 @@
 	used     []int
 }
 
-// alpha is a tenant's EWMA share of jobs sent to a worker, as of its job at.
-type alpha struct {
-	value float64
-	at    uint64
-	used  bool
-}
+// alpha is a tenant's EWMA share of jobs sent to a worker.
+type alpha = admission.Share
 
 // class is a class of jobs and what was learned of it. Jobs point to it: it stays as
 // it is for those under way when the settings change.
@@ -253,6 +250,7 @@
 	running    bool
 	rewatch    time.Duration
 	scratch    []float64
+	claims     []admission.Claimant
 	found      []*worker
 	tells      bool      // what we have out is told to others
 	marked     []*worker // where that has changed
@@ -537,7 +535,7 @@
 	d.absolve(w)
 	d.workers[w.index] = nil
 	for _, t := range d.tenants {
-		if w.index < len(t.alpha) && t.alpha[w.index].used {
+		if w.index < len(t.alpha) && t.alpha[w.index].Used {
 			t.alpha[w.index] = alpha{}
 			t.used = slices.DeleteFunc(t.used, func(i int) bool { return i == w.index })
 		}
@@ -671,10 +669,6 @@
 // fills the worker's slots, or connections are known to fall silent now.
 func (d *Dispatcher) ownEyes() bool { return d.set.Peers == 1 || d.silent > silentLeast }
 
-func (a alpha) now(jobs uint64) float64 {
-	return a.value * math.Pow(1-alphaGain, float64(jobs-a.at))
-}
-
 // used notes that the tenant has sent a job to the worker.
 func (t *tenant) use(w *worker) {
 	t.jobs++
@@ -682,10 +676,10 @@
 		t.alpha = append(t.alpha, alpha{})
 	}
 	a := &t.alpha[w.index]
-	if !a.used {
+	if !a.Used {
 		t.used = append(t.used, w.index)
 	}
-	*a = alpha{a.now(t.jobs) + alphaGain, t.jobs, true}
+	*a = a.Add(t.jobs, alphaGain)
 }
 
 // nearby returns the workers of our part that the pool has, by zones of which there is one, or nil.
@@ -814,23 +808,18 @@
 	return d.found
 }
 
-// fairLevel returns the max-min level: slots per unit of share, once those who
-// want less than that have theirs.
+// claim returns what the tenant wants of the slots that all share.
+func (t *tenant) claim() admission.Claimant {
+	return admission.Claimant{Want: t.inflight + t.waiting, Share: t.share}
+}
+
+// fairLevel returns the max-min level: slots per unit of share.
 func (d *Dispatcher) fairLevel(limit float64) float64 {
-	left, shares := limit, 1.0
-	for range d.tenants {
-		l, s := limit, 1.0
-		for _, t := range d.tenants {
-			if want := t.inflight + t.waiting; want < left/shares*t.share {
-				l, s = l-want, s-t.share
-			}
-		}
-		if s <= 1e-9 || s == shares {
-			break
-		}
-		left, shares = l, s
+	d.claims = d.claims[:0]
+	for _, t := range d.tenants {
+		d.claims = append(d.claims, t.claim())
 	}
-	return left / shares
+	return admission.FairLevel(d.claims, limit)
 }
 
 func oneIf(is bool) float64 {
@@ -925,14 +914,10 @@
 		if w == nil || w.State != Active {
 			continue
 		}
-		a := t.alpha[t.used[i]].now(t.jobs)
-		d.scratch = append(d.scratch, w.sigma/((a*jobs+1)/(jobs+n)))
-	}
-	if len(d.scratch) == 0 {
-		return inf
+		a := t.alpha[t.used[i]].Now(t.jobs, alphaGain)
+		d.scratch = append(d.scratch, w.sigma/admission.Smoothed(a, jobs, n))
 	}
-	slices.Sort(d.scratch)
-	return d.scratch[int(quantileQ*float64(len(d.scratch)-1))]
+	return admission.Quantile(d.scratch, quantileQ)
 }
 
 type sign struct {
