Claim no share for unplaceable work; let the first priority preempt work with checkpoints

Change: such units count as stuck and claim nothing; local shares ramp while a quarter of the limit is unused; a waiting first priority stops the youngest runs that save checkpoints.

--- a/jobs/book.go
+++ b/jobs/book.go
@@ -54,8 +54,9 @@
 	effects   []effect
 
 	units     uint64
-	pass      uint64 // of Schedule
-	wake      bool   // something may be placed now
+	pass      uint64        // of Schedule
+	preemptAt time.Duration // when work may be preempted again
+	wake      bool          // something may be placed now
 	claimants []admission.Claimant
 	scratch   []float64
 }
@@ -450,7 +451,7 @@
 		w.add(&Run{
 			Key: RunKey{TaskName(job.ID, t.Number, stage, index), task.Attempt}, job: job,
 			at: place{job.ID, t.Number, stage, index}, demand: step.demand(), queue: b.queue(job.Queue),
-			durable: true, stopping: job.over(), placed: now,
+			durable: true, stopping: job.over(), placed: now, worker: w.Ref,
 		})
 	}
 }
--- a/jobs/book_test.go
+++ b/jobs/book_test.go
@@ -681,3 +681,52 @@
 	5030 disk commit
 	5040 client j = completed`)
 }
+
+// Work that no worker can take claims no share of the room, so that others are not held back for it.
+// Found by a hunt: mix --seed 122610384008 of a deployment whose only worker of a kind had left (LOST).
+func TestUnplaceableWorkHoldsNobodyBack(t *testing.T) {
+	s := newStage(t)
+	s.step(0, strings.Fields("worker a cpu=4000"), "")
+	s.step(1*time.Millisecond, strings.Fields("client submit stuck 400x cpu=1000 label=none est=1000"), "")
+	for ms := 100; ms < 2000; ms += 100 {
+		now := time.Duration(ms) * time.Millisecond
+		s.step(now, strings.Fields("worker a cpu=4000"), "")
+		s.step(now, []string{"tick"}, "")
+		if ms == 500 {
+			s.step(now, strings.Fields("client submit low 8x cpu=1000 est=60000"), "")
+		}
+	}
+	for _, w := range s.book.workers {
+		if len(w.Runs) != 4 {
+			t.Errorf("%d runs on an idle worker with room for 4", len(w.Runs))
+		}
+	}
+}
+
+// The first priority takes the room of less urgent work that saves checkpoints, once it has waited for a while.
+func TestFirstPriorityPreempts(t *testing.T) {
+	play(t, `
+	0   worker a cpu=4000
+	10  client submit low 4x cpu=1000 est=60000 keep
+	20  disk commit
+	30  orders a = start low.0.0.0/1 start low.0.0.1/1 start low.0.0.2/1 start low.0.0.3/1
+	40  worker a cpu=4000 active low.0.0.0/1 active low.0.0.1/1 active low.0.0.2/1 active low.0.0.3/1
+	50  client submit j 1x cpu=1000 est=500
+	60  disk commit
+	70  orders a = nothing
+	300 tick
+	310 orders a = stop low.0.0.?/1`)
+}
+
+// Work without checkpoints is not preempted.
+func TestUnsavedWorkIsNotPreempted(t *testing.T) {
+	play(t, `
+	0   worker a cpu=4000
+	10  client submit low 4x cpu=1000 est=60000
+	20  disk commit
+	40  worker a cpu=4000 active low.0.0.0/1 active low.0.0.1/1 active low.0.0.2/1 active low.0.0.3/1
+	50  client submit j 1x cpu=1000 est=500
+	60  disk commit
+	300 tick
+	310 orders a = nothing`)
+}
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -47,6 +47,9 @@
 		return
 	}
 	p.mean /= float64(len(p.ready))
+	for _, q := range b.order {
+		q.stuck = 0
+	}
 	for first := 0; first < len(b.order); {
 		last := first
 		for last < len(b.order) && b.order[last].Priority == b.order[first].Priority {
@@ -55,6 +58,7 @@
 		b.release(p, b.order[first:last])
 		first = last
 	}
+	b.preempt(p)
 }
 
 // release serves queues of one priority in turns until none can release more.
@@ -128,8 +132,7 @@
 		}
 		w := b.pick(p, u, nil)
 		if w == nil {
-			p.blocked[u] = true
-			b.reserve(p, u, 1)
+			b.block(p, u, 1)
 			return true
 		}
 		index := u.tasks[0]
@@ -151,8 +154,7 @@
 	}
 	chosen := b.pickGang(p, u)
 	if chosen == nil {
-		p.blocked[u] = true
-		b.reserve(p, u, step.Count)
+		b.block(p, u, step.Count)
 		return true
 	}
 	indexes := append([]int(nil), u.tasks...)
@@ -163,6 +165,31 @@
 	return u.queue.deficit.Pay(b.work(u) * float64(len(indexes)))
 }
 
+// block notes that a unit cannot be placed in this pass. Where no worker could take it even if that were empty, it
+// claims no share of the room; else a large one keeps workers for itself.
+func (b *Book) block(p *pass, u *unit, members int) {
+	p.blocked[u] = true
+	if !b.placeable(p, u) {
+		u.queue.stuck += float64(len(u.tasks)) * b.part(&u.job.Spec.Stages[u.stage])
+		return
+	}
+	b.reserve(p, u, members)
+}
+
+// placeable reports whether a worker that takes tasks could take one of a unit's if it were empty.
+func (b *Book) placeable(p *pass, u *unit) bool {
+	step := &u.job.Spec.Stages[u.stage]
+	for _, w := range p.ready {
+		if !w.Capacity.Holds(step.demand()) || !w.carries(step.Constraints) {
+			continue
+		}
+		if step.AntiAffinity == 0 || b.together(w, u) < step.AntiAffinity {
+			return true
+		}
+	}
+	return false
+}
+
 // pickGang returns a worker for each member, in one rack if the gang wants that and one has room.
 func (b *Book) pickGang(p *pass, u *unit) []*Worker {
 	step := &u.job.Spec.Stages[u.stage]
@@ -345,7 +372,7 @@
 	run := &Run{
 		Key: RunKey{TaskName(u.job.ID, u.time.Number, u.stage, index), task.Attempt}, job: u.job,
 		at: place{u.job.ID, u.time.Number, u.stage, index}, demand: demand, queue: u.queue,
-		part: min(1, w.Capacity.part(demand)), placed: now,
+		part: min(1, w.Capacity.part(demand)), placed: now, worker: w.Ref,
 	}
 	w.add(run)
 	u.queue.use(w)
--- a/jobs/queue.go
+++ b/jobs/queue.go
@@ -23,6 +23,7 @@
 	QueueConfig
 	waiting *btree.BTreeG[*unit] // by deadline
 	wanted  float64              // parts of a worker that wait
+	stuck   float64              // of these, what no worker could take now if it were empty
 	held    float64              // parts of workers that its runs hold
 	local   float64              // the local share
 	sigma   float64              // the admission limit on held
@@ -129,29 +130,40 @@
 
 // endRound is the admission round over all queues: sigma = min(local share, Q(sigma_d/alpha_d, q)).
 func (b *Book) endRound() {
-	limit := 0.0
+	limit, held := 0.0, 0.0
 	for _, w := range b.workers {
 		w.endRound()
 		if w.State == Ready {
 			limit += w.limit()
+			held += w.held
 		}
 	}
 	claimants := b.claimants[:0]
 	demand, weights := 0.0, 0.0
 	for _, q := range b.order {
 		weights += shareOf(q.Priority)
-		demand += q.held + q.wanted
+		demand += q.want()
 	}
 	for _, q := range b.order {
-		claimants = append(claimants, admission.Claimant{Want: q.held + q.wanted, Share: shareOf(q.Priority) / weights})
+		claimants = append(claimants, admission.Claimant{Want: q.want(), Share: shareOf(q.Priority) / weights})
 	}
 	b.claimants = claimants
 	level := 0.0
 	if demand > limit {
 		level = admission.FairLevel(claimants, limit)
 	}
+	unused := max(0, limit-held)
 	for i, q := range b.order {
 		q.local = admission.LocalShare(q.local, claimants[i], demand, limit, level, rampStep)
+		if unused > idlePart*limit { // what others claim and cannot use is not kept for them
+			q.local = max(q.local, q.held+rampStep*unused)
+		}
 		q.sigma = min(q.local, q.quantile(b.workers, b.scratch))
 	}
 }
+
+// want is what a queue could use: what it holds, and what waits and could be placed.
+func (q *Queue) want() float64 { return q.held + max(0, q.wanted-q.stuck) }
+
+// idlePart is the unused part of the limit from which on every queue's local share ramps.
+const idlePart = 0.25
--- a/jobs/worker.go
+++ b/jobs/worker.go
@@ -68,6 +68,7 @@
 	percent  int64
 	moved    time.Duration // when percent rose last
 	placed   time.Duration
+	worker   string // its name
 }
 
 // WorkerState is whether a worker takes tasks.
