--- a/internal/system/core/core.go
+++ b/internal/system/core/core.go
@@ -80,6 +80,7 @@
 	go c.joinLoop(ctx)
 	<-ctx.Done()
 	c.leave()
+	c.store.log.Close()
 	return nil
 }
 
--- a/internal/system/node/node.go
+++ b/internal/system/node/node.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -41,9 +42,30 @@
 	Logger   logr.Logger
 	Client   *rpc.Client
 	current  atomic.Pointer[settings.Settings]
+	listen   func(address string) (net.Listener, error)
+	mu       sync.Mutex
 	servers  []*http.Server
 }
 
+// NewProcess returns a process on a network of its own, as tests have it.
+func NewProcess(s *settings.Settings, logger logr.Logger, dial rpc.Dial, listen func(string) (net.Listener, error)) *Process {
+	p := &Process{Settings: s, Logger: logger, Client: rpc.NewClient(dial), listen: listen}
+	p.current.Store(s)
+	return p
+}
+
+func listenTCP(address string) (net.Listener, error) { return net.Listen("tcp4", address) }
+
+// Close ends all listeners and connections.
+func (p *Process) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, server := range p.servers {
+		_ = server.Close()
+	}
+	p.Client.Close()
+}
+
 // Role serves until its context ends.
 type Role func(context.Context, *Process) error
 
@@ -67,8 +89,7 @@
 	if read.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(read.Limits.MemoryMB) * memoryPart * (1 << 20)))
 	}
-	p := &Process{Settings: read, Logger: logger.WithName(read.Node), Client: rpc.NewClient()}
-	p.current.Store(read)
+	p := NewProcess(read, logger.WithName(read.Node), rpc.DialTCP(), listenTCP)
 	go p.reread(ctx, path, hangup)
 	return role(ctx, p)
 }
@@ -108,7 +129,7 @@
 	var listener net.Listener
 	var err error
 	for range bindTries {
-		listener, err = net.Listen("tcp4", address)
+		listener, err = p.listen(address)
 		if err == nil {
 			break
 		}
@@ -124,7 +145,9 @@
 		server.ReadHeaderTimeout = headerTimeout
 	}
 	server.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)
+	p.mu.Lock()
 	p.servers = append(p.servers, server)
+	p.mu.Unlock()
 	go func() { _ = server.Serve(listener) }()
 	return server, nil
 }
--- a/internal/system/rpc/rpc.go
+++ b/internal/system/rpc/rpc.go
@@ -35,11 +35,19 @@
 	http *http.Client
 }
 
-// NewClient returns a Client whose connections end when the other side stays silent for some time.
-func NewClient() *Client {
+// Dial opens a connection to an address.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// DialTCP opens TCP connections that end when the other side stays silent for some time.
+func DialTCP() Dial {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second, Control: limitSilence}
+	return dialer.DialContext
+}
+
+// NewClient returns a Client on connections that dial opens.
+func NewClient(dial Dial) *Client {
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
@@ -47,6 +55,9 @@
 	return &Client{http: &http.Client{Transport: transport}}
 }
 
+// Close gives up connections that no call uses.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
 // limitSilence has the kernel end a connection whose bytes stay unacknowledged.
 func limitSilence(_, _ string, raw syscall.RawConn) error {
 	var failed error
--- a/internal/system/side/side.go
+++ b/internal/system/side/side.go
@@ -40,6 +40,7 @@
 	timing    workeragent.Timing
 	life      string
 	started   time.Time
+	ctx       context.Context // of the process
 
 	mu     sync.Mutex
 	agents map[string]*incarnation
@@ -71,7 +72,7 @@
 	s := &Side{
 		settings: p.Settings, logger: p.Logger, client: p.Client, directory: directory.New(p, false),
 		timing: node.Timing(p.Settings), life: hex.EncodeToString(random[:]), started: time.Now(),
-		agents: map[string]*incarnation{},
+		agents: map[string]*incarnation{}, ctx: ctx,
 	}
 	go s.directory.Run(ctx)
 	server := rpc.NewServer()
@@ -123,7 +124,7 @@
 			old.ended = true
 		}
 	}
-	go s.reportLoop(one)
+	go s.reportLoop(s.ctx, one)
 }
 
 // takeOrders passes an owner's orders to the agent.
@@ -165,9 +166,11 @@
 }
 
 // reportLoop tells the owner how an incarnation stands, at each change and now and then.
-func (s *Side) reportLoop(one *incarnation) {
+func (s *Side) reportLoop(ctx context.Context, one *incarnation) {
 	for {
 		select {
+		case <-ctx.Done():
+			return
 		case <-one.tell:
 		case <-time.After(reportEvery):
 		}
--- a/internal/system/statefile/statefile.go
+++ b/internal/system/statefile/statefile.go
@@ -51,6 +51,7 @@
 	mu     sync.Mutex
 	queue  []*Ticket
 	queued int
+	closed bool
 	wake   chan struct{}
 
 	// Of the writer alone.
@@ -95,6 +96,11 @@
 	t := &Ticket{payload: payload, done: make(chan struct{})}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.closed {
+		t.err = os.ErrClosed
+		close(t.done)
+		return t
+	}
 	if l.queued > maxQueued {
 		t.err = ErrQueueFull
 		close(t.done)
@@ -109,6 +115,16 @@
 	return t
 }
 
+// Close ends the writer. What waits for it fails.
+func (l *Log) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.closed {
+		l.closed = true
+		close(l.wake)
+	}
+}
+
 func (l *Log) write() {
 	for range l.wake {
 		l.mu.Lock()
