--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run torture powercut faults changes
+.PHONY: build test lint run torture powercut faults changes simulate mutations
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -39,3 +39,12 @@
 changes:
 	go test -count=1 -timeout 0 -v ./internal/fleetrig -run 'TestTeamsChangeAgainAndAgain|TestFrozenThroughAChange' \
 		-args -changes $(CHANGES) -long -seed $(SEED)
+
+# Whole small systems on a virtual clock, through random faults.
+SIM_SEEDS ?= 1000
+simulate:
+	go test -count=1 -timeout 0 ./internal/system/simulation -args -seeds $(SIM_SEEDS) -first $(SEED)
+
+# Breaks the system on purpose, one way at a time, and says which tests notice.
+mutations:
+	scripts/mutations.sh
