--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run torture powercut faults changes simulate mutations
+.PHONY: build test lint run torture powercut faults changes simulate mutations system
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -48,3 +48,7 @@
 # Breaks the system on purpose, one way at a time, and says which tests notice.
 mutations:
 	scripts/mutations.sh
+
+# A small system on loopback with stand-in workers and a stand-in client, until Ctrl-C.
+system: build
+	bin/sedgevale local
--- a/cmd/sedgevale/main.go
+++ b/cmd/sedgevale/main.go
@@ -20,6 +20,12 @@
 	Edge    *edgeCmd    `arg:"subcommand:edge" help:"Serve clients on an edge machine; settings by SEDGEVALE_SETTINGS."`
 	Side    *sideCmd    `arg:"subcommand:side" help:"Serve the worker on a side machine; settings by SEDGEVALE_SETTINGS."`
 	Core    *coreCmd    `arg:"subcommand:core" help:"Keep the system's state on a core machine; settings by SEDGEVALE_SETTINGS."`
+	Job     *jobCmd     `arg:"subcommand:job" help:"Hand in, show or cancel a job of a running system."`
+	Config  *configCmd  `arg:"subcommand:config" help:"Read, change or check the configuration of a running system."`
+	Members *membersCmd `arg:"subcommand:members" help:"Show the core of a running system."`
+	Queues  *queuesCmd  `arg:"subcommand:queues" help:"Show how the queues of a running system stand."`
+	State   *stateCmd   `arg:"subcommand:state" help:"Look at the state directory of a stopped core scheduler."`
+	Local   *localCmd   `arg:"subcommand:local" help:"Run a small system on loopback, with stand-in workers and a stand-in client."`
 	Import  *importCmd  `arg:"subcommand:import" help:"Make an operator's file of HAProxy's configuration."`
 	Check   *checkCmd   `arg:"subcommand:check" help:"Check an operator's file."`
 	Journal *journalCmd `arg:"subcommand:journal" help:"Ask the journal of one-shot jobs."`
--- a/cmd/sedgevale/system.go
+++ b/cmd/sedgevale/system.go
@@ -9,17 +9,22 @@
 
 // roleFlags are the flags of every role of the system.
 type roleFlags struct {
-	Verbose bool `help:"Log more."`
+	Verbose bool `arg:"--verbose" help:"Log more."`
+	Metrics bool `arg:"--metrics" help:"Serve Prometheus metrics at the last port of port_range."`
+}
+
+func (f roleFlags) options() node.Options {
+	return node.Options{Verbose: f.Verbose, Metrics: f.Metrics}
 }
 
 type edgeCmd struct{ roleFlags }
 
-func (c edgeCmd) Run() error { return node.Run(edge.Run, c.Verbose) }
+func (c edgeCmd) Run() error { return node.Run(edge.Run, c.options()) }
 
 type sideCmd struct{ roleFlags }
 
-func (c sideCmd) Run() error { return node.Run(side.Run, c.Verbose) }
+func (c sideCmd) Run() error { return node.Run(side.Run, c.options()) }
 
 type coreCmd struct{ roleFlags }
 
-func (c coreCmd) Run() error { return node.Run(core.Run, c.Verbose) }
+func (c coreCmd) Run() error { return node.Run(core.Run, c.options()) }
--- a/internal/system/core/core.go
+++ b/internal/system/core/core.go
@@ -69,6 +69,8 @@
 	c.handlePeers(server)
 	c.handleWatch(server)
 	c.handleJobs(server)
+	c.handleAdmin(server)
+	process.Measure(collector{c})
 	if err := process.Listen(c.address, server.Handler()); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/system/core/inspect.go
@@ -0,0 +1,50 @@
+package core
+
+import (
+	"fmt"
+	"io"
+	"sort"
+
+	"sedgevale/internal/avrocodec"
+	"sedgevale/internal/system/statefile"
+)
+
+// Describe writes what the state directory of a stopped core scheduler holds. It changes nothing there.
+func Describe(dir string, out io.Writer) error {
+	s := &store{}
+	s.reset()
+	if _, err := statefile.Replay(dir, s.replay); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "replica slot %d, generation %d, incarnation %q\n", s.identity.Slot, s.identity.Generation, s.identity.Incarnation)
+	for i, slot := range s.view.Slots {
+		fmt.Fprintf(out, "slot %d: generation %d at %s\n", i, slot.Generation, slot.Address)
+	}
+	for _, name := range sortedKeys(s.registers) {
+		a := s.registers[name]
+		fmt.Fprintf(out, "register %s: promised %d, accepted %d by %s, %d bytes%s\n", name, a.Promised.Counter,
+			a.Accepted.Counter, a.Accepted.Proposer, len(a.Value), versionOf(name, a.Value))
+	}
+	for _, name := range sortedKeys(s.replicas) {
+		r := s.replicas[name]
+		fmt.Fprintf(out, "shard %s: token %d, in step with %d, votes %t, %d records\n", name, r.Sealed, r.InStep, r.Voter, r.Set.Len())
+	}
+	return nil
+}
+
+func versionOf(name string, value []byte) string {
+	var record configRecord
+	if name != registerName || avrocodec.Decode(value, &record) != nil {
+		return ""
+	}
+	return fmt.Sprintf(", configuration %d", record.Version)
+}
+
+func sortedKeys[Value any](m map[string]Value) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- a/internal/system/core/store.go
+++ b/internal/system/core/store.go
@@ -65,9 +65,8 @@
 // openStore reads the state of a disk. A first view is used where the disk holds none; bootstrap says
 // that all disks are new, so that nothing can have been forgotten.
 func openStore(dir, address string, first view.View, bootstrap bool) (*store, error) {
-	s := &store{
-		address: address, registers: map[string]*register.Acceptor{}, replicas: map[string]*shard.Replica{},
-	}
+	s := &store{address: address}
+	s.reset()
 	log, err := statefile.Open(dir, s.replay, s.snapshotFresh(first, bootstrap))
 	if err != nil {
 		return nil, err
@@ -76,6 +75,12 @@
 	return s, nil
 }
 
+// reset forgets everything that a disk holds.
+func (s *store) reset() {
+	s.registers = map[string]*register.Acceptor{}
+	s.replicas = map[string]*shard.Replica{}
+}
+
 // snapshotFresh returns the snapshot function. At its first call, before any entry was appended, a disk
 // without an identity gets one.
 func (s *store) snapshotFresh(first view.View, bootstrap bool) func(func([]byte) error) error {
--- a/internal/system/edge/edge.go
+++ b/internal/system/edge/edge.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"sedgevale/internal/system/directory"
 	"sedgevale/internal/system/node"
@@ -32,6 +34,7 @@
 	client    *rpc.Client
 	directory *directory.Directory
 	leaving   chan struct{}
+	answers   *prometheus.CounterVec // by method and status
 }
 
 // Run serves until the context ends, and then until requests under way have ended.
@@ -39,7 +42,11 @@
 	e := &Edge{
 		settings: p.Settings, logger: p.Logger, client: p.Client, directory: directory.New(p, true),
 		leaving: make(chan struct{}),
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sedgevale_edge_answers_total", Help: "Answers to clients.",
+		}, []string{"method", "status"}),
 	}
+	p.Measure(e.answers)
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	go e.directory.Run(running)
@@ -49,7 +56,7 @@
 		return err
 	}
 	server := &http.Server{
-		Handler: e, ReadHeaderTimeout: headerTimeout, ReadTimeout: 2 * headerTimeout, IdleTimeout: idleTimeout,
+		Handler: e.counted(), ReadHeaderTimeout: headerTimeout, ReadTimeout: 2 * headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeader,
 	}
 	server, err := p.ListenServer(p.Settings.BindAddrs.Frontend, server)
@@ -72,6 +79,36 @@
 	return err
 }
 
+// counted counts the answers to clients.
+func (e *Edge) counted() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		counting := &statusWriter{ResponseWriter: w, status: http.StatusOK}
+		e.ServeHTTP(counting, r)
+		e.answers.WithLabelValues(methodLabel(r.Method), strconv.Itoa(counting.status)).Inc()
+	})
+}
+
+// methodLabel bounds what clients may make labels of.
+func methodLabel(method string) string {
+	switch method {
+	case http.MethodGet, http.MethodPost, http.MethodDelete:
+		return method
+	}
+	return "other"
+}
+
+// statusWriter remembers the status of an answer.
+type statusWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader sends a status.
+func (s *statusWriter) WriteHeader(status int) {
+	s.status = status
+	s.ResponseWriter.WriteHeader(status)
+}
+
 // isLeaving reports whether this scheduler was told to end.
 func (e *Edge) isLeaving() bool {
 	select {
--- a/internal/system/node/node.go
+++ b/internal/system/node/node.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"sedgevale/internal/system/rpc"
 	"sedgevale/internal/system/settings"
@@ -42,6 +43,7 @@
 	Logger   logr.Logger
 	Client   *rpc.Client
 	current  atomic.Pointer[settings.Settings]
+	metrics  *prometheus.Registry // nil where they are off
 	listen   func(address string) (net.Listener, error)
 	mu       sync.Mutex
 	servers  []*http.Server
@@ -69,10 +71,16 @@
 // Role serves until its context ends.
 type Role func(context.Context, *Process) error
 
+// Options are an operator's choices for a process.
+type Options struct {
+	Verbose bool // log more
+	Metrics bool // serve metrics at the last port of port_range
+}
+
 // Run reads the settings and runs a role until SIGTERM or SIGINT. SIGHUP reads the settings again.
-func Run(role Role, verbose bool) error {
+func Run(role Role, options Options) error {
 	level := slog.LevelInfo
-	if verbose {
+	if options.Verbose {
 		level = slog.LevelDebug
 	}
 	handler := slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})
@@ -90,6 +98,11 @@
 		debug.SetMemoryLimit(int64(float64(read.Limits.MemoryMB) * memoryPart * (1 << 20)))
 	}
 	p := NewProcess(read, logger.WithName(read.Node), rpc.DialTCP(), listenTCP)
+	if options.Metrics {
+		if err := p.serveMetrics(); err != nil {
+			return err
+		}
+	}
 	go p.reread(ctx, path, hangup)
 	return role(ctx, p)
 }
--- a/internal/system/simulation/world_test.go
+++ b/internal/system/simulation/world_test.go
@@ -22,6 +22,8 @@
 	"sedgevale/internal/system/node"
 	"sedgevale/internal/system/settings"
 	"sedgevale/internal/system/side"
+	"sedgevale/internal/system/standin"
+	"sedgevale/workeragent"
 )
 
 const (
@@ -101,7 +103,7 @@
 func (w *world) fail(format string, args ...any) {
 	w.ledger.mu.Lock()
 	defer w.ledger.mu.Unlock()
-	w.ledger.break_(format, args...)
+	w.ledger.add(format, args...)
 }
 
 func (w *world) settings(m *machine) *settings.Settings {
@@ -177,15 +179,17 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	w.workers[name] = cancel
 	h := w.fabric.host("w" + m.ip)
-	one := &worker{
-		world: w, host: h, id: fmt.Sprintf("i-%d", w.lives), side: m.ip + ":80", capacity: 8 * taskCPU,
-		random: rand.New(rand.NewPCG(uint64(w.lives), 5)), active: map[string]*running{}, stopped: map[string]int64{},
-		client: &http.Client{Transport: &http.Transport{DialContext: h.dial}},
-	}
+	one := standin.New(standin.Options{
+		ID: fmt.Sprintf("i-%d", w.lives), Service: service, Side: m.ip + ":80", TaskCPU: taskCPU,
+		Capacity: workeragent.Capacity{CPU: 8 * taskCPU}, Labels: []string{"k", "r1"},
+		ShortTask: 100 * time.Millisecond, LongTask: time.Second, FailOneIn: 30, ClockSlow: 0.02, Observer: w.ledger,
+		Random: rand.New(rand.NewPCG(uint64(w.lives), 5)),
+		Client: &http.Client{Transport: &http.Transport{DialContext: h.dial}},
+	})
 	w.running.Add(1)
 	go func() {
 		defer w.running.Done()
-		one.run(ctx)
+		one.Run(ctx)
 		h.kill()
 	}()
 	w.note(name, "worker %d", w.lives)
--- a/internal/system/statefile/statefile.go
+++ b/internal/system/statefile/statefile.go
@@ -355,3 +355,60 @@
 	}
 	return payloads, int64(len(text))
 }
+
+// FileInfo tells of one file of a state directory.
+type FileInfo struct {
+	Name   string
+	Bytes  int64
+	Frames int   // whole frames
+	Torn   int64 // bytes at the end that are no whole frame
+	Whole  bool  // a snapshot with its end; always true for a log
+	Live   bool  // it is read at a start
+}
+
+// Inspect tells what the files of a state directory hold. It changes nothing.
+func Inspect(dir string) ([]FileInfo, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, fmt.Errorf("statefile: %w", err)
+	}
+	var infos []FileInfo
+	newest := int64(-1)
+	for _, entry := range entries {
+		generation, ok := generationOf(entry.Name())
+		if !ok {
+			continue
+		}
+		info := inspectFile(dir, entry.Name())
+		snapshot := strings.HasPrefix(entry.Name(), snapshotPrefix) && !strings.HasSuffix(entry.Name(), asideSuffix)
+		if snapshot && info.Whole {
+			newest = max(newest, generation)
+		}
+		infos = append(infos, info)
+	}
+	for i := range infos {
+		generation, _ := generationOf(infos[i].Name)
+		isLog := strings.HasPrefix(infos[i].Name, logPrefix)
+		infos[i].Live = infos[i].Whole && (isLog && generation >= newest || !isLog && generation == newest)
+	}
+	return infos, nil
+}
+
+func inspectFile(dir, file string) FileInfo {
+	path := filepath.Join(dir, file)
+	info := FileInfo{Name: file}
+	if stat, err := os.Stat(path); err == nil {
+		info.Bytes = stat.Size()
+	}
+	if strings.HasPrefix(file, logPrefix) {
+		payloads, torn := readFrames(path, 0)
+		info.Frames, info.Torn, info.Whole = len(payloads), torn, true
+		return info
+	}
+	payloads, whole := readSnapshot(path)
+	info.Frames, info.Whole = len(payloads), whole && !strings.HasSuffix(file, asideSuffix)
+	if !whole {
+		info.Torn = info.Bytes
+	}
+	return info
+}
