Take shards over sooner after a start; give no starts to workers whose agent is silent

Change: pings each 50 ms until a quorum was heard, 0.25 s before a first ownership, 0.8 s of silence for a dead peer; no starts after 0.9 s without a report.

--- a/internal/system/core/ownership.go
+++ b/internal/system/core/ownership.go
@@ -14,7 +14,7 @@
 
 const (
 	ownEvery        = 60 * time.Millisecond
-	firstOwnAfter   = 600 * time.Millisecond // after the start, others may be up by then
+	firstOwnAfter   = 250 * time.Millisecond // after the start, for others to say what they own
 	takeoverPause   = 400 * time.Millisecond
 	takeoverTimeout = 2500 * time.Millisecond
 	ownerPrefix     = "owner/"
--- a/internal/system/core/peers.go
+++ b/internal/system/core/peers.go
@@ -12,9 +12,10 @@
 )
 
 const (
-	pingEvery    = 200 * time.Millisecond
+	pingEvery    = 150 * time.Millisecond
+	firstPings   = 50 * time.Millisecond // until a quorum was heard
 	pingTimeout  = 450 * time.Millisecond
-	aliveFor     = 1000 * time.Millisecond // after the last answer
+	aliveFor     = 800 * time.Millisecond  // after the last answer
 	forgetAfter  = 30 * time.Second        // a peer that was not heard for so long
 	joinAfter    = 2200 * time.Millisecond // a slot whose occupant was silent for so long may be taken
 	joinEvery    = 300 * time.Millisecond
@@ -125,7 +126,11 @@
 func (c *Core) pingLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		c.pingAll(ctx)
-		time.Sleep(pingEvery)
+		if c.quorumHeard() {
+			time.Sleep(pingEvery)
+		} else {
+			time.Sleep(firstPings)
+		}
 	}
 }
 
--- a/jobs/book_test.go
+++ b/jobs/book_test.go
@@ -385,6 +385,7 @@
 	30   orders a = start j.0.0.0/1
 	60   worker a cpu=4000 active j.0.0.0/1#saved
 	70   worker b cpu=4000
+	4990 worker b cpu=4000
 	5000 worker a cpu=4000 lapsed
 	5010 disk commit
 	5020 orders b = start j.0.0.0/2#saved`)
@@ -563,10 +564,12 @@
 	20   disk commit
 	990  tick
 	990  orders a = nothing
+	990  worker a cpu=4000
 	1000 tick
 	1000 disk commit
 	1010 orders a = start j.0.0.0/1
 	1100 worker a cpu=4000 end 1/j.0.0.0/1/done
+	1490 worker a cpu=4000 end 1/j.0.0.0/1/done
 	1500 tick
 	1500 disk commit
 	1510 client j = running
@@ -730,3 +733,15 @@
 	300 tick
 	310 orders a = nothing`)
 }
+
+// Found by incident inc-a454: starts that were assigned to a worker behind a cut waited there for its end.
+func TestSilentAgentGetsNoStarts(t *testing.T) {
+	play(t, `
+	0    worker a cpu=4000
+	1000 client submit j 1x cpu=500 est=100
+	1010 disk commit
+	1020 orders a = nothing
+	1030 worker b cpu=4000
+	1040 disk commit
+	1050 orders b = start j.0.0.0/1`)
+}
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -14,6 +14,7 @@
 	gpuCores      = 8                      // what a GPU counts, in cores
 	thresholdOver = 0.1                    // over the mean of what workers hold, for the random pick
 	reserveAfter  = 300 * time.Millisecond // a large unit that waits for longer keeps workers for itself
+	agentSilent   = 900 * time.Millisecond // a worker whose side agent was not heard for so long gets no starts
 	failingMost   = 0.35                   // workers that fail more are left alone while others do
 	paceMost      = 2.2                    // workers that are slower are left alone while others do
 )
@@ -38,7 +39,7 @@
 	b.pass++
 	p := &pass{now: now, lateFirst: b.pass%lateTurn == 0, blocked: map[*unit]bool{}, reserved: map[*Worker]*unit{}}
 	for _, w := range b.workers {
-		if w.State == Ready {
+		if w.State == Ready && now-w.heard < agentSilent {
 			p.ready = append(p.ready, w)
 			p.mean += w.held
 		}
--- a/jobs/report.go
+++ b/jobs/report.go
@@ -416,6 +416,9 @@
 	}
 	for ref, w := range b.workers {
 		w.failing *= failDecay
+		if w.State == Ready && now-w.heard >= agentSilent {
+			w.hurt()
+		}
 		if now >= w.expiry {
 			b.lapse(now, w)
 			delete(b.workers, ref)
