--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run torture powercut faults changes simulate mutations system
+.PHONY: build test lint run torture powercut faults changes simulate mutations system sites
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -52,3 +52,7 @@
 # A small system on loopback with stand-in workers and a stand-in client, until Ctrl-C.
 system: build
 	bin/sedgevale local
+
+# Deployments of other shapes for the bench; WIRE is the bench's table of words.
+sites:
+	go run ./scripts/sitegen -wire $(WIRE)
