Tell owners news alone and edges configurations by difference

Cause: side agents reported at each heartbeat, 40 a second, though little had changed; an edge with 2 Mbit/s takes 0.3 s for 400 routes. Change: a report goes out when state, runs, ends or orders changed, else each 400 ms; core schedulers keep eight past configurations and send a patch where the edge has one of them; an edge that cannot apply it asks for the whole. Ruled out: dropping progress from reports; checkpoints of lost runs come from it.

--- a/internal/system/api/api.go
+++ b/internal/system/api/api.go
@@ -28,6 +28,7 @@
 	Fresh         bool // a quorum has confirmed this a moment ago
 	ConfigVersion int64
 	Config        []byte // left out where the version is known
+	Base          int64  // where it is not 0, Config is a patch on this version
 	Owners        []Owner
 	OwnersDigest  int64
 	Cores         []string
--- a/internal/system/core/config.go
+++ b/internal/system/core/config.go
@@ -13,6 +13,9 @@
 // historyLength is how many changes are remembered, so that one that is sent again is told from a new one.
 const historyLength = 256
 
+// pastConfigs is how many earlier configurations are kept, to tell subscribers just what differs.
+const pastConfigs = 8
+
 // configRecord is the value of the configuration's register.
 type configRecord struct {
 	Version int64
@@ -111,6 +114,12 @@
 		c.logger.Error(err, "configuration cannot be read", "version", state.record.Version)
 		return
 	}
+	if c.config != nil {
+		c.past = append(c.past, c.config.record)
+		if len(c.past) > pastConfigs {
+			c.past = c.past[1:]
+		}
+	}
 	state.config = config
 	state.table = opconfig.NewTable(config)
 	c.config = state
--- a/internal/system/core/core.go
+++ b/internal/system/core/core.go
@@ -31,6 +31,7 @@
 	peers    map[string]*peerState
 	learned  map[string]chosen // registers as far as they are known to be chosen
 	config   *configState
+	past     []configRecord // the configurations before it, the oldest first
 	owners   map[string]*owner
 	changed  chan struct{} // closed when what watchers are told changes
 	counter  int64         // the highest ballot counter that was met
--- a/internal/system/core/watch.go
+++ b/internal/system/core/watch.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"sedgevale/internal/system/api"
+	"sedgevale/internal/system/opconfig"
 	"sedgevale/internal/system/rpc"
 )
 
@@ -49,11 +50,27 @@
 	}
 	answer.ConfigVersion = c.config.record.Version
 	if r.WantConfig && answer.ConfigVersion > r.ConfigVersion {
-		answer.Config = c.config.record.Text
+		answer.Config, answer.Base = c.configSince(r.ConfigVersion)
 	}
 	return answer
 }
 
+// configSince returns the configuration as a patch on a version, where that is known here and the patch is shorter,
+// else whole. The lock is held.
+func (c *Core) configSince(version int64) (text []byte, base int64) {
+	whole := c.config.record.Text
+	for _, past := range c.past {
+		if past.Version != version {
+			continue
+		}
+		patch, ok := opconfig.Difference(past.Text, whole)
+		if ok && len(patch) < len(whole) {
+			return patch, version
+		}
+	}
+	return whole, 0
+}
+
 // knownOwners returns the newest claim to each shard. The lock is held.
 func (c *Core) knownOwners() []api.Owner {
 	newest := map[string]api.Owner{}
--- a/internal/system/directory/directory.go
+++ b/internal/system/directory/directory.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -34,6 +35,7 @@
 	owners  map[string]api.Owner
 	digest  int64
 	table   *opconfig.Table
+	text    []byte // the configuration as it came
 	version int64
 	fresh   time.Time // when the newest confirmed answer was asked for
 	changed chan struct{}
@@ -132,16 +134,33 @@
 	if len(answer.Config) == 0 {
 		return
 	}
-	config, err := opconfig.Parse(answer.Config)
+	text, err := d.wholeText(answer)
+	var config *opconfig.Config
+	if err == nil {
+		config, err = opconfig.Parse(text)
+	}
 	if err != nil {
 		d.logger.Error(err, "configuration cannot be read", "version", answer.ConfigVersion)
+		d.text, d.version = nil, 0 // the next answer brings it whole
 		return
 	}
+	d.text = text
 	d.table = opconfig.NewTable(config)
 	d.version = answer.ConfigVersion
 	d.logger.V(1).Info("configuration in force", "version", d.version)
 }
 
+// wholeText returns the whole configuration that an answer brings, as a text or as a patch on the one that is known.
+func (d *Directory) wholeText(answer *api.WatchResponse) ([]byte, error) {
+	if answer.Base == 0 {
+		return answer.Config, nil
+	}
+	if answer.Base != d.version || d.text == nil {
+		return nil, fmt.Errorf("a patch on version %d came, %d is known", answer.Base, d.version)
+	}
+	return opconfig.Apply(d.text, answer.Config)
+}
+
 // Table returns the newest configuration, or nil, its version, and how long ago it was confirmed.
 func (d *Directory) Table() (table *opconfig.Table, version int64, age time.Duration) {
 	d.mu.Lock()
--- a/internal/system/opconfig/check.go
+++ b/internal/system/opconfig/check.go
@@ -1,6 +1,7 @@
 package opconfig
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -156,3 +157,66 @@
 	}
 	return named.Name, nil
 }
+
+// Difference returns a patch that makes the configuration after of the one before, or false where they differ in
+// more than their lists of named items, version and limits.
+func Difference(before, after []byte) ([]byte, bool) {
+	var old, new map[string]json.RawMessage
+	if json.Unmarshal(before, &old) != nil || json.Unmarshal(after, &new) != nil {
+		return nil, false
+	}
+	patch := map[string]any{"version": new["version"]}
+	upsert, remove := map[string][]json.RawMessage{}, map[string][]string{}
+	for key := range old {
+		if _, there := new[key]; !there {
+			return nil, false
+		}
+	}
+	for key, value := range new {
+		switch {
+		case key == "version":
+		case key == "limits":
+			patch["limits"] = value
+		case bytes.Equal(old[key], value):
+		default:
+			changed, gone, ok := differingItems(old[key], value)
+			if !ok {
+				return nil, false
+			}
+			upsert[key], remove[key] = changed, gone
+		}
+	}
+	patch["upsert"], patch["remove"] = upsert, remove
+	text, err := json.Marshal(patch)
+	return text, err == nil
+}
+
+// differingItems compares two lists of named items.
+func differingItems(before, after json.RawMessage) (changed []json.RawMessage, gone []string, ok bool) {
+	var old, new []json.RawMessage
+	if json.Unmarshal(before, &old) != nil || json.Unmarshal(after, &new) != nil {
+		return nil, nil, false
+	}
+	items := map[string]json.RawMessage{}
+	for _, item := range old {
+		name, err := nameOf(item)
+		if err != nil {
+			return nil, nil, false
+		}
+		items[name] = item
+	}
+	for _, item := range new {
+		name, err := nameOf(item)
+		if err != nil {
+			return nil, nil, false
+		}
+		if !bytes.Equal(items[name], item) {
+			changed = append(changed, item)
+		}
+		delete(items, name)
+	}
+	for name := range items {
+		gone = append(gone, name)
+	}
+	return changed, gone, true
+}
--- /dev/null
+++ b/internal/system/opconfig/opconfig_test.go
@@ -0,0 +1,85 @@
+package opconfig
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+)
+
+// randomConfig returns a configuration with some of a few routes.
+func randomConfig(random *rand.Rand, version int) []byte {
+	routes := ""
+	for i := range 12 {
+		if random.IntN(3) == 0 {
+			continue
+		}
+		if routes != "" {
+			routes += ","
+		}
+		routes += fmt.Sprintf(`{"name":"r%d","host":"h","path_prefix":"/%d/","timeout_ms":%d,"service":"s"}`, i, i, 1000+random.IntN(2))
+	}
+	return []byte(fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s"}],"limits":{"max_body_bytes":%d}}`,
+		version, routes, random.IntN(3)))
+}
+
+// byName makes the order of routes not matter.
+func byName(t *testing.T, text []byte) (map[string]Route, Config) {
+	t.Helper()
+	c, err := Parse(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	routes := map[string]Route{}
+	for _, r := range c.Routes {
+		routes[r.Name] = r
+	}
+	whole := *c
+	whole.Routes = nil
+	return routes, whole
+}
+
+// A difference, applied, makes the new configuration of the old one.
+func TestDifferenceIsApplied(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for i := range 300 {
+		before, after := randomConfig(random, i+1), randomConfig(random, i+2)
+		patch, ok := Difference(before, after)
+		if !ok {
+			t.Fatalf("no difference of %s and %s", before, after)
+		}
+		got, err := Apply(before, patch)
+		if err != nil {
+			t.Fatal(err)
+		}
+		gotRoutes, gotRest := byName(t, got)
+		wantRoutes, wantRest := byName(t, after)
+		if !reflect.DeepEqual(gotRoutes, wantRoutes) || !reflect.DeepEqual(gotRest, wantRest) {
+			t.Fatalf("from %s by %s came %s, wanted %s", before, patch, got, after)
+		}
+	}
+}
+
+func TestDifferenceOfUnknownKeysIsNone(t *testing.T) {
+	if _, ok := Difference([]byte(`{"version":1,"routes":[],"other":1}`), []byte(`{"version":2,"routes":[]}`)); ok {
+		t.Error("a key that goes away cannot be told by a patch")
+	}
+	if _, ok := Difference([]byte(`{"version":1,"other":1}`), []byte(`{"version":2,"other":2}`)); ok {
+		t.Error("a key that is no list of named items cannot be told by a patch")
+	}
+}
+
+func TestLongestPrefixCounts(t *testing.T) {
+	c := &Config{Routes: []Route{{Name: "a", Host: "H", PathPrefix: "/x/"}, {Name: "b", Host: "h", PathPrefix: "/x/y/"}}}
+	table := NewTable(c)
+	cases := map[string]string{"/x/1": "a", "/x/y/1": "b", "/z": ""}
+	for path, want := range cases {
+		got := ""
+		if route, _ := table.Match("h:80", path); route != nil {
+			got = route.Name
+		}
+		if got != want {
+			t.Errorf("%s goes to %q", path, got)
+		}
+	}
+}
--- a/internal/system/side/side.go
+++ b/internal/system/side/side.go
@@ -53,6 +53,7 @@
 	service   string
 	orders    chan struct{} // poked when there is something for the worker
 	tell      chan struct{} // poked when there is something for the owner
+	told      uint64        // the news that was told last
 	lapsedAt  time.Duration
 	ended     bool // another incarnation has replaced it
 	confirmed bool
--- a/internal/system/side/worker.go
+++ b/internal/system/side/worker.go
@@ -36,8 +36,12 @@
 	}
 	s.confirm(one)
 	waits := one.confirmed && one.agent.Idle() && !one.agent.Pending(s.now())
+	news := one.agent.News(s.now())
+	if news != one.told {
+		one.told = news
+		poke(one.tell)
+	}
 	s.mu.Unlock()
-	poke(one.tell)
 	if waits {
 		select {
 		case <-one.orders:
--- a/workeragent/agent.go
+++ b/workeragent/agent.go
@@ -4,6 +4,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"sedgevale/internal/system/result"
 	"sedgevale/jobs"
 )
@@ -350,6 +352,32 @@
 // Draining reports whether the worker has announced its end.
 func (a *Agent) Draining() bool { return a.gone || a.beat.State != string(jobs.Ready) }
 
+// News names what the owner should hear of soon: the state, which runs are active, which ends are not noted, and what
+// became of orders. While it stays the same, progress and checkpoints can wait for the next regular report.
+func (a *Agent) News(now time.Duration) uint64 {
+	hash := xxhash.New()
+	_, _ = hash.WriteString(string(a.State(now)) + a.Life())
+	sum := hash.Sum64()
+	add := func(kind string, ref jobs.RunRef) {
+		sum ^= xxhash.Sum64String(kind + ref.Task + "/" + strconv.FormatInt(ref.Attempt, 10))
+	}
+	for ref := range a.active {
+		add("active ", ref)
+	}
+	for _, run := range a.beat.Finished {
+		if run.Number > a.noted {
+			add("finished ", jobs.RunRef{Task: run.Task, Attempt: run.Number})
+		}
+	}
+	for ref := range a.held {
+		add("held ", ref)
+	}
+	for ref := range a.dropped {
+		add("dropped ", ref)
+	}
+	return sum
+}
+
 // Report returns what the owner is told.
 func (a *Agent) Report(now time.Duration) *jobs.Report {
 	c := a.beat.Capacity
--- a/workeragent/agent_test.go
+++ b/workeragent/agent_test.go
@@ -376,3 +376,25 @@
 		t.Error("a number was read from an object")
 	}
 }
+
+// An owner is told at once what changed, and what has not changed only now and then.
+func TestNewsIsWhatChanged(t *testing.T) {
+	a := play(t, `
+	0    7: lease
+	10   beat S:1 a:t1`)
+	first := a.News(0)
+	a.OnBeat(0, parseBeat([]string{"S:2", "a:t1"}))
+	if a.News(0) != first {
+		t.Error("a heartbeat like the last one is news")
+	}
+	changes := map[string][]string{
+		"a run more": {"S:3", "a:t1", "a:t2"}, "an end": {"S:4", "f:1/t1/done"}, "a drain": {"S:5", "a:t1", "draining"},
+	}
+	for name, beat := range changes {
+		b := play(t, "0 7: lease")
+		b.OnBeat(0, parseBeat(beat))
+		if b.News(0) == first {
+			t.Errorf("%s is no news", name)
+		}
+	}
+}
