--- a/workeragent/agent.go
+++ b/workeragent/agent.go
@@ -344,9 +344,9 @@
 // SafelyDead reports whether nothing of this incarnation can still run.
 func (a *Agent) SafelyDead() bool { return a.lapsed }
 
-// Idle reports whether nothing of ours is at the worker or on its way there, so that no end can come.
+// Idle reports whether the worker takes runs and none is there or on its way, so that nothing but an order can come.
 func (a *Agent) Idle() bool {
-	return len(a.active) == 0 && len(a.beat.Finished) == 0 && len(a.held) == 0
+	return a.mayStart() && len(a.active) == 0 && len(a.beat.Finished) == 0 && len(a.held) == 0
 }
 
 // Draining reports whether the worker has announced its end.
