Place tasks in large shards at constant cost: a bounded look, workers by side agent

Cause: TestSlopes -full: a start took 351 us and a report 76 us at 3,200 workers, since each looked at all workers; 1,400 starts a second would take half a core. Change: beyond 64 ready workers a placement looks for 16 that fit from a random place on, those in the rack of the data first; the list of ready workers is kept between passes; workers are indexed by side agent. Ruled out: power of two choices; constraints and gangs need more than two that fit.

--- a/jobs/book.go
+++ b/jobs/book.go
@@ -53,12 +53,17 @@
 	unflushed []func()
 	effects   []effect
 
-	units     uint64
-	pass      uint64        // of Schedule
-	preemptAt time.Duration // when work may be preempted again
-	wake      bool          // something may be placed now
-	claimants []admission.Claimant
-	scratch   []float64
+	units      uint64
+	pass       uint64                        // of Schedule
+	bySide     map[string]map[string]*Worker // workers by side agent and name
+	ready      []*Worker                     // those that take starts
+	readyMean  float64                       // of what they hold
+	readyAt    time.Duration
+	readyStale bool
+	preemptAt  time.Duration // when work may be preempted again
+	wake       bool          // something may be placed now
+	claimants  []admission.Claimant
+	scratch    []float64
 }
 
 // New returns an empty Book.
@@ -66,6 +71,7 @@
 	return &Book{
 		options: options, random: random,
 		jobs: map[string]*Job{}, queues: map[string]*Queue{}, workers: map[string]*Worker{}, timed: map[string]*Job{},
+		bySide: map[string]map[string]*Worker{}, readyStale: true,
 	}
 }
 
@@ -446,7 +452,7 @@
 				Ref: task.Worker, Instance: instance, Side: side, State: Unheard, sigma: 1, pace: 1,
 				Runs: map[RunRef]*Run{}, heard: now, expiry: now + b.options.LapseAfter,
 			}
-			b.workers[task.Worker] = w
+			b.addWorker(w)
 		}
 		w.add(&Run{
 			Key: RunRef{TaskName(job.ID, t.Number, stage, index), task.Attempt}, job: job,
--- a/jobs/book_test.go
+++ b/jobs/book_test.go
@@ -769,3 +769,31 @@
 		}
 	}
 }
+
+// In a large shard a placement looks at a few workers from a random place on, but finds the only one that will do.
+func TestLargeShardFindsTheOnlyWorker(t *testing.T) {
+	s := newStage(t)
+	for i := range 300 {
+		rack := "r1"
+		if i == 217 {
+			rack = "r2"
+		}
+		s.step(0, strings.Fields(fmt.Sprintf("worker w%d cpu=4000 rack=%s", i, rack)), "")
+	}
+	s.step(1*time.Millisecond, strings.Fields("client submit label 2x cpu=100 label=r2 est=100"), "")
+	s.step(1*time.Millisecond, strings.Fields("client submit near 2x cpu=100 near=r2 est=100"), "")
+	s.step(1*time.Millisecond, strings.Fields("client submit any 100x cpu=100 est=100"), "")
+	for ms := 100; ms <= 500; ms += 100 {
+		s.step(time.Duration(ms)*time.Millisecond, []string{"tick"}, "")
+	}
+	at := map[string]int{}
+	for _, w := range s.book.workers {
+		for key := range w.Runs {
+			name, _, _ := strings.Cut(key.Task, ".")
+			at[name+" "+w.rack()]++
+		}
+	}
+	if at["label r2"] != 2 || at["near r2"] != 2 || at["any r1"]+at["any r2"] != 100 {
+		t.Errorf("placed %v", at)
+	}
+}
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -14,6 +14,9 @@
 	gpuCores      = 8                      // what a GPU counts, in cores
 	thresholdOver = 0.1                    // over the mean of what workers hold, for the random pick
 	reserveAfter  = 300 * time.Millisecond // a large unit that waits for longer keeps workers for itself
+	lookAtAll     = 64                     // ready workers of a shard that are all looked at for a placement
+	lookAtMost    = 16                     // fitting ones that are enough in a larger shard
+	readyEvery    = 50 * time.Millisecond  // between two lists of the workers that take starts
 	agentSilent   = 900 * time.Millisecond // a worker whose side agent was not heard for so long gets no starts
 	failingMost   = 0.35                   // workers that fail more are left alone while others do
 	paceMost      = 2.2                    // workers that are slower are left alone while others do
@@ -25,8 +28,9 @@
 	blocked   map[*unit]bool
 	reserved  map[*Worker]*unit
 	ready     []*Worker
-	mean      float64 // of what ready workers hold
-	lateFirst bool    // units that are late already are not put behind
+	mean      float64              // of what ready workers hold
+	racks     map[string][]*Worker // of the ready workers, made when it is asked for
+	lateFirst bool                 // units that are late already are not put behind
 }
 
 // Schedule lets waiting work go to workers: queues of the first priority before others, and among equals by
@@ -38,16 +42,11 @@
 	b.wake = false
 	b.pass++
 	p := &pass{now: now, lateFirst: b.pass%lateTurn == 0, blocked: map[*unit]bool{}, reserved: map[*Worker]*unit{}}
-	for _, w := range b.workers {
-		if w.State == Ready && now-w.heard < agentSilent {
-			p.ready = append(p.ready, w)
-			p.mean += w.held
-		}
-	}
+	b.refreshReady(now)
+	p.ready, p.mean = b.ready, b.readyMean
 	if len(p.ready) == 0 {
 		return
 	}
-	p.mean /= float64(len(p.ready))
 	for _, q := range b.order {
 		q.stuck = 0
 	}
@@ -62,6 +61,25 @@
 	b.preempt(p)
 }
 
+// refreshReady lists the workers that take starts. The list is made anew when one comes, goes or changes its state,
+// and otherwise now and then, so that a pass does not cost more the more workers there are.
+func (b *Book) refreshReady(now time.Duration) {
+	if !b.readyStale && now-b.readyAt < readyEvery {
+		return
+	}
+	b.readyStale, b.readyAt = false, now
+	b.ready, b.readyMean = b.ready[:0], 0
+	for _, w := range b.workers {
+		if w.State == Ready && now-w.heard < agentSilent {
+			b.ready = append(b.ready, w)
+			b.readyMean += w.held
+		}
+	}
+	if len(b.ready) > 0 {
+		b.readyMean /= float64(len(b.ready))
+	}
+}
+
 // release serves queues of one priority in turns until none can release more.
 func (b *Book) release(p *pass, queues []*Queue) {
 	for range maxTurns {
@@ -256,12 +274,45 @@
 	return fits[admission.PickBelow(candidates, p.mean+thresholdOver, b.random.IntN)]
 }
 
-// fitting returns the workers that may take a task of the unit now.
+// fitting returns workers that may take a task of the unit now: all of them in a small shard, in a large one a few
+// from a random place on, so that a placement costs the same there. Those in the rack of the data come first.
 func (b *Book) fitting(p *pass, u *unit, taken *tentative) []*Worker {
+	if len(p.ready) <= lookAtAll {
+		return b.fittingOf(p, u, taken, p.ready, len(p.ready))
+	}
+	if rack := u.job.Spec.Stages[u.stage].AffinityTo; rack != "" {
+		if fits := b.fittingOf(p, u, taken, p.inRack(rack), lookAtMost); len(fits) > 0 {
+			return fits
+		}
+	}
+	from := b.random.IntN(len(p.ready))
+	fits := b.fittingOf(p, u, taken, p.ready[from:], lookAtMost)
+	if len(fits) >= lookAtMost {
+		return fits
+	}
+	return append(fits, b.fittingOf(p, u, taken, p.ready[:from], lookAtMost-len(fits))...)
+}
+
+// inRack returns the workers of a rack that take starts.
+func (p *pass) inRack(rack string) []*Worker {
+	if p.racks == nil {
+		p.racks = map[string][]*Worker{}
+		for _, w := range p.ready {
+			p.racks[w.rack()] = append(p.racks[w.rack()], w)
+		}
+	}
+	return p.racks[rack]
+}
+
+// fittingOf returns at most so many of some workers that may take a task of the unit now.
+func (b *Book) fittingOf(p *pass, u *unit, taken *tentative, workers []*Worker, most int) []*Worker {
 	step := &u.job.Spec.Stages[u.stage]
 	demand := step.demand()
 	var fits []*Worker
-	for _, w := range p.ready {
+	for _, w := range workers {
+		if len(fits) >= most {
+			break
+		}
 		if other := p.reserved[w]; other != nil && other != u {
 			continue
 		}
--- a/jobs/report.go
+++ b/jobs/report.go
@@ -14,6 +14,9 @@
 // Report takes what a side agent tells of its worker.
 func (b *Book) Report(now time.Duration, r *Report) *Worker {
 	w := b.worker(now, r)
+	if now-w.heard >= agentSilent {
+		b.readyStale = true
+	}
 	w.heard = now
 	w.expiry = now + b.options.LapseAfter
 	b.supersede(now, r)
@@ -50,21 +53,39 @@
 	w := b.workers[ref]
 	if w == nil {
 		w = &Worker{Ref: ref, Instance: r.Instance, Side: r.Side, sigma: 1, pace: 1, Runs: map[RunRef]*Run{}, heard: now}
-		b.workers[ref] = w
+		b.addWorker(w)
 	}
 	return w
 }
 
+func (b *Book) addWorker(w *Worker) {
+	b.workers[w.Ref] = w
+	if b.bySide[w.Side] == nil {
+		b.bySide[w.Side] = map[string]*Worker{}
+	}
+	b.bySide[w.Side][w.Ref] = w
+	b.readyStale = true
+}
+
+func (b *Book) removeWorker(w *Worker) {
+	delete(b.workers, w.Ref)
+	delete(b.bySide[w.Side], w.Ref)
+	if len(b.bySide[w.Side]) == 0 {
+		delete(b.bySide, w.Side)
+	}
+	b.readyStale = true
+}
+
 // supersede ends the other incarnations at a report's side agent. There is one worker on a machine, so one with a new
 // name has replaced one that crashed; only one that is known to leave may still be at work for a while.
 func (b *Book) supersede(now time.Duration, r *Report) {
-	for ref, old := range b.workers {
-		if old.Side != r.Side || old.Instance == r.Instance || old.State == Draining || old.State == Gone {
+	for _, old := range b.bySide[r.Side] {
+		if old.Instance == r.Instance || old.State == Draining || old.State == Gone {
 			continue
 		}
 		if WorkerState(r.State) == Ready {
 			b.lapse(now, old)
-			delete(b.workers, ref)
+			b.removeWorker(old)
 		}
 	}
 }
@@ -92,6 +113,7 @@
 		}
 		b.measure()
 		b.wake = true
+		b.readyStale = true
 	}
 	w.Labels = r.Labels
 	if state == Draining || state == Gone {
@@ -407,6 +429,7 @@
 		b.endRun(now, w, key, "lapsed", "")
 	}
 	w.setState(Lapsed)
+	b.readyStale = true
 }
 
 // Tick is the round: times that became due, workers that are surely gone, and the limits of admission.
@@ -414,7 +437,7 @@
 	for _, job := range b.timed {
 		b.beginDue(now, wallMS, job)
 	}
-	for ref, w := range b.workers {
+	for _, w := range b.workers {
 		w.failing *= failDecay
 		if silent := now-w.heard >= agentSilent; silent != w.unheard {
 			w.unheard = silent
@@ -424,7 +447,7 @@
 		}
 		if now >= w.expiry {
 			b.lapse(now, w)
-			delete(b.workers, ref)
+			b.removeWorker(w)
 			b.measure()
 		}
 	}
