--- a/internal/system/side/side.go
+++ b/internal/system/side/side.go
@@ -194,6 +194,8 @@
 	s.mu.Unlock()
 	owner, _ := s.directory.Owner(service)
 	if owner == "" || service == "" {
+		time.Sleep(checkEvery)
+		poke(one.tell)
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), reportCall)
@@ -203,6 +205,7 @@
 	if err != nil {
 		s.logger.V(1).Info("report not taken", "owner", owner, "error", err.Error())
 		time.Sleep(checkEvery)
+		poke(one.tell) // to this owner again, or to the next
 		return
 	}
 	s.mu.Lock()
