--- a/internal/slopes/full_test.go
+++ b/internal/slopes/full_test.go
@@ -12,7 +12,7 @@
 
 // The long form: go test ./internal/slopes -run TestSlopes -v -timeout 30m -args -full [-json FILE]
 var (
-	full  = flag.Bool("full", false, "measure the slopes that docs/CAPACITY.md quotes")
+	full  = flag.Bool("full", false, "measure the slopes that docs/CAPACITY-dispatcher.md quotes")
 	lines = flag.String("json", "", "append each measured point to this file, a JSON object a line")
 )
 
--- a/internal/slopes/slopes.go
+++ b/internal/slopes/slopes.go
@@ -2,7 +2,7 @@
 // processor time of its rounds, jobs and lists, and the bytes that schedulers of a site tell each other. It drives real
 // Dispatchers and real peers.Nodes over hollow workers, in virtual time and with a fixed seed, so that all but processor
 // time is the same in every run. Its users are tests: a small form in CI bounds what does not hang on the machine, and
-// `go test ./internal/slopes -run TestSlopes -v -args -full` prints what docs/CAPACITY.md quotes.
+// `go test ./internal/slopes -run TestSlopes -v -args -full` prints what docs/CAPACITY-dispatcher.md quotes.
 //
 // Units: bytes, seconds, and shares of a core. Bytes between schedulers are those of datagrams without the 28 of UDP and IP.
 // Lines are fitted by ordinary least squares (gonum's QR factorisation); the errors of coefficients are the usual ones,
