--- a/internal/system/settings/settings.go
+++ b/internal/system/settings/settings.go
@@ -190,9 +190,8 @@
 	return nil
 }
 
-// InternalAddress returns the address on which this process hears other schedulers. Two roles on one
-// machine have ports of their own, by their order of names being unknown to each other: the role that
-// serves clients takes the second port.
+// InternalAddress returns the address on which this process hears other schedulers: the first port of the range. A
+// machine has one role of ours.
 func (s *Settings) InternalAddress() string {
 	return s.internalAt(s.IP)
 }
--- a/internal/system/statefile/statefile.go
+++ b/internal/system/statefile/statefile.go
@@ -300,6 +300,9 @@
 		from = generation
 		break
 	}
+	if from == 0 {
+		return newest, nil // a log without its snapshot is no state: the disk counts as empty
+	}
 	for _, generation := range logs {
 		if generation < from {
 			continue
@@ -389,7 +392,7 @@
 	for i := range infos {
 		generation, _ := generationOf(infos[i].Name)
 		isLog := strings.HasPrefix(infos[i].Name, logPrefix)
-		infos[i].Live = infos[i].Whole && (isLog && generation >= newest || !isLog && generation == newest)
+		infos[i].Live = newest >= 0 && infos[i].Whole && (isLog && generation >= newest || !isLog && generation == newest)
 	}
 	return infos, nil
 }
--- a/internal/system/statefile/statefile_test.go
+++ b/internal/system/statefile/statefile_test.go
@@ -173,3 +173,28 @@
 		t.Errorf("entries %v", m.entries)
 	}
 }
+
+// A log without its snapshot is no state: the disk counts as empty, and a check says so.
+func TestLogWithoutItsSnapshotIsLeftOut(t *testing.T) {
+	dir := t.TempDir()
+	m := &memory{}
+	l := m.open(t, dir)
+	m.append(t, l, "a")
+	snapshot := filepath.Join(dir, name(snapshotPrefix, l.generation))
+	if err := os.Truncate(snapshot, 20); err != nil {
+		t.Fatal(err)
+	}
+	files, err := Inspect(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range files {
+		if f.Live {
+			t.Errorf("%s is said to be read at a start", f.Name)
+		}
+	}
+	m.open(t, dir)
+	if len(m.entries) != 0 {
+		t.Errorf("entries %v", m.entries)
+	}
+}
