Fill three slots where a zone may go; forget shares of workers that are gone

Cause: by reading: a deployment that names zones alone got one replica slot; a queue kept the share of each worker it ever used. Change: slotsFor; shares go with their worker. Measured: go test of core, jobs and simulation passes.

--- a/internal/system/core/core.go
+++ b/internal/system/core/core.go
@@ -49,8 +49,7 @@
 // Run serves until the context ends.
 func Run(ctx context.Context, process *node.Process) error {
 	s := process.Settings
-	slots := 2*s.FaultTolerance.Machines + 1
-	first := view.New(slots, s.SeedAddresses())
+	first := view.New(slotsFor(s.FaultTolerance), s.SeedAddresses())
 	store, err := openStore(s.DataDir, s.InternalAddress(), first, s.Bootstrap)
 	if err != nil {
 		return err
@@ -87,6 +86,16 @@
 	return nil
 }
 
+// slotsFor returns how many replica slots bear the losses that a deployment names. Where a zone or a region may go,
+// three are the least; that they stand in different ones is up to the seeds.
+func slotsFor(t settings.FaultTolerance) int {
+	lost := t.Machines
+	if t.Zones > 0 || t.Regions > 0 {
+		lost = max(lost, 1)
+	}
+	return 2*lost + 1
+}
+
 // leave tells the others that this process ends, so that they need not find out.
 func (c *Core) leave() {
 	c.mu.Lock()
--- a/internal/system/core/store_test.go
+++ b/internal/system/core/store_test.go
@@ -9,6 +9,7 @@
 	"sedgevale/coord/shard"
 	"sedgevale/coord/view"
 	"sedgevale/internal/system/result"
+	"sedgevale/internal/system/settings"
 )
 
 // site is the stores of a small core, joined by direct calls.
@@ -226,3 +227,14 @@
 		t.Errorf("one of three at %v", got)
 	}
 }
+
+func TestSlotsBearTheLossesNamed(t *testing.T) {
+	cases := map[settings.FaultTolerance]int{
+		{}: 1, {Machines: 1}: 3, {Machines: 2}: 5, {Zones: 1}: 3, {Regions: 1}: 3, {Machines: 2, Zones: 1}: 5,
+	}
+	for tolerance, want := range cases {
+		if got := slotsFor(tolerance); got != want {
+			t.Errorf("%+v: %d slots, %d wanted", tolerance, got, want)
+		}
+	}
+}
--- a/jobs/report.go
+++ b/jobs/report.go
@@ -73,6 +73,9 @@
 	if len(b.bySide[w.Side]) == 0 {
 		delete(b.bySide, w.Side)
 	}
+	for _, q := range b.order {
+		delete(q.shares, w.Ref)
+	}
 	b.readyStale = true
 }
 
