Take reports in sessions, so that one held up behind a cut is not taken for news

Change: an owner gives each side scheduler a session; a report of another one, or not above the last sequence number, is not taken. Repairs of replicas are numbered for the same reason. Ruled out: two workers on one machine; both incarnations were known and the older one had lapsed at its side scheduler.

--- a/coord/shard/replica.go
+++ b/coord/shard/replica.go
@@ -128,10 +128,11 @@
 
 // Replica is what one core machine stores of a shard.
 type Replica struct {
-	Set    *Set
-	Sealed int64 // the highest fencing token that was met
-	InStep int64 // the token of the owner whose whole state it has; 0 for none
-	Voter  bool  // false while its disk is new: it may have forgotten what its slot once stored
+	Set     *Set
+	Sealed  int64 // the highest fencing token that was met
+	InStep  int64 // the token of the owner whose whole state it has; 0 for none
+	Repairs int64 // the number of that owner's last repair
+	Voter   bool  // false while its disk is new: it may have forgotten what its slot once stored
 }
 
 // NewReplica returns an empty replica. One on a disk that was never lost votes at once.
@@ -142,6 +143,9 @@
 	if token < r.Sealed {
 		return false
 	}
+	if token > r.Sealed {
+		r.Repairs = 0
+	}
 	r.Sealed = token
 	return true
 }
@@ -164,11 +168,16 @@
 	Records []Record
 }
 
-// Repair replaces key ranges by those of the owner. The last call of a repair brings the replica in step.
-func (r *Replica) Repair(token int64, ranges []Range, last bool) bool {
+// Repair replaces key ranges by those of the owner. The last call of a repair brings the replica in step. The owner
+// numbers its repairs: one that was held up on its way must not undo what came after it.
+func (r *Replica) Repair(token, number int64, ranges []Range, last bool) bool {
+	if token == r.Sealed && number < r.Repairs {
+		return false
+	}
 	if !r.Seal(token) {
 		return false
 	}
+	r.Repairs = number
 	for _, part := range ranges {
 		r.Set.ReplaceBucket(int(part.Bucket), part.Records)
 	}
--- a/coord/shard/shard_test.go
+++ b/coord/shard/shard_test.go
@@ -56,7 +56,7 @@
 	replica.Set.Apply(record("a", 1, 1))
 	replica.Set.Apply(record("stale", 1, 9)) // was never acknowledged by a majority
 	ranges, upTo := p.BeginRepair(0, replica.Set.Digests())
-	if !replica.Repair(2, ranges, true) || !replica.Voter || replica.InStep != 2 {
+	if !replica.Repair(2, 1, ranges, true) || !replica.Voter || replica.InStep != 2 {
 		t.Fatalf("replica %+v", replica)
 	}
 	if len(Differing(set.Digests(), replica.Set.Digests())) != 0 {
@@ -70,12 +70,12 @@
 
 func TestOlderOwnerIsFenced(t *testing.T) {
 	replica := NewReplica(true)
-	replica.Repair(3, nil, true)
+	replica.Repair(3, 1, nil, true)
 	if !replica.Write(3, []Record{record("a", 3, 1)}) {
 		t.Error("the owner's write was turned down")
 	}
 	replica.Seal(4)
-	if replica.Write(3, []Record{record("a", 3, 2)}) || replica.Seal(3) || replica.Repair(3, nil, true) {
+	if replica.Write(3, []Record{record("a", 3, 2)}) || replica.Seal(3) || replica.Repair(3, 1, nil, true) {
 		t.Error("an older token still works")
 	}
 	if replica.Write(4, nil) {
@@ -121,3 +121,20 @@
 		t.Errorf("newest %v", got)
 	}
 }
+
+// A repair that was held up behind a cut must not undo what came after it.
+func TestLateRepairIsTurnedDown(t *testing.T) {
+	replica := NewReplica(true)
+	old := []Range{{Bucket: int64(BucketOf("a")), Records: []Record{record("a", 1, 1)}}}
+	replica.Repair(3, 2, nil, true)
+	replica.Write(3, []Record{record("a", 3, 7)})
+	if replica.Repair(3, 1, old, true) {
+		t.Error("an earlier repair was taken")
+	}
+	if got, _ := replica.Set.Get("a"); got.Version.Sequence != 7 {
+		t.Errorf("record %+v", got)
+	}
+	if !replica.Repair(4, 1, nil, true) {
+		t.Error("the first repair of the next owner was turned down")
+	}
+}
--- a/internal/system/api/api.go
+++ b/internal/system/api/api.go
@@ -75,14 +75,18 @@
 
 // ReportRequest tells the owner of a shard how a worker stands.
 type ReportRequest struct {
-	Shard  string
-	Report jobs.Report
+	Shard    string
+	Session  string // as the owner gave it; a report that was held up on its way has none that still counts
+	Sequence int64  // rises with each report of a side scheduler's process
+	Report   jobs.Report
 }
 
 // ReportResponse grants the side agent another lease.
 type ReportResponse struct {
-	Token int64
-	Noted int64
+	Token    int64
+	Noted    int64
+	Session  string // for the next report
+	Accepted bool   // false where the report was not in a session, and nothing of it was taken
 }
 
 // OrdersRequest tells a side agent what to start and stop.
--- a/internal/system/core/jobsapi.go
+++ b/internal/system/core/jobsapi.go
@@ -143,9 +143,13 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	name, admitted := o.sessions.admit(r.Report.Side, r.Session, r.Sequence)
+	if !admitted {
+		return &api.ReportResponse{Token: o.token, Session: name}, nil
+	}
 	w := o.book.Report(o.steady(), &r.Report)
 	o.flush()
-	return &api.ReportResponse{Token: o.token, Noted: o.book.Noted(w)}, nil
+	return &api.ReportResponse{Token: o.token, Noted: o.book.Noted(w), Session: name, Accepted: true}, nil
 }
 
 // sideLink tells one side agent what to start and stop.
--- a/internal/system/core/messages.go
+++ b/internal/system/core/messages.go
@@ -90,6 +90,7 @@
 	Shard       string
 	Token       int64
 	Incarnation string
+	Number      int64 // of the owner's repairs of this replica
 	Ranges      []shard.Range
 	Last        bool
 }
--- a/internal/system/core/owner.go
+++ b/internal/system/core/owner.go
@@ -36,6 +36,7 @@
 	book      *jobs.Book
 	links     []*link
 	sides     map[string]*sideLink
+	sessions  sessions
 	committed int64
 	waiters   []waiter
 	deposed   bool
@@ -59,6 +60,7 @@
 	counts      bool // it was sealed under this token, with this incarnation
 	ready       bool // it is in step, and has said so
 	confirmed   time.Time
+	repairs     int64 // begun so far
 	wake        chan struct{}
 }
 
@@ -67,7 +69,7 @@
 	o := &owner{
 		core: c, name: name, token: token, stop: stop, done: done,
 		primary: shard.NewPrimary(token, set, len(v.Slots), view.Majority(len(v.Slots))),
-		sides:   map[string]*sideLink{}, stepped: make(chan struct{}),
+		sides:   map[string]*sideLink{}, sessions: sessions{}, stepped: make(chan struct{}),
 	}
 	options := jobs.Options{
 		LapseAfter: ownerFreshFor + c.timing.LapseAfter(),
--- a/internal/system/core/replication.go
+++ b/internal/system/core/replication.go
@@ -135,9 +135,12 @@
 		l.counts = false
 	}
 	l.incarnation = sealed.Incarnation
+	l.repairs++
 	ranges, upTo := o.primary.BeginRepair(l.slot, sealed.Digests)
 	o.mu.Unlock()
-	request := &repairRequest{View: v, Shard: o.name, Token: o.token, Incarnation: l.incarnation, Ranges: ranges, Last: true}
+	request := &repairRequest{
+		View: v, Shard: o.name, Token: o.token, Incarnation: l.incarnation, Number: l.repairs, Ranges: ranges, Last: true,
+	}
 	if _, err := replicaCall(ctx, c, l.address, methodRepair, c.store.repair, request); err != nil {
 		return err
 	}
--- a/internal/system/core/store.go
+++ b/internal/system/core/store.go
@@ -45,6 +45,7 @@
 	Promised register.Ballot
 	Value    []byte
 	Token    int64
+	Number   int64 // of a repair
 	InStep   int64
 	Flag     bool
 	Records  []shard.Record
@@ -141,11 +142,12 @@
 	case entryWrite:
 		s.replica(e.Name).Write(e.Token, e.Records)
 	case entryRepair:
-		s.replica(e.Name).Repair(e.Token, e.Ranges, e.Flag)
+		s.replica(e.Name).Repair(e.Token, e.Number, e.Ranges, e.Flag)
 	case entryReplica:
 		replica := shard.NewReplica(e.Flag)
 		replica.Sealed = e.Token
 		replica.InStep = e.InStep
+		replica.Repairs = e.Number
 		for _, record := range e.Records {
 			replica.Set.Apply(record)
 		}
@@ -166,7 +168,8 @@
 	}
 	for name, r := range s.replicas {
 		entries = append(entries, &entry{
-			Kind: entryReplica, Name: name, Token: r.Sealed, InStep: r.InStep, Flag: r.Voter, Records: r.Set.All(),
+			Kind: entryReplica, Name: name, Token: r.Sealed, InStep: r.InStep, Number: r.Repairs,
+			Flag: r.Voter, Records: r.Set.All(),
 		})
 	}
 	for _, e := range entries {
@@ -341,11 +344,11 @@
 		s.mu.Unlock()
 		return nil, err
 	}
-	if !s.replica(r.Shard).Repair(r.Token, r.Ranges, r.Last) {
+	if !s.replica(r.Shard).Repair(r.Token, r.Number, r.Ranges, r.Last) {
 		s.mu.Unlock()
-		return nil, result.Errorf(result.Fenced, "shard %s: a token above %d is known", r.Shard, r.Token)
+		return nil, result.Errorf(result.Fenced, "shard %s: a token above %d or a later repair is known", r.Shard, r.Token)
 	}
-	ticket, err := s.append(&entry{Kind: entryRepair, Name: r.Shard, Token: r.Token, Ranges: r.Ranges, Flag: r.Last})
+	ticket, err := s.append(&entry{Kind: entryRepair, Name: r.Shard, Token: r.Token, Number: r.Number, Ranges: r.Ranges, Flag: r.Last})
 	s.mu.Unlock()
 	return &empty{}, wait(ctx, ticket, err)
 }
@@ -448,7 +451,7 @@
 	}
 	for name, replica := range s.replicas {
 		entries = append(entries, &entry{
-			Kind: entryReplica, Name: name, Token: replica.Sealed, Flag: replica.Voter, InStep: replica.InStep,
+			Kind: entryReplica, Name: name, Token: replica.Sealed, Flag: replica.Voter, InStep: replica.InStep, Number: replica.Repairs,
 			Records: replica.Set.All(),
 		})
 	}
--- a/internal/system/side/side.go
+++ b/internal/system/side/side.go
@@ -42,9 +42,12 @@
 	started   time.Time
 	ctx       context.Context // of the process
 
-	mu     sync.Mutex
-	agents map[string]*incarnation
-	newest string
+	mu       sync.Mutex
+	agents   map[string]*incarnation
+	newest   string
+	sequence int64  // of the last report
+	owner    string // that the session is with
+	session  string
 }
 
 // incarnation is one incarnation of the worker and what waits for it.
@@ -191,8 +194,13 @@
 	report := one.agent.Report(now)
 	report.Side = s.settings.InternalAddress()
 	service := one.service
-	s.mu.Unlock()
 	owner, _ := s.directory.Owner(service)
+	if owner != s.owner {
+		s.owner, s.session = owner, ""
+	}
+	s.sequence++
+	request := &api.ReportRequest{Shard: service, Session: s.session, Sequence: s.sequence, Report: *report}
+	s.mu.Unlock()
 	if owner == "" || service == "" {
 		time.Sleep(checkEvery)
 		poke(one.tell)
@@ -201,7 +209,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), reportCall)
 	defer cancel()
 	response := &api.ReportResponse{}
-	err := s.client.Call(ctx, owner, api.MethodReport, &api.ReportRequest{Shard: service, Report: *report}, response)
+	err := s.client.Call(ctx, owner, api.MethodReport, request, response)
 	if err != nil {
 		s.logger.V(1).Info("report not taken", "owner", owner, "error", err.Error())
 		time.Sleep(checkEvery)
@@ -210,6 +218,13 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if owner == s.owner {
+		s.session = response.Session
+	}
+	if !response.Accepted {
+		poke(one.tell)
+		return
+	}
 	if err := one.agent.OnLease(now, response.Token, response.Noted); err != nil {
 		s.logger.V(1).Info("owner is outdated", "owner", owner, "error", err.Error())
 		return
