Guard the stub of the edge's tests against races

Change: atomics in the test's stub, the checks as they were. Ruled out: a race in the program; both ends are the test's.

--- a/internal/system/simulation/edge_test.go
+++ b/internal/system/simulation/edge_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,9 +26,9 @@
 
 // stubCore answers an edge scheduler like a core scheduler that owns the shard.
 type stubCore struct {
-	fresh  bool
+	stale  atomic.Bool // no quorum's word
 	submit func() error
-	calls  int
+	calls  atomic.Int64
 }
 
 func (s *stubCore) start(w *world) *node.Process {
@@ -35,7 +36,7 @@
 	server := rpc.NewServer()
 	rpc.Handle(server, api.MethodWatch, func(ctx context.Context, r *api.WatchRequest) (*api.WatchResponse, error) {
 		answer := &api.WatchResponse{
-			Fresh: s.fresh, ConfigVersion: 1, Owners: []api.Owner{{Shard: service, Address: "10.0.0.1:7000", Token: 1}},
+			Fresh: !s.stale.Load(), ConfigVersion: 1, Owners: []api.Owner{{Shard: service, Address: "10.0.0.1:7000", Token: 1}},
 			OwnersDigest: 1, Cores: []string{"10.0.0.1:7000"},
 		}
 		if r.ConfigVersion < 1 {
@@ -50,7 +51,7 @@
 		return answer, nil
 	})
 	rpc.Handle(server, api.MethodSubmit, func(context.Context, *api.SubmitRequest) (*api.Empty, error) {
-		s.calls++
+		s.calls.Add(1)
 		return &api.Empty{}, s.submit()
 	})
 	p := node.NewProcess(w.settings(&machine{name: "core0", ip: "10.0.0.1"}), logr.Discard(), h.dial, h.listen)
@@ -98,7 +99,7 @@
 	}
 	for _, one := range cases {
 		t.Run(one.name, func(t *testing.T) {
-			stub := &stubCore{fresh: true, submit: func() error { return one.fail }}
+			stub := &stubCore{submit: func() error { return one.fail }}
 			withEdge(t, stub, func(w *world) {
 				if got, _ := w.call(http.MethodPost, edgeAddr, jobPath, "h", "", goodJob); got != one.want {
 					t.Errorf("status %d, %d wanted", got, one.want)
@@ -110,9 +111,9 @@
 
 // Once a commit may have begun, a later refusal is no verdict any more.
 func TestRefusalAfterAnUnknownFateIsNone(t *testing.T) {
-	stub := &stubCore{fresh: true}
+	stub := &stubCore{}
 	stub.submit = func() error {
-		if stub.calls == 1 {
+		if stub.calls.Load() == 1 {
 			return result.Errorf(result.OutcomeUnknown, "no")
 		}
 		return result.Errorf(result.Overloaded, "no")
@@ -126,12 +127,12 @@
 
 // 404 is given only while a quorum confirms the configuration.
 func TestNoRouteIsSaidOnlyWhileConfirmed(t *testing.T) {
-	stub := &stubCore{fresh: true}
+	stub := &stubCore{}
 	withEdge(t, stub, func(w *world) {
 		if got, _ := w.call(http.MethodGet, edgeAddr, "/x/", "h", "", ""); got != http.StatusNotFound {
 			t.Errorf("status %d", got)
 		}
-		stub.fresh = false
+		stub.stale.Store(true)
 		time.Sleep(3 * time.Second)
 		if got, _ := w.call(http.MethodGet, edgeAddr, "/x/", "h", "", ""); got != http.StatusServiceUnavailable {
 			t.Errorf("status %d without a quorum's word", got)
@@ -151,7 +152,7 @@
 		{"no ID", "/q/xyz", goodJob, "ID"},
 		{"too large", jobPath, strings.Repeat("x", 300), "200 bytes"},
 	}
-	stub := &stubCore{fresh: true, submit: func() error { return nil }}
+	stub := &stubCore{submit: func() error { return nil }}
 	withEdge(t, stub, func(w *world) {
 		for _, one := range cases {
 			got, text := w.call(http.MethodPost, edgeAddr, one.path, "h", "", one.body)
@@ -160,7 +161,7 @@
 			}
 		}
 	})
-	if stub.calls != 0 {
-		t.Errorf("%d bad jobs reached the owner", stub.calls)
+	if calls := stub.calls.Load(); calls != 0 {
+		t.Errorf("%d bad jobs reached the owner", calls)
 	}
 }
