Collect the answers of both register rounds by one piece of code

Change: collect; the dead method is gone. Behaviour as before but for the text of an error. Ruled out: joining the generated easyjson code and the timelines of tests, which duplicates lists as well.

--- a/internal/system/core/proposer.go
+++ b/internal/system/core/proposer.go
@@ -129,40 +129,42 @@
 func (c *Core) prepareRound(name string, v view.View, round *register.Round, known register.Ballot) error {
 	request := &prepareRequest{View: v, Name: name, Ballot: round.Ballot, Known: known}
 	answers, count := broadcast(c, v, methodPrepare, c.store.prepare, request)
-	var failed error
-	for range count {
-		a := <-answers
-		if a.err != nil {
-			failed = a.err
-			round.OnFailure(a.slot)
-		} else if round.OnPromise(a.slot, a.response.Promise) {
-			return nil
-		}
-		if round.Phase == register.Failed {
-			break
-		}
+	err := collect(round, answers, count, func(slot int, response *prepareResponse) bool {
+		return round.OnPromise(slot, response.Promise)
+	})
+	if err != nil {
+		c.metBallot(round.Highest)
 	}
-	c.metBallot(round.Highest)
-	return result.Errorf(result.Unavailable, "no majority of promises, last failure: %w", failed)
+	return err
 }
 
 func (c *Core) acceptRound(name string, v view.View, round *register.Round, value []byte) error {
 	request := &acceptRequest{View: v, Name: name, Ballot: round.Ballot, Value: value}
 	answers, count := broadcast(c, v, methodAccept, c.store.accept, request)
+	return collect(round, answers, count, func(slot int, response *acceptResponse) bool {
+		return round.OnAccepted(slot, response.Accepted)
+	})
+}
+
+// collect hands the answers of replicas to a round until a majority has agreed or can no longer be had.
+func collect[Response any](round *register.Round, answers <-chan answered[Response], count int,
+	take func(slot int, response *Response) (enough bool),
+) error {
+	phase := round.Phase
 	var failed error
 	for range count {
 		a := <-answers
 		if a.err != nil {
 			failed = a.err
 			round.OnFailure(a.slot)
-		} else if round.OnAccepted(a.slot, a.response.Accepted) {
+		} else if take(a.slot, a.response) {
 			return nil
 		}
 		if round.Phase == register.Failed {
 			break
 		}
 	}
-	return result.Errorf(result.Unavailable, "no majority of acceptances, last failure: %w", failed)
+	return result.Errorf(result.Unavailable, "no majority in phase %d, last failure: %w", phase, failed)
 }
 
 func (c *Core) metBallot(ballot register.Ballot) {
--- a/workeragent/agent.go
+++ b/workeragent/agent.go
@@ -204,9 +204,6 @@
 	return free, known
 }
 
-// AnswerDropped notes that the last answer did not reach the worker in time, as far as can be told here.
-func (a *Agent) AnswerDropped() { a.missed++ }
-
 // Pending reports whether an answer now would carry an order.
 func (a *Agent) Pending(now time.Duration) bool {
 	if len(a.stops) > 0 {
