Keep the client's connection when an answer outruns the end of the upload

Change: the upload notes, before it writes, that the last of the request goes out; if so, the end waits for it. Ruled out: refusals of the front (none was sent), idle time-outs.

--- a/internal/web/pump.go
+++ b/internal/web/pump.go
@@ -37,6 +37,7 @@
 	server net.Conn
 	began  bool // something of the body was passed on
 	headed bool // the head of the answer has come
+	whole  bool // the server has been sent, or is being sent, the last of the request
 }
 
 type ownAnswer struct {
@@ -172,7 +173,7 @@
 		return true
 	}
 	p.mu.Lock()
-	p.server, p.began, p.headed = server, true, false
+	p.server, p.began, p.headed, p.whole = server, true, false, false
 	p.mu.Unlock()
 	select {
 	case <-p.end:
@@ -205,14 +206,7 @@
 	finished(sedgevale.Served)
 	whole := p.download(in, head)
 	k.finish()
-	var uploaded error
-	select {
-	case uploaded = <-up:
-	default: // an answer that came before the request was whole: the rest is not wanted
-		uploaded = errEarly
-		_ = p.client.SetReadDeadline(time.Unix(1, 0))
-		<-up
-	}
+	uploaded := p.endUpload(up)
 	switch {
 	case !whole:
 	case uploaded == nil && !k.head.Close && !k.head.Old && !p.client.Draining() && len(p.client.Rest) == 0:
@@ -224,6 +218,33 @@
 	return false
 }
 
+// endUpload returns how the upload ended once the answer has been passed on. A server that was sent the last of the
+// request may answer before the uploading goroutine has said so; the connection to the client is good all the same.
+// Of a request that is not whole by now the rest is not wanted.
+func (p *pump) endUpload(up <-chan error) error {
+	p.mu.Lock()
+	whole := p.whole
+	p.mu.Unlock()
+	if whole {
+		return <-up
+	}
+	select {
+	case err := <-up:
+		return err
+	default:
+		_ = p.client.SetReadDeadline(time.Unix(1, 0))
+		<-up
+		return errEarly
+	}
+}
+
+// sendsLast notes, before it is sent, that the last of the request goes to the server.
+func (p *pump) sendsLast() {
+	p.mu.Lock()
+	p.whole = true
+	p.mu.Unlock()
+}
+
 var errEarly = errors.New("answered before the request was whole")
 
 // head reads the head of an answer; those before the final one say nothing here.
@@ -256,6 +277,7 @@
 	length := k.head.Length
 	body := k.body
 	k.body = nil
+	sent := int64(len(body))
 	out := k.wire(nil, length)
 	chunked := k.head.Chunked
 	if chunked {
@@ -263,6 +285,9 @@
 	} else {
 		out = append(out, body...)
 	}
+	if !chunked && sent >= length {
+		p.sendsLast()
+	}
 	if _, err := server.Write(out); err != nil {
 		return err
 	}
@@ -278,6 +303,7 @@
 		}
 		if end {
 			p.client.Rest = in.buf
+			p.sendsLast()
 			if chunked {
 				_, err = server.Write(http1.AppendLastChunk(nil, p.client.Parser.Head.Trailer))
 			}
@@ -289,6 +315,10 @@
 			return err
 		}
 		_ = server.SetWriteDeadline(time.Now().Add(pumpIdle))
+		sent += int64(len(part))
+		if !chunked && sent >= length {
+			p.sendsLast()
+		}
 		if chunked {
 			out = http1.AppendChunk(out[:0], part)
 			part = out
