--- a/cmd/sedgevale/operate.go
+++ b/cmd/sedgevale/operate.go
@@ -212,17 +212,17 @@
 	}
 	fmt.Printf("%s: configuration %d, confirmed by a quorum: %t\n\n", m.Address, m.ConfigVersion, m.ConfigFresh)
 	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "SLOT\tGENERATION\tADDRESS")
-	for i, slot := range m.View.Slots {
-		fmt.Fprintf(table, "%d\t%d\t%s\n", i, slot.Generation, slot.Address)
+	fmt.Fprintf(table, "EPOCH %d\nSEAT\tDISK\tADDRESS\tSINCE\tVOTER\n", m.Membership.Epoch)
+	for i, member := range m.Membership.Seats {
+		fmt.Fprintf(table, "%d\t%s\t%s\t%d\t%t\n", i, member.ID, member.Address, member.Since, member.Voter)
 	}
-	fmt.Fprintln(table, "\nPEER\tZONE\tHEARD\tVOTES\tLEAVING")
+	fmt.Fprintln(table, "\nPEER\tZONE\tHEARD\tDISK\tEPOCH\tLEAVING")
 	for _, p := range m.Peers {
 		heard := "never"
 		if p.HeardMS >= 0 {
 			heard = fmt.Sprintf("%d ms ago", p.HeardMS)
 		}
-		fmt.Fprintf(table, "%s\t%s\t%s\t%t\t%t\n", p.Address, p.Zone, heard, p.Votes, p.Leaving)
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%t\n", p.Address, p.Zone, heard, p.Member, p.Epoch, p.Leaving)
 	}
 	fmt.Fprintln(table, "\nSHARD\tOWNER\tTOKEN")
 	for _, o := range m.Owners {
--- /dev/null
+++ b/coord/membership/membership_test.go
@@ -0,0 +1,120 @@
+package membership
+
+import (
+	"errors"
+	"slices"
+	"testing"
+)
+
+func first(t *testing.T) Membership {
+	t.Helper()
+	m := First(3, []string{"c", "a", "b"})
+	if err := m.Check(); err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+// next installs the change of a membership that nobody else changes.
+func next(t *testing.T, m Membership, change Change) Membership {
+	t.Helper()
+	changed, err := Next(m, m, change)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := changed.Check(); err != nil {
+		t.Fatal(err)
+	}
+	return changed
+}
+
+func TestFirstMembershipIsTheSameForAll(t *testing.T) {
+	one, two := First(5, []string{"a", "b", "c"}), First(5, []string{"c", "b", "a", "b"})
+	if !one.Equal(two) || len(one.Voters()) != 3 || one.Quorum() != 3 || one.SeatAt("d") != -1 {
+		t.Errorf("%+v and %+v", one, two)
+	}
+	if other := First(5, []string{"a", "b", "d"}); other.Deployment == one.Deployment {
+		t.Error("another deployment has the same name")
+	}
+}
+
+func TestSeatChangesHandsByWayOfALearner(t *testing.T) {
+	m := first(t)
+	learner := next(t, m, Admit(0, "x", "d"))
+	if got, _ := learner.Member("x"); got != (Member{ID: "x", Address: "d", Since: 2}) || len(learner.Voters()) != 2 {
+		t.Errorf("%+v", learner)
+	}
+	voter := next(t, learner, Promote("x"))
+	if got, _ := voter.Member("x"); !got.Voter || got.Since != 2 || voter.Epoch != 3 || voter.Base != 2 {
+		t.Errorf("%+v", voter)
+	}
+	if _, err := Next(voter, voter, Promote("x")); !errors.Is(err, ErrNotALearner) {
+		t.Errorf("promoted twice: %v", err)
+	}
+}
+
+func TestNoChangeLeavesTooFewVoters(t *testing.T) {
+	m := next(t, first(t), Admit(0, "x", "d"))
+	if _, err := Next(m, m, Admit(1, "y", "e")); !errors.Is(err, ErrNoQuorum) {
+		t.Errorf("a second voter gives way before the first learner votes: %v", err)
+	}
+	if replaced := next(t, m, Admit(0, "y", "e")); replaced.SeatOf("y") != 0 {
+		t.Errorf("a learner that has gone is not replaced: %+v", replaced)
+	}
+	one := First(1, []string{"a"})
+	if _, err := Next(one, one, Admit(0, "x", "d")); !errors.Is(err, ErrNoQuorum) {
+		t.Errorf("the only voter gives way: %v", err)
+	}
+}
+
+func TestNobodyHoldsTwoSeats(t *testing.T) {
+	m := first(t)
+	for _, change := range []Change{Admit(1, FirstID("a"), "a"), Admit(1, "x", "a"), Admit(3, "x", "d"), Admit(-1, "x", "d")} {
+		if changed, err := Next(m, m, change); err == nil {
+			t.Errorf("%+v", changed)
+		}
+	}
+	if again := next(t, m, Admit(0, "x", "a")); again.SeatOf("x") != 0 {
+		t.Errorf("a machine with a new disk does not take its own seat: %+v", again)
+	}
+}
+
+// An attempt that was accepted by some and is not chosen as far as is known: another one that is made on the same
+// membership replaces it, under a higher epoch, as if it had never been.
+func TestHalfMadeChangeIsReplaced(t *testing.T) {
+	m := first(t)
+	half := next(t, m, Admit(0, "x", "d"))
+	other, err := Next(m, half, Admit(2, "y", "e"))
+	if err != nil || other.Epoch != 3 || other.Base != 1 || other.SeatOf(FirstID("a")) != 0 || other.SeatOf("y") != 2 {
+		t.Errorf("%+v, %v", other, err)
+	}
+	if again, err := Next(m, half, Admit(0, "x", "d")); err != nil || !again.Equal(half) {
+		t.Errorf("the same change is not finished: %+v, %v", again, err)
+	}
+	// Whoever has installed one of them finishes the other, which may be chosen, before changing anything.
+	if finished, err := Next(half, other, Promote("x")); err != nil || !finished.Equal(other) {
+		t.Errorf("%+v, %v", finished, err)
+	}
+}
+
+// All memberships that are made on one of them have voters that hold its seats, so that any two quorums share one.
+func TestQuorumsOfRivalsShareAVoter(t *testing.T) {
+	base := next(t, First(5, []string{"a", "b", "c", "d", "e"}), Admit(0, "x", "f"))
+	rivals := []Membership{base, next(t, base, Promote("x"))}
+	for seat := range 5 {
+		if changed, err := Next(base, base, Admit(seat, "y", "g")); err == nil {
+			rivals = append(rivals, changed)
+		}
+	}
+	for _, one := range rivals {
+		for _, two := range rivals {
+			lives := map[string]bool{}
+			for _, voter := range slices.Concat(one.Voters(), two.Voters()) {
+				lives[voter.ID] = true
+			}
+			if 2*one.Quorum() <= len(lives) {
+				t.Errorf("quorums of %+v and %+v may miss each other", one, two)
+			}
+		}
+	}
+}
--- a/coord/shard/primary.go
+++ b/coord/shard/primary.go
@@ -48,16 +48,16 @@
 // Sequence returns the number of the last change.
 func (p *Primary) Sequence() int64 { return p.sequence }
 
+// Quorum returns how many replicas have to store a change.
+func (p *Primary) Quorum() int { return p.quorum }
+
 // InStep reports whether a replica takes writes.
 func (p *Primary) InStep(replica int) bool { return p.peers[replica].inStep }
 
 // BeginRepair returns the key ranges in which a replica with these digests differs, with their records, and the
 // number of the last change that they cover. Changes from now on are pending for it.
 func (p *Primary) BeginRepair(replica int, digests []int64) ([]Range, int64) {
-	var ranges []Range
-	for _, bucket := range Differing(p.Set.Digests(), digests) {
-		ranges = append(ranges, Range{Bucket: int64(bucket), Records: p.Set.InBucket(bucket)})
-	}
+	ranges := Ranges(p.Set, digests)
 	p.peers[replica].inStep = true
 	clear(p.peers[replica].pending)
 	return ranges, p.sequence
@@ -93,6 +93,11 @@
 	p.peers[replica].acked = max(p.peers[replica].acked, sequence)
 }
 
+// Holds reports whether a replica stores all changes up to one.
+func (p *Primary) Holds(replica int, sequence int64) bool {
+	return p.peers[replica].inStep && p.peers[replica].acked >= sequence
+}
+
 // Committed returns the number of the change up to which a majority stores all.
 func (p *Primary) Committed() int64 {
 	acked := make([]int64, len(p.peers))
--- a/coord/shard/replica.go
+++ b/coord/shard/replica.go
@@ -162,6 +162,19 @@
 	return true
 }
 
+// Copy replaces key ranges by what another replica stores. It makes a later repair short and counts for nothing itself.
+func (r *Replica) Copy(ranges []Range) {
+	for _, part := range ranges {
+		r.Set.ReplaceBucket(int(part.Bucket), part.Records)
+	}
+}
+
+// Forget notes that this replica may have missed anything from now on: it counts again once an owner has repaired it.
+func (r *Replica) Forget() {
+	r.Voter = false
+	r.InStep = 0
+}
+
 // Range is all records of one key range.
 type Range struct {
 	Bucket  int64
@@ -178,9 +191,7 @@
 		return false
 	}
 	r.Repairs = number
-	for _, part := range ranges {
-		r.Set.ReplaceBucket(int(part.Bucket), part.Records)
-	}
+	r.Copy(ranges)
 	if last {
 		r.InStep = token
 		r.Voter = true
@@ -188,6 +199,15 @@
 	return true
 }
 
+// Ranges returns the key ranges of a set whose digests differ from those given.
+func Ranges(set *Set, digests []int64) []Range {
+	var ranges []Range
+	for _, bucket := range Differing(set.Digests(), digests) {
+		ranges = append(ranges, Range{Bucket: int64(bucket), Records: set.InBucket(bucket)})
+	}
+	return ranges
+}
+
 // Differing returns the key ranges in which two lists of digests differ.
 func Differing(a, b []int64) []int {
 	var buckets []int
--- a/internal/system/core/admin.go
+++ b/internal/system/core/admin.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"sedgevale/coord/view"
+	"sedgevale/coord/membership"
 	"sedgevale/internal/system/api"
 	"sedgevale/internal/system/rpc"
 	"sedgevale/jobs"
@@ -24,7 +24,7 @@
 	Address       string
 	ConfigVersion int64
 	ConfigFresh   bool // a quorum has confirmed it a moment ago
-	View          view.View
+	Membership    membership.Membership
 	Peers         []PeerInfo
 	Owners        []api.Owner
 }
@@ -35,7 +35,8 @@
 	Zone    string
 	HeardMS int64 // since it was last heard; -1 for never
 	Leaving bool
-	Votes   bool // its replica votes
+	Member  string // its disk
+	Epoch   int64  // of the membership that it knows
 }
 
 // QueuesRequest asks how the shards that a core scheduler owns stand.
@@ -67,7 +68,7 @@
 }
 
 func (c *Core) members() *MembersResponse {
-	answer := &MembersResponse{Address: c.address, ConfigFresh: c.configFresh(), View: c.store.currentView()}
+	answer := &MembersResponse{Address: c.address, ConfigFresh: c.configFresh(), Membership: c.store.currentMembership()}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.config != nil {
@@ -78,7 +79,7 @@
 		if address == c.address {
 			continue
 		}
-		info := PeerInfo{Address: address, Zone: p.last.Zone, HeardMS: -1, Leaving: p.last.Leaving, Votes: p.last.Member}
+		info := PeerInfo{Address: address, Zone: p.last.Zone, HeardMS: -1, Leaving: p.last.Leaving, Member: p.last.Member, Epoch: p.last.Membership.Epoch}
 		if !p.heard.IsZero() {
 			info.HeardMS = time.Since(p.heard).Milliseconds()
 		}
--- a/internal/system/core/core.go
+++ b/internal/system/core/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -9,8 +10,8 @@
 
 	"github.com/go-logr/logr"
 
+	"sedgevale/coord/membership"
 	"sedgevale/coord/register"
-	"sedgevale/coord/view"
 	"sedgevale/internal/system/node"
 	"sedgevale/internal/system/rpc"
 	"sedgevale/internal/system/settings"
@@ -24,6 +25,8 @@
 	client   *rpc.Client
 	store    *store
 	address  string
+	proposer string // names this life of the disk in ballots
+	seeds    func() []string
 	timing   workeragent.Timing
 	started  time.Time
 
@@ -49,7 +52,7 @@
 // Run serves until the context ends.
 func Run(ctx context.Context, process *node.Process) error {
 	s := process.Settings
-	first := view.New(slotsFor(s.FaultTolerance), s.SeedAddresses())
+	first := membership.First(seatsFor(s.FaultTolerance), s.SeedAddresses())
 	store, err := openStore(s.DataDir, s.InternalAddress(), first, s.Bootstrap)
 	if err != nil {
 		return err
@@ -59,14 +62,14 @@
 		timing: node.Timing(s), started: time.Now(),
 		peers: map[string]*peerState{}, learned: map[string]chosen{}, owners: map[string]*owner{},
 		changed: make(chan struct{}), reading: map[string]bool{}, takeover: map[string]time.Time{},
-	}
-	for _, seed := range s.SeedAddresses() {
-		c.peer(seed)
+		proposer: store.proposer(), counter: store.highestBallot(),
+		seeds: func() []string { return process.Current().SeedAddresses() },
 	}
 	server := rpc.NewServer()
 	c.handleRegisters(server)
 	c.handleShards(server)
 	c.handlePeers(server)
+	c.handleMembership(server)
 	c.handleWatch(server)
 	c.handleJobs(server)
 	c.handleAdmin(server)
@@ -77,18 +80,46 @@
 	if err := process.Listen(s.BindAddrs.ControlPlane, c.operatorHandler()); err != nil {
 		return err
 	}
-	go c.pingLoop(ctx)
-	go c.ownLoop(ctx)
-	go c.joinLoop(ctx)
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	go c.pingLoop(running)
+	go c.ownLoop(running)
+	go c.joinLoop(running)
+	go c.followMembership(running)
 	<-ctx.Done()
-	c.leave()
+	c.closeOwners()
+	if context.Cause(ctx) != node.ErrKilled {
+		c.leave()
+	}
 	c.store.log.Close()
 	return nil
 }
 
-// slotsFor returns how many replica slots bear the losses that a deployment names. Where a zone or a region may go,
+// followMembership has what depends on the membership look at a newer one at once.
+func (c *Core) followMembership(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.store.installed:
+		}
+		m := c.store.currentMembership()
+		c.logger.Info("membership", "epoch", m.Epoch, "seats", m.Seats)
+		c.mu.Lock()
+		owners := slices.Collect(maps.Values(c.owners))
+		c.mu.Unlock()
+		for _, o := range owners {
+			o.pokeLinks()
+		}
+	}
+}
+
+// currentSeeds returns the addresses of the seeds as the settings name them by now.
+func (c *Core) currentSeeds() []string { return c.seeds() }
+
+// seatsFor returns how many seats bear the losses that a deployment names. Where a zone or a region may go,
 // three are the least; that they stand in different ones is up to the seeds.
-func slotsFor(t settings.FaultTolerance) int {
+func seatsFor(t settings.FaultTolerance) int {
 	lost := t.Machines
 	if t.Zones > 0 || t.Regions > 0 {
 		lost = max(lost, 1)
@@ -96,19 +127,6 @@
 	return 2*lost + 1
 }
 
-// leave tells the others that this process ends, so that they need not find out.
-func (c *Core) leave() {
-	c.mu.Lock()
-	c.leaving = true
-	for _, o := range c.owners {
-		o.close()
-	}
-	c.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
-	defer cancel()
-	c.pingAll(ctx)
-}
-
 // notify wakes those who wait for a change of what watchers are told. The lock is held.
 func (c *Core) notify() {
 	close(c.changed)
--- a/internal/system/core/inspect.go
+++ b/internal/system/core/inspect.go
@@ -11,14 +11,14 @@
 
 // Describe writes what the state directory of a stopped core scheduler holds. It changes nothing there.
 func Describe(dir string, out io.Writer) error {
-	s := &store{}
-	s.reset()
+	s := newStore("")
 	if _, err := statefile.Replay(dir, s.replay); err != nil {
 		return err
 	}
-	fmt.Fprintf(out, "replica slot %d, generation %d, incarnation %q\n", s.identity.Slot, s.identity.Generation, s.identity.Incarnation)
-	for i, slot := range s.view.Slots {
-		fmt.Fprintf(out, "slot %d: generation %d at %s\n", i, slot.Generation, slot.Address)
+	fmt.Fprintf(out, "disk %s of %s, life %d, joined in epoch %d\n", s.identity.ID, s.identity.Address, s.identity.Life, s.identity.Joined)
+	fmt.Fprintf(out, "epoch %d of deployment %s\n", s.membership.Epoch, s.membership.Deployment)
+	for i, member := range s.membership.Seats {
+		fmt.Fprintf(out, "seat %d: disk %s at %s since epoch %d, voter %t\n", i, member.ID, member.Address, member.Since, member.Voter)
 	}
 	for _, name := range sortedKeys(s.registers) {
 		a := s.registers[name]
--- /dev/null
+++ b/internal/system/core/joining.go
@@ -0,0 +1,239 @@
+package core
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"sedgevale/coord/membership"
+	"sedgevale/internal/avrocodec"
+	"sedgevale/internal/system/result"
+	"sedgevale/internal/system/rpc"
+)
+
+const (
+	joinAfter          = 2200 * time.Millisecond // a seat whose holder was silent for so long may be given away
+	joinEvery          = 120 * time.Millisecond
+	joinTimeout        = 1500 * time.Millisecond
+	copyTimeout        = 900 * time.Millisecond
+	membershipRegister = "membership"
+)
+
+func (c *Core) handleMembership(server *rpc.Server) {
+	rpc.Handle(server, methodState, c.store.state)
+	rpc.Handle(server, methodCopy, c.store.copyOut)
+	rpc.Handle(server, methodSilent, func(_ context.Context, r *silentRequest) (*silentResponse, error) {
+		return &silentResponse{Silent: c.memberSilent(r.Member, r.Address)}, nil
+	})
+}
+
+// memberSilent reports whether a member has not been heard here for so long that its seat may be given away.
+func (c *Core) memberSilent(id, address string) bool {
+	if address == c.address {
+		own, _, _ := c.store.self()
+		return own != id
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.peer(address); time.Since(p.heard) <= joinAfter {
+		return p.last.Leaving
+	}
+	return time.Since(c.started) > joinAfter
+}
+
+// joinLoop has this scheduler seek a seat that nobody holds, that its own lost disk held or whose holder is gone, and
+// become a voter there.
+func (c *Core) joinLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(joinEvery + jitter(joinEvery))
+		c.mu.Lock()
+		leaving := c.leaving
+		c.mu.Unlock()
+		id, member, seated := c.store.self()
+		if leaving || member.Voter || c.store.currentMembership().Epoch == 0 {
+			continue
+		}
+		var err error
+		if seated {
+			err = c.becomeVoter(ctx, id)
+		} else if seat := c.freeSeat(); seat >= 0 {
+			err = c.takeSeat(ctx, seat, id)
+		}
+		if err != nil {
+			c.logger.V(1).Info("no voter yet", "error", err.Error())
+		}
+	}
+}
+
+// freeSeat returns the seat that this scheduler should seek, or -1.
+func (c *Core) freeSeat() int {
+	m := c.store.currentMembership()
+	if seat := m.SeatAt(c.address); seat >= 0 {
+		return seat
+	}
+	var free []int
+	for i, member := range m.Seats {
+		if member.ID == "" || c.memberSilent(member.ID, member.Address) {
+			free = append(free, i)
+		}
+	}
+	if len(free) == 0 {
+		return -1
+	}
+	return free[rand.IntN(len(free))]
+}
+
+// takeSeat has the voters agree that this disk is the learner of a seat. Before it takes the place of a voter it copies what
+// it will have to hold, so that it is a learner for a moment only.
+func (c *Core) takeSeat(ctx context.Context, seat int, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout+copyTimeout)
+	defer cancel()
+	m := c.store.currentMembership()
+	if _, err := membership.Admit(seat, id, c.address)(m); err != nil {
+		return err
+	}
+	holder := m.Seats[seat]
+	if holder.ID != "" && holder.Address != c.address && !c.leavingNow(holder.Address) {
+		if err := c.agreeSilent(ctx, m, holder); err != nil {
+			return err
+		}
+	}
+	if holder.Voter {
+		c.copyShards(ctx, m)
+	}
+	if err := c.changeMembership(ctx, m.Epoch, membership.Admit(seat, id, c.address)); err != nil {
+		return err
+	}
+	c.logger.Info("learner of a seat", "seat", seat, "instead_of", holder.Address)
+	return nil
+}
+
+func (c *Core) leavingNow(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.peer(address)
+	return p.last.Leaving && time.Since(p.heard) <= joinAfter
+}
+
+// agreeSilent asks whether a quorum of the voters have not heard a member either, so that a machine which one link has
+// cut from it does not take its seat.
+func (c *Core) agreeSilent(ctx context.Context, m membership.Membership, holder membership.Member) error {
+	ctx, cancel := context.WithTimeout(ctx, roundTimeout)
+	defer cancel()
+	answers := make(chan bool, len(m.Seats))
+	asked := 0
+	for _, voter := range m.Voters() {
+		if voter.ID == holder.ID {
+			continue
+		}
+		asked++
+		go func() {
+			response := &silentResponse{}
+			err := c.client.Call(ctx, voter.Address, methodSilent, &silentRequest{Member: holder.ID, Address: holder.Address}, response)
+			answers <- err == nil && response.Silent
+		}()
+	}
+	agreed := 0
+	for range asked {
+		if <-answers {
+			agreed++
+		}
+	}
+	if agreed < m.Quorum() {
+		return result.Errorf(result.Conflict, "%d of %d voters have not heard %s", agreed, asked, holder.Address)
+	}
+	return nil
+}
+
+// copyShards copies what members store of the shards and this disk does not.
+func (c *Core) copyShards(ctx context.Context, m membership.Membership) {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	state := c.currentConfig()
+	if state == nil {
+		return
+	}
+	for _, service := range state.config.Services {
+		for _, member := range m.Voters() {
+			response := &copyResponse{}
+			request := &copyRequest{Shard: service.Name, Digests: c.store.digests(service.Name)}
+			err := c.client.Call(ctx, member.Address, methodCopy, request, response)
+			if err == nil {
+				err = c.store.copyIn(ctx, service.Name, response.Ranges)
+			}
+			if err == nil {
+				break
+			}
+		}
+	}
+}
+
+// changeMembership has a quorum of the voters choose another membership, made on the one of the epoch given.
+func (c *Core) changeMembership(ctx context.Context, epoch int64, change membership.Change) error {
+	value, err := c.propose(ctx, membershipRegister, func(current []byte) ([]byte, error) {
+		installed := c.store.currentMembership()
+		if installed.Epoch != epoch {
+			return nil, result.Errorf(result.EpochOutdated, "epoch %d was meant, %d is known", epoch, installed.Epoch)
+		}
+		var newest membership.Membership
+		if current != nil {
+			if err := avrocodec.Decode(current, &newest); err != nil {
+				return nil, err
+			}
+		}
+		next, err := membership.Next(installed, newest, change)
+		if err != nil {
+			return nil, err
+		}
+		return avrocodec.Encode(&next)
+	})
+	if err != nil {
+		return err
+	}
+	var chosen membership.Membership
+	if err := avrocodec.Decode(value, &chosen); err != nil {
+		return err
+	}
+	id, _, _ := c.store.self()
+	if _, seated := chosen.Member(id); !seated {
+		return result.Errorf(result.Conflict, "epoch %d was chosen without this disk", chosen.Epoch)
+	}
+	return nil
+}
+
+// becomeVoter has a learner take over what a quorum of the voters hold, and then the voters agree that it is one of
+// them. The voters answer under the epoch that the learner knows, in which it holds its seat already; so nothing can have
+// been chosen without the learner hearing of it here or taking part.
+func (c *Core) becomeVoter(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	m := c.store.currentMembership()
+	answers, count := broadcast(c, m, m.Voters(), methodState, c.store.state, func(to target) *stateRequest {
+		return &stateRequest{To: to}
+	})
+	var learned []*stateResponse
+	var failed error
+	for range count {
+		a := <-answers
+		if a.err != nil {
+			failed = a.err
+			continue
+		}
+		learned = append(learned, a.response)
+		if len(learned) >= m.Quorum() {
+			break
+		}
+	}
+	if len(learned) < m.Quorum() {
+		return result.Errorf(result.Unavailable, "%d of %d voters told their state, last failure: %w", len(learned), count, failed)
+	}
+	if err := c.store.restore(ctx, m.Epoch, learned); err != nil {
+		return err
+	}
+	c.metBallot(c.store.highestBallot())
+	if err := c.changeMembership(ctx, m.Epoch, membership.Promote(id)); err != nil {
+		return err
+	}
+	c.logger.Info("voter", "epoch", c.store.currentMembership().Epoch)
+	return nil
+}
--- /dev/null
+++ b/internal/system/core/leaving.go
@@ -0,0 +1,83 @@
+package core
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	leaveAtMost = 2500 * time.Millisecond
+	leavePause  = 40 * time.Millisecond
+	lastPings   = 300 * time.Millisecond
+)
+
+// closeOwners ends what this scheduler owns, for good.
+func (c *Core) closeOwners() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving = true
+	for _, o := range c.owners {
+		o.close()
+	}
+}
+
+// leave tells the others that this scheduler ends and goes on as a replica until nothing depends on its disk: another one
+// holds its seat, where there is a machine for that, and all members that stay hold what was committed. It waits for
+// so long at most that the process ends within its grace.
+func (c *Core) leave() {
+	grace := time.Duration(c.settings.Bounds.GraceS * float64(time.Second))
+	until := time.Now().Add(min(leaveAtMost, grace/2))
+	for first := true; first || time.Now().Before(until) && !c.released(); first = false {
+		ctx, cancel := context.WithTimeout(context.Background(), lastPings)
+		c.pingAll(ctx)
+		cancel()
+		time.Sleep(leavePause)
+	}
+}
+
+// released reports whether the system no longer depends on this disk.
+func (c *Core) released() bool {
+	m := c.store.currentMembership()
+	_, _, seated := c.store.self()
+	state := c.currentConfig()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.aliveAddresses()) == 0 {
+		return true // there is nobody to wait for
+	}
+	staying := 0 // members that are there and stay
+	for _, member := range m.Filled() {
+		if member.Address != c.address && c.peer(member.Address).alive() {
+			staying++
+		}
+	}
+	if seated && len(c.aliveAddresses()) > staying {
+		return false // a machine without a seat is there to take this one
+	}
+	if state == nil {
+		return true
+	}
+	for _, service := range state.config.Services {
+		if c.inStepOf(service.Name) < int64(max(staying, m.Quorum())) {
+			return false
+		}
+	}
+	return true
+}
+
+// inStepOf returns how many members that stay hold all that was committed of a shard, by the word of its owner. The lock is
+// held.
+func (c *Core) inStepOf(shard string) int64 {
+	newest := claim{}
+	for _, p := range c.peers {
+		if !p.alive() {
+			continue
+		}
+		for _, one := range p.last.Claims {
+			if one.Shard == shard && one.Fresh && one.Token > newest.Token {
+				newest = one
+			}
+		}
+	}
+	return newest.InStep
+}
--- a/internal/system/core/messages.go
+++ b/internal/system/core/messages.go
@@ -3,9 +3,9 @@
 package core
 
 import (
+	"sedgevale/coord/membership"
 	"sedgevale/coord/register"
 	"sedgevale/coord/shard"
-	"sedgevale/coord/view"
 )
 
 // The methods of the internal protocol that core schedulers serve.
@@ -16,44 +16,75 @@
 	methodLearn   = "register.learn"
 	methodSeal    = "shard.seal"
 	methodFetch   = "shard.fetch"
+	methodCopy    = "shard.copy"
 	methodRepair  = "shard.repair"
 	methodWrite   = "shard.write"
-	methodJoin    = "view.join"
+	methodState   = "membership.state"
+	methodSilent  = "membership.silent"
 	methodPing    = "core.ping"
 )
 
+// target says which replica a message is meant for, and under which membership. A replica answers just messages for
+// itself and of the epoch that it has reached; it takes over a newer membership that a message brings, since only chosen
+// ones are sent.
+type target struct {
+	Membership membership.Membership
+	Member     string
+}
+
+// origin says which replica has answered, and under which epoch.
+type origin struct {
+	Member string
+	Epoch  int64
+}
+
+// replicaAnswer is an answer that names its origin.
+type replicaAnswer interface{ from() origin }
+
+func (o origin) from() origin { return o }
+
 type prepareRequest struct {
-	View   view.View
+	To     target
 	Name   string
 	Ballot register.Ballot
 	Known  register.Ballot
 }
 
 type prepareResponse struct {
+	From    origin
 	Promise register.Promise
 }
 
+func (r *prepareResponse) from() origin { return r.From }
+
 type acceptRequest struct {
-	View   view.View
+	To     target
 	Name   string
 	Ballot register.Ballot
 	Value  []byte
 }
 
 type acceptResponse struct {
+	From     origin
 	Accepted bool
 }
 
+func (r *acceptResponse) from() origin { return r.From }
+
 type peekRequest struct {
+	To    target
 	Name  string
 	Known register.Ballot
 }
 
 type peekResponse struct {
+	From     origin
 	Accepted register.Ballot
 	Value    []byte // left out where Accepted is known
 }
 
+func (r *peekResponse) from() origin { return r.From }
+
 type learnRequest struct {
 	Name   string
 	Ballot register.Ballot
@@ -62,75 +93,103 @@
 
 type empty struct{}
 
+// ackResponse is the answer of a replica that has nothing more to tell.
+type ackResponse struct{ From origin }
+
+func (r *ackResponse) from() origin { return r.From }
+
 type sealRequest struct {
-	View  view.View
+	To    target
 	Shard string
 	Token int64
 }
 
 type sealResponse struct {
-	Incarnation string
-	Voter       bool
-	InStep      int64
-	Digests     []int64
+	From    origin
+	Voter   bool // it has not forgotten what its seat stored of the shard
+	InStep  int64
+	Digests []int64
 }
 
+func (r *sealResponse) from() origin { return r.From }
+
 type fetchRequest struct {
+	To      target
 	Shard   string
 	Buckets []int64
 }
 
 type fetchResponse struct {
-	Incarnation string
-	Ranges      []shard.Range
+	From   origin
+	Ranges []shard.Range
+}
+
+func (r *fetchResponse) from() origin { return r.From }
+
+// copyRequest asks any core scheduler for what it stores of a shard and the sender does not. The copy counts for nothing
+// before an owner has repaired it; it only makes that short.
+type copyRequest struct {
+	Shard   string
+	Digests []int64
+}
+
+type copyResponse struct {
+	Ranges []shard.Range
 }
 
 type repairRequest struct {
-	View        view.View
-	Shard       string
-	Token       int64
-	Incarnation string
-	Number      int64 // of the owner's repairs of this replica
-	Ranges      []shard.Range
-	Last        bool
+	To     target
+	Shard  string
+	Token  int64
+	Number int64 // of the owner's repairs of this replica
+	Ranges []shard.Range
+	Last   bool
 }
 
 type writeRequest struct {
-	View        view.View
-	Shard       string
-	Token       int64
-	Incarnation string
-	Records     []shard.Record
+	To      target
+	Shard   string
+	Token   int64
+	Records []shard.Record
 }
 
-// joinRequest asks an occupant of another slot to store that a slot has a new occupant.
-type joinRequest struct {
-	Slot     int64
-	Occupant view.Slot
-}
+// stateRequest asks a voter for all that a learner has to hold before it votes.
+type stateRequest struct{ To target }
 
-// joinResponse is what the joining replica learns from one that stored its claim.
-type joinResponse struct {
-	View      view.View
+type stateResponse struct {
+	From      origin
 	Registers map[string]register.Acceptor
 	Shards    map[string]int64 // the highest fencing token that was met
 }
 
+func (r *stateResponse) from() origin { return r.From }
+
+// silentRequest asks whether the holder of a seat has not been heard for so long that the seat may be given away.
+type silentRequest struct {
+	Member  string
+	Address string
+}
+
+type silentResponse struct {
+	Silent bool
+}
+
 // pingMessage is what core schedulers tell each other all the time, both as a call and as its answer.
 type pingMessage struct {
-	Address  string
-	Zone     string
-	View     view.View
-	Known    []string // core schedulers that the sender has heard of lately
-	Claims   []claim
-	Accepted map[string]register.Ballot // what the sender's replica has accepted last
-	Leaving  bool
-	Member   bool // the sender's replica votes
+	Address    string
+	Zone       string
+	Member     string // the disk of the sender
+	Membership membership.Membership
+	Known      []string // core schedulers that the sender has heard of lately
+	Claims     []claim
+	Accepted   map[string]register.Ballot // what the sender's replica has accepted last
+	Leaving    bool
 }
 
 // claim says that the sender owns a shard and had a quorum for it a moment ago.
 type claim struct {
-	Shard string
-	Token int64
-	Fresh bool
+	Shard  string
+	Token  int64
+	Fresh  bool
+	InStep int64 // replicas that hold all that was committed, without those that are about to leave
 }
--- a/internal/system/core/owner.go
+++ b/internal/system/core/owner.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
+	"sedgevale/coord/membership"
 	"sedgevale/coord/shard"
-	"sedgevale/coord/view"
 	"sedgevale/internal/system/result"
 	"sedgevale/jobs"
 )
@@ -53,22 +53,20 @@
 
 // link is the owner's connection to one replica.
 type link struct {
-	slot        int
-	address     string
-	generation  int64
-	incarnation string
-	counts      bool // it was sealed under this token, with this incarnation
-	ready       bool // it is in step, and has said so
-	confirmed   time.Time
-	repairs     int64 // begun so far
-	wake        chan struct{}
+	seat      int
+	member    membership.Member
+	counts    bool // it was sealed under this token
+	ready     bool // it is in step, and has said so
+	confirmed time.Time
+	repairs   int64 // begun so far
+	wake      chan struct{}
 }
 
-func newOwner(c *Core, name string, token int64, v view.View, set *shard.Set) *owner {
+func newOwner(c *Core, name string, token int64, m membership.Membership, set *shard.Set) *owner {
 	done, stop := context.WithCancel(context.Background())
 	o := &owner{
 		core: c, name: name, token: token, stop: stop, done: done,
-		primary: shard.NewPrimary(token, set, len(v.Slots), view.Majority(len(v.Slots))),
+		primary: shard.NewPrimary(token, set, len(m.Seats), m.Quorum()),
 		sides:   map[string]*sideLink{}, sessions: sessions{}, stepped: make(chan struct{}),
 	}
 	options := jobs.Options{
@@ -77,10 +75,8 @@
 		FarX:       c.settings.Bounds.FarX,
 	}
 	o.book = jobs.New(options, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	for i, slot := range v.Slots {
-		o.links = append(o.links, &link{
-			slot: i, address: slot.Address, generation: slot.Generation, wake: make(chan struct{}, 1),
-		})
+	for i, member := range m.Seats {
+		o.links = append(o.links, &link{seat: i, member: member, wake: make(chan struct{}, 1)})
 	}
 	return o
 }
@@ -119,7 +115,20 @@
 			times = append(times, l.confirmed)
 		}
 	}
-	return !o.deposed && time.Since(majorityTime(times, len(o.links))) < ownerFreshFor
+	return !o.deposed && time.Since(quorumTime(times, o.primary.Quorum())) < ownerFreshFor
+}
+
+// inStepWithout returns how many replicas hold all that was committed, without those at the addresses given.
+func (o *owner) inStepWithout(leaving map[string]bool) int64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	n := int64(0)
+	for _, l := range o.links {
+		if l.ready && !leaving[l.member.Address] && o.primary.Holds(l.seat, o.committed) {
+			n++
+		}
+	}
+	return n
 }
 
 // steady is the time that the book is told.
@@ -227,7 +236,7 @@
 		o.core.logger.Error(err, "records cannot be encoded", "shard", o.name)
 	}
 	for _, l := range o.links {
-		if o.primary.HasPending(l.slot) {
+		if o.primary.HasPending(l.seat) {
 			l.poke()
 		}
 	}
--- a/internal/system/core/proposer.go
+++ b/internal/system/core/proposer.go
@@ -5,8 +5,9 @@
 	"errors"
 	"time"
 
+	"sedgevale/coord/membership"
 	"sedgevale/coord/register"
-	"sedgevale/coord/view"
+	"sedgevale/internal/avrocodec"
 	"sedgevale/internal/system/result"
 	"sedgevale/internal/system/rpc"
 )
@@ -24,52 +25,72 @@
 	rpc.Handle(server, methodAccept, c.store.accept)
 	rpc.Handle(server, methodPeek, c.store.peek)
 	rpc.Handle(server, methodLearn, func(_ context.Context, r *learnRequest) (*empty, error) {
-		c.learn(r.Name, r.Ballot, r.Value)
-		return &empty{}, nil
+		return &empty{}, c.learn(r.Name, r.Ballot, r.Value)
 	})
 }
 
-// replicaCall has one replica answer a call, the own one without the network.
-func replicaCall[Request, Response any](ctx context.Context, c *Core, address, method string,
+// replicaCall has one replica answer a call, the own one without the network. An answer of another replica or another
+// epoch than was asked is none.
+func replicaCall[Request, Response any](ctx context.Context, c *Core, to target, address, method string,
 	local func(context.Context, *Request) (*Response, error), request *Request,
 ) (*Response, error) {
+	var response *Response
+	var err error
 	if address == c.address {
-		return local(ctx, request)
+		response, err = local(ctx, request)
+	} else {
+		response = new(Response)
+		err = c.client.Call(ctx, address, method, request, response)
 	}
-	response := new(Response)
-	if err := c.client.Call(ctx, address, method, request, response); err != nil {
+	if err != nil {
+		c.onRefusal(address, err)
 		return nil, err
 	}
+	wanted := origin{Member: to.Member, Epoch: to.Membership.Epoch}
+	if answer, ok := any(response).(replicaAnswer); ok && answer.from() != wanted {
+		return nil, result.Errorf(result.WrongReplica, "%s at %s: %+v answered, %+v was asked", method, address, answer.from(), wanted)
+	}
 	return response, nil
 }
 
+// onRefusal asks a replica that knows a newer membership for it.
+func (c *Core) onRefusal(address string, err error) {
+	if result.CodeOf(err) != result.EpochOutdated || address == c.address {
+		return
+	}
+	c.mu.Lock()
+	p := c.peer(address)
+	busy := p.busy
+	p.busy = true
+	c.mu.Unlock()
+	if !busy {
+		go c.ping(context.Background(), address, c.pingMessage())
+	}
+}
+
 // answered is one replica's answer in a round.
 type answered[Response any] struct {
-	slot     int
+	member   membership.Member
 	response *Response
 	err      error
 }
 
-// broadcast sends a request to the occupants of all slots and returns the channel of their answers and how
-// many come. Slow replicas are told even after a majority has answered.
-func broadcast[Request, Response any](c *Core, v view.View, method string,
-	local func(context.Context, *Request) (*Response, error), request *Request,
+// broadcast sends a request to members and returns the channel of their answers and how many come. Slow replicas
+// are told even after a majority has answered.
+func broadcast[Request, Response any](c *Core, m membership.Membership, members []membership.Member, method string,
+	local func(context.Context, *Request) (*Response, error), request func(target) *Request,
 ) (<-chan answered[Response], int) {
-	answers := make(chan answered[Response], len(v.Slots))
-	count := 0
-	for i, slot := range v.Slots {
-		if slot.Generation == 0 {
-			continue
-		}
-		count++
+	answers := make(chan answered[Response], len(members))
+	for _, member := range members {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), roundTimeout)
 			defer cancel()
-			response, err := replicaCall(ctx, c, slot.Address, method, local, request)
-			answers <- answered[Response]{i, response, err}
+			to := target{Membership: m, Member: member.ID}
+			response, err := replicaCall(ctx, c, to, member.Address, method, local, request(to))
+			answers <- answered[Response]{member, response, err}
 		}()
 	}
-	return answers, count
+	return answers, len(members)
 }
 
 // propose changes a register and returns its new value. It tries again until the context ends.
@@ -93,17 +114,17 @@
 
 // attempt is one round of a proposer. It reports whether another may succeed.
 func (c *Core) attempt(name string, next change, begun *bool) (value []byte, err error, retry bool) {
-	v := c.store.currentView()
-	if len(v.Slots) == 0 {
-		return nil, errors.New("no view of the core yet"), true
+	m := c.store.currentMembership()
+	if m.Epoch == 0 {
+		return nil, errors.New("no membership of the core is known yet"), true
 	}
 	c.mu.Lock()
 	c.counter++
-	ballot := register.Ballot{Counter: c.counter, Proposer: c.address}
+	ballot := register.Ballot{Counter: c.counter, Proposer: c.proposer}
 	known := c.learned[name]
 	c.mu.Unlock()
-	round := register.NewRound(ballot, v.Occupied(), view.Majority(len(v.Slots)), known.ballot, known.value)
-	if err := c.prepareRound(name, v, round, known.ballot); err != nil {
+	round := register.NewRound(ballot, len(m.Voters()), m.Quorum(), known.ballot, known.value)
+	if err := c.prepareRound(name, m, round, known.ballot); err != nil {
 		return nil, err, true
 	}
 	current, _ := round.Value()
@@ -111,44 +132,48 @@
 	if refused != nil {
 		wanted = current
 	}
-	if wanted == nil {
-		return nil, refused, false
+	if wanted == nil || refused != nil && name == membershipRegister {
+		return nil, refused, false // an attempt that was never chosen must not take effect by being looked at
 	}
 	round.Propose()
 	if refused == nil {
 		*begun = true
 	}
-	if err := c.acceptRound(name, v, round, wanted); err != nil {
+	if err := c.acceptRound(name, m, round, wanted); err != nil {
 		return nil, err, true
 	}
-	c.learn(name, ballot, wanted)
+	if err := c.learn(name, ballot, wanted); err != nil {
+		return nil, err, false
+	}
 	go c.tell(name, ballot, wanted)
 	return wanted, refused, false
 }
 
-func (c *Core) prepareRound(name string, v view.View, round *register.Round, known register.Ballot) error {
-	request := &prepareRequest{View: v, Name: name, Ballot: round.Ballot, Known: known}
-	answers, count := broadcast(c, v, methodPrepare, c.store.prepare, request)
-	err := collect(round, answers, count, func(slot int, response *prepareResponse) bool {
-		return round.OnPromise(slot, response.Promise)
+func (c *Core) prepareRound(name string, m membership.Membership, round *register.Round, known register.Ballot) error {
+	answers, count := broadcast(c, m, m.Voters(), methodPrepare, c.store.prepare, func(to target) *prepareRequest {
+		return &prepareRequest{To: to, Name: name, Ballot: round.Ballot, Known: known}
+	})
+	err := collect(m, round, answers, count, func(seat int, response *prepareResponse) bool {
+		return round.OnPromise(seat, response.Promise)
 	})
 	if err != nil {
-		c.metBallot(round.Highest)
+		c.metBallot(round.Highest.Counter)
 	}
 	return err
 }
 
-func (c *Core) acceptRound(name string, v view.View, round *register.Round, value []byte) error {
-	request := &acceptRequest{View: v, Name: name, Ballot: round.Ballot, Value: value}
-	answers, count := broadcast(c, v, methodAccept, c.store.accept, request)
-	return collect(round, answers, count, func(slot int, response *acceptResponse) bool {
-		return round.OnAccepted(slot, response.Accepted)
+func (c *Core) acceptRound(name string, m membership.Membership, round *register.Round, value []byte) error {
+	answers, count := broadcast(c, m, m.Voters(), methodAccept, c.store.accept, func(to target) *acceptRequest {
+		return &acceptRequest{To: to, Name: name, Ballot: round.Ballot, Value: value}
+	})
+	return collect(m, round, answers, count, func(seat int, response *acceptResponse) bool {
+		return round.OnAccepted(seat, response.Accepted)
 	})
 }
 
 // collect hands the answers of replicas to a round until a majority has agreed or can no longer be had.
-func collect[Response any](round *register.Round, answers <-chan answered[Response], count int,
-	take func(slot int, response *Response) (enough bool),
+func collect[Response any](m membership.Membership, round *register.Round, answers <-chan answered[Response], count int,
+	take func(seat int, response *Response) (enough bool),
 ) error {
 	phase := round.Phase
 	var failed error
@@ -156,8 +181,8 @@
 		a := <-answers
 		if a.err != nil {
 			failed = a.err
-			round.OnFailure(a.slot)
-		} else if take(a.slot, a.response) {
+			round.OnFailure(m.SeatOf(a.member.ID))
+		} else if take(m.SeatOf(a.member.ID), a.response) {
 			return nil
 		}
 		if round.Phase == register.Failed {
@@ -167,10 +192,10 @@
 	return result.Errorf(result.Unavailable, "no majority in phase %d, last failure: %w", phase, failed)
 }
 
-func (c *Core) metBallot(ballot register.Ballot) {
+func (c *Core) metBallot(counter int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.counter = max(c.counter, ballot.Counter)
+	c.counter = max(c.counter, counter)
 }
 
 // tell lets the other core schedulers know a value that was chosen.
@@ -197,14 +222,16 @@
 // read learns the chosen value of a register: by asking what was accepted where a majority agrees, else by
 // a round that changes nothing.
 func (c *Core) read(ctx context.Context, name string) error {
-	v := c.store.currentView()
-	if len(v.Slots) == 0 {
-		return errors.New("no view of the core yet")
+	m := c.store.currentMembership()
+	if m.Epoch == 0 {
+		return errors.New("no membership of the core is known yet")
 	}
 	c.mu.Lock()
 	known := c.learned[name]
 	c.mu.Unlock()
-	answers, count := broadcast(c, v, methodPeek, c.store.peek, &peekRequest{Name: name, Known: known.ballot})
+	answers, count := broadcast(c, m, m.Voters(), methodPeek, c.store.peek, func(to target) *peekRequest {
+		return &peekRequest{To: to, Name: name, Known: known.ballot}
+	})
 	votes := map[register.Ballot]int{}
 	for range count {
 		a := <-answers
@@ -213,11 +240,11 @@
 		}
 		ballot := a.response.Accepted
 		votes[ballot]++
-		if votes[ballot] < view.Majority(len(v.Slots)) {
+		if votes[ballot] < m.Quorum() {
 			continue
 		}
 		if ballot != known.ballot {
-			c.learn(name, ballot, a.response.Value)
+			return c.learn(name, ballot, a.response.Value)
 		}
 		return nil
 	}
@@ -226,16 +253,31 @@
 }
 
 // learn takes a chosen value, if it is newer than the one that is known.
-func (c *Core) learn(name string, ballot register.Ballot, value []byte) {
+func (c *Core) learn(name string, ballot register.Ballot, value []byte) error {
+	if name == membershipRegister {
+		if err := c.learnMembership(value); err != nil {
+			return err
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.counter = max(c.counter, ballot.Counter)
 	if !c.learned[name].ballot.Less(ballot) {
-		return
+		return nil
 	}
 	c.learned[name] = chosen{ballot, value}
 	if name == registerName {
 		c.useConfig(value)
 	}
 	c.notify()
+	return nil
+}
+
+// learnMembership takes a chosen membership.
+func (c *Core) learnMembership(value []byte) error {
+	var m membership.Membership
+	if err := avrocodec.Decode(value, &m); err != nil {
+		return result.Errorf(result.BadRequest, "membership: %w", err)
+	}
+	return c.store.learnMembership(m)
 }
--- a/internal/system/core/replication.go
+++ b/internal/system/core/replication.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"sedgevale/coord/view"
+	"sedgevale/coord/membership"
 	"sedgevale/internal/system/result"
 )
 
@@ -16,6 +16,12 @@
 	}
 }
 
+func (o *owner) pokeLinks() {
+	for _, l := range o.links {
+		l.poke()
+	}
+}
+
 func (o *owner) startLinks() {
 	for _, l := range o.links {
 		go o.linkLoop(l)
@@ -33,7 +39,7 @@
 				inStep++
 			}
 		}
-		enough := inStep >= view.Majority(len(o.links))
+		enough := inStep >= o.primary.Quorum()
 		deposed := o.deposed
 		o.mu.Unlock()
 		if enough {
@@ -54,19 +60,19 @@
 // owner's token still holds.
 func (o *owner) linkLoop(l *link) {
 	for o.done.Err() == nil {
-		o.followView(l)
-		if l.generation == 0 {
+		m := o.followMembership(l)
+		if l.member.ID == "" {
 			o.pause(heartbeatEvery)
 			continue
 		}
 		o.mu.Lock()
-		inStep := o.primary.InStep(l.slot)
+		inStep := o.primary.InStep(l.seat)
 		o.mu.Unlock()
 		var err error
 		if inStep {
-			err = o.writeChanges(l)
+			err = o.writeChanges(m, l)
 		} else {
-			err = o.repair(l)
+			err = o.repair(m, l)
 		}
 		if err != nil {
 			o.linkFailed(l, err)
@@ -87,27 +93,26 @@
 	}
 }
 
-// followView notes that a slot has a new occupant.
-func (o *owner) followView(l *link) {
-	slot := o.core.store.currentView().Slots[l.slot]
-	if slot.Generation == l.generation && slot.Address == l.address {
-		return
+// followMembership notes that a seat has changed hands, and returns the membership.
+func (o *owner) followMembership(l *link) membership.Membership {
+	m := o.core.store.currentMembership()
+	member := m.Seats[l.seat]
+	if member.ID == l.member.ID && member.Since == l.member.Since {
+		return m
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.primary.Lost(l.slot)
-	l.address, l.generation = slot.Address, slot.Generation
+	o.primary.Lost(l.seat)
+	l.member = member
 	l.counts, l.ready, l.confirmed = false, false, time.Time{}
+	return m
 }
 
 func (o *owner) linkFailed(l *link, err error) {
 	code := result.CodeOf(err)
 	o.mu.Lock()
-	o.primary.Lost(l.slot)
+	o.primary.Lost(l.seat)
 	l.ready = false
-	if code == result.WrongReplica {
-		l.counts = false
-	}
 	if code == result.Fenced && !o.deposed {
 		o.deposed = true
 		o.core.logger.Info("shard lost to a newer owner", "shard", o.name, "token", o.token)
@@ -120,28 +125,23 @@
 }
 
 // repair brings a replica to the owner's state by the digests of its key ranges.
-func (o *owner) repair(l *link) error {
+func (o *owner) repair(m membership.Membership, l *link) error {
 	ctx, cancel := context.WithTimeout(o.done, 2*replicaTimeout)
 	defer cancel()
-	v := o.core.store.currentView()
 	c := o.core
+	to := target{Membership: m, Member: l.member.ID}
 	sentAt := time.Now()
-	sealed, err := replicaCall(ctx, c, l.address, methodSeal, c.store.seal, &sealRequest{View: v, Shard: o.name, Token: o.token})
+	seal := &sealRequest{To: to, Shard: o.name, Token: o.token}
+	sealed, err := replicaCall(ctx, c, to, l.member.Address, methodSeal, c.store.seal, seal)
 	if err != nil {
 		return err
 	}
 	o.mu.Lock()
-	if l.counts && sealed.Incarnation != l.incarnation {
-		l.counts = false
-	}
-	l.incarnation = sealed.Incarnation
 	l.repairs++
-	ranges, upTo := o.primary.BeginRepair(l.slot, sealed.Digests)
+	ranges, upTo := o.primary.BeginRepair(l.seat, sealed.Digests)
 	o.mu.Unlock()
-	request := &repairRequest{
-		View: v, Shard: o.name, Token: o.token, Incarnation: l.incarnation, Number: l.repairs, Ranges: ranges, Last: true,
-	}
-	if _, err := replicaCall(ctx, c, l.address, methodRepair, c.store.repair, request); err != nil {
+	request := &repairRequest{To: to, Shard: o.name, Token: o.token, Number: l.repairs, Ranges: ranges, Last: true}
+	if _, err := replicaCall(ctx, c, to, l.member.Address, methodRepair, c.store.repair, request); err != nil {
 		return err
 	}
 	o.acked(l, upTo, sentAt)
@@ -149,18 +149,17 @@
 }
 
 // writeChanges tells a replica what has changed, or nothing as a heartbeat.
-func (o *owner) writeChanges(l *link) error {
+func (o *owner) writeChanges(m membership.Membership, l *link) error {
 	ctx, cancel := context.WithTimeout(o.done, replicaTimeout)
 	defer cancel()
 	c := o.core
+	to := target{Membership: m, Member: l.member.ID}
 	o.mu.Lock()
-	records, upTo := o.primary.Next(l.slot)
+	records, upTo := o.primary.Next(l.seat)
 	o.mu.Unlock()
 	sentAt := time.Now()
-	request := &writeRequest{
-		View: c.store.currentView(), Shard: o.name, Token: o.token, Incarnation: l.incarnation, Records: records,
-	}
-	if _, err := replicaCall(ctx, c, l.address, methodWrite, c.store.write, request); err != nil {
+	request := &writeRequest{To: to, Shard: o.name, Token: o.token, Records: records}
+	if _, err := replicaCall(ctx, c, to, l.member.Address, methodWrite, c.store.write, request); err != nil {
 		return err
 	}
 	o.acked(l, upTo, sentAt)
@@ -172,12 +171,12 @@
 	defer o.mu.Unlock()
 	l.confirmed = sentAt
 	l.ready = true
-	o.primary.Acked(l.slot, upTo)
+	o.primary.Acked(l.seat, upTo)
 	close(o.stepped)
 	o.stepped = make(chan struct{})
 	if o.began {
 		o.advance()
-		if o.primary.HasPending(l.slot) {
+		if o.primary.HasPending(l.seat) {
 			l.poke()
 		}
 	}
--- a/internal/system/core/sessions.go
+++ b/internal/system/core/sessions.go
@@ -15,7 +15,7 @@
 func (s sessions) admit(side, name string, sequence int64) (string, bool) {
 	known := s[side]
 	if known == nil || name != known.name {
-		known = &session{name: newIncarnation()}
+		known = &session{name: newID()}
 		s[side] = known
 		return known.name, false
 	}
--- /dev/null
+++ b/internal/system/core/store_membership.go
@@ -0,0 +1,110 @@
+package core
+
+import (
+	"sedgevale/coord/membership"
+	"sedgevale/internal/system/result"
+)
+
+// admit checks whom and which epoch a message is meant for. It takes over a newer membership, since just chosen ones are
+// sent. The lock is held.
+func (s *store) admit(to target) (origin, membership.Member, error) {
+	none := membership.Member{}
+	if err := s.admitMembership(to.Membership); err != nil {
+		return origin{}, none, err
+	}
+	if to.Member != s.identity.ID {
+		return origin{}, none, result.Errorf(result.WrongReplica, "for replica %s, this is %s", to.Member, s.identity.ID)
+	}
+	member, seated := s.membership.Member(s.identity.ID)
+	if !seated {
+		return origin{}, none, result.Errorf(result.NotRecovered, "%s holds no seat in epoch %d", s.address, s.membership.Epoch)
+	}
+	return origin{Member: s.identity.ID, Epoch: s.membership.Epoch}, member, nil
+}
+
+// admitMembership takes over the membership that a message brings, or refuses the message. The lock is held.
+func (s *store) admitMembership(sent membership.Membership) error {
+	if err := sent.Check(); err != nil {
+		return result.Errorf(result.MembershipInvalid, "%w", err)
+	}
+	known := s.membership
+	if known.Epoch > 0 && sent.Deployment != known.Deployment {
+		return result.Errorf(result.WrongDeployment, "of deployment %s, this is %s", sent.Deployment, known.Deployment)
+	}
+	if known.Epoch > 0 && len(sent.Seats) != len(known.Seats) {
+		return result.Errorf(result.MembershipInvalid, "%d seats came, %d are known", len(sent.Seats), len(known.Seats))
+	}
+	if sent.Epoch < known.Epoch {
+		return result.Errorf(result.EpochOutdated, "epoch %d came, %d is known", sent.Epoch, known.Epoch)
+	}
+	if sent.Epoch > known.Epoch {
+		return s.install(sent)
+	}
+	if !sent.Equal(known) {
+		return result.Errorf(result.MembershipInvalid, "another membership of epoch %d is known", known.Epoch)
+	}
+	return nil
+}
+
+// admitVoter is admit for what only voters answer. The lock is held.
+func (s *store) admitVoter(to target) (origin, error) {
+	from, member, err := s.admit(to)
+	if err == nil && !member.Voter {
+		return origin{}, result.Errorf(result.NotRecovered, "%s is a learner in epoch %d", s.address, from.Epoch)
+	}
+	return from, err
+}
+
+// install makes a newer membership, which was chosen, the one that counts here. The lock is held.
+func (s *store) install(m membership.Membership) error {
+	s.enter(m)
+	_, err := s.append(&entry{Kind: entryMembership, Membership: m})
+	select {
+	case s.installed <- struct{}{}:
+	default:
+	}
+	return err
+}
+
+// enter applies a membership to the state. A disk that takes a seat anew may have missed anything since it held one: it is
+// no voter for its shards before an owner has repaired it. The lock is held.
+func (s *store) enter(m membership.Membership) {
+	s.membership = m.Clone()
+	member, seated := m.Member(s.identity.ID)
+	if !seated || member.Since == s.identity.Joined {
+		return
+	}
+	s.identity.Joined = member.Since
+	s.identity.Restored = false
+	for _, replica := range s.replicas {
+		replica.Forget()
+	}
+}
+
+// learnMembership takes over a newer membership that another scheduler told.
+func (s *store) learnMembership(m membership.Membership) error {
+	if m.Epoch == 0 {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m.Epoch <= s.membership.Epoch && m.Deployment == s.membership.Deployment {
+		return nil
+	}
+	return s.admitMembership(m)
+}
+
+// currentMembership returns a copy of the membership.
+func (s *store) currentMembership() membership.Membership {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.membership.Clone()
+}
+
+// self returns the name of this disk and its seat, if it holds one.
+func (s *store) self() (id string, member membership.Member, seated bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	member, seated = s.membership.Member(s.identity.ID)
+	return s.identity.ID, member, seated
+}
--- /dev/null
+++ b/internal/system/core/store_registers.go
@@ -0,0 +1,149 @@
+package core
+
+import (
+	"context"
+
+	"sedgevale/coord/register"
+	"sedgevale/internal/system/result"
+	"sedgevale/internal/system/statefile"
+)
+
+func (s *store) acceptor(name string) *register.Acceptor {
+	a := s.registers[name]
+	if a == nil {
+		a = &register.Acceptor{}
+		s.registers[name] = a
+	}
+	return a
+}
+
+func (s *store) prepare(ctx context.Context, r *prepareRequest) (*prepareResponse, error) {
+	s.mu.Lock()
+	from, err := s.admitVoter(r.To)
+	if err != nil {
+		s.mu.Unlock()
+		return nil, err
+	}
+	promise := s.acceptor(r.Name).Prepare(r.Ballot, r.Known)
+	answer := &prepareResponse{From: from, Promise: promise}
+	if !promise.Granted {
+		s.mu.Unlock()
+		return answer, nil
+	}
+	ticket, err := s.append(&entry{Kind: entryPromise, Name: r.Name, Promised: r.Ballot})
+	s.mu.Unlock()
+	if err := wait(ctx, ticket, err); err != nil {
+		return nil, err
+	}
+	return answer, nil
+}
+
+func (s *store) accept(ctx context.Context, r *acceptRequest) (*acceptResponse, error) {
+	s.mu.Lock()
+	from, err := s.admitVoter(r.To)
+	if err != nil {
+		s.mu.Unlock()
+		return nil, err
+	}
+	answer := &acceptResponse{From: from}
+	if !s.acceptor(r.Name).Accept(r.Ballot, r.Value) {
+		s.mu.Unlock()
+		return answer, nil
+	}
+	ticket, err := s.append(&entry{Kind: entryAccept, Name: r.Name, Ballot: r.Ballot, Value: r.Value})
+	s.mu.Unlock()
+	if err := wait(ctx, ticket, err); err != nil {
+		return nil, err
+	}
+	answer.Accepted = true
+	return answer, nil
+}
+
+// peek returns what was accepted last, without a promise.
+func (s *store) peek(ctx context.Context, r *peekRequest) (*peekResponse, error) {
+	s.mu.Lock()
+	from, err := s.admitVoter(r.To)
+	if err != nil {
+		s.mu.Unlock()
+		return nil, err
+	}
+	a := s.acceptor(r.Name)
+	answer := &peekResponse{From: from, Accepted: a.Accepted}
+	if a.Accepted != r.Known {
+		answer.Value = a.Value
+	}
+	s.mu.Unlock()
+	if err := s.waitSettled(ctx); err != nil {
+		return nil, err
+	}
+	return answer, nil
+}
+
+// state returns all that a learner has to hold before it votes.
+func (s *store) state(ctx context.Context, r *stateRequest) (*stateResponse, error) {
+	s.mu.Lock()
+	from, err := s.admitVoter(r.To)
+	if err != nil {
+		s.mu.Unlock()
+		return nil, err
+	}
+	answer := &stateResponse{From: from, Registers: map[string]register.Acceptor{}, Shards: map[string]int64{}}
+	for name, a := range s.registers {
+		answer.Registers[name] = *a
+	}
+	for name, replica := range s.replicas {
+		answer.Shards[name] = replica.Sealed
+	}
+	s.mu.Unlock()
+	if err := s.waitSettled(ctx); err != nil {
+		return nil, err
+	}
+	return answer, nil
+}
+
+// restore takes over what a quorum of voters told this learner after it had taken its seat.
+func (s *store) restore(ctx context.Context, epoch int64, learned []*stateResponse) error {
+	s.mu.Lock()
+	if _, seated := s.membership.Member(s.identity.ID); !seated || s.identity.Joined > epoch {
+		s.mu.Unlock()
+		return result.Errorf(result.EpochOutdated, "the seat was lost since epoch %d", epoch)
+	}
+	var entries []*entry
+	for _, one := range learned {
+		for name, a := range one.Registers {
+			s.acceptor(name).Restore(a)
+		}
+		for name, token := range one.Shards {
+			s.replica(name).Seal(token)
+			entries = append(entries, &entry{Kind: entrySeal, Name: name, Token: token})
+		}
+	}
+	for name := range s.registers {
+		entries = append(entries, s.registerEntry(name))
+	}
+	s.identity.Restored = true
+	entries = append(entries, &entry{Kind: entryIdentity, Identity: s.identity})
+	var ticket *statefile.Ticket
+	var err error
+	for _, e := range entries {
+		if ticket, err = s.append(e); err != nil {
+			break
+		}
+	}
+	s.mu.Unlock()
+	return wait(ctx, ticket, err)
+}
+
+// accepted returns the last accepted ballot of each register but the membership's: a membership that was accepted and
+// never chosen must not be finished by those who just look.
+func (s *store) accepted() map[string]register.Ballot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := map[string]register.Ballot{}
+	for name, a := range s.registers {
+		if name != membershipRegister {
+			all[name] = a.Accepted
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/system/core/store_shards.go
@@ -0,0 +1,138 @@
+package core
+
+import (
+	"context"
+
+	"sedgevale/coord/shard"
+	"sedgevale/internal/system/result"
+)
+
+// replica returns the replica of a shard. On a disk that has held its seat from the start, or has heard from a quorum
+// which shards there are, a new one votes at once: there is nothing that it may have forgotten.
+func (s *store) replica(name string) *shard.Replica {
+	r := s.replicas[name]
+	if r == nil {
+		r = shard.NewReplica(s.identity.Restored)
+		s.replicas[name] = r
+	}
+	return r
+}
+
+func (s *store) seal(ctx context.Context, r *sealRequest) (*sealResponse, error) {
+	s.mu.Lock()
+	from, _, err := s.admit(r.To)
+	if err != nil {
+		s.mu.Unlock()
+		return nil, err
+	}
+	replica := s.replica(r.Shard)
+	if !replica.Seal(r.Token) {
+		sealed := replica.Sealed
+		s.mu.Unlock()
+		return nil, result.Errorf(result.Fenced, "shard %s: token %d is known, %d came", r.Shard, sealed, r.Token)
+	}
+	answer := &sealResponse{From: from, Voter: replica.Voter, InStep: replica.InStep, Digests: replica.Set.Digests()}
+	ticket, err := s.append(&entry{Kind: entrySeal, Name: r.Shard, Token: r.Token})
+	s.mu.Unlock()
+	if err := wait(ctx, ticket, err); err != nil {
+		return nil, err
+	}
+	return answer, nil
+}
+
+func (s *store) fetch(_ context.Context, r *fetchRequest) (*fetchResponse, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	from, _, err := s.admit(r.To)
+	if err != nil {
+		return nil, err
+	}
+	answer := &fetchResponse{From: from}
+	set := shard.NewSet()
+	if replica := s.replicas[r.Shard]; replica != nil {
+		set = replica.Set
+	}
+	for _, bucket := range r.Buckets {
+		if bucket < 0 || bucket >= shard.Buckets {
+			return nil, result.Errorf(result.BadRequest, "shard %s: there is no key range %d", r.Shard, bucket)
+		}
+		answer.Ranges = append(answer.Ranges, shard.Range{Bucket: bucket, Records: set.InBucket(int(bucket))})
+	}
+	return answer, nil
+}
+
+// copyOut returns what this disk stores of a shard where the digests of another differ.
+func (s *store) copyOut(_ context.Context, r *copyRequest) (*copyResponse, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	replica := s.replicas[r.Shard]
+	if replica == nil {
+		return &copyResponse{}, nil
+	}
+	return &copyResponse{Ranges: shard.Ranges(replica.Set, r.Digests)}, nil
+}
+
+// copyIn stores a copy of key ranges ahead of a repair, as long as this disk holds no seat.
+func (s *store) copyIn(ctx context.Context, name string, ranges []shard.Range) error {
+	s.mu.Lock()
+	if _, seated := s.membership.Member(s.identity.ID); seated || len(ranges) == 0 {
+		s.mu.Unlock()
+		return nil
+	}
+	s.replica(name).Copy(ranges)
+	ticket, err := s.append(&entry{Kind: entryCopy, Name: name, Ranges: ranges})
+	s.mu.Unlock()
+	return wait(ctx, ticket, err)
+}
+
+// digests returns the digests of what this disk stores of a shard.
+func (s *store) digests(name string) []int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	replica := s.replicas[name]
+	if replica == nil {
+		return shard.NewSet().Digests()
+	}
+	return replica.Set.Digests()
+}
+
+func (s *store) repair(ctx context.Context, r *repairRequest) (*ackResponse, error) {
+	s.mu.Lock()
+	from, _, err := s.admit(r.To)
+	if err != nil {
+		s.mu.Unlock()
+		return nil, err
+	}
+	if !s.replica(r.Shard).Repair(r.Token, r.Number, r.Ranges, r.Last) {
+		s.mu.Unlock()
+		return nil, result.Errorf(result.Fenced, "shard %s: a token above %d or a later repair is known", r.Shard, r.Token)
+	}
+	ticket, err := s.append(&entry{Kind: entryRepair, Name: r.Shard, Token: r.Token, Number: r.Number, Ranges: r.Ranges, Flag: r.Last})
+	s.mu.Unlock()
+	return &ackResponse{From: from}, wait(ctx, ticket, err)
+}
+
+func (s *store) write(ctx context.Context, r *writeRequest) (*ackResponse, error) {
+	s.mu.Lock()
+	from, _, err := s.admit(r.To)
+	if err != nil {
+		s.mu.Unlock()
+		return nil, err
+	}
+	replica := s.replica(r.Shard)
+	if !replica.Write(r.Token, r.Records) {
+		sealed := replica.Sealed
+		s.mu.Unlock()
+		if sealed > r.Token {
+			return nil, result.Errorf(result.Fenced, "shard %s: token %d is known, %d came", r.Shard, sealed, r.Token)
+		}
+		return nil, result.Errorf(result.NotRecovered, "shard %s: the replica is not in step", r.Shard)
+	}
+	if len(r.Records) == 0 { // a heartbeat
+		s.mu.Unlock()
+		return &ackResponse{From: from}, nil
+	}
+	ticket, err := s.append(&entry{Kind: entryWrite, Name: r.Shard, Token: r.Token, Records: r.Records})
+	s.mu.Unlock()
+	return &ackResponse{From: from}, wait(ctx, ticket, err)
+}
--- a/internal/system/node/node.go
+++ b/internal/system/node/node.go
@@ -68,6 +68,9 @@
 	p.Client.Close()
 }
 
+// ErrKilled as the cause of a role's context has it end at once, as if the machine had lost power.
+var ErrKilled = errors.New("killed")
+
 // Role serves until its context ends.
 type Role func(context.Context, *Process) error
 
--- a/internal/system/result/result.go
+++ b/internal/system/result/result.go
@@ -12,25 +12,28 @@
 
 // The codes. Those below 2000 say that nothing was changed by the call; those from 2000 on leave it open.
 const (
-	OK              Code = 0
-	BadRequest      Code = 1001 // the message cannot be read
-	NotOwner        Code = 1002 // this scheduler does not own the shard
-	NotReady        Code = 1003 // no configuration or no quorum yet
-	Fenced          Code = 1004 // a newer fencing token is known
-	ViewOutdated    Code = 1005 // the sender's view of the core is older
-	NotRecovered    Code = 1006 // a replica with an empty disk does not vote yet
-	NoRoute         Code = 1007 // no such route in the newest configuration
-	NoJob           Code = 1008 // no such job
-	Overloaded      Code = 1009 // the queue is full; nothing was taken
-	Conflict        Code = 1010 // another version of the configuration is current
-	Invalid         Code = 1011 // the configuration or job is invalid
-	WrongInstance   Code = 1012 // the worker has another incarnation by now
-	BallotOutdated  Code = 1013 // a higher ballot was promised
-	WrongReplica    Code = 1014 // the replica has another incarnation by now
-	Unavailable     Code = 1015 // no quorum could be reached
-	StorageFailed   Code = 2001 // the disk did not take a write; its fate is open
-	OutcomeUnknown  Code = 2002 // a commit was begun and its fate is unknown
-	TransportFailed Code = 2003 // the connection failed before an answer came
+	OK                Code = 0
+	BadRequest        Code = 1001 // the message cannot be read
+	NotOwner          Code = 1002 // this scheduler does not own the shard
+	NotReady          Code = 1003 // no configuration or no quorum yet
+	Fenced            Code = 1004 // a newer fencing token is known
+	EpochOutdated     Code = 1005 // the sender's membership of the core is older
+	NotRecovered      Code = 1006 // the replica holds no seat, or is a learner and does not vote yet
+	NoRoute           Code = 1007 // no such route in the newest configuration
+	NoJob             Code = 1008 // no such job
+	Overloaded        Code = 1009 // the queue is full; nothing was taken
+	Conflict          Code = 1010 // another version of the configuration is current
+	Invalid           Code = 1011 // the configuration or job is invalid
+	WrongInstance     Code = 1012 // the worker has another incarnation by now
+	BallotOutdated    Code = 1013 // a higher ballot was promised
+	WrongReplica      Code = 1014 // another replica answers at the address by now
+	Unavailable       Code = 1015 // no quorum could be reached
+	MembershipInvalid Code = 1016 // a membership that cannot be
+	WrongDeployment   Code = 1017 // the message is of another deployment
+	WrongDisk         Code = 1018 // the disk belongs to another machine, or its layout is not known
+	StorageFailed     Code = 2001 // the disk did not take a write; its fate is open
+	OutcomeUnknown    Code = 2002 // a commit was begun and its fate is unknown
+	TransportFailed   Code = 2003 // the connection failed before an answer came
 )
 
 // Error is an error with a code.
--- a/internal/system/statefile/statefile.go
+++ b/internal/system/statefile/statefile.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	formatVersion  = 1
+	formatVersion  = 2 // of the layout; another one is refused, never taken for an empty disk
 	frameHeader    = 8
 	maxFrame       = 64 << 20
 	compactAfter   = 6 << 20  // bytes of log before a new generation
@@ -43,6 +43,9 @@
 // ErrQueueFull tells that the disk is too slow for more.
 var ErrQueueFull = errors.New("statefile: too much waits for the disk")
 
+// ErrLayout tells that a directory was written by another release.
+var ErrLayout = errors.New("statefile: written by another release")
+
 // Log appends entries to the newest generation.
 type Log struct {
 	dir      string
@@ -288,7 +291,11 @@
 	sort.Slice(logs, func(i, j int) bool { return logs[i] < logs[j] })
 	from := int64(0)
 	for _, generation := range snapshots {
-		payloads, whole := readSnapshot(filepath.Join(dir, name(snapshotPrefix, generation)))
+		path := filepath.Join(dir, name(snapshotPrefix, generation))
+		if err := checkLayout(path); err != nil {
+			return newest, err
+		}
+		payloads, whole := readSnapshot(path)
 		if !whole {
 			continue
 		}
@@ -317,15 +324,34 @@
 	return newest, nil
 }
 
-// readSnapshot returns the entries of a snapshot and whether it is whole.
-func readSnapshot(path string) ([][]byte, bool) {
+// checkLayout returns an error where a snapshot has a layout other than this release's.
+func checkLayout(path string) error {
+	head, err := readHead(path)
+	if err != nil || string(head[:len(magic)]) != string(magic) {
+		return nil // torn, or not there any more
+	}
+	if version := head[len(magic)]; version != 0 && version != formatVersion {
+		return fmt.Errorf("%w: %s has layout %d, this release writes %d; where the other members of the core are up, "+
+			"move the directory away, and this machine joins them with an empty disk", ErrLayout, path, version, formatVersion)
+	}
+	return nil
+}
+
+// readHead returns the first bytes of a snapshot: the magic and the layout's number.
+func readHead(path string) ([]byte, error) {
 	file, err := os.Open(path)
 	if err != nil {
-		return nil, false
+		return nil, err
 	}
+	defer file.Close()
 	head := make([]byte, len(magic)+1)
 	_, err = io.ReadFull(file, head)
-	file.Close()
+	return head, err
+}
+
+// readSnapshot returns the entries of a snapshot and whether it is whole.
+func readSnapshot(path string) ([][]byte, bool) {
+	head, err := readHead(path)
 	if err != nil || string(head[:len(magic)]) != string(magic) || head[len(magic)] != formatVersion {
 		return nil, false
 	}
