--- a/coord/membership/membership.go
+++ b/coord/membership/membership.go
@@ -32,6 +32,13 @@
 	ErrNotALearner = errors.New("membership: the disk is no learner")
 )
 
+// The reasons for which a message is not for a replica that knows a membership.
+var (
+	ErrImpossible = errors.New("membership: impossible")
+	ErrDeployment = errors.New("membership: of another deployment")
+	ErrOutdated   = errors.New("membership: outdated")
+)
+
 // Member is who holds a seat. The zero Member is nobody.
 type Member struct {
 	ID      string // names a disk from its first use until it is lost
@@ -127,28 +134,52 @@
 // Check returns what makes a membership impossible, or nil.
 func (m Membership) Check() error {
 	if len(m.Seats) == 0 || len(m.Seats) > MaxSeats || len(m.Seats)%2 == 0 {
-		return fmt.Errorf("membership: %d seats, an odd number up to %d is wanted", len(m.Seats), MaxSeats)
+		return fmt.Errorf("%w: %d seats, an odd number up to %d is wanted", ErrImpossible, len(m.Seats), MaxSeats)
 	}
 	if m.Epoch < 1 || m.Base < 0 || m.Base >= m.Epoch {
-		return fmt.Errorf("membership: epoch %d on %d", m.Epoch, m.Base)
+		return fmt.Errorf("%w: epoch %d on %d", ErrImpossible, m.Epoch, m.Base)
 	}
 	for i, member := range m.Seats {
 		if member.ID == "" {
 			if member != (Member{}) {
-				return fmt.Errorf("membership: seats[%d]: nobody, with %+v", i, member)
+				return fmt.Errorf("%w: seats[%d]: nobody, with %+v", ErrImpossible, i, member)
 			}
 			continue
 		}
 		if member.Address == "" || member.Since < 1 || member.Since > m.Epoch {
-			return fmt.Errorf("membership: seats[%d]: %+v in epoch %d", i, member, m.Epoch)
+			return fmt.Errorf("%w: seats[%d]: %+v in epoch %d", ErrImpossible, i, member, m.Epoch)
 		}
 		if m.SeatOf(member.ID) != i || m.SeatAt(member.Address) != i {
-			return fmt.Errorf("membership: seats[%d]: %s at %s holds two", i, member.ID, member.Address)
+			return fmt.Errorf("%w: seats[%d]: %s at %s holds two", ErrImpossible, i, member.ID, member.Address)
 		}
 	}
 	return nil
 }
 
+// Meet judges a message that was sent under another membership to a replica that knows this one. A newer one, which was
+// chosen or would not be sent, is to be installed before the message is answered; an older one is an error.
+func (m Membership) Meet(sent Membership) (install bool, err error) {
+	if err := sent.Check(); err != nil {
+		return false, err
+	}
+	if m.Epoch == 0 {
+		return true, nil
+	}
+	if sent.Deployment != m.Deployment {
+		return false, fmt.Errorf("%w: %s came, this is %s", ErrDeployment, sent.Deployment, m.Deployment)
+	}
+	if len(sent.Seats) != len(m.Seats) {
+		return false, fmt.Errorf("%w: %d seats came, %d are known", ErrImpossible, len(sent.Seats), len(m.Seats))
+	}
+	if sent.Epoch < m.Epoch {
+		return false, fmt.Errorf("%w: epoch %d came, %d is known", ErrOutdated, sent.Epoch, m.Epoch)
+	}
+	if sent.Epoch == m.Epoch && !sent.Equal(m) {
+		return false, fmt.Errorf("%w: another one of epoch %d is known", ErrImpossible, m.Epoch)
+	}
+	return sent.Epoch > m.Epoch, nil
+}
+
 // Change works out the membership that follows one, but for its epoch.
 type Change func(Membership) (Membership, error)
 
--- a/internal/system/core/store_membership.go
+++ b/internal/system/core/store_membership.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"errors"
+
 	"sedgevale/coord/membership"
 	"sedgevale/internal/system/result"
 )
@@ -24,25 +26,17 @@
 
 // admitMembership takes over the membership that a message brings, or refuses the message. The lock is held.
 func (s *store) admitMembership(sent membership.Membership) error {
-	if err := sent.Check(); err != nil {
+	install, err := s.membership.Meet(sent)
+	switch {
+	case errors.Is(err, membership.ErrOutdated):
+		return result.Errorf(result.EpochOutdated, "%w", err)
+	case errors.Is(err, membership.ErrDeployment):
+		return result.Errorf(result.WrongDeployment, "%w", err)
+	case err != nil:
 		return result.Errorf(result.MembershipInvalid, "%w", err)
-	}
-	known := s.membership
-	if known.Epoch > 0 && sent.Deployment != known.Deployment {
-		return result.Errorf(result.WrongDeployment, "of deployment %s, this is %s", sent.Deployment, known.Deployment)
-	}
-	if known.Epoch > 0 && len(sent.Seats) != len(known.Seats) {
-		return result.Errorf(result.MembershipInvalid, "%d seats came, %d are known", len(sent.Seats), len(known.Seats))
-	}
-	if sent.Epoch < known.Epoch {
-		return result.Errorf(result.EpochOutdated, "epoch %d came, %d is known", sent.Epoch, known.Epoch)
-	}
-	if sent.Epoch > known.Epoch {
+	case install:
 		return s.install(sent)
 	}
-	if !sent.Equal(known) {
-		return result.Errorf(result.MembershipInvalid, "another membership of epoch %d is known", known.Epoch)
-	}
 	return nil
 }
 
--- a/scripts/sitegen/main.go
+++ b/scripts/sitegen/main.go
@@ -47,6 +47,25 @@
 }
 
 var sites = []site{
+	{ // as many core machines as there are seats: no machine waits to take the place of another
+		name: "no-spare", zones: 3, coreZone: 1, bear: 1, holdMS: 6000, stopMS: 700, rack: 3, perSecond: 7,
+		services: []service{{"ledger", 3, 16000, 0}, {"lathe", 2, 32000, 8}},
+		queues: []queue{
+			{name: "post", service: "ledger", priority: 0, workMS: 600, width: 5, cpu: 250, share: 6, aimMS: 800},
+			{name: "close", service: "ledger", priority: 2, workMS: 3500, width: 9, cpu: 500, share: 0.4, aimMS: 4000, saves: 0.8},
+			{name: "turn", service: "lathe", priority: 1, workMS: 4500, width: 1.5, cpu: 15000, share: 0.3, aimMS: 1500, saves: 0.9, gpu: "[2, 8]", gang: true},
+			{name: "tail", service: "ledger", priority: 1, workMS: 400, width: 5, cpu: 500, share: 0.05, aimMS: 3000, lasts: true},
+		},
+	},
+	{ // two machines more than seats
+		name: "two-spares", zones: 5, coreZone: 1, bear: 1, holdMS: 10000, stopMS: 500, rack: 2, perSecond: 8,
+		services: []service{{"office", 2, 16000, 0}, {"yard", 1, 32000, 8}},
+		queues: []queue{
+			{name: "look", service: "office", priority: 0, workMS: 500, width: 5, cpu: 250, share: 6, aimMS: 800},
+			{name: "bill", service: "office", priority: 2, workMS: 3600, width: 10, cpu: 500, share: 0.4, aimMS: 4000, saves: 0.7},
+			{name: "haul", service: "yard", priority: 1, workMS: 5000, width: 2, cpu: 15000, share: 0.3, aimMS: 1500, saves: 0.9, gpu: "[2, 4]", gang: true},
+		},
+	},
 	{
 		name: "one-hall", zones: 1, coreZone: 3, bear: 1, holdMS: 4000, stopMS: 1500, rack: 64, perSecond: 6,
 		services: []service{{"press", 6, 16000, 0}},
