--- a/internal/system/core/core.go
+++ b/internal/system/core/core.go
@@ -57,6 +57,7 @@
 	if err != nil {
 		return err
 	}
+	defer store.log.Close()
 	c := &Core{
 		settings: s, logger: process.Logger, client: process.Client, store: store, address: s.InternalAddress(),
 		timing: node.Timing(s), started: time.Now(),
@@ -91,7 +92,6 @@
 	if context.Cause(ctx) != node.ErrKilled {
 		c.leave()
 	}
-	c.store.log.Close()
 	return nil
 }
 
--- a/internal/system/simulation/faults_test.go
+++ b/internal/system/simulation/faults_test.go
@@ -129,6 +129,16 @@
 
 // judge looks at the end whether all that was accepted is done.
 func (w *world) judge(t *testing.T, ids []string) {
+	t.Helper()
+	status, text := w.call("GET", "10.0.0.2:80", "/sedgevale/config", "", "", "")
+	if status != 200 || !strings.Contains(text, fmt.Sprintf(`"version":%d,`, w.version)) {
+		t.Errorf("CONFIG: version %d was acknowledged, read back %d %s", w.version, status, text)
+	}
+	w.judgeJobs(t, ids)
+}
+
+// judgeJobs looks whether all jobs are done, and nothing was done twice.
+func (w *world) judgeJobs(t *testing.T, ids []string) {
 	t.Helper()
 	done := 0
 	for _, id := range ids {
@@ -142,10 +152,6 @@
 		}
 		done++
 	}
-	status, text := w.call("GET", "10.0.0.2:80", "/sedgevale/config", "", "", "")
-	if status != 200 || !strings.Contains(text, fmt.Sprintf(`"version":%d,`, w.version)) {
-		t.Errorf("CONFIG: version %d was acknowledged, read back %d %s", w.version, status, text)
-	}
 	w.ledger.mu.Lock()
 	defer w.ledger.mu.Unlock()
 	for _, wrong := range w.ledger.wrong {
--- a/internal/system/simulation/network_test.go
+++ b/internal/system/simulation/network_test.go
@@ -65,6 +65,21 @@
 	}
 }
 
+// reset ends some of the connections of a machine, while calls are under way on them.
+func (f *fabric) reset(ip string, chosen func() bool) {
+	f.mu.Lock()
+	var closing []*conn
+	for c := range f.conns {
+		if (c.from.ip == ip || c.to.ip == ip) && chosen() {
+			closing = append(closing, c)
+		}
+	}
+	f.mu.Unlock()
+	for _, one := range closing {
+		_ = one.Close()
+	}
+}
+
 // cut stops what goes from one machine to another, or heals that.
 func (f *fabric) cut(from, to string, is bool) {
 	f.mu.Lock()
--- a/internal/system/simulation/world_test.go
+++ b/internal/system/simulation/world_test.go
@@ -29,10 +29,19 @@
 const (
 	service = "svc"
 	taskCPU = 500
-	cores   = 4 // three of them seeds, one a spare
+	cores   = 4 // of the usual shape: three of them seeds, one a spare
 	sides   = 3
 )
 
+// shape is how many core machines a system begins with, and how many of them it bears to lose at once.
+type shape struct {
+	cores, tolerance int
+}
+
+var firstSeeds = []string{"10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80"}
+
+var usualShape = shape{cores: cores, tolerance: 1}
+
 // machine is one machine of the system, through all its lives.
 type machine struct {
 	name   string
@@ -55,6 +64,10 @@
 	order    []string
 	workers  map[string]context.CancelFunc // by side machine
 	lives    int
+	shape    shape
+	seeds    []string // addresses of the settings files written from now on
+	added    int      // core machines so far
+	gone     map[string]bool
 	begun    time.Time
 	running  sync.WaitGroup
 
@@ -64,13 +77,16 @@
 	version  int64 // the newest that was acknowledged
 }
 
-func newWorld(t *testing.T, seed uint64) *world {
+func newWorld(t *testing.T, seed uint64) *world { return newShapedWorld(t, seed, usualShape) }
+
+func newShapedWorld(t *testing.T, seed uint64, shape shape) *world {
 	w := &world{
+		shape: shape, seeds: firstSeeds, gone: map[string]bool{},
 		t: t, fabric: newFabric(), random: rand.New(rand.NewPCG(seed, 11)), ledger: newLedger(),
 		machines: map[string]*machine{}, workers: map[string]context.CancelFunc{}, begun: time.Now(), accepted: map[string]bool{},
 	}
-	for i := range cores {
-		w.add("core", i, fmt.Sprintf("10.0.0.%d", i+1))
+	for range shape.cores {
+		w.addCore(true)
 	}
 	for i := range sides {
 		w.add("side", i, fmt.Sprintf("10.0.2.%d", i+1))
@@ -91,6 +107,56 @@
 	w.order = append(w.order, name)
 }
 
+// addCore adds a core machine with an empty disk and returns its name.
+func (w *world) addCore(boot bool) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.added++
+	w.add("core", w.added-1, fmt.Sprintf("10.0.0.%d", w.added))
+	name := "core" + strconv.Itoa(w.added-1)
+	w.machines[name].boot = boot
+	return name
+}
+
+// coreNames returns the core machines that are not gone for good.
+func (w *world) coreNames() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var names []string
+	for _, name := range w.order {
+		if w.machines[name].class == "core" && !w.gone[name] {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// anyCore returns one of the core machines, by lot.
+func (w *world) anyCore() *machine {
+	names := w.coreNames()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.machines[names[w.random.IntN(len(names))]]
+}
+
+// number returns a random number below most.
+func (w *world) number(most int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.random.IntN(most)
+}
+
+// turnSeeds has settings name other core machines from now on.
+func (w *world) turnSeeds() {
+	names := w.coreNames()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.seeds = nil
+	for _, i := range w.random.Perm(len(names))[:min(3, len(names))] {
+		w.seeds = append(w.seeds, w.machines[names[i]].ip+":80")
+	}
+}
+
 // note puts an event into a machine's column of the timeline.
 func (w *world) note(name, format string, args ...any) {
 	w.mu.Lock()
@@ -109,8 +175,8 @@
 func (w *world) settings(m *machine) *settings.Settings {
 	s := &settings.Settings{
 		Node: m.name, IP: m.ip, Zone: "z", MachineClass: m.class, PortRange: []int{7000, 7010}, Bootstrap: m.boot,
-		Seeds: []string{"10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80"}, Service: service, HeartbeatMS: 1500,
-		FaultTolerance: settings.FaultTolerance{Machines: 1}, DataDir: m.dir,
+		Seeds: slices.Clone(w.seeds), Service: service, HeartbeatMS: 1500,
+		FaultTolerance: settings.FaultTolerance{Machines: max(1, w.shape.tolerance)}, DataDir: m.dir,
 		Bounds: settings.Bounds{HoldMaxMS: 10000, StatusS: 120, GraceS: 6, FarX: 1.5},
 		BindAddrs: settings.BindAddrs{
 			Frontend: m.ip + ":90", Readiness: m.ip + ":91", ControlPlane: m.ip + ":80",
@@ -121,18 +187,20 @@
 
 // start begins another life of a machine's process.
 func (w *world) start(name string) {
+	w.mu.Lock()
 	m := w.machines[name]
 	m.host = w.fabric.host(m.ip)
+	process := node.NewProcess(w.settings(m), logr.Discard(), m.host.dial, m.host.listen)
+	w.mu.Unlock()
 	ctx, cancel := context.WithCancelCause(context.Background())
 	m.cancel = cancel
 	m.ended = make(chan struct{})
-	process := node.NewProcess(w.settings(m), logr.Discard(), m.host.dial, m.host.listen)
 	role := map[string]node.Role{"core": core.Run, "edge": edge.Run, "side": side.Run}[m.class]
 	ended := m.ended
 	w.running.Add(1)
 	go func() {
 		defer w.running.Done()
-		if err := role(ctx, process); err != nil {
+		if err := role(ctx, process); err != nil && context.Cause(ctx) != node.ErrKilled {
 			w.fail("%s ended by itself: %v", name, err)
 		}
 		process.Close()
@@ -144,22 +212,43 @@
 
 // kill ends a machine's process at once.
 func (w *world) kill(name string) {
-	m := w.machines[name]
+	m := w.machine(name)
 	m.host.kill()
 	m.cancel(node.ErrKilled)
 	w.note(name, "kill")
 	<-m.ended
 }
 
+// terminate ends a machine's process as a planned stop does, and waits for it within its grace.
+func (w *world) terminate(name string) {
+	m := w.machine(name)
+	w.note(name, "term")
+	m.cancel(nil)
+	select {
+	case <-m.ended:
+	case <-time.After(6 * time.Second):
+		w.fail("%s goes on beyond its grace", name)
+		w.kill(name)
+	}
+	m.host.kill()
+	w.note(name, "ended")
+}
+
+func (w *world) machine(name string) *machine {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.machines[name]
+}
+
 // wipe gives a dead machine an empty disk.
 func (w *world) wipe(name string) {
-	w.machines[name].dir = w.t.TempDir()
+	w.machine(name).dir = w.t.TempDir()
 	w.note(name, "wipe")
 }
 
 // tear damages the end of a dead machine's log, as a write that was under way when power went.
 func (w *world) tear(name string) {
-	logs, _ := filepath.Glob(filepath.Join(w.machines[name].dir, "log-*"))
+	logs, _ := filepath.Glob(filepath.Join(w.machine(name).dir, "log-*"))
 	if len(logs) == 0 {
 		return
 	}
@@ -174,16 +263,19 @@
 
 // startWorker begins another incarnation of the worker beside a side machine.
 func (w *world) startWorker(name string) {
+	w.mu.Lock()
 	m := w.machines[name]
 	w.lives++
 	ctx, cancel := context.WithCancel(context.Background())
 	w.workers[name] = cancel
+	life := w.lives
+	w.mu.Unlock()
 	h := w.fabric.host("w" + m.ip)
 	one := standin.New(standin.Options{
-		ID: fmt.Sprintf("i-%d", w.lives), Service: service, Side: m.ip + ":80", TaskCPU: taskCPU,
+		ID: fmt.Sprintf("i-%d", life), Service: service, Side: m.ip + ":80", TaskCPU: taskCPU,
 		Capacity: workeragent.Capacity{CPU: 8 * taskCPU}, Labels: []string{"k", "r1"},
 		ShortTask: 100 * time.Millisecond, LongTask: time.Second, FailOneIn: 30, ClockSlow: 0.02, Observer: w.ledger,
-		Random: rand.New(rand.NewPCG(uint64(w.lives), 5)),
+		Random: rand.New(rand.NewPCG(uint64(life), 5)),
 		Client: &http.Client{Transport: &http.Transport{DialContext: h.dial}},
 	})
 	w.running.Add(1)
@@ -192,26 +284,31 @@
 		one.Run(ctx)
 		h.kill()
 	}()
-	w.note(name, "worker %d", w.lives)
+	w.note(name, "worker %d", life)
 }
 
 // cut cuts a machine off from all core machines, or heals that.
 func (w *world) cut(name string, is, oneWay bool) {
-	m := w.machines[name]
-	for _, other := range w.machines {
-		if other.class == "core" && other != m {
-			w.fabric.cut(m.ip, other.ip, is)
-			if !oneWay || !is {
-				w.fabric.cut(other.ip, m.ip, is)
-			}
+	m := w.machine(name)
+	for _, other := range w.coreNames() {
+		if other != name {
+			w.cutLink(m.ip, w.machine(other).ip, is, oneWay)
 		}
 	}
 	w.note(name, "%s", map[bool]string{true: "cut", false: "heal"}[is])
 }
 
+// cutLink cuts what goes from one address to another, and back too unless it is one way, or heals both.
+func (w *world) cutLink(from, to string, is, oneWay bool) {
+	w.fabric.cut(from, to, is)
+	if !oneWay || !is {
+		w.fabric.cut(to, from, is)
+	}
+}
+
 // cutWorker cuts a worker off from its side machine, or heals that.
 func (w *world) cutWorker(name string, is bool) {
-	m := w.machines[name]
+	m := w.machine(name)
 	w.fabric.cut("w"+m.ip, m.ip, is)
 	w.fabric.cut(m.ip, "w"+m.ip, is)
 	w.note(name, "%s", map[bool]string{true: "w-cut", false: "w-heal"}[is])
@@ -246,7 +343,7 @@
 		`"target_latency_ms":1000,"priority":0,"service":%q,"retries":20,"extension":2}],"services":[{"name":%q}]}`,
 		version, service, service)
 	for range 40 {
-		m := w.machines["core"+strconv.Itoa(w.random.IntN(cores))]
+		m := w.anyCore()
 		status, _ := w.call(http.MethodPut, m.ip+":80", "/sedgevale/config", "", strconv.FormatInt(on, 10), body)
 		switch {
 		case status == http.StatusOK:
@@ -306,7 +403,7 @@
 		cancel()
 	}
 	for _, name := range w.order {
-		m := w.machines[name]
+		m := w.machine(name)
 		m.host.kill()
 		m.cancel(node.ErrKilled)
 	}
