Let learners count for nothing in shards, and repairs only after a quorum's word

Cause, by argument: a learner's acknowledgement made a quorum of a shard, though a rival membership made on the same one may go on without it, with the member that it replaced. And an owner that was deposed without knowing it could make a voter of a new replica whose disk had not yet heard of the newer token. Change: owners count voters alone; a repair makes a voter only of a replica that has heard a quorum, and what was repaired before counts only if no newer token is told.

--- a/coord/shard/primary.go
+++ b/coord/shard/primary.go
@@ -13,16 +13,18 @@
 }
 
 type peer struct {
+	votes   bool // its acknowledgements count
 	inStep  bool
 	acked   int64 // all changes up to this one are stored there
 	pending map[string]bool
 }
 
-// NewPrimary returns the owner's state over a merged set of records.
+// NewPrimary returns the owner's state over a merged set of records. All replicas vote until SetVoter says otherwise.
 func NewPrimary(token int64, set *Set, replicas, quorum int) *Primary {
 	p := &Primary{Token: token, Set: set, quorum: quorum, peers: make([]peer, replicas)}
 	for i := range p.peers {
 		p.peers[i].pending = map[string]bool{}
+		p.peers[i].votes = true
 	}
 	return p
 }
@@ -93,16 +95,21 @@
 	p.peers[replica].acked = max(p.peers[replica].acked, sequence)
 }
 
+// SetVoter notes whether what a replica stores counts. A learner is kept in step and counts for nothing.
+func (p *Primary) SetVoter(replica int, votes bool) { p.peers[replica].votes = votes }
+
 // Holds reports whether a replica stores all changes up to one.
 func (p *Primary) Holds(replica int, sequence int64) bool {
 	return p.peers[replica].inStep && p.peers[replica].acked >= sequence
 }
 
-// Committed returns the number of the change up to which a majority stores all.
+// Committed returns the number of the change up to which a quorum of voters stores all.
 func (p *Primary) Committed() int64 {
 	acked := make([]int64, len(p.peers))
 	for i, one := range p.peers {
-		acked[i] = one.acked
+		if one.votes {
+			acked[i] = one.acked
+		}
 	}
 	slices.Sort(acked)
 	return acked[len(acked)-p.quorum]
--- a/coord/shard/replica.go
+++ b/coord/shard/replica.go
@@ -132,11 +132,14 @@
 	Sealed  int64 // the highest fencing token that was met
 	InStep  int64 // the token of the owner whose whole state it has; 0 for none
 	Repairs int64 // the number of that owner's last repair
-	Voter   bool  // false while its disk is new: it may have forgotten what its slot once stored
+	Voter   bool  // false while it may have forgotten what its seat once stored
+	Trusted bool  // a quorum has told its disk which tokens there are: from then on a repair makes it a voter
 }
 
-// NewReplica returns an empty replica. One on a disk that was never lost votes at once.
-func NewReplica(voter bool) *Replica { return &Replica{Set: NewSet(), Voter: voter} }
+// NewReplica returns an empty replica. On a disk that knows of all shards that there are it votes at once.
+func NewReplica(trusted bool) *Replica {
+	return &Replica{Set: NewSet(), Voter: trusted, Trusted: trusted}
+}
 
 // Seal turns down all lower tokens from now on. It reports whether the token was high enough.
 func (r *Replica) Seal(token int64) bool {
@@ -172,9 +175,19 @@
 // Forget notes that this replica may have missed anything from now on: it counts again once an owner has repaired it.
 func (r *Replica) Forget() {
 	r.Voter = false
+	r.Trusted = false
 	r.InStep = 0
 }
 
+// Trust notes the highest token that a quorum has told. A replica that the owner with that token, or a later one, has
+// repaired before is a voter from now on; a repair by an earlier owner, which may have been deposed without knowing
+// it, made it none.
+func (r *Replica) Trust(token int64) {
+	r.Seal(token)
+	r.Trusted = true
+	r.Voter = r.InStep > 0 && r.InStep >= token
+}
+
 // Range is all records of one key range.
 type Range struct {
 	Bucket  int64
@@ -194,7 +207,7 @@
 	r.Copy(ranges)
 	if last {
 		r.InStep = token
-		r.Voter = true
+		r.Voter = r.Voter || r.Trusted
 	}
 	return true
 }
--- a/coord/shard/shard_test.go
+++ b/coord/shard/shard_test.go
@@ -53,6 +53,7 @@
 	}
 	p := NewPrimary(2, set, 3, 2)
 	replica := NewReplica(false)
+	replica.Trust(1)
 	replica.Set.Apply(record("a", 1, 1))
 	replica.Set.Apply(record("stale", 1, 9)) // was never acknowledged by a majority
 	ranges, upTo := p.BeginRepair(0, replica.Set.Digests())
@@ -138,3 +139,45 @@
 		t.Error("the first repair of the next owner was turned down")
 	}
 }
+
+// A learner is kept in step and counts for nothing: a rival membership may yet go on without it.
+func TestLearnerCountsForNothing(t *testing.T) {
+	p := NewPrimary(1, NewSet(), 3, 2)
+	p.SetVoter(0, false)
+	for replica := range 3 {
+		p.BeginRepair(replica, NewSet().Digests())
+	}
+	n := p.Put("key", []byte("v"))
+	p.Acked(0, n)
+	p.Acked(1, n)
+	if p.Committed() >= n || !p.Holds(0, n) {
+		t.Error("a learner's acknowledgement made a quorum")
+	}
+	p.SetVoter(0, true)
+	if p.Committed() != n {
+		t.Error("what a learner stored does not count once it votes")
+	}
+}
+
+// An owner that was deposed without knowing it repairs a new replica, before the replica's disk has heard of the newer one
+// from a quorum: what it brought may lack what the newer owner committed.
+func TestRepairByADeposedOwnerMakesNoVoter(t *testing.T) {
+	replica := NewReplica(true)
+	replica.Forget()
+	if !replica.Repair(3, 1, nil, true) || replica.Voter {
+		t.Error("a repair made a voter of a replica whose disk has heard no quorum yet")
+	}
+	replica.Trust(4)
+	if replica.Voter || replica.Repair(3, 2, nil, true) {
+		t.Error("it votes with the state of an owner that was deposed")
+	}
+	if !replica.Repair(4, 1, nil, true) || !replica.Voter {
+		t.Error("it does not vote after the repair by the newer owner")
+	}
+	again := NewReplica(false)
+	again.Repair(3, 1, nil, true)
+	again.Trust(3)
+	if !again.Voter {
+		t.Error("a repair by the newest owner is not remembered")
+	}
+}
--- a/internal/system/core/owner.go
+++ b/internal/system/core/owner.go
@@ -77,6 +77,7 @@
 	o.book = jobs.New(options, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	for i, member := range m.Seats {
 		o.links = append(o.links, &link{seat: i, member: member, wake: make(chan struct{}, 1)})
+		o.primary.SetVoter(i, member.Voter)
 	}
 	return o
 }
@@ -111,7 +112,7 @@
 func (o *owner) freshLocked() bool {
 	var times []time.Time
 	for _, l := range o.links {
-		if !l.confirmed.IsZero() {
+		if l.member.Voter && !l.confirmed.IsZero() {
 			times = append(times, l.confirmed)
 		}
 	}
@@ -124,7 +125,7 @@
 	defer o.mu.Unlock()
 	n := int64(0)
 	for _, l := range o.links {
-		if l.ready && !leaving[l.member.Address] && o.primary.Holds(l.seat, o.committed) {
+		if l.ready && l.member.Voter && !leaving[l.member.Address] && o.primary.Holds(l.seat, o.committed) {
 			n++
 		}
 	}
--- a/internal/system/core/ownership.go
+++ b/internal/system/core/ownership.go
@@ -162,9 +162,9 @@
 	return record.Token, err
 }
 
-// sealAll has a quorum of the replicas that have forgotten nothing of the shard turn down all earlier owners.
+// sealAll has a quorum of the voters that have forgotten nothing of the shard turn down all earlier owners.
 func (c *Core) sealAll(m membership.Membership, name string, token int64) (map[int]*sealResponse, error) {
-	answers, count := broadcast(c, m, m.Filled(), methodSeal, c.store.seal, func(to target) *sealRequest {
+	answers, count := broadcast(c, m, m.Voters(), methodSeal, c.store.seal, func(to target) *sealRequest {
 		return &sealRequest{To: to, Shard: name, Token: token}
 	})
 	sealed := map[int]*sealResponse{}
--- a/internal/system/core/replication.go
+++ b/internal/system/core/replication.go
@@ -97,13 +97,18 @@
 func (o *owner) followMembership(l *link) membership.Membership {
 	m := o.core.store.currentMembership()
 	member := m.Seats[l.seat]
-	if member.ID == l.member.ID && member.Since == l.member.Since {
+	if member == l.member {
 		return m
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.primary.Lost(l.seat)
+	same := member.ID == l.member.ID && member.Since == l.member.Since
 	l.member = member
+	o.primary.SetVoter(l.seat, member.Voter)
+	if same {
+		return m // a learner that votes by now; it is in step as it was
+	}
+	o.primary.Lost(l.seat)
 	l.counts, l.ready, l.confirmed = false, false, time.Time{}
 	return m
 }
--- a/internal/system/core/store.go
+++ b/internal/system/core/store.go
@@ -37,6 +37,7 @@
 	entryRepair
 	entryReplica
 	entryCopy
+	entryTrust
 )
 
 // entry is one durable step of a core scheduler.
@@ -183,16 +184,19 @@
 		s.replica(e.Name).Repair(e.Token, e.Number, e.Ranges, e.Flag)
 	case entryCopy:
 		s.replica(e.Name).Copy(e.Ranges)
+	case entryTrust:
+		s.replica(e.Name).Trust(e.Token)
 	case entryReplica:
-		s.replicas[e.Name] = replicaOf(e)
+		s.replicas[e.Name] = replicaOf(e, s.identity.Restored)
 	default:
 		return fmt.Errorf("core: entry of unknown kind %d", e.Kind)
 	}
 	return nil
 }
 
-func replicaOf(e *entry) *shard.Replica {
-	replica := shard.NewReplica(e.Flag)
+func replicaOf(e *entry, trusted bool) *shard.Replica {
+	replica := shard.NewReplica(trusted)
+	replica.Voter = e.Flag
 	replica.Sealed = e.Token
 	replica.InStep = e.InStep
 	replica.Repairs = e.Number
--- a/internal/system/core/store_registers.go
+++ b/internal/system/core/store_registers.go
@@ -109,15 +109,22 @@
 		return result.Errorf(result.EpochOutdated, "the seat was lost since epoch %d", epoch)
 	}
 	var entries []*entry
+	tokens := map[string]int64{}
 	for _, one := range learned {
 		for name, a := range one.Registers {
 			s.acceptor(name).Restore(a)
 		}
 		for name, token := range one.Shards {
-			s.replica(name).Seal(token)
-			entries = append(entries, &entry{Kind: entrySeal, Name: name, Token: token})
+			tokens[name] = max(tokens[name], token)
 		}
 	}
+	for name := range s.replicas {
+		tokens[name] = max(tokens[name], 0)
+	}
+	for name, token := range tokens {
+		s.replica(name).Trust(token)
+		entries = append(entries, &entry{Kind: entryTrust, Name: name, Token: token})
+	}
 	for name := range s.registers {
 		entries = append(entries, s.registerEntry(name))
 	}
