Remember orders by the version they build on; tell voters no value twice; test calls

Cause: an order sent again after 256 changes was refused; what a voter had accepted was sent to it once more when it was chosen; nothing showed that the HTTP library repeats no call. The word that a value was chosen leaves the value out for voters. Tests of internal/system/rpc: a call whose connection is closed, reset or cut short after the request was read is made once; a late answer reaches nobody. Measured: 612 orders in a row, each sent again: 512 acknowledged, 100 left open, none refused (test); register 12 KB at most.

--- a/internal/system/core/config.go
+++ b/internal/system/core/config.go
@@ -2,7 +2,7 @@
 
 import (
 	"crypto/sha256"
-	"encoding/hex"
+	"encoding/binary"
 	"time"
 
 	"sedgevale/internal/avrocodec"
@@ -10,8 +10,9 @@
 	"sedgevale/internal/system/result"
 )
 
-// historyLength is how many changes are remembered, so that one that is sent again is told from a new one.
-const historyLength = 256
+// historyLength is how many changes are remembered, so that one that is sent again is told from a new one. An order that
+// builds on a version from before them is left without a clear answer: it may have been taken.
+const historyLength = 512
 
 // pastConfigs is how many earlier configurations are kept, to tell subscribers just what differs.
 const pastConfigs = 8
@@ -25,8 +26,8 @@
 
 // appliedChange names a change that was taken.
 type appliedChange struct {
-	Version int64
-	Digest  string
+	Base   int64 // the version that it built on
+	Digest int64 // of the order
 }
 
 // configState is the newest configuration that this scheduler knows to be chosen.
@@ -41,7 +42,7 @@
 	patch  bool
 	match  int64 // the version that it builds on
 	body   []byte
-	digest string
+	digest int64
 }
 
 func newOperatorChange(patch bool, match int64, body []byte) *operatorChange {
@@ -50,7 +51,7 @@
 		hash.Write([]byte("patch "))
 	}
 	hash.Write(body)
-	return &operatorChange{patch: patch, match: match, body: body, digest: hex.EncodeToString(hash.Sum(nil)[:16])}
+	return &operatorChange{patch: patch, match: match, body: body, digest: int64(binary.LittleEndian.Uint64(hash.Sum(nil)))}
 }
 
 // apply is the compare-and-swap: it returns the register's next value, or why there is none. A change that
@@ -70,7 +71,7 @@
 	text := o.body
 	if o.patch {
 		if o.match != record.Version || record.Version == 0 {
-			return nil, o.conflict(record.Version)
+			return nil, o.conflict(&record)
 		}
 		patched, err := opconfig.Apply(record.Text, o.body)
 		if err != nil {
@@ -86,20 +87,26 @@
 		return nil, result.Errorf(result.Invalid, "configuration: %w", err)
 	}
 	if o.match != record.Version {
-		return nil, o.conflict(record.Version)
+		return nil, o.conflict(&record)
 	}
 	if config.Version <= record.Version {
 		return nil, result.Errorf(result.Invalid, "version: %d is not above %d", config.Version, record.Version)
 	}
-	history := append(record.History, appliedChange{config.Version, o.digest})
+	history := append(record.History, appliedChange{o.match, o.digest})
 	if len(history) > historyLength {
 		history = history[len(history)-historyLength:]
 	}
 	return avrocodec.Encode(&configRecord{Version: config.Version, Text: text, History: history})
 }
 
-func (o *operatorChange) conflict(version int64) error {
-	return result.Errorf(result.Conflict, "If-Match: version %d is current, %d came", version, o.match)
+// conflict is the answer to an order that builds on another version than the current one. Of a version from before the
+// history it is not known which order was taken on it.
+func (o *operatorChange) conflict(record *configRecord) error {
+	if len(record.History) == historyLength && o.match < record.History[0].Base {
+		return result.Errorf(result.OutcomeUnknown, "If-Match: version %d is current; what was taken on %d is not known any more",
+			record.Version, o.match)
+	}
+	return result.Errorf(result.Conflict, "If-Match: version %d is current, %d came", record.Version, o.match)
 }
 
 // useConfig takes a newer configuration. The lock is held.
--- a/internal/system/core/config_test.go
+++ b/internal/system/core/config_test.go
@@ -123,3 +123,35 @@
 		t.Errorf("error %v", err)
 	}
 }
+
+// Point 4: an order that is sent again is acknowledged again after hundreds of changes, and never refused after more.
+func TestOldOrdersAreNeverRefused(t *testing.T) {
+	var current []byte
+	var orders []*operatorChange
+	for version := range historyLength + 100 {
+		order := newOperatorChange(false, int64(version), []byte(whole(version+1, "")))
+		next, err := order.apply(current)
+		if err != nil {
+			t.Fatal(err)
+		}
+		current = next
+		orders = append(orders, order)
+	}
+	for i, order := range orders {
+		next, err := order.apply(current)
+		if i >= 100 {
+			if err != nil || string(next) != string(current) {
+				t.Fatalf("order %d of %d, sent again: %v", i, len(orders), err)
+			}
+		} else if result.CodeOf(err) != result.OutcomeUnknown {
+			t.Fatalf("order %d of %d, sent again: %v", i, len(orders), err)
+		}
+	}
+	rival := newOperatorChange(false, historyLength, []byte(whole(historyLength+1, route("a", "/a/"))))
+	if _, err := rival.apply(current); result.CodeOf(err) != result.Conflict {
+		t.Errorf("another order on a version that is remembered: %v", err)
+	}
+	if len(current) > 12<<10 {
+		t.Errorf("the register holds %d bytes", len(current))
+	}
+}
--- a/internal/system/core/proposer.go
+++ b/internal/system/core/proposer.go
@@ -25,7 +25,7 @@
 	rpc.Handle(server, methodAccept, c.store.accept)
 	rpc.Handle(server, methodPeek, c.store.peek)
 	rpc.Handle(server, methodLearn, func(_ context.Context, r *learnRequest) (*empty, error) {
-		return &empty{}, c.learn(r.Name, r.Ballot, r.Value)
+		return &empty{}, c.onLearn(r)
 	})
 }
 
@@ -198,8 +198,24 @@
 	c.counter = max(c.counter, counter)
 }
 
-// tell lets the other core schedulers know a value that was chosen.
+// onLearn takes the word that a value was chosen. Voters that have accepted it know it, and are not told it again.
+func (c *Core) onLearn(r *learnRequest) error {
+	value := r.Value
+	if len(value) == 0 {
+		value = c.store.acceptedValue(r.Name, r.Ballot)
+	}
+	if len(value) > 0 {
+		return c.learn(r.Name, r.Ballot, value)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readSoon(r.Name) // the message that brought it here is late or lost
+	return nil
+}
+
+// tell lets the other core schedulers know a value that was chosen, those without it the value too.
 func (c *Core) tell(name string, ballot register.Ballot, value []byte) {
+	m := c.store.currentMembership()
 	ctx, cancel := context.WithTimeout(context.Background(), roundTimeout)
 	defer cancel()
 	c.mu.Lock()
@@ -209,7 +225,11 @@
 	for _, address := range targets {
 		go func() {
 			if address != c.address {
-				_ = c.client.Call(ctx, address, methodLearn, &learnRequest{name, ballot, value}, &empty{})
+				request := &learnRequest{Name: name, Ballot: ballot, Value: value}
+				if seat := m.SeatAt(address); seat >= 0 && m.Seats[seat].Voter && name != membershipRegister {
+					request.Value = nil
+				}
+				_ = c.client.Call(ctx, address, methodLearn, request, &empty{})
 			}
 			done <- struct{}{}
 		}()
--- a/internal/system/core/store_registers.go
+++ b/internal/system/core/store_registers.go
@@ -141,6 +141,16 @@
 	return wait(ctx, ticket, err)
 }
 
+// acceptedValue returns the value that this replica has accepted under a ballot, or nil.
+func (s *store) acceptedValue(name string, ballot register.Ballot) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a := s.registers[name]; a != nil && a.Accepted == ballot {
+		return a.Value
+	}
+	return nil
+}
+
 // accepted returns the last accepted ballot of each register but the membership's: a membership that was accepted and
 // never chosen must not be finished by those who just look.
 func (s *store) accepted() map[string]register.Ballot {
--- /dev/null
+++ b/internal/system/rpc/rpc_test.go
@@ -0,0 +1,133 @@
+package rpc
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"sedgevale/internal/avrocodec"
+	"sedgevale/internal/system/result"
+)
+
+type word struct{ Text string }
+
+// peer is a process that reads requests and answers as a test says.
+func peer(t *testing.T, serve func(n int64, c net.Conn)) (address string, requests *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	requests = &atomic.Int64{}
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					serve(requests.Add(1), c)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String(), requests
+}
+
+func answer(t *testing.T, c net.Conn, text string) {
+	body, err := avrocodec.Encode(&word{text})
+	if err != nil {
+		t.Error(err)
+	}
+	response := http.Response{StatusCode: http.StatusOK, ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body))}
+	_ = response.Write(c)
+}
+
+// Point 5: a call on a connection that was idle, and that the other side ends once it has read the request, is made once; the
+// HTTP library's own repeats do not come about.
+func TestCallIsNeverRepeated(t *testing.T) {
+	endings := map[string]func(c net.Conn){
+		"closed": func(c net.Conn) { c.Close() },
+		"reset": func(c net.Conn) {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		},
+		"cut short": func(c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\nhalf")
+			c.Close()
+		},
+	}
+	for name, end := range endings {
+		t.Run(name, func(t *testing.T) {
+			address, requests := peer(t, func(n int64, c net.Conn) {
+				if n == 1 {
+					answer(t, c, "first")
+					return
+				}
+				end(c)
+			})
+			client := NewClient(DialTCP())
+			defer client.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			got := &word{}
+			if err := client.Call(ctx, address, "m", &word{"ask"}, got); err != nil || got.Text != "first" {
+				t.Fatal(got, err)
+			}
+			err := client.Call(ctx, address, "m", &word{"ask"}, &word{})
+			if result.CodeOf(err) != result.TransportFailed || result.Unchanged(err) {
+				t.Errorf("error %v; the call may have been acted on", err)
+			}
+			if requests.Load() != 2 {
+				t.Errorf("%d requests for two calls", requests.Load())
+			}
+		})
+	}
+}
+
+// Point 5: an answer that comes after its caller has given up reaches nobody, and no other call.
+func TestLateAnswerReachesNobody(t *testing.T) {
+	given := make(chan struct{})
+	address, requests := peer(t, func(n int64, c net.Conn) {
+		if n == 1 {
+			<-given
+			answer(t, c, "late")
+			return
+		}
+		answer(t, c, "second")
+	})
+	client := NewClient(DialTCP())
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	if err := client.Call(ctx, address, "m", &word{"one"}, &word{}); result.CodeOf(err) != result.TransportFailed {
+		t.Errorf("error %v", err)
+	}
+	close(given)
+	for range 20 {
+		next, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		got := &word{}
+		if err := client.Call(next, address, "m", &word{"two"}, got); err != nil || got.Text != "second" {
+			t.Errorf("%q came, %v", got.Text, err)
+		}
+		cancel()
+	}
+	if requests.Load() != 21 {
+		t.Errorf("%d requests for 21 calls", requests.Load())
+	}
+}
