--- a/coord/register/register.go
+++ b/coord/register/register.go
@@ -62,12 +62,6 @@
 	return true
 }
 
-// Fence promises a ballot above all that were seen, so that nothing which is still on its way to this
-// acceptor takes effect. A replica that lost its disk asks others for it.
-func (a *Acceptor) Fence(proposer string) {
-	a.Promised = Ballot{Counter: a.Promised.Counter + 1, Proposer: proposer}
-}
-
 // Restore takes over what another acceptor of the register holds, as far as it is newer.
 func (a *Acceptor) Restore(other Acceptor) {
 	if a.Promised.Less(other.Promised) {
--- a/coord/register/register_test.go
+++ b/coord/register/register_test.go
@@ -38,15 +38,6 @@
 	}
 }
 
-func TestFenceVoidsWhatIsOnItsWay(t *testing.T) {
-	a := &Acceptor{}
-	a.Prepare(Ballot{7, "p"}, Ballot{})
-	a.Fence("new disk")
-	if a.Accept(Ballot{7, "p"}, []byte("late")) {
-		t.Error("an acceptance from before the fence took effect")
-	}
-}
-
 func TestRoundFailsWithoutAMajority(t *testing.T) {
 	r := NewRound(Ballot{1, "p"}, 3, 2, Ballot{}, nil)
 	r.OnPromise(0, Promise{Promised: Ballot{9, "q"}})
--- a/jobs/report.go
+++ b/jobs/report.go
@@ -262,13 +262,3 @@
 
 // Worker returns a worker by its name, or nil.
 func (b *Book) Worker(ref string) *Worker { return b.workers[ref] }
-
-// Workers returns how many workers are known and how many of them take tasks.
-func (b *Book) Workers() (known, ready int) {
-	for _, w := range b.workers {
-		if w.State == Ready {
-			ready++
-		}
-	}
-	return len(b.workers), ready
-}
