--- a/internal/system/core/config.go
+++ b/internal/system/core/config.go
@@ -35,6 +35,8 @@
 	record configRecord
 	config *opconfig.Config
 	table  *opconfig.Table
+
+	patches map[int64][]byte // that make it of earlier versions, as far as anybody asked; nil for one that is not possible
 }
 
 // operatorChange is an operator's order.
@@ -111,7 +113,7 @@
 
 // useConfig takes a newer configuration. The lock is held.
 func (c *Core) useConfig(value []byte) {
-	state := &configState{}
+	state := &configState{patches: map[int64][]byte{}}
 	if err := avrocodec.Decode(value, &state.record); err != nil {
 		c.logger.Error(err, "configuration cannot be read")
 		return
--- a/internal/system/core/watch.go
+++ b/internal/system/core/watch.go
@@ -56,15 +56,19 @@
 }
 
 // configSince returns the configuration as a patch on a version, where that is known here and the patch is shorter,
-// else whole. The lock is held.
+// else whole. Each patch is worked out once. The lock is held.
 func (c *Core) configSince(version int64) (text []byte, base int64) {
 	whole := c.config.record.Text
 	for _, past := range c.past {
 		if past.Version != version {
 			continue
 		}
-		patch, ok := opconfig.Difference(past.Text, whole)
-		if ok && len(patch) < len(whole) {
+		patch, known := c.config.patches[version]
+		if !known {
+			patch, _ = opconfig.Difference(past.Text, whole)
+			c.config.patches[version] = patch
+		}
+		if len(patch) > 0 && len(patch) < len(whole) {
 			return patch, version
 		}
 	}
--- a/internal/system/opconfig/opconfig_test.go
+++ b/internal/system/opconfig/opconfig_test.go
@@ -1,9 +1,13 @@
 package opconfig
 
 import (
+	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"reflect"
+	"slices"
+	"strings"
 	"testing"
 )
 
@@ -83,3 +87,71 @@
 		}
 	}
 }
+
+// A difference, applied to the text before, makes the text after, for random changes of named items.
+func TestDifferenceIsAppliedBack(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 9))
+	text := func(version int, items map[string]int) []byte {
+		var routes []string
+		for _, name := range slices.Sorted(maps.Keys(items)) {
+			routes = append(routes, fmt.Sprintf(`{"name":%q,"n":%d, "inner":{"name":"x","list":[1,{"a":"]}"}]}}`, name, items[name]))
+		}
+		return fmt.Appendf(nil, `{"version":%d, "other":{"kept":true},"routes":[%s],"limits":{"max_body_bytes":%d}}`,
+			version, strings.Join(routes, ", "), version)
+	}
+	items := map[string]int{}
+	before := text(1, items)
+	for version := 2; version < 300; version++ {
+		for range random.IntN(4) {
+			name := fmt.Sprint("r-\"", random.IntN(30))
+			if random.IntN(3) == 0 {
+				delete(items, name)
+			} else {
+				items[name] = random.IntN(5)
+			}
+		}
+		after := text(version, items)
+		patch, ok := Difference(before, after)
+		if !ok {
+			t.Fatalf("no patch from %s to %s", before, after)
+		}
+		got, err := Apply(before, patch)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !sameItems(t, got, after) {
+			t.Fatalf("%s\nwith %s\nmakes %s", before, patch, got)
+		}
+		before = got
+	}
+}
+
+// sameItems compares two texts, but for the order of items.
+func sameItems(t *testing.T, a, b []byte) bool {
+	read := func(text []byte) map[string]any {
+		var whole map[string]any
+		if err := json.Unmarshal(text, &whole); err != nil {
+			t.Fatalf("%s: %v", text, err)
+		}
+		byName := map[string]any{}
+		for _, one := range whole["routes"].([]any) {
+			byName[one.(map[string]any)["name"].(string)] = one
+		}
+		whole["routes"] = byName
+		return whole
+	}
+	return reflect.DeepEqual(read(a), read(b))
+}
+
+func TestBadPatchesAreRefused(t *testing.T) {
+	good := []byte(`{"version":1,"routes":[{"name":"a"}]}`)
+	for _, bad := range []string{
+		``, `[]`, `{`, `{"version":2`, `{"version":2}}`, `{"upsert":{}}`, `{"version":2,"upsert":[]}`, `{"version":2,"upsert":{"routes":{}}}`,
+		`{"version":2,"upsert":{"routes":[{"name":7}]}}`, `{"version":2,"upsert":{"routes":[7]}}`, `{"version":2,"remove":{"routes":"a"}}`,
+		`{"version":2,"upsert":{"routes":[{"host":"h"}]}}`, `{"version":2,"remove":["a"]}`, `{"version":2,"upsert":{"routes":[{"name":"b"},]}}`,
+	} {
+		if got, err := Apply(good, []byte(bad)); err == nil {
+			t.Errorf("%s makes %s", bad, got)
+		}
+	}
+}
--- a/internal/system/simulation/overlap_test.go
+++ b/internal/system/simulation/overlap_test.go
@@ -97,13 +97,14 @@
 	return t
 }
 
-// whenCalm does something while no machine is in trouble, but for those that catch up.
+// whenCalm does something to all machines while none is in trouble, but for those that catch up; then all catch up.
 func (t *troubled) whenCalm(do func()) {
 	<-t.all
 	for range cap(t.tokens) {
 		<-t.tokens
 	}
 	do()
+	time.Sleep(catchUp)
 	for range cap(t.tokens) {
 		t.tokens <- true
 	}
