--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run torture powercut faults changes simulate mutations system sites
+.PHONY: build test lint run torture powercut faults changes simulate model mutations system sites
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -45,6 +45,12 @@
 simulate:
 	go test -count=1 -timeout 0 ./internal/system/simulation -args -seeds $(SIM_SEEDS) -first $(SEED)
 
+# Register and membership through all interleavings of small scopes, and at random beyond: some minutes, some GB.
+MODEL_STATES ?= 1500000
+MODEL_SEEDS ?= 300000
+model:
+	go test -count=1 -timeout 0 -v -parallel 2 ./coord/membership -run TestModel -args -model.states $(MODEL_STATES) -model.seeds $(MODEL_SEEDS)
+
 # Breaks the system on purpose, one way at a time, and says which tests notice.
 mutations:
 	scripts/mutations.sh
