Have a leaving member wait for the word of owners that knew of it

Cause, by reading: a claim from before the goodbye counts the leaving member among those in step, so that it could end while just one other held what was committed. Change: only claims in answers to pings that told of the goodbye count. Measured: TestLeavingMemberWaitsForNewWord fails without it; tests of core and simulation pass.

--- a/internal/system/core/core.go
+++ b/internal/system/core/core.go
@@ -41,6 +41,8 @@
 	leaving  bool
 	reading  map[string]bool
 	takeover map[string]time.Time // when an attempt may be made again
+
+	leavingSince time.Time // when this scheduler was told to end
 }
 
 // chosen is a register's value that a majority has accepted.
--- a/internal/system/core/leaving.go
+++ b/internal/system/core/leaving.go
@@ -9,6 +9,7 @@
 	leaveAtMost = 2500 * time.Millisecond
 	leavePause  = 40 * time.Millisecond
 	lastPings   = 300 * time.Millisecond
+	toldAfter   = 10 * time.Millisecond // a ping sent so long after the decision to leave tells of it
 )
 
 // closeOwners ends what this scheduler owns, for good.
@@ -16,6 +17,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.leaving = true
+	c.leavingSince = time.Now()
 	for _, o := range c.owners {
 		o.close()
 	}
@@ -65,12 +67,12 @@
 	return true
 }
 
-// inStepOf returns how many members that stay hold all that was committed of a shard, by the word of its owner. The lock is
-// held.
+// inStepOf returns how many members that stay hold all that was committed of a shard, by the word of an owner that knew when
+// it gave it that this scheduler leaves. The lock is held.
 func (c *Core) inStepOf(shard string) int64 {
 	newest := claim{}
 	for _, p := range c.peers {
-		if !p.alive() {
+		if !p.alive() || p.heard.Before(c.leavingSince.Add(toldAfter)) {
 			continue
 		}
 		for _, one := range p.last.Claims {
--- /dev/null
+++ b/internal/system/core/leaving_test.go
@@ -0,0 +1,57 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"sedgevale/coord/membership"
+	"sedgevale/internal/system/opconfig"
+)
+
+// A member that leaves waits for the word of an owner that knew of it: before, the owner counted the leaving one too.
+func TestLeavingMemberWaitsForNewWord(t *testing.T) {
+	s := newSite(t)
+	since := time.Now().Add(-time.Second / 2)
+	c := &Core{address: "a", store: s.stores["a"], peers: map[string]*peerState{}, leaving: true, leavingSince: since}
+	c.config = &configState{config: &opconfig.Config{Services: []opconfig.Service{{Name: "s"}}}}
+	hear := func(address string, after time.Duration, claims ...claim) {
+		c.peers[address] = &peerState{known: true, heard: since.Add(after), last: pingMessage{Address: address, Claims: claims}}
+	}
+	owned := func(inStep int64) claim { return claim{Shard: "s", Token: 2, Fresh: true, InStep: inStep} }
+	cases := []struct {
+		name  string
+		heard time.Duration
+		in    int64
+		want  bool
+	}{
+		{"the owner's word is from before", -time.Millisecond, 2, false},
+		{"one that stays is not in step", 100 * time.Millisecond, 1, false},
+		{"all that stay are in step", 100 * time.Millisecond, 2, true},
+	}
+	for _, one := range cases {
+		hear("b", one.heard, owned(one.in))
+		hear("c", one.heard)
+		if got := c.released(); got != one.want {
+			t.Errorf("%s: released %t", one.name, got)
+		}
+	}
+	hear("d", 100*time.Millisecond)
+	if c.released() {
+		t.Error("it ends before the machine that came for it has its seat")
+	}
+	d := s.stores["b"].currentMembership()
+	next, err := membership.Next(d, d, membership.Admit(d.SeatAt("a"), "x", "d"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.store.learnMembership(next); err != nil {
+		t.Fatal(err)
+	}
+	if c.released() {
+		t.Error("it ends before its successor is in step")
+	}
+	hear("b", 100*time.Millisecond, owned(3))
+	if !c.released() {
+		t.Error("it goes on though all that stay are in step")
+	}
+}
