--- a/internal/system/simulation/faults_test.go
+++ b/internal/system/simulation/faults_test.go
@@ -96,23 +96,8 @@
 		for i := range cores {
 			w.start("core" + strconv.Itoa(i))
 		}
-	case 4:
-		w.kill(sideName)
-		time.Sleep(wait)
-		w.start(sideName)
-	case 5:
-		w.cut(sideName, true, false)
-		time.Sleep(wait)
-		w.cut(sideName, false, false)
-	case 6:
-		w.workers[sideName]()
-		w.note(sideName, "crash")
-		time.Sleep(wait)
-		w.startWorker(sideName)
-	case 7:
-		w.cutWorker(sideName, true)
-		time.Sleep(wait + 3*time.Second)
-		w.cutWorker(sideName, false)
+	case 4, 5, 6, 7, 9:
+		w.outerTrouble(outerKind(w.random.IntN(int(outerKinds))), sideName, wait, false)
 	case 8:
 		w.kill(core)
 		w.tear(core)
@@ -120,7 +105,42 @@
 		time.Sleep(wait)
 		w.start(sideName)
 		w.start(core)
-	default:
+	}
+}
+
+// outerKind is a trouble outside the core.
+type outerKind int
+
+const (
+	sideKilled outerKind = iota
+	sideCut
+	workerCrashed
+	workerCut
+	edgeKilled
+	outerKinds
+)
+
+// outerTrouble brings a side machine, its worker or the edge into trouble for some time.
+func (w *world) outerTrouble(kind outerKind, name string, wait time.Duration, oneWay bool) {
+	switch kind {
+	case sideKilled:
+		w.kill(name)
+		time.Sleep(wait)
+		w.start(name)
+	case sideCut:
+		w.cut(name, true, oneWay)
+		time.Sleep(wait)
+		w.cut(name, false, false)
+	case workerCrashed:
+		w.workers[name]()
+		w.note(name, "crash")
+		time.Sleep(wait)
+		w.startWorker(name)
+	case workerCut:
+		w.cutWorker(name, true)
+		time.Sleep(wait + 3*time.Second)
+		w.cutWorker(name, false)
+	case edgeKilled:
 		w.kill("edge0")
 		time.Sleep(wait)
 		w.start("edge0")
--- a/internal/system/simulation/overlap_test.go
+++ b/internal/system/simulation/overlap_test.go
@@ -280,29 +280,7 @@
 	for until(stop, time.Duration(500+w.number(2500))*time.Millisecond) {
 		name := fmt.Sprint("side", w.number(sides))
 		wait := time.Duration(100+w.number(3000)) * time.Millisecond
-		switch w.number(5) {
-		case 0:
-			w.kill(name)
-			time.Sleep(wait)
-			w.start(name)
-		case 1:
-			w.cut(name, true, w.number(2) == 0)
-			time.Sleep(wait)
-			w.cut(name, false, false)
-		case 2:
-			w.workers[name]()
-			w.note(name, "crash")
-			time.Sleep(wait)
-			w.startWorker(name)
-		case 3:
-			w.cutWorker(name, true)
-			time.Sleep(wait + 3*time.Second)
-			w.cutWorker(name, false)
-		default:
-			w.kill("edge0")
-			time.Sleep(wait)
-			w.start("edge0")
-		}
+		w.outerTrouble(outerKind(w.number(int(outerKinds))), name, wait, w.number(2) == 0)
 	}
 }
 
--- a/jobs/book_test.go
+++ b/jobs/book_test.go
@@ -860,3 +860,30 @@
 	310  disk commit
 	320  orders a = start j.0.0.?/1`)
 }
+
+// The same ID comes again: before its 2xx, seconds after it, after a failover and after the job's end. It stays one job.
+func TestSameIDStaysOneJob(t *testing.T) {
+	play(t, `
+	0    worker a cpu=4000
+	10   client submit j 1x cpu=500 est=100
+	15   client submit j 1x cpu=500 est=100
+	20   disk commit
+	30   orders a = start j.0.0.0/1
+	40   worker a cpu=4000 active j.0.0.0/1
+	3000 client submit j 1x cpu=500 est=100
+	3010 disk commit
+	3020 orders a = nothing
+	3100 failover
+	3110 client submit j 1x cpu=500 est=100
+	3120 worker a cpu=4000 active j.0.0.0/1
+	3130 disk commit
+	3140 orders a = nothing
+	3200 worker a cpu=4000 end 1/j.0.0.0/1/done
+	3210 disk commit
+	3215 orders a = noted 1
+	3220 client j = completed
+	6000 client submit j 1x cpu=500 est=100
+	6010 disk commit
+	6020 orders a = nothing
+	6030 client j = completed`)
+}
