Never make more seats than the seeds of the first start make a quorum of

Cause, by reading: with three losses to be borne there were seven seats and three seeds to vote; four make a quorum, so that nothing was ever taken, and no machine could join. The same held for one or two seeds and three seats. Change: seats are bounded by twice the seeds less one. With one or two losses and three seeds nothing changes. Measured: TestSeedsMakeAQuorum fails without it.

--- a/internal/system/core/core.go
+++ b/internal/system/core/core.go
@@ -54,7 +54,7 @@
 // Run serves until the context ends.
 func Run(ctx context.Context, process *node.Process) error {
 	s := process.Settings
-	first := membership.First(seatsFor(s.FaultTolerance), s.SeedAddresses())
+	first := membership.First(seatsFor(s.FaultTolerance, len(s.Seeds)), s.SeedAddresses())
 	store, err := openStore(s.DataDir, s.InternalAddress(), first, s.Bootstrap)
 	if err != nil {
 		return err
@@ -119,14 +119,15 @@
 // currentSeeds returns the addresses of the seeds as the settings name them by now.
 func (c *Core) currentSeeds() []string { return c.seeds() }
 
-// seatsFor returns how many seats bear the losses that a deployment names. Where a zone or a region may go,
-// three are the least; that they stand in different ones is up to the seeds.
-func seatsFor(t settings.FaultTolerance) int {
+// seatsFor returns how many seats bear the losses that a deployment names. Where a zone or a region may go, three are the
+// least; that they stand in different ones is up to the seeds. The seeds of the first start are all that vote then, so
+// that there are no more seats than they make a quorum of.
+func seatsFor(t settings.FaultTolerance, seeds int) int {
 	lost := t.Machines
 	if t.Zones > 0 || t.Regions > 0 {
 		lost = max(lost, 1)
 	}
-	return 2*lost + 1
+	return min(2*lost+1, 2*seeds-1)
 }
 
 // notify wakes those who wait for a change of what watchers are told. The lock is held.
--- a/internal/system/core/store_test.go
+++ b/internal/system/core/store_test.go
@@ -376,12 +376,24 @@
 		{}: 1, {Machines: 1}: 3, {Machines: 2}: 5, {Zones: 1}: 3, {Regions: 1}: 3, {Machines: 2, Zones: 1}: 5,
 	}
 	for tolerance, want := range cases {
-		if got := seatsFor(tolerance); got != want {
+		if got := seatsFor(tolerance, 3); got != want {
 			t.Errorf("%+v: %d seats, %d wanted", tolerance, got, want)
 		}
 	}
 }
 
+// The seeds make a quorum of the seats, however many losses a deployment names.
+func TestSeedsMakeAQuorum(t *testing.T) {
+	for seeds := 1; seeds <= 3; seeds++ {
+		for lost := range 5 {
+			m := membership.First(seatsFor(settings.FaultTolerance{Machines: lost}, seeds), []string{"a", "b", "c"}[:seeds])
+			if err := m.Check(); err != nil || len(m.Voters()) < m.Quorum() {
+				t.Errorf("%d seeds, %d losses: %d voters, a quorum is %d, %v", seeds, lost, len(m.Voters()), m.Quorum(), err)
+			}
+		}
+	}
+}
+
 // A report that was held up behind a cut is of no session that counts: found by a hunt on fosse-sedgevale-grown
 // (trouble-2 --seed 734137710468, TWICE), where one of a crashed worker arrived after its successor was at work.
 func TestLateReportIsNotTaken(t *testing.T) {
