--- a/internal/system/simulation/control_test.go
+++ b/internal/system/simulation/control_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -125,11 +126,12 @@
 		for round := range 12 {
 			version := w.version
 			taken := make(chan string, 40)
+			var sent sync.WaitGroup
 			for _, note := range []string{"one", "two"} {
 				for core := range 4 {
-					w.running.Add(1)
+					sent.Add(1)
 					go func() {
-						defer w.running.Done()
+						defer sent.Done()
 						for range 3 {
 							status := w.put(fmt.Sprint("core", core), version, version+1, note)
 							if status == http.StatusOK {
@@ -139,7 +141,7 @@
 					}()
 				}
 			}
-			time.Sleep(8 * time.Second)
+			sent.Wait()
 			close(taken)
 			notes := map[string]int{}
 			for note := range taken {
