--- a/internal/system/core/messages.go
+++ b/internal/system/core/messages.go
@@ -41,8 +41,6 @@
 // replicaAnswer is an answer that names its origin.
 type replicaAnswer interface{ from() origin }
 
-func (o origin) from() origin { return o }
-
 type prepareRequest struct {
 	To     target
 	Name   string
