Tell which work waits beside room for it, and by what it is held back

No decision changes. Ruled out: telling labels of each worker in the log, which costs lines each second.

--- a/cmd/sedgevale/operate.go
+++ b/cmd/sedgevale/operate.go
@@ -254,6 +254,12 @@
 			fmt.Fprintf(table, "%s\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.0f ms\n", one.Name, one.Priority, one.Pending, one.Held, one.Wanted,
 				one.Sigma, one.UsualMS)
 		}
+		if len(s.Waiting) > 0 {
+			fmt.Fprintln(table, "WAITS BESIDE ROOM\tQUEUE\tTASKS\tFOR\tREASON\tWORKER\tKEPT FOR")
+		}
+		for _, one := range s.Waiting {
+			fmt.Fprintf(table, "%s\t%s\t%d\t%d ms\t%s\t%s\t%s\n", one.Job, one.Queue, one.Tasks, one.WaitedMS, one.Reason, one.Worker, one.Holder)
+		}
 		if !c.Workers {
 			continue
 		}
--- a/cmd/sedgevale/system.go
+++ b/cmd/sedgevale/system.go
@@ -9,12 +9,13 @@
 
 // roleFlags are the flags of every role of the system.
 type roleFlags struct {
-	Verbose bool `arg:"--verbose" help:"Log more."`
-	Metrics bool `arg:"--metrics" help:"Serve Prometheus metrics at the last port of port_range."`
+	Verbose     bool `arg:"--verbose" help:"Log more."`
+	Metrics     bool `arg:"--metrics" help:"Serve Prometheus metrics at the last port of port_range."`
+	MetricsPort int  `arg:"--metrics-port" help:"Serve Prometheus metrics at this port."`
 }
 
 func (f roleFlags) options() node.Options {
-	return node.Options{Verbose: f.Verbose, Metrics: f.Metrics}
+	return node.Options{Verbose: f.Verbose, Metrics: f.Metrics, MetricsPort: f.MetricsPort}
 }
 
 type edgeCmd struct{ roleFlags }
--- a/internal/system/core/admin.go
+++ b/internal/system/core/admin.go
@@ -56,6 +56,7 @@
 	InStep  int64 // replicas that take writes
 	Queues  []jobs.QueueSummary
 	Workers []jobs.WorkerSummary
+	Waiting []jobs.Withheld // units that wait beside room for them
 }
 
 func (c *Core) handleAdmin(server *rpc.Server) {
@@ -115,5 +116,6 @@
 		}
 	}
 	info.Queues, info.Workers = o.book.Summary()
+	info.Waiting = o.book.Withheld(o.steady(), withheldAfter)
 	return info
 }
--- a/internal/system/core/metrics.go
+++ b/internal/system/core/metrics.go
@@ -1,6 +1,10 @@
 package core
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"sedgevale/jobs"
+)
 
 // collector tells a metrics endpoint how this scheduler stands at the time of a scrape.
 type collector struct{ core *Core }
@@ -13,15 +17,17 @@
 	describeHeld    = prometheus.NewDesc("sedgevale_queue_held", "Parts of workers that run for the queue.", []string{"shard", "queue"}, nil)
 	describeWanted  = prometheus.NewDesc("sedgevale_queue_wanted", "Parts of workers that the queue waits for.", []string{"shard", "queue"}, nil)
 	describeSigma   = prometheus.NewDesc("sedgevale_queue_sigma", "Admission limit on what is held.", []string{"shard", "queue"}, nil)
-	describeLoad    = prometheus.NewDesc("sedgevale_worker_held", "Part of the worker that runs take.", []string{"shard", "worker"}, nil)
-	describeLimit   = prometheus.NewDesc("sedgevale_worker_sigma", "Learned limit of the worker.", []string{"shard", "worker"}, nil)
+	describeWaiting = prometheus.NewDesc("sedgevale_queue_withheld", "Units that wait beside room for them.",
+		[]string{"shard", "queue", "reason"}, nil)
+	describeLoad  = prometheus.NewDesc("sedgevale_worker_held", "Part of the worker that runs take.", []string{"shard", "worker"}, nil)
+	describeLimit = prometheus.NewDesc("sedgevale_worker_sigma", "Learned limit of the worker.", []string{"shard", "worker"}, nil)
 )
 
 // Describe names the metrics.
 func (m collector) Describe(out chan<- *prometheus.Desc) {
 	for _, one := range []*prometheus.Desc{
 		describeConfig, describeRecords, describeInStep, describePending, describeHeld, describeWanted, describeSigma,
-		describeLoad, describeLimit,
+		describeWaiting, describeLoad, describeLimit,
 	} {
 		out <- one
 	}
@@ -44,9 +50,26 @@
 			gauge(describeWanted, q.Wanted, shard.Shard, q.Name)
 			gauge(describeSigma, q.Sigma, shard.Shard, q.Name)
 		}
+		for key, units := range countWithheld(shard.Waiting) {
+			gauge(describeWaiting, float64(units), shard.Shard, key.queue, string(key.reason))
+		}
 		for _, w := range shard.Workers {
 			gauge(describeLoad, w.Held, shard.Shard, w.Ref)
 			gauge(describeLimit, w.Sigma, shard.Shard, w.Ref)
 		}
 	}
 }
+
+// withheldKey is what units that wait beside room are counted by.
+type withheldKey struct {
+	queue  string
+	reason jobs.Reason
+}
+
+func countWithheld(waiting []jobs.Withheld) map[withheldKey]int {
+	counts := map[withheldKey]int{}
+	for _, one := range waiting {
+		counts[withheldKey{one.Queue, one.Reason}]++
+	}
+	return counts
+}
--- a/internal/system/core/owner.go
+++ b/internal/system/core/owner.go
@@ -20,7 +20,9 @@
 	heartbeatEvery  = 250 * time.Millisecond
 	repairPause     = 120 * time.Millisecond
 	maxUnendedJobs  = 20000
-	endedJobsKeptBy = 1.25 // times status_s
+	endedJobsKeptBy = 1.25                    // times status_s
+	withheldAfter   = 2500 * time.Millisecond // a unit that waits beside room for longer is told of
+	withheldLogged  = 4                       // lines about such units in a round of the log, at most
 )
 
 // owner is a shard that this scheduler owns: its jobs, and the replication of their records.
@@ -197,6 +199,7 @@
 			o.flush()
 		}
 		if round%summaryRounds == 0 {
+			o.logWithheld()
 			o.logSummary()
 		}
 		for _, side := range o.sides {
@@ -206,6 +209,16 @@
 	}
 }
 
+// logWithheld logs which units wait for long beside room for them, and why. It should never have anything to say. The
+// lock is held.
+func (o *owner) logWithheld() {
+	waiting := o.book.Withheld(o.steady(), withheldAfter)
+	for _, one := range waiting[:min(len(waiting), withheldLogged)] {
+		o.core.logger.Info("work waits beside free room", "shard", o.name, "queue", one.Queue, "job", one.Job, "stage", one.Stage,
+			"tasks", one.Tasks, "waited_ms", one.WaitedMS, "reason", one.Reason, "worker", one.Worker, "kept_for", one.Holder)
+	}
+}
+
 // logSummary logs how the shard stands, at the verbose level. The lock is held.
 func (o *owner) logSummary() {
 	logger := o.core.logger.V(1)
--- a/internal/system/node/metrics.go
+++ b/internal/system/node/metrics.go
@@ -10,13 +10,16 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
-// serveMetrics serves metrics at the last port of port_range.
-func (p *Process) serveMetrics() error {
+// serveMetrics serves metrics at a port; 0 stands for the last one of port_range.
+func (p *Process) serveMetrics(port int) error {
+	if port == 0 {
+		port = p.Settings.PortRange[1]
+	}
 	p.metrics = prometheus.NewRegistry()
 	p.Measure(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(p.metrics, promhttp.HandlerOpts{}))
-	return p.Listen(net.JoinHostPort(p.Settings.IP, strconv.Itoa(p.Settings.PortRange[1])), mux)
+	return p.Listen(net.JoinHostPort(p.Settings.IP, strconv.Itoa(port)), mux)
 }
 
 // Measure adds to what the metrics endpoint tells, where there is one.
--- a/internal/system/node/node.go
+++ b/internal/system/node/node.go
@@ -76,8 +76,9 @@
 
 // Options are an operator's choices for a process.
 type Options struct {
-	Verbose bool // log more
-	Metrics bool // serve metrics at the last port of port_range
+	Verbose     bool // log more
+	Metrics     bool // serve metrics at the last port of port_range
+	MetricsPort int  // serve metrics at this port, where it is not 0
 }
 
 // Run reads the settings and runs a role until SIGTERM or SIGINT. SIGHUP reads the settings again.
@@ -101,8 +102,8 @@
 		debug.SetMemoryLimit(int64(float64(read.Limits.MemoryMB) * memoryPart * (1 << 20)))
 	}
 	p := NewProcess(read, logger.WithName(read.Node), rpc.DialTCP(), listenTCP)
-	if options.Metrics {
-		if err := p.serveMetrics(); err != nil {
+	if options.Metrics || options.MetricsPort != 0 {
+		if err := p.serveMetrics(options.MetricsPort); err != nil {
 			return err
 		}
 	}
--- a/jobs/book.go
+++ b/jobs/book.go
@@ -59,8 +59,9 @@
 	readyMean  float64                       // of what they hold
 	readyAt    time.Duration
 	readyStale bool
-	preemptAt  time.Duration // when work may be preempted again
-	wake       bool          // something may be placed now
+	reserved   map[*Worker]*unit // by the last pass of Schedule
+	preemptAt  time.Duration     // when work may be preempted again
+	wake       bool              // something may be placed now
 	claimants  []admission.Claimant
 	scratch    []float64
 }
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -44,6 +44,7 @@
 	b.wake = false
 	b.pass++
 	p := &pass{now: now, lateFirst: b.pass%lateTurn == 0, blocked: map[*unit]bool{}, reserved: map[*Worker]*unit{}}
+	b.reserved = p.reserved
 	b.refreshReady(now)
 	p.ready, p.mean = b.ready, b.readyMean
 	if len(p.ready) == 0 {
