--- a/jobs/book_test.go
+++ b/jobs/book_test.go
@@ -15,7 +15,7 @@
 // play runs a timeline against a Book. A line is a time in milliseconds, who acts (a client, an owner's disk, or a
 // worker by name) and what happens; lines with = tell what must be seen.
 //
-//	worker a cpu=4000 gpu=8 [draining 500] [active T/1:50] [end N/T/1/done] [held T/1] [lapsed]
+//	worker a cpu=4000 gpu=8 mem=64000 kind=k rack=r1 [draining 500] [active T/1:50] [end N/T/1/done] [held T/1] [lapsed]
 //	client submit J spec | cancel J | J = running
 //	disk commit                 all changes so far are durable
 //	orders a = start T stop T noted 3
@@ -179,6 +179,8 @@
 			step["affinity_to"] = strconv.Quote(value)
 		case name == "label":
 			step["constraints"] = strconv.Quote(value)
+		case name == "mem":
+			step["mem_mb"] = value
 		case name == "apart":
 			step["anti_affinity"] = value
 		case name == "est":
@@ -207,8 +209,12 @@
 			r.Capacity.CPU, _ = strconv.ParseInt(value, 10, 64)
 		case has && key == "gpu":
 			r.Capacity.GPU, _ = strconv.ParseInt(value, 10, 64)
+		case has && key == "mem":
+			r.Capacity.MemMB, _ = strconv.ParseInt(value, 10, 64)
+		case has && key == "kind":
+			r.Labels[0] = value
 		case has && key == "rack":
-			r.Labels = []string{"k", value}
+			r.Labels[1] = value
 		case has && key == "life":
 			r.Life = value
 		case has && key == "instance":
--- /dev/null
+++ b/jobs/idle_test.go
@@ -0,0 +1,272 @@
+package jobs
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+// A world of workers that do what they are told, on a clock of its own.
+const (
+	worldStep     = 50 * time.Millisecond
+	worldLength   = 40 * time.Second
+	worldArrivals = 25 * time.Second // jobs come until then
+	waitMost      = 2500 * time.Millisecond
+)
+
+type worldRun struct {
+	ref   RunRef
+	until time.Duration // 0 for a task that lasts
+}
+
+type worldWorker struct {
+	report Report
+	runs   []worldRun
+	ended  int64
+}
+
+type world struct {
+	t       *testing.T
+	random  *rand.Rand
+	book    *Book
+	workers []*worldWorker
+	last    int64
+	jobs    int
+	waits   map[string]time.Duration // since when a waiting thing could have run, by its name
+	worst   string                   // what waited for too long
+}
+
+func newWorld(t *testing.T, seed int64) *world {
+	random := rand.New(rand.NewPCG(uint64(seed), 7))
+	s := &world{t: t, random: random, waits: map[string]time.Duration{}}
+	s.book = New(Options{LapseAfter: time.Minute, KeepEnded: time.Minute, FarX: 1.5}, rand.New(rand.NewPCG(uint64(seed), 8)))
+	s.book.Configure([]QueueConfig{
+		{Name: "urgent", Priority: 0, Retries: 3, Extension: 1.5, TargetLatencyMS: 800},
+		{Name: "large", Priority: 1, Retries: 3, Extension: 2.2, TargetLatencyMS: 1500},
+		{Name: "lasting", Priority: 1, Retries: 3, Extension: 2.2, TargetLatencyMS: 3000},
+		{Name: "low", Priority: 2, Retries: 3, Extension: 4, TargetLatencyMS: 3000},
+	})
+	for i := range 1 + random.IntN(6) {
+		kind := []string{"a", "b"}[i%2]
+		s.workers = append(s.workers, &worldWorker{report: Report{
+			Side: fmt.Sprint("side-", i), Life: "1", Instance: fmt.Sprint("i-", i), State: string(Ready),
+			Capacity: Resources{CPU: 32000, MemMB: 131072, GPU: 8}, Labels: []string{kind, fmt.Sprint("r", i/3)},
+		}})
+	}
+	return s
+}
+
+// submit hands in a random job of a queue.
+func (s *world) submit(now time.Duration, queue string) {
+	label := ""
+	if s.random.IntN(4) == 0 {
+		label = []string{"label=a", "label=b"}[s.random.IntN(2)]
+	}
+	count := 1 + s.random.IntN(6)
+	var spec string
+	switch queue {
+	case "urgent":
+		spec = fmt.Sprintf("%dx cpu=%d mem=500 est=700", count, 100+s.random.IntN(600))
+	case "large":
+		gang := []string{"", "gang"}[s.random.IntN(2)]
+		spec = fmt.Sprintf("%dx cpu=15000 mem=81000 gpu=%d est=5600 %s", 1+s.random.IntN(4), []int{2, 4, 8}[s.random.IntN(3)], gang)
+	case "lasting":
+		spec = fmt.Sprintf("%dx cpu=640 mem=900 est=400 lasts apart=%d", count, 1+s.random.IntN(3))
+	case "low":
+		spec = fmt.Sprintf("%dx cpu=2800 mem=15000 gpu=1 est=3000 keep", count)
+	}
+	s.jobs++
+	id := fmt.Sprintf("%s%d", queue, s.jobs)
+	if _, err := s.book.Submit(now, now.Milliseconds(), id, queue, specText(strings.Fields(spec+" "+label))); err != nil {
+		s.t.Fatalf("%s %s: %v", id, spec, err)
+	}
+}
+
+// step lets workers work, the book decide, and its changes be durable.
+func (s *world) step(now time.Duration) {
+	for _, w := range s.workers {
+		s.work(now, w)
+		s.book.Report(now, &w.report)
+	}
+	if now%(2*worldStep) == 0 {
+		s.book.Tick(now, now.Milliseconds())
+	}
+	s.book.Schedule(now)
+	last, err := s.book.Flush(func(Change) int64 { s.last++; return s.last }, s.last)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.book.Committed(last)
+	for _, w := range s.workers {
+		s.obey(now, w)
+	}
+}
+
+// work ends the runs whose time is over and writes the worker's next report.
+func (s *world) work(now time.Duration, w *worldWorker) {
+	kept := w.runs[:0]
+	w.report.Active = nil
+	for _, run := range w.runs {
+		if run.until > 0 && now >= run.until {
+			s.end(w, run.ref, endDone)
+			continue
+		}
+		kept = append(kept, run)
+		w.report.Active = append(w.report.Active, ActiveRun{Task: run.ref.Task, Attempt: run.ref.Attempt})
+	}
+	w.runs = kept
+}
+
+func (s *world) end(w *worldWorker, ref RunRef, how string) {
+	w.ended++
+	w.report.Finished = append(w.report.Finished, EndedRun{Number: w.ended, Task: ref.Task, Attempt: ref.Attempt, How: how})
+}
+
+// obey carries out a worker's orders.
+func (s *world) obey(now time.Duration, w *worldWorker) {
+	orders := s.book.Orders(now, s.book.Worker(RefOf(w.report.Instance, w.report.Side)), 0)
+	if orders == nil {
+		return
+	}
+	left := w.report.Finished[:0]
+	for _, end := range w.report.Finished {
+		if end.Number > orders.Noted {
+			left = append(left, end)
+		}
+	}
+	w.report.Finished = left
+	for _, ref := range orders.Stops {
+		for i, run := range w.runs {
+			if run.ref == ref {
+				w.runs = append(w.runs[:i], w.runs[i+1:]...)
+				s.end(w, ref, "stopped")
+				break
+			}
+		}
+	}
+	for _, start := range orders.Starts {
+		run := worldRun{ref: RunRef{start.Task, start.Attempt}}
+		if !strings.HasPrefix(start.Task, "lasting") {
+			run.until = now + time.Duration(300+s.random.IntN(9000))*time.Millisecond
+		}
+		w.runs = append(w.runs, run)
+	}
+}
+
+// look notes what waits although a worker has room for it twice over. It reckons by what workers run, not by what the
+// book thinks of them.
+func (s *world) look(now time.Duration) {
+	seen := map[string]bool{}
+	idle := s.inUse() < 0.5
+	for _, job := range s.book.jobs {
+		for _, u := range job.units {
+			lasts := job.lasts(u.stage)
+			if u.gang || (!lasts && (job.atWork() || !idle)) || s.roomFor(u) < 2 {
+				continue
+			}
+			name := fmt.Sprint(job.ID, "/", u.stage)
+			seen[name] = true
+			if _, known := s.waits[name]; !known {
+				s.waits[name] = now
+			}
+			if waited := now - s.waits[name]; waited > waitMost && s.worst == "" {
+				s.worst = fmt.Sprintf("%s waits for %v at %v: %v", name, waited, now, s.book.Withheld(now, waitMost))
+			}
+		}
+	}
+	for name := range s.waits {
+		if !seen[name] {
+			delete(s.waits, name)
+		}
+	}
+}
+
+// inUse returns the part of all cores that runs take.
+func (s *world) inUse() float64 {
+	used, all := int64(0), int64(0)
+	for _, w := range s.workers {
+		all += w.report.Capacity.CPU
+		used += w.report.Capacity.CPU - s.free(w).CPU
+	}
+	return float64(used) / float64(all)
+}
+
+func (s *world) free(w *worldWorker) Resources {
+	free := w.report.Capacity
+	for _, run := range w.runs {
+		at, _ := parseTask(run.ref.Task)
+		if job := s.book.jobs[at.id]; job != nil {
+			free = free.minus(job.Spec.Stages[at.stage].demand())
+		}
+	}
+	return free
+}
+
+// roomFor returns how many tasks of a unit workers could take now, two or more of each at the most.
+func (s *world) roomFor(u *unit) int {
+	step := &u.job.Spec.Stages[u.stage]
+	slots := 0
+	for _, w := range s.workers {
+		known := s.book.Worker(RefOf(w.report.Instance, w.report.Side))
+		if known == nil || !known.carries(step.Constraints) {
+			continue
+		}
+		most := 2
+		if step.AntiAffinity > 0 {
+			most = step.AntiAffinity - s.together(w, u)
+		}
+		free := s.free(w)
+		for n := 0; n < most && free.Holds(step.demand()); n++ {
+			free = free.minus(step.demand())
+			slots++
+		}
+	}
+	return slots
+}
+
+func (s *world) together(w *worldWorker, u *unit) int {
+	n := 0
+	for _, run := range w.runs {
+		if at, _ := parseTask(run.ref.Task); at.id == u.job.ID && at.stage == u.stage {
+			n++
+		}
+	}
+	return n
+}
+
+// play runs the world and returns what waited for too long beside idle room, or "".
+func (s *world) play() string {
+	rates := map[string]int{}
+	for _, queue := range []string{"urgent", "large", "lasting", "low"} {
+		rates[queue] = 1 + s.random.IntN(60)
+	}
+	queues := []string{"urgent", "large", "lasting", "low"}
+	for now := time.Duration(0); now < worldLength && s.worst == ""; now += worldStep {
+		for _, queue := range queues {
+			if now < worldArrivals && s.random.IntN(rates[queue]+10) == 0 {
+				s.submit(now, queue)
+			}
+		}
+		s.step(now)
+		s.look(now)
+	}
+	return s.worst
+}
+
+// What inc1 is an instance of: however work comes, what has nothing at work does not wait beside room for it while most of
+// the shard is idle, and a task that lasts never does.
+func TestNoWorkWaitsBesideIdleRoom(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(44)
+	parameters.MinSuccessfulTests = 60
+	properties := gopter.NewProperties(parameters)
+	properties.Property("nothing waits beside idle room", prop.ForAllNoShrink(func(seed int64) string {
+		return newWorld(t, seed).play()
+	}, gen.Int64Range(1, 1<<40)))
+	properties.TestingRun(t)
+}
