Keep no room idle without a bound: what fits beside runs, what is overdue goes

Change: a reservation says what others may take beside its holder; work with nothing at work that waits for 1.5 s goes to any room while under 0.6 of the cores are in use, tasks that last always; turns in which all are in debt are passed over at once; units that nobody has room for do not hide those behind them; sigma ramps over the quantile too while a quarter of the limit is unused. place.go is split into place, pick, reserve, overdue. Ruled out: yielding all reservations under load, which starves gangs.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -119,6 +119,14 @@
 	return *d > 0
 }
 
+// TurnsToCredit returns how many turns it takes until the first of some queues in debt has credit again.
+func TurnsToCredit(debts []Deficit, quantum float64) float64 {
+	if len(debts) == 0 {
+		return 0
+	}
+	return math.Floor(-float64(slices.Max(debts))/quantum) + 1
+}
+
 // Candidate is a worker that may take a task.
 type Candidate struct {
 	Held float64 // how much of ours it holds
--- a/jobs/book.go
+++ b/jobs/book.go
@@ -52,18 +52,20 @@
 	unflushed []func()
 	effects   []effect
 
-	units      uint64
-	pass       uint64                        // of Schedule
-	bySide     map[string]map[string]*Worker // workers by side agent and name
-	ready      []*Worker                     // those that take starts
-	readyMean  float64                       // of what they hold
-	readyAt    time.Duration
-	readyStale bool
-	reserved   map[*Worker]*unit // by the last pass of Schedule
-	preemptAt  time.Duration     // when work may be preempted again
-	wake       bool              // something may be placed now
-	claimants  []admission.Claimant
-	scratch    []float64
+	units       uint64
+	pass        uint64                        // of Schedule
+	bySide      map[string]map[string]*Worker // workers by side agent and name
+	ready       []*Worker                     // those that take starts
+	readyMean   float64                       // of what they hold
+	readyAt     time.Duration
+	readyStale  bool
+	reserved    map[*Worker]*reservation // by the last pass of Schedule
+	overdueDue  bool                     // the next pass places what has waited for too long
+	overdueFrom int                      // the queue at which that goes on
+	preemptAt   time.Duration            // when work may be preempted again
+	wake        bool                     // something may be placed now
+	claimants   []admission.Claimant
+	scratch     []float64
 }
 
 // New returns an empty Book.
--- a/jobs/ends.go
+++ b/jobs/ends.go
@@ -71,7 +71,7 @@
 			break
 		}
 	}
-	task.State = Assigned
+	job.move(task, Assigned)
 	b.endTask(now, job, t, at, how)
 }
 
@@ -123,7 +123,7 @@
 		b.taskDone(now, job, t, at)
 		return
 	}
-	task.State = Waiting
+	job.move(task, Waiting)
 	if job.over() {
 		return
 	}
@@ -160,11 +160,11 @@
 	stage := &t.Stages[at.stage]
 	if job.Spec.Stages[at.stage].Gang {
 		for index := range stage.Tasks {
-			stage.Tasks[index].State = Done
+			job.move(&stage.Tasks[index], Done)
 		}
 		stage.done = len(stage.Tasks)
 	} else {
-		stage.Tasks[at.index].State = Done
+		job.move(&stage.Tasks[at.index], Done)
 		stage.done++
 	}
 	if stage.done < len(stage.Tasks) || job.over() {
--- a/jobs/idle_test.go
+++ b/jobs/idle_test.go
@@ -167,7 +167,7 @@
 	for _, job := range s.book.jobs {
 		for _, u := range job.units {
 			lasts := job.lasts(u.stage)
-			if u.gang || (!lasts && (job.atWork() || !idle)) || s.roomFor(u) < 2 {
+			if u.gang || (!lasts && (job.assigned > 0 || !idle)) || s.roomFor(u) < 2 {
 				continue
 			}
 			name := fmt.Sprint(job.ID, "/", u.stage)
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -57,13 +57,14 @@
 
 // Job is a job and how far it is.
 type Job struct {
-	ID      string
-	Queue   string
-	Spec    *Spec
-	State   State // Queued stands for all that has not ended
-	Times   []*Time
-	Next    int // the number of the next time to become due
-	started bool
+	ID       string
+	Queue    string
+	Spec     *Spec
+	State    State // Queued stands for all that has not ended
+	Times    []*Time
+	Next     int // the number of the next time to become due
+	started  bool
+	assigned int // tasks with a start that has not ended
 
 	units    []*unit // what waits of it
 	shown    State   // what clients may be told: it is durable
@@ -152,6 +153,9 @@
 				if state == Done {
 					run.done++
 				}
+				if state == Assigned {
+					j.assigned++
+				}
 				if task.Attempt > 0 {
 					j.started = true
 				}
@@ -192,6 +196,17 @@
 // repeats returns how many times the steps run.
 func (j *Job) repeats() int { return max(1, j.Spec.Repeat) }
 
+// move changes the state of a task and keeps count of those at work.
+func (j *Job) move(task *Task, state TaskState) {
+	if task.State == Assigned {
+		j.assigned--
+	}
+	if state == Assigned {
+		j.assigned++
+	}
+	task.State = state
+}
+
 func (j *Job) over() bool { return j.State != Queued }
 
 // lasts reports whether the tasks of a step run until the job is cancelled.
--- /dev/null
+++ b/jobs/overdue.go
@@ -0,0 +1,102 @@
+package jobs
+
+import "time"
+
+// Limits and reservations decide who goes first. They must not keep room idle that somebody waits for, so both are
+// bounded in time: work that has waited for long, with nothing of its job at work, goes to any worker with room.
+const (
+	overdueAfter = 1500 * time.Millisecond // a unit that waits for longer is not held back by limits or reservations
+	overdueLook  = 1024                    // waiting units that are looked at in one round
+	mostlyIdle   = 0.6                     // part of the cores in use up to which the shard counts as mostly idle
+)
+
+// placeOverdue places what has waited for too long: tasks that last always, since each of them is wanted at work all the
+// time; of other jobs one task, and only while the shard is mostly idle, since under load shares and reservations are
+// what decides who waits.
+func (b *Book) placeOverdue(p *pass) {
+	p.overdue = true
+	for _, u := range b.overdueUnits(p, b.inUse(p) < mostlyIdle) {
+		b.placeOne(p, u)
+	}
+}
+
+// inUse returns the part of all cores of ready workers that runs take.
+func (b *Book) inUse(p *pass) float64 {
+	used, all := int64(0), int64(0)
+	for _, w := range p.ready {
+		used += w.used.CPU
+		all += w.Capacity.CPU
+	}
+	return ratio(used, all)
+}
+
+// overdueUnits returns the units that are overdue, of as many waiting ones as one round looks at; the next round goes on
+// behind them.
+func (b *Book) overdueUnits(p *pass, idle bool) []*unit {
+	var found []*unit
+	look := overdueLook
+	for range b.order {
+		q := b.order[b.overdueFrom%len(b.order)]
+		ended := q.lookFrom(&q.overdueNext, &look, func(u *unit) {
+			if p.isOverdue(u, idle) {
+				found = append(found, u)
+			}
+		})
+		if !ended {
+			return found
+		}
+		b.overdueFrom++
+	}
+	return found
+}
+
+// isOverdue reports whether a unit has waited for too long.
+func (p *pass) isOverdue(u *unit, idle bool) bool {
+	if p.now-u.since < overdueAfter {
+		return false
+	}
+	return u.job.lasts(u.stage) || (idle && u.job.assigned == 0)
+}
+
+// lookFrom visits waiting units from a place on, as many as are left to look at, and reports whether it came to the
+// end of the queue. The place is moved on.
+func (q *Queue) lookFrom(place **unit, left *int, visit func(*unit)) (ended bool) {
+	ended = true
+	look := func(u *unit) bool {
+		if *left == 0 {
+			*place, ended = u, false
+			return false
+		}
+		*left--
+		visit(u)
+		return true
+	}
+	if from := *place; from != nil {
+		q.waiting.AscendGreaterOrEqual(from, look)
+	} else {
+		q.waiting.Ascend(look)
+	}
+	if ended {
+		*place = nil
+	}
+	return ended
+}
+
+// placeOne places the first task of a unit, all tasks of one that lasts, or a gang as a whole.
+func (b *Book) placeOne(p *pass, u *unit) {
+	if u.gang {
+		b.releaseGang(p, u)
+		return
+	}
+	count := 1
+	if u.job.lasts(u.stage) {
+		count = len(u.tasks)
+	}
+	for range count {
+		w := b.pick(p, u, nil)
+		if w == nil {
+			return
+		}
+		b.startNext(p, u, w)
+	}
+}
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -13,7 +13,6 @@
 	maxUnits      = 256                     // units of a queue that are looked at in one turn
 	gpuCores      = 8                       // what a GPU counts, in cores
 	thresholdOver = 0.1                     // over the mean of what workers hold, for the random pick
-	reserveAfter  = 300 * time.Millisecond  // a large unit that waits for longer keeps workers for itself
 	rackPatience  = 0.5                     // of what running far away costs more, that is waited for room near by
 	rackWaitMost  = 1500 * time.Millisecond // and never longer, while workers elsewhere are idle
 	lookAtAll     = 64                      // ready workers of a shard that are all looked at for a placement
@@ -28,11 +27,14 @@
 type pass struct {
 	now       time.Duration
 	blocked   map[*unit]bool
-	reserved  map[*Worker]*unit
+	reserved  map[*Worker]*reservation
 	ready     []*Worker
+	emptiest  []*Worker            // the ready workers, those that hold least first, made when it is asked for
 	mean      float64              // of what ready workers hold
 	racks     map[string][]*Worker // of the ready workers, made when it is asked for
 	lateFirst bool                 // units that are late already are not put behind
+	overdue   bool                 // what has waited for too long is placed: no reservation holds
+	started   int                  // tasks so far
 }
 
 // Schedule lets waiting work go to workers: queues of the first priority before others, and among equals by
@@ -43,7 +45,7 @@
 	}
 	b.wake = false
 	b.pass++
-	p := &pass{now: now, lateFirst: b.pass%lateTurn == 0, blocked: map[*unit]bool{}, reserved: map[*Worker]*unit{}}
+	p := &pass{now: now, lateFirst: b.pass%lateTurn == 0, blocked: map[*unit]bool{}, reserved: map[*Worker]*reservation{}}
 	b.reserved = p.reserved
 	b.refreshReady(now)
 	p.ready, p.mean = b.ready, b.readyMean
@@ -61,6 +63,10 @@
 		b.release(p, b.order[first:last])
 		first = last
 	}
+	if b.overdueDue {
+		b.overdueDue = false
+		b.placeOverdue(p)
+	}
 	b.preempt(p)
 }
 
@@ -86,6 +92,7 @@
 // release serves queues of one priority in turns until none can release more.
 func (b *Book) release(p *pass, queues []*Queue) {
 	for range maxTurns {
+		before := p.started
 		more := false
 		for _, q := range queues {
 			q.deficit.Visit(quantum, q.waiting.Len() > 0)
@@ -96,6 +103,26 @@
 		if !more {
 			return
 		}
+		if p.started == before {
+			skipTurns(queues)
+		}
+	}
+}
+
+// skipTurns gives queues at once the credit of all turns in which none of them could release anything, since those that
+// could go on are in debt.
+func skipTurns(queues []*Queue) {
+	var debts []admission.Deficit
+	for _, q := range queues {
+		if q.waiting.Len() > 0 && q.deficit <= 0 {
+			debts = append(debts, q.deficit)
+		}
+	}
+	turns := admission.TurnsToCredit(debts, quantum)
+	for _, q := range queues {
+		if q.waiting.Len() > 0 && q.deficit <= 0 {
+			q.deficit.Visit(turns*quantum, true)
+		}
 	}
 }
 
@@ -104,7 +131,9 @@
 	if q.deficit <= 0 {
 		return true
 	}
-	for _, u := range p.inOrder(q) {
+	before := p.started
+	units, more := p.inOrder(q)
+	for _, u := range units {
 		if q.held >= q.sigma && q.held > 0 {
 			return false
 		}
@@ -118,24 +147,31 @@
 			return true
 		}
 	}
+	if p.started > before {
+		more = nil
+	}
+	q.next = more
 	return false
 }
 
-// inOrder returns the units of a queue that are not blocked, the first deadlines first. Those that are late
-// already come behind, but for a pass in every few, so that they get their turn too.
-func (p *pass) inOrder(q *Queue) []*unit {
+// inOrder returns units of a queue that are not blocked, the first deadlines first, and the one behind them if there are
+// more. Those that are late already come behind, but for a pass in every few, so that they get their turn too. Where none
+// of so many could be placed, the next pass goes on behind them: what nobody has room for must not hide what somebody has.
+func (p *pass) inOrder(q *Queue) (units []*unit, more *unit) {
 	var timely, late []*unit
-	q.waiting.Ascend(func(u *unit) bool {
+	left := maxUnits
+	place := q.next
+	q.lookFrom(&place, &left, func(u *unit) {
 		switch {
 		case p.blocked[u]:
+			left++
 		case u.deadline < p.now && !p.lateFirst:
 			late = append(late, u)
 		default:
 			timely = append(timely, u)
 		}
-		return len(timely)+len(late) < maxUnits
 	})
-	return append(timely, late...)
+	return append(timely, late...), place
 }
 
 // work is the estimated work of a task, in core-seconds.
@@ -147,7 +183,6 @@
 
 // releaseTasks places tasks of a unit one by one. It reports whether the queue still has credit.
 func (b *Book) releaseTasks(p *pass, u *unit) bool {
-	work := b.work(u)
 	for len(u.tasks) > 0 {
 		if u.queue.held >= u.queue.sigma && u.queue.held > 0 {
 			return true
@@ -157,16 +192,22 @@
 			b.block(p, u, 1)
 			return true
 		}
-		index := u.tasks[0]
-		b.dequeue(u, 1)
-		b.start(p.now, u, w, index)
-		if !u.queue.deficit.Pay(work) {
+		if !b.startNext(p, u, w) {
 			return false
 		}
 	}
 	return true
 }
 
+// startNext starts the next task of a unit. It reports whether the queue still has credit.
+func (b *Book) startNext(p *pass, u *unit, w *Worker) bool {
+	work := b.work(u)
+	index := u.tasks[0]
+	b.dequeue(u, 1)
+	b.start(p, u, w, index)
+	return u.queue.deficit.Pay(work)
+}
+
 // releaseGang places all members of a gang or none.
 func (b *Book) releaseGang(p *pass, u *unit) bool {
 	step := &u.job.Spec.Stages[u.stage]
@@ -182,7 +223,7 @@
 	indexes := append([]int(nil), u.tasks...)
 	b.dequeue(u, len(u.tasks))
 	for i, index := range indexes {
-		b.start(p.now, u, chosen[i], index)
+		b.start(p, u, chosen[i], index)
 	}
 	return u.queue.deficit.Pay(b.work(u) * float64(len(indexes)))
 }
@@ -212,240 +253,10 @@
 	return false
 }
 
-// pickGang returns a worker for each member, in one rack if the gang wants that and one has room.
-func (b *Book) pickGang(p *pass, u *unit) []*Worker {
-	step := &u.job.Spec.Stages[u.stage]
-	if step.RackLocal {
-		racks := map[string]bool{}
-		for _, w := range p.ready {
-			racks[w.rack()] = true
-		}
-		for rack := range racks {
-			if chosen := b.tryGang(p, u, rack); chosen != nil {
-				return chosen
-			}
-		}
-		if len(u.tasks) > 1 && b.waitsForRack(p, u) {
-			return nil
-		}
-	}
-	return b.tryGang(p, u, "")
-}
-
-// tryGang looks for workers for all members, in one rack where it is given.
-func (b *Book) tryGang(p *pass, u *unit, rack string) []*Worker {
-	taken := &tentative{rack: rack, used: map[*Worker]Resources{}, count: map[*Worker]int{}}
-	var chosen []*Worker
-	demand := u.job.Spec.Stages[u.stage].demand()
-	for range u.tasks {
-		w := b.pick(p, u, taken)
-		if w == nil {
-			return nil
-		}
-		taken.used[w] = taken.used[w].plus(demand)
-		taken.count[w]++
-		chosen = append(chosen, w)
-	}
-	return chosen
-}
-
-// tentative is what members of a gang would take, before all have a worker.
-type tentative struct {
-	rack  string
-	used  map[*Worker]Resources
-	count map[*Worker]int
-}
-
-// pick returns a worker for one task of a unit, or nil: a random one of those with room that hold less
-// than a threshold. Where tasks take whole accelerators, they are packed instead, so that workers stay
-// whole for gangs.
-func (b *Book) pick(p *pass, u *unit, taken *tentative) *Worker {
-	step := &u.job.Spec.Stages[u.stage]
-	fits := b.fitting(p, u, taken)
-	fits = prefer(fits, func(w *Worker) bool { return w.failing < failingMost })
-	fits = prefer(fits, func(w *Worker) bool { return w.pace < paceMost })
-	if step.AffinityTo != "" {
-		near := prefer(fits, func(w *Worker) bool { return w.carries(Labels{step.AffinityTo}) })
-		if len(near) > 0 && !near[0].carries(Labels{step.AffinityTo}) && b.waitsForRack(p, u) {
-			return nil
-		}
-		fits = near
-	}
-	if len(fits) == 0 {
-		return nil
-	}
-	if step.GPU > 0 {
-		return b.pack(fits, taken)
-	}
-	candidates := make([]admission.Candidate, len(fits))
-	for i, w := range fits {
-		candidates[i] = admission.Candidate{Held: w.held}
-	}
-	return fits[admission.PickBelow(candidates, p.mean+thresholdOver, b.random.IntN)]
-}
-
-// waitsForRack reports whether a unit should rather wait for room in the rack of its data, or of its gang, than run
-// far away: as long as the wait has not cost a part of what running far away would cost, and the rack has a worker at all.
-func (b *Book) waitsForRack(p *pass, u *unit) bool {
-	step := &u.job.Spec.Stages[u.stage]
-	far := time.Duration((b.options.FarX - 1) * rackPatience * float64(u.queue.expected(step)))
-	if p.now-u.since >= min(far, rackWaitMost) {
-		return false
-	}
-	if step.AffinityTo == "" {
-		return true
-	}
-	for _, w := range p.inRack(step.AffinityTo) {
-		if w.Capacity.Holds(step.demand()) && w.carries(step.Constraints) {
-			return true
-		}
-	}
-	return false
-}
-
-// fitting returns workers that may take a task of the unit now: all of them in a small shard, in a large one a few
-// from a random place on, so that a placement costs the same there. Those in the rack of the data come first.
-func (b *Book) fitting(p *pass, u *unit, taken *tentative) []*Worker {
-	if len(p.ready) <= lookAtAll {
-		return b.fittingOf(p, u, taken, p.ready, len(p.ready))
-	}
-	if rack := u.job.Spec.Stages[u.stage].AffinityTo; rack != "" {
-		if fits := b.fittingOf(p, u, taken, p.inRack(rack), lookAtMost); len(fits) > 0 {
-			return fits
-		}
-	}
-	from := b.random.IntN(len(p.ready))
-	fits := b.fittingOf(p, u, taken, p.ready[from:], lookAtMost)
-	if len(fits) >= lookAtMost {
-		return fits
-	}
-	return append(fits, b.fittingOf(p, u, taken, p.ready[:from], lookAtMost-len(fits))...)
-}
-
-// inRack returns the workers of a rack that take starts.
-func (p *pass) inRack(rack string) []*Worker {
-	if p.racks == nil {
-		p.racks = map[string][]*Worker{}
-		for _, w := range p.ready {
-			p.racks[w.rack()] = append(p.racks[w.rack()], w)
-		}
-	}
-	return p.racks[rack]
-}
-
-// fittingOf returns at most so many of some workers that may take a task of the unit now.
-func (b *Book) fittingOf(p *pass, u *unit, taken *tentative, workers []*Worker, most int) []*Worker {
-	step := &u.job.Spec.Stages[u.stage]
-	demand := step.demand()
-	var fits []*Worker
-	for _, w := range workers {
-		if len(fits) >= most {
-			break
-		}
-		if other := p.reserved[w]; other != nil && other != u {
-			continue
-		}
-		if !w.carries(step.Constraints) {
-			continue
-		}
-		wanted := demand
-		count := 0
-		if taken != nil {
-			if taken.rack != "" && w.rack() != taken.rack {
-				continue
-			}
-			wanted = wanted.plus(taken.used[w])
-			count = taken.count[w]
-		}
-		if !w.room(wanted) {
-			continue
-		}
-		if step.AntiAffinity > 0 && b.together(w, u)+count >= step.AntiAffinity {
-			continue
-		}
-		fits = append(fits, w)
-	}
-	return fits
-}
-
-// together counts the tasks of a unit's step and time that a worker holds.
-func (b *Book) together(w *Worker, u *unit) int {
-	n := 0
-	for _, run := range w.Runs {
-		if run.at.id == u.job.ID && run.at.number == u.time.Number && run.at.stage == u.stage {
-			n++
-		}
-	}
-	return n
-}
-
-// prefer returns those for which good holds, or all where it holds for none.
-func prefer(workers []*Worker, good func(*Worker) bool) []*Worker {
-	var kept []*Worker
-	for _, w := range workers {
-		if good(w) {
-			kept = append(kept, w)
-		}
-	}
-	if len(kept) == 0 {
-		return workers
-	}
-	return kept
-}
-
-// pack returns the worker with the fewest free accelerators, a random one among equals.
-func (b *Book) pack(fits []*Worker, taken *tentative) *Worker {
-	var best *Worker
-	least, equal := int64(0), 0
-	for _, w := range fits {
-		free := w.free().GPU
-		if taken != nil {
-			free -= taken.used[w].GPU
-		}
-		switch {
-		case best == nil || free < least:
-			best, least, equal = w, free, 1
-		case free == least:
-			equal++
-			if b.random.IntN(equal) == 0 {
-				best = w
-			}
-		}
-	}
-	return best
-}
-
-// reserve keeps workers for a large unit that has waited for some time: those that could hold it and have
-// the most room already, at most half of all.
-func (b *Book) reserve(p *pass, u *unit, members int) {
-	step := &u.job.Spec.Stages[u.stage]
-	if p.now-u.since < reserveAfter || b.part(step) < 0.2 {
-		return
-	}
-	for range members {
-		if len(p.reserved)*2 >= len(p.ready) {
-			return
-		}
-		var best *Worker
-		for _, w := range p.ready {
-			if p.reserved[w] != nil || !w.Capacity.Holds(step.demand()) || !w.carries(step.Constraints) {
-				continue
-			}
-			if best == nil || w.held < best.held {
-				best = w
-			}
-		}
-		if best == nil {
-			return
-		}
-		p.reserved[best] = u
-	}
-}
-
 // start assigns a task to a worker. The order may be sent once the change is durable.
-func (b *Book) start(now time.Duration, u *unit, w *Worker, index int) {
+func (b *Book) start(p *pass, u *unit, w *Worker, index int) {
 	task := &u.time.Stages[u.stage].Tasks[index]
-	task.State = Assigned
+	u.job.move(task, Assigned)
 	task.Attempt++
 	task.Worker = w.Ref
 	u.job.started = true
@@ -453,9 +264,13 @@
 	run := &Run{
 		Key: RunRef{TaskName(u.job.ID, u.time.Number, u.stage, index), task.Attempt}, job: u.job,
 		at: place{u.job.ID, u.time.Number, u.stage, index}, demand: demand, queue: u.queue,
-		part: min(1, w.Capacity.part(demand)), placed: now, worker: w.Ref,
+		part: min(1, w.Capacity.part(demand)), placed: p.now, worker: w.Ref,
 	}
 	w.add(run)
+	p.started++
+	if kept := p.reserved[w]; kept != nil && kept.holder != u {
+		kept.takeBeside(demand)
+	}
 	u.queue.use(w)
 	b.touch(u.job)
 	b.after(func() {
--- a/jobs/queue.go
+++ b/jobs/queue.go
@@ -21,20 +21,22 @@
 // Queue holds the work of one route and what was learned for it.
 type Queue struct {
 	QueueConfig
-	waiting *btree.BTreeG[*unit] // by deadline
-	wanted  float64              // parts of a worker that wait
-	stuck   float64              // of these, what no worker could take now if it were empty
-	held    float64              // parts of workers that its runs hold
-	local   float64              // the local share
-	sigma   float64              // the admission limit on held
-	deficit admission.Deficit
-	usual   float64 // EWMA of the logarithm of a task's run time in seconds
-	bias    float64 // EWMA of the logarithm of a task's run time over its estimate
-	ends    int64   // that the two were learned from
-	jobs    uint64
-	shares  map[string]admission.Share // alpha, by worker
-	removed bool                       // no configuration has it any more
-	pending int                        // jobs that have not ended
+	waiting     *btree.BTreeG[*unit] // by deadline
+	wanted      float64              // parts of a worker that wait
+	stuck       float64              // of these, what no worker could take now if it were empty
+	held        float64              // parts of workers that its runs hold
+	local       float64              // the local share
+	sigma       float64              // the admission limit on held
+	deficit     admission.Deficit
+	usual       float64 // EWMA of the logarithm of a task's run time in seconds
+	bias        float64 // EWMA of the logarithm of a task's run time over its estimate
+	ends        int64   // that the two were learned from
+	jobs        uint64
+	shares      map[string]admission.Share // alpha, by worker
+	removed     bool                       // no configuration has it any more
+	pending     int                        // jobs that have not ended
+	next        *unit                      // where the next pass goes on, if not with the first unit
+	overdueNext *unit                      // where the next look for what is overdue goes on
 }
 
 // unit is what waits of one step in one time: its tasks are alike. A gang leaves as a whole.
@@ -155,10 +157,13 @@
 	unused := max(0, limit-held)
 	for i, q := range b.order {
 		q.local = admission.LocalShare(q.local, claimants[i], demand, limit, level, rampStep)
+		learned := q.quantile(b.workers, b.scratch)
 		if unused > idlePart*limit { // what others claim and cannot use is not kept for them
-			q.local = max(q.local, q.held+rampStep*unused)
+			ramped := q.held + rampStep*unused
+			q.local = max(q.local, ramped)
+			learned = max(learned, ramped)
 		}
-		q.sigma = min(q.local, q.quantile(b.workers, b.scratch))
+		q.sigma = min(q.local, learned)
 	}
 }
 
--- a/jobs/report.go
+++ b/jobs/report.go
@@ -244,6 +244,7 @@
 		}
 	}
 	b.endRound()
+	b.overdueDue = true
 	b.wake = true
 	b.forgetEnded(now)
 }
--- a/jobs/withheld.go
+++ b/jobs/withheld.go
@@ -40,7 +40,7 @@
 	for _, q := range b.order {
 		looked := 0
 		q.waiting.Ascend(func(u *unit) bool {
-			if now-u.since <= longer || u.gang || (u.job.atWork() && !u.job.lasts(u.stage)) {
+			if now-u.since <= longer || u.gang || (u.job.assigned > 0 && !u.job.lasts(u.stage)) {
 				return true
 			}
 			looked++
@@ -60,7 +60,7 @@
 		Queue: u.queue.Name, Job: u.job.ID, Time: u.time.Number, Stage: u.stage, Tasks: len(u.tasks), WaitedMS: (now - u.since).Milliseconds(),
 		Reason: ByChoice,
 	}
-	limited, kept := 0, 0
+	limited, reserved := 0, 0
 	for _, w := range b.ready[:min(len(b.ready), withheldLook)] {
 		if !w.free().Holds(step.demand()) || !w.carries(step.Constraints) {
 			continue
@@ -69,9 +69,9 @@
 			continue
 		}
 		told.Worker = w.Ref
-		if other := b.reserved[w]; other != nil && other != u {
-			told.Holder = other.job.ID
-			kept++
+		if kept := b.reserved[w]; kept != nil && kept.holder != u && !kept.beside.Holds(step.demand()) {
+			told.Holder = kept.holder.job.ID
+			reserved++
 			continue
 		}
 		if !w.room(step.demand()) {
@@ -83,7 +83,7 @@
 		return told, true
 	}
 	switch {
-	case kept > 0:
+	case reserved > 0:
 		told.Reason = ByReservation
 	case limited > 0:
 		told.Reason = ByWorkerLimit
@@ -101,17 +101,3 @@
 	}
 	return ByChoice
 }
-
-// atWork reports whether a task of the job has a start that has not ended.
-func (j *Job) atWork() bool {
-	for _, t := range j.Times {
-		for stage := range t.Stages {
-			for index := range t.Stages[stage].Tasks {
-				if t.Stages[stage].Tasks[index].State == Assigned {
-					return true
-				}
-			}
-		}
-	}
-	return false
-}
