--- a/jobs/report.go
+++ b/jobs/report.go
@@ -161,8 +161,24 @@
 			n++
 		}
 	}
-	if n > 0 {
-		b.mean = Resources{sum.CPU / n, sum.MemMB / n, sum.GPU / n}
+	if n == 0 {
+		return
+	}
+	mean := Resources{sum.CPU / n, sum.MemMB / n, sum.GPU / n}
+	if mean != b.mean {
+		b.mean = mean
+		b.recount()
+	}
+}
+
+// recount counts anew what each queue waits for, in parts of a mean worker that has changed.
+func (b *Book) recount() {
+	for _, q := range b.queues {
+		q.wanted = 0
+		q.waiting.Ascend(func(u *unit) bool {
+			q.wanted += float64(len(u.tasks)) * b.part(&u.job.Spec.Stages[u.stage])
+			return true
+		})
 	}
 }
 
