--- a/scripts/sitegen/main.go
+++ b/scripts/sitegen/main.go
@@ -22,8 +22,17 @@
 	queues    []queue
 	rack      int // workers in a rack
 	perSecond float64
+	lengthS   int     // of a day
+	needs     float64 // share of jobs that ask for a label
+	changes   int     // of the configuration in a day, beside the troubles
 }
 
+// What a site has where its parameters do not say.
+const (
+	usualLengthS = 34
+	usualNeeds   = 0.12
+)
+
 type service struct {
 	name    string
 	workers int // in each zone
@@ -66,6 +75,19 @@
 			{name: "haul", service: "yard", priority: 1, workMS: 5000, width: 2, cpu: 15000, share: 0.3, aimMS: 1500, saves: 0.9, gpu: "[2, 4]", gang: true},
 		},
 	},
+	{ // long days with hundreds of changes, and few workers of a kind that many jobs ask for
+		name: "long-days", zones: 3, coreZone: 2, bear: 1, holdMS: 6000, stopMS: 900, rack: 3, perSecond: 5,
+		lengthS: 130, needs: 0.4, changes: 200,
+		services: []service{{"archive", 1, 16000, 0}, {"studio", 1, 32000, 8}},
+		queues: []queue{
+			{name: "fetch", service: "archive", priority: 0, workMS: 600, width: 4, cpu: 250, share: 6, aimMS: 800},
+			{name: "index", service: "archive", priority: 2, workMS: 4000, width: 6, cpu: 500, share: 0.3, aimMS: 4000, saves: 0.8},
+			{name: "master", service: "studio", priority: 1, workMS: 5600, width: 1.6, cpu: 15000, share: 0.2, aimMS: 1500, saves: 0.9, gpu: "[2, 4, 8]"},
+			{name: "take", service: "studio", priority: 1, workMS: 5000, width: 1.6, cpu: 12000, share: 0.1, aimMS: 1500, saves: 0.9, gpu: "[4, 8]", gang: true},
+			{name: "proof", service: "studio", priority: 2, workMS: 3000, width: 4, cpu: 2800, share: 0.4, aimMS: 3000, saves: 0.8, gpu: "[1]"},
+			{name: "listen", service: "archive", priority: 1, workMS: 400, width: 4, cpu: 600, share: 0.05, aimMS: 3000, lasts: true},
+		},
+	},
 	{
 		name: "one-hall", zones: 1, coreZone: 3, bear: 1, holdMS: 4000, stopMS: 1500, rack: 64, perSecond: 6,
 		services: []service{{"press", 6, 16000, 0}},
@@ -120,6 +142,12 @@
 		return err
 	}
 	for _, s := range sites {
+		if s.lengthS == 0 {
+			s.lengthS = usualLengthS
+		}
+		if s.needs == 0 {
+			s.needs = usualNeeds
+		}
 		if err := os.WriteFile(filepath.Join(out, s.name+".toml"), []byte(s.text()), 0o644); err != nil {
 			return err
 		}
@@ -132,7 +160,7 @@
 	line := func(format string, args ...any) { fmt.Fprintf(&b, format+"\n", args...) }
 	line("name = %q\nstock = \"own\"\nstep = \"c\"\nwire = \"wire.json\"\nfamily = \"sched\"", s.name)
 	line(`contracts = ["base", "drain", "config", "cost", "recover", "sched"]`)
-	line("lead_s = 10.0\nlength_s = 34.0\nnames_apart = true\nterms = \"standard\"\nzones = [")
+	line("lead_s = 10.0\nlength_s = %d.0\nnames_apart = true\nterms = \"standard\"\nzones = [", s.lengthS)
 	for z := range s.zones {
 		line("  { name = %q, region = \"home\" },", zone(z))
 	}
@@ -148,7 +176,7 @@
 	}
 	line("]\nclasses = [")
 	for _, q := range s.queues {
-		line("%s", q.text())
+		line("%s", q.text(s.needs))
 	}
 	line("]\ntraffic = [")
 	for z := range s.zones {
@@ -180,7 +208,7 @@
 	return strings.Join(parts, ", ")
 }
 
-func (q queue) text() string {
+func (q queue) text(needs float64) string {
 	extra := ""
 	if q.saves > 0 {
 		extra += fmt.Sprintf(", saves = %g", q.saves)
@@ -200,8 +228,8 @@
 		`kind = "unsafe", attempts = 2, work_ms = { mean = %d.0, spread = 0.5, max = %d.0 }, req_bytes = { mean = 200.0, spread = 0.6, max = 900.0 }, `+
 		`error_share = 0.02, poison = 0, jobs = { steps = { mean = 1.5, spread = 0.4, max = 3.8 }, width = { mean = %g, spread = 0.8, max = %g }, `+
 		`cpu = { mean = %d.0, spread = 0.3, max = %d.0 }, mem_mb = { mean = %d.0, spread = 0.5, max = %d.0 }, uneven = 0.2, est_off = 0.7, stretch = 2.0, `+
-		`every_s = 2.0, times = 5, needs = 0.12, filled = 1%s }%s },`,
-		q.name, q.aimMS, q.priority, q.service, q.workMS, q.workMS*5/2, q.width, q.width*5, q.cpu, q.cpu*3/2, q.cpu, q.cpu*2, extra, open)
+		`every_s = 2.0, times = 5, needs = %g, filled = 1%s }%s },`,
+		q.name, q.aimMS, q.priority, q.service, q.workMS, q.workMS*5/2, q.width, q.width*5, q.cpu, q.cpu*3/2, q.cpu, q.cpu*2, needs, extra, open)
 }
 
 const troubles = `
@@ -244,6 +272,9 @@
 func (s site) days(line func(string, ...any)) {
 	day := func(name, slot string, seed int, closing, plan, faults string) {
 		line("\n[[day]]\nname = %q\nslot = %q\nseed = %d\n%sone = 0.95\nzero = 0.4\ngoal = { floor = 0.3 }\nlabels = []\nwall = 1.5\nlight = true", name, slot, seed, closing)
+		if s.changes > 0 {
+			plan += fmt.Sprintf(`, { at = 4.0, kind = "config_race", count = %d, gap_s = %.2f }`, s.changes/2, float64(s.lengthS-10)/float64(s.changes/2))
+		}
 		line("plan = [%s]\nfaults = [%s]", plan, faults)
 	}
 	day("quiet-1", "quiet", 11, "", `{ at = 2.9, kind = "config_change", how = "idle" }`, "")
