Work out what fits beside kept room only where it is asked, sort workers once a list

Cause: the mend sorted workers in each pass and runs for each reservation, too much at 3,200 workers.

--- a/jobs/book.go
+++ b/jobs/book.go
@@ -56,6 +56,7 @@
 	pass        uint64                        // of Schedule
 	bySide      map[string]map[string]*Worker // workers by side agent and name
 	ready       []*Worker                     // those that take starts
+	emptiest    []*Worker                     // the same, those that hold least first; empty until asked for
 	readyMean   float64                       // of what they hold
 	readyAt     time.Duration
 	readyStale  bool
--- a/jobs/reserve.go
+++ b/jobs/reserve.go
@@ -14,13 +14,26 @@
 // reservation keeps a worker for one task of a unit that waits for room there. It holds for one pass.
 type reservation struct {
 	holder *unit
+	worker *Worker
 	beside Resources // what others may take without keeping the holder from its room
+	known  bool      // beside was worked out
+}
+
+// room returns what others may take of the worker without keeping the holder from its room.
+func (r *reservation) room() Resources {
+	if !r.known {
+		r.known = true
+		r.beside = r.worker.beside(r.holder.job.Spec.Stages[r.holder.stage].demand())
+	}
+	return r.beside
 }
 
 // takeBeside counts what another unit takes of the room beside the holder.
 func (r *reservation) takeBeside(demand Resources) {
-	left := r.beside.minus(demand)
-	r.beside = Resources{max(0, left.CPU), max(0, left.MemMB), max(0, left.GPU)}
+	if r.known {
+		left := r.beside.minus(demand)
+		r.beside = Resources{max(0, left.CPU), max(0, left.MemMB), max(0, left.GPU)}
+	}
 }
 
 // reserve keeps workers for a large unit that has waited for some time: those that could hold it and have the most
@@ -30,25 +43,26 @@
 	if p.now-u.since < reserveAfter || b.part(step) < reservePart {
 		return
 	}
-	for _, w := range p.emptiestFirst() {
+	for _, w := range b.emptiestFirst() {
 		if members == 0 || len(p.reserved)*2 >= len(p.ready) {
 			return
 		}
 		if p.reserved[w] != nil || !w.Capacity.Holds(step.demand()) || !w.carries(step.Constraints) {
 			continue
 		}
-		p.reserved[w] = &reservation{holder: u, beside: w.beside(step.demand())}
+		p.reserved[w] = &reservation{holder: u, worker: w}
 		members--
 	}
 }
 
-// emptiestFirst returns the ready workers, those that hold least first, as they stood when the pass first asked.
-func (p *pass) emptiestFirst() []*Worker {
-	if p.emptiest == nil {
-		p.emptiest = slices.Clone(p.ready)
-		slices.SortStableFunc(p.emptiest, func(a, b *Worker) int { return cmp.Compare(a.held, b.held) })
+// emptiestFirst returns the ready workers, those that held least first when it was asked for the first time since they were
+// listed.
+func (b *Book) emptiestFirst() []*Worker {
+	if len(b.emptiest) != len(b.ready) {
+		b.emptiest = slices.Clone(b.ready)
+		slices.SortStableFunc(b.emptiest, func(a, b *Worker) int { return cmp.Compare(a.held, b.held) })
 	}
-	return p.emptiest
+	return b.emptiest
 }
 
 // beside returns what a worker has left for others once a task with some demand runs there. Of what runs now the
@@ -74,5 +88,5 @@
 // mayUse reports whether a unit may take so much of a worker as far as reservations go.
 func (p *pass) mayUse(w *Worker, u *unit, wanted Resources) bool {
 	kept := p.reserved[w]
-	return kept == nil || kept.holder == u || p.overdue || kept.beside.Holds(wanted)
+	return kept == nil || kept.holder == u || p.overdue || kept.room().Holds(wanted)
 }
--- a/jobs/withheld.go
+++ b/jobs/withheld.go
@@ -69,7 +69,7 @@
 			continue
 		}
 		told.Worker = w.Ref
-		if kept := b.reserved[w]; kept != nil && kept.holder != u && !kept.beside.Holds(step.demand()) {
+		if kept := b.reserved[w]; kept != nil && kept.holder != u && !kept.room().Holds(step.demand()) {
 			told.Holder = kept.holder.job.ID
 			reserved++
 			continue
