--- a/internal/system/core/core.go
+++ b/internal/system/core/core.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -80,7 +81,8 @@
 	if err := process.Listen(c.address, server.Handler()); err != nil {
 		return err
 	}
-	if err := process.Listen(s.BindAddrs.ControlPlane, c.operatorHandler()); err != nil {
+	operators, err := process.ListenServer(s.BindAddrs.ControlPlane, &http.Server{Handler: c.operatorHandler()})
+	if err != nil {
 		return err
 	}
 	running, stop := context.WithCancel(context.Background())
@@ -93,6 +95,7 @@
 	c.closeOwners()
 	if context.Cause(ctx) != node.ErrKilled {
 		c.leave()
+		c.drain(operators)
 	}
 	return nil
 }
--- a/internal/system/core/leaving.go
+++ b/internal/system/core/leaving.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 )
 
@@ -9,6 +10,7 @@
 	leaveAtMost = 2500 * time.Millisecond
 	leavePause  = 40 * time.Millisecond
 	lastPings   = 300 * time.Millisecond
+	drainSlack  = 100 * time.Millisecond
 	toldAfter   = 10 * time.Millisecond // a ping sent so long after the decision to leave tells of it
 )
 
@@ -37,6 +39,15 @@
 	}
 }
 
+// drain takes no more operators' calls and waits for those under way to be answered.
+func (c *Core) drain(operators *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout+drainSlack)
+	defer cancel()
+	if err := operators.Shutdown(ctx); err != nil {
+		c.logger.Info("operators' calls were cut off", "error", err.Error())
+	}
+}
+
 // released reports whether the system no longer depends on this disk.
 func (c *Core) released() bool {
 	m := c.store.currentMembership()
--- a/internal/system/simulation/control_test.go
+++ b/internal/system/simulation/control_test.go
@@ -266,3 +266,24 @@
 		}
 	})
 }
+
+// A planned end answers what was read: an operator's call that is under way when the machine is told to end gets its
+// answer, also where nobody is there that the machine would wait for.
+func TestPlannedEndAnswersOperators(t *testing.T) {
+	playControl(t, usualShape, func(t *testing.T, w *world) {
+		others := w.coreNames()[1:]
+		w.cutFrom("core0", true, others...)
+		time.Sleep(4 * time.Second)
+		answered := make(chan int)
+		go func() {
+			status, _ := w.ask("core0")
+			answered <- status
+		}()
+		time.Sleep(100 * time.Millisecond)
+		w.terminate("core0")
+		if status := <-answered; status == 0 {
+			t.Error("a call that was read got no answer")
+		}
+		w.cutFrom("core0", false, others...)
+	})
+}
