Let overdue work have room that no queue within its limit can use

Change: after all queues had their turn in a pass, units overdue with nothing at work get one task each; reservations hold them back only above 0.6 of the cores, never tasks that last.

--- a/jobs/overdue.go
+++ b/jobs/overdue.go
@@ -5,17 +5,18 @@
 // Limits and reservations decide who goes first. They must not keep room idle that somebody waits for, so both are
 // bounded in time: work that has waited for long, with nothing of its job at work, goes to any worker with room.
 const (
-	overdueAfter = 1500 * time.Millisecond // a unit that waits for longer is not held back by limits or reservations
+	overdueAfter = 1500 * time.Millisecond // a unit that waits for longer is not held back by its queue's limit or credit
 	overdueLook  = 1024                    // waiting units that are looked at in one round
-	mostlyIdle   = 0.6                     // part of the cores in use up to which the shard counts as mostly idle
+	mostlyIdle   = 0.6                     // part of the cores in use up to which reservations do not hold it back either
 )
 
-// placeOverdue places what has waited for too long: tasks that last always, since each of them is wanted at work all the
-// time; of other jobs one task, and only while the shard is mostly idle, since under load shares and reservations are
-// what decides who waits.
+// placeOverdue places what has waited for too long, one task of each job, in room that all queues within their limits
+// have left in this pass. Reservations hold it back only under load, when they decide who waits, and never tasks that
+// last, since each of these is wanted at work all the time.
 func (b *Book) placeOverdue(p *pass) {
-	p.overdue = true
-	for _, u := range b.overdueUnits(p, b.inUse(p) < mostlyIdle) {
+	idle := b.inUse(p) < mostlyIdle
+	for _, u := range b.overdueUnits(p) {
+		p.unreserved = idle || u.job.lasts(u.stage)
 		b.placeOne(p, u)
 	}
 }
@@ -32,13 +33,13 @@
 
 // overdueUnits returns the units that are overdue, of as many waiting ones as one round looks at; the next round goes on
 // behind them.
-func (b *Book) overdueUnits(p *pass, idle bool) []*unit {
+func (b *Book) overdueUnits(p *pass) []*unit {
 	var found []*unit
 	look := overdueLook
 	for range b.order {
 		q := b.order[b.overdueFrom%len(b.order)]
 		ended := q.lookFrom(&q.overdueNext, &look, func(u *unit) {
-			if p.isOverdue(u, idle) {
+			if p.isOverdue(u) {
 				found = append(found, u)
 			}
 		})
@@ -51,11 +52,8 @@
 }
 
 // isOverdue reports whether a unit has waited for too long.
-func (p *pass) isOverdue(u *unit, idle bool) bool {
-	if p.now-u.since < overdueAfter {
-		return false
-	}
-	return u.job.lasts(u.stage) || (idle && u.job.assigned == 0)
+func (p *pass) isOverdue(u *unit) bool {
+	return p.now-u.since >= overdueAfter && (u.job.assigned == 0 || u.job.lasts(u.stage))
 }
 
 // lookFrom visits waiting units from a place on, as many as are left to look at, and reports whether it came to the
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -25,16 +25,16 @@
 
 // pass is the state of one release.
 type pass struct {
-	now       time.Duration
-	blocked   map[*unit]bool
-	reserved  map[*Worker]*reservation
-	ready     []*Worker
-	emptiest  []*Worker            // the ready workers, those that hold least first, made when it is asked for
-	mean      float64              // of what ready workers hold
-	racks     map[string][]*Worker // of the ready workers, made when it is asked for
-	lateFirst bool                 // units that are late already are not put behind
-	overdue   bool                 // what has waited for too long is placed: no reservation holds
-	started   int                  // tasks so far
+	now        time.Duration
+	blocked    map[*unit]bool
+	reserved   map[*Worker]*reservation
+	ready      []*Worker
+	emptiest   []*Worker            // the ready workers, those that hold least first, made when it is asked for
+	mean       float64              // of what ready workers hold
+	racks      map[string][]*Worker // of the ready workers, made when it is asked for
+	lateFirst  bool                 // units that are late already are not put behind
+	unreserved bool                 // no reservation holds
+	started    int                  // tasks so far
 }
 
 // Schedule lets waiting work go to workers: queues of the first priority before others, and among equals by
--- a/jobs/reserve.go
+++ b/jobs/reserve.go
@@ -88,5 +88,5 @@
 // mayUse reports whether a unit may take so much of a worker as far as reservations go.
 func (p *pass) mayUse(w *Worker, u *unit, wanted Resources) bool {
 	kept := p.reserved[w]
-	return kept == nil || kept.holder == u || p.overdue || kept.room().Holds(wanted)
+	return kept == nil || kept.holder == u || p.unreserved || kept.room().Holds(wanted)
 }
--- a/jobs/withheld_test.go
+++ b/jobs/withheld_test.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -46,3 +47,59 @@
 		t.Errorf("%d tasks of a quarter of the usual worker wait: wanted is %v, %v is right", waiting, got, want)
 	}
 }
+
+// Under load a queue at its limit waits for its share, but not beside room that those who come first cannot use.
+func TestOverdueWorkTakesWhatOthersCannotUse(t *testing.T) {
+	play(t, `
+	0    worker a cpu=32000 gpu=8
+	0    worker b cpu=32000 gpu=8 kind=z
+	10   client submit low1 1x cpu=1000 gpu=1 est=60000 label=k
+	11   client submit large 20x cpu=15000 gpu=7 est=60000
+	20   disk commit
+	20   orders a = start large.0.0.0/1 start low1.0.0.0/1
+	20   orders b = start large.0.0.1/1
+	100  worker a cpu=32000 gpu=8 active large.0.0.0/1 active low1.0.0.0/1
+	100  worker b cpu=32000 gpu=8 kind=z active large.0.0.1/1
+	200  tick
+	210  client submit low2 1x cpu=1000 gpu=1 est=60000
+	220  disk commit
+	900  worker a cpu=32000 gpu=8 active large.0.0.0/1 active low1.0.0.0/1
+	900  worker b cpu=32000 gpu=8 kind=z active large.0.0.1/1
+	900  tick
+	900  client low2 = queued
+	1800 worker a cpu=32000 gpu=8 active large.0.0.0/1 active low1.0.0.0/1
+	1800 worker b cpu=32000 gpu=8 kind=z active large.0.0.1/1
+	1800 tick
+	1810 disk commit
+	1810 orders b = start low2.0.0.0/1`)
+}
+
+// More work than one pass looks at, which no worker can take, stands before work that one can.
+func TestWorkIsNotHiddenBehindWhatCannotRun(t *testing.T) {
+	s := play(t, `
+	0 worker a cpu=4000`)
+	for i := range 3 * maxUnits {
+		s.step(time.Millisecond, []string{"client", "submit", fmt.Sprint("never", i), "1x", "cpu=100", "est=10", "label=absent"}, "hopeless")
+	}
+	s.step(2*time.Millisecond, []string{"client", "submit", "j", "1x", "cpu=100", "est=5000"}, "j")
+	for round := range 5 {
+		s.step(time.Duration(100*(round+1))*time.Millisecond, []string{"tick"}, "tick")
+	}
+	s.commit()
+	s.step(510*time.Millisecond, []string{"orders", "a", "=", "start", "j.0.0.0/1"}, "j is started within half a second")
+}
+
+// A queue that has just released the work of hours is in debt for thousands of turns. While nobody else wants the room, its
+// next work does not wait for them.
+func TestDebtKeepsNoRoomIdle(t *testing.T) {
+	play(t, `
+	0  worker a cpu=32000 gpu=8
+	0  worker b cpu=32000 gpu=8
+	0  worker c cpu=32000 gpu=8
+	10 client submit never 1x cpu=1000 est=1000 label=absent
+	10 client submit long 2x cpu=32000 gpu=8 est=36000000 gang
+	15 tick
+	20 client submit short 1x cpu=1000 est=1000
+	30 disk commit
+	30 client short = running`)
+}
--- a/scripts/sitegen/main.go
+++ b/scripts/sitegen/main.go
@@ -25,6 +25,7 @@
 	lengthS   int     // of a day
 	needs     float64 // share of jobs that ask for a label
 	changes   int     // of the configuration in a day, beside the troubles
+	lateBurst string  // the queue of which many jobs come shortly before the end of a day
 }
 
 // What a site has where its parameters do not say.
@@ -88,6 +89,17 @@
 			{name: "listen", service: "archive", priority: 1, workMS: 400, width: 4, cpu: 600, share: 0.05, aimMS: 3000, lasts: true},
 		},
 	},
+	{ // few workers of a kind that most jobs ask for, and much large work for them at the end
+		name: "few-of-a-kind", zones: 2, coreZone: 2, bear: 1, holdMS: 6000, stopMS: 900, rack: 3, perSecond: 4,
+		lengthS: 30, needs: 0.7, lateBurst: "master",
+		services: []service{{"archive", 2, 16000, 0}, {"studio", 1, 32000, 8}},
+		queues: []queue{
+			{name: "fetch", service: "archive", priority: 0, workMS: 600, width: 4, cpu: 250, share: 6, aimMS: 800},
+			{name: "master", service: "studio", priority: 1, workMS: 5600, width: 3, cpu: 15000, share: 0.3, aimMS: 1500, saves: 0.9, gpu: "[4, 6]"},
+			{name: "proof", service: "studio", priority: 2, workMS: 3000, width: 3, cpu: 2800, share: 0.8, aimMS: 3000, saves: 0.8, gpu: "[1]"},
+			{name: "listen", service: "studio", priority: 1, workMS: 400, width: 2, cpu: 600, share: 0.05, aimMS: 3000, lasts: true},
+		},
+	},
 	{
 		name: "one-hall", zones: 1, coreZone: 3, bear: 1, holdMS: 4000, stopMS: 1500, rack: 64, perSecond: 6,
 		services: []service{{"press", 6, 16000, 0}},
@@ -275,6 +287,9 @@
 		if s.changes > 0 {
 			plan += fmt.Sprintf(`, { at = 4.0, kind = "config_race", count = %d, gap_s = %.2f }`, s.changes/2, float64(s.lengthS-10)/float64(s.changes/2))
 		}
+		if s.lateBurst != "" {
+			faults = strings.TrimPrefix(faults+fmt.Sprintf(`, { at = %d.0, kind = "burst", class = %q, x = 12.0, for_s = 8.0 }`, s.lengthS-10, s.lateBurst), ", ")
+		}
 		line("plan = [%s]\nfaults = [%s]", plan, faults)
 	}
 	day("quiet-1", "quiet", 11, "", `{ at = 2.9, kind = "config_change", how = "idle" }`, "")
