Take nothing for a dropped route after a takeover; let no rounding count as a run

Sums of parts never came back to just 0, so dropped queues stayed and a rest counted as a run. Change: a queue that no configuration names takes nothing; sums within 1e-9 are 0. Result: TestDroppedQueueStaysUnknownAfterATakeover failed before, passes; tests of jobs and the system pass.

--- a/jobs/book.go
+++ b/jobs/book.go
@@ -106,11 +106,13 @@
 	b.wake = true
 }
 
-// queue returns a queue, made with cautious settings where no configuration has named it yet.
+// queue returns a queue, made with cautious settings where no configuration names it: it has jobs that were accepted while
+// one did, and takes no more.
 func (b *Book) queue(name string) *Queue {
 	q := b.queues[name]
 	if q == nil {
 		q = newQueue(QueueConfig{Name: name, Priority: 3, Retries: 3, Extension: 2, TargetLatencyMS: 3000})
+		q.removed = true
 		b.queues[name] = q
 		b.order = append(b.order, q)
 	}
--- a/jobs/book_test.go
+++ b/jobs/book_test.go
@@ -32,6 +32,7 @@
 	last    int64
 	noted   map[string]int64
 	ended   map[string][]EndedRun
+	configs []QueueConfig // that a new owner is told
 }
 
 var testQueues = []QueueConfig{
@@ -40,14 +41,14 @@
 }
 
 func newStage(t *testing.T) *stage {
-	s := &stage{t: t, records: map[string][]byte{}, noted: map[string]int64{}, ended: map[string][]EndedRun{}}
+	s := &stage{t: t, records: map[string][]byte{}, noted: map[string]int64{}, ended: map[string][]EndedRun{}, configs: testQueues}
 	s.fresh()
 	return s
 }
 
 func (s *stage) fresh() {
 	s.book = New(Options{LapseAfter: 13 * time.Second, KeepEnded: time.Minute, FarX: 1.5}, rand.New(rand.NewPCG(1, 2)))
-	s.book.Configure(testQueues)
+	s.book.Configure(s.configs)
 }
 
 func play(t *testing.T, text string) *stage {
@@ -924,3 +925,29 @@
 	260 client cancel later
 	260 pending q = 0`)
 }
+
+// A route that was dropped stays unknown when a new owner finds jobs of it: whoever has an older configuration hands in
+// nothing more. Its jobs are still finished.
+func TestDroppedQueueStaysUnknownAfterATakeover(t *testing.T) {
+	s := play(t, `
+	0  worker a cpu=1000
+	10 client submit low1 1x cpu=100 est=100
+	20 disk commit`)
+	testQueues, all := testQueues[:1], testQueues
+	s.book.Configure(testQueues)
+	if s.book.Knows("low") {
+		t.Error("a queue that was dropped is known")
+	}
+	s.configs = testQueues
+	for now, row := range []string{"failover", "worker a cpu=1000 active low1.0.0.0/1", "worker a cpu=1000 end 1/low1.0.0.0/1/done",
+		"disk commit", "client low1 = completed"} {
+		s.step(time.Duration(30+now)*time.Millisecond, strings.Fields(row), row)
+	}
+	if s.book.Knows("low") {
+		t.Error("a queue that was dropped is known again after a takeover")
+	}
+	s.book.Configure(all)
+	if !s.book.Knows("low") {
+		t.Error("a queue that a configuration names is not known")
+	}
+}
--- a/jobs/worker.go
+++ b/jobs/worker.go
@@ -122,8 +122,12 @@
 // count adds to what a queue holds of the workers that take tasks; runs on others take no room that
 // anything could use.
 func (w *Worker) count(r *Run, part float64) {
-	if r.queue != nil && w.counts {
-		r.queue.held += part
+	if r.queue == nil || !w.counts {
+		return
+	}
+	r.queue.held += part
+	if math.Abs(r.queue.held) < roundingError {
+		r.queue.held = 0 // nothing is held: a rest of rounding must not count as a run
 	}
 }
 
@@ -141,6 +145,9 @@
 	}
 }
 
+// roundingError is more than what sums of parts of workers are off by.
+const roundingError = 1e-9
+
 func (w *Worker) remove(r *Run) {
 	delete(w.Runs, r.Key)
 	w.used = w.used.minus(r.demand)
