Play takeovers and crashed workers in the worlds where nothing may wait beside room

Change: half of the worlds have a takeover, and a worker that comes back under another name; -idle.worlds and -idle.seed.

--- a/jobs/idle_test.go
+++ b/jobs/idle_test.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -12,6 +13,11 @@
 	"github.com/leanovate/gopter/prop"
 )
 
+var (
+	idleWorlds = flag.Int("idle.worlds", 60, "worlds in which nothing may wait beside idle room")
+	idleSeed   = flag.Int64("idle.seed", 44, "where their seeds begin")
+)
+
 // A world of workers that do what they are told, on a clock of its own.
 const (
 	worldStep     = 50 * time.Millisecond
@@ -37,6 +43,7 @@
 	book    *Book
 	workers []*worldWorker
 	last    int64
+	records map[string][]byte // durable
 	jobs    int
 	waits   map[string]time.Duration // since when a waiting thing could have run, by its name
 	worst   string                   // what waited for too long
@@ -44,14 +51,8 @@
 
 func newWorld(t *testing.T, seed int64) *world {
 	random := rand.New(rand.NewPCG(uint64(seed), 7))
-	s := &world{t: t, random: random, waits: map[string]time.Duration{}}
-	s.book = New(Options{LapseAfter: time.Minute, KeepEnded: time.Minute, FarX: 1.5}, rand.New(rand.NewPCG(uint64(seed), 8)))
-	s.book.Configure([]QueueConfig{
-		{Name: "urgent", Priority: 0, Retries: 3, Extension: 1.5, TargetLatencyMS: 800},
-		{Name: "large", Priority: 1, Retries: 3, Extension: 2.2, TargetLatencyMS: 1500},
-		{Name: "lasting", Priority: 1, Retries: 3, Extension: 2.2, TargetLatencyMS: 3000},
-		{Name: "low", Priority: 2, Retries: 3, Extension: 4, TargetLatencyMS: 3000},
-	})
+	s := &world{t: t, random: random, records: map[string][]byte{}, waits: map[string]time.Duration{}}
+	s.newBook()
 	for i := range 1 + random.IntN(6) {
 		kind := []string{"a", "b"}[i%2]
 		s.workers = append(s.workers, &worldWorker{report: Report{
@@ -62,6 +63,38 @@
 	return s
 }
 
+// newBook has an owner decide that knows nothing yet.
+func (s *world) newBook() {
+	s.book = New(Options{LapseAfter: time.Minute, KeepEnded: time.Minute, FarX: 1.5}, rand.New(rand.NewPCG(s.random.Uint64(), 8)))
+	s.book.Configure([]QueueConfig{
+		{Name: "urgent", Priority: 0, Retries: 3, Extension: 1.5, TargetLatencyMS: 800},
+		{Name: "large", Priority: 1, Retries: 3, Extension: 2.2, TargetLatencyMS: 1500},
+		{Name: "lasting", Priority: 1, Retries: 3, Extension: 2.2, TargetLatencyMS: 3000},
+		{Name: "low", Priority: 2, Retries: 3, Extension: 4, TargetLatencyMS: 3000},
+	})
+}
+
+// failover has a new owner take the durable records over.
+func (s *world) failover(now time.Duration) {
+	s.newBook()
+	var records []Change
+	for key, value := range s.records {
+		records = append(records, Change{key, value})
+	}
+	if err := s.book.Restore(now, records, ""); err != nil {
+		s.t.Fatal(err)
+	}
+	clear(s.waits)
+}
+
+// crash has a worker's life end with all that it runs; the next one stands on the same machine under another name.
+func (s *world) crash(w *worldWorker) {
+	s.jobs++
+	w.report.Instance = fmt.Sprint("i-new-", s.jobs)
+	w.report.Active, w.report.Finished = nil, nil
+	w.runs, w.ended = nil, 0
+}
+
 // submit hands in a random job of a queue.
 func (s *world) submit(now time.Duration, queue string) {
 	label := ""
@@ -98,7 +131,15 @@
 		s.book.Tick(now, now.Milliseconds())
 	}
 	s.book.Schedule(now)
-	last, err := s.book.Flush(func(Change) int64 { s.last++; return s.last }, s.last)
+	last, err := s.book.Flush(func(c Change) int64 {
+		s.last++
+		if c.Value == nil {
+			delete(s.records, c.Key)
+		} else {
+			s.records[c.Key] = c.Value
+		}
+		return s.last
+	}, s.last)
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -247,7 +288,15 @@
 		rates[queue] = 1 + s.random.IntN(60)
 	}
 	queues := []string{"urgent", "large", "lasting", "low"}
+	takeover := time.Duration(s.random.IntN(40)) * time.Second // or never, within the time that is played
+	lost := time.Duration(s.random.IntN(60)) * time.Second
 	for now := time.Duration(0); now < worldLength && s.worst == ""; now += worldStep {
+		if now == takeover {
+			s.failover(now)
+		}
+		if now == lost {
+			s.crash(s.workers[s.random.IntN(len(s.workers))])
+		}
 		for _, queue := range queues {
 			if now < worldArrivals && s.random.IntN(rates[queue]+10) == 0 {
 				s.submit(now, queue)
@@ -262,8 +311,8 @@
 // What inc1 is an instance of: however work comes, what has nothing at work does not wait beside room for it while most of
 // the shard is idle, and a task that lasts never does.
 func TestNoWorkWaitsBesideIdleRoom(t *testing.T) {
-	parameters := gopter.DefaultTestParametersWithSeed(44)
-	parameters.MinSuccessfulTests = 60
+	parameters := gopter.DefaultTestParametersWithSeed(*idleSeed)
+	parameters.MinSuccessfulTests = *idleWorlds
 	properties := gopter.NewProperties(parameters)
 	properties.Property("nothing waits beside idle room", prop.ForAllNoShrink(func(seed int64) string {
 		return newWorld(t, seed).play()
