Add nine mutations of what bounds waiting; run mutations by part of a name

Change: nine mutations, each with the packages to test; an argument picks by name. The 22 older ones were not all run here (those of the control side).

--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -5,12 +5,15 @@
 copy=$(mktemp -d)
 trap 'rm -rf "$copy"' EXIT
 missed=0
-mutate() { # name, file, perl expression
+all="./coord/... ./jobs ./workeragent ./internal/system/..."
+only=${1:-} # part of a name: just these
+mutate() { # name, file, perl expression, packages to test if not all
+  [[ "$1" == *"$only"* ]] || return
   rm -rf "${copy:?}"/*
   git ls-files -z -- '*.go' go.mod go.sum | xargs -0 cp --parents -t "$copy"
   perl -0pi -e "$3" "$copy/$2"
   if cmp -s "$2" "$copy/$2"; then echo "$1: the mutation does not apply"; missed=1; return; fi
-  out=$(cd "$copy" && timeout 300 go test ./coord/... ./jobs ./workeragent ./internal/system/... -timeout 4m 2>&1)
+  out=$(cd "$copy" && timeout 300 go test ${4:-$all} -timeout 4m 2>&1)
   caught=$(printf '%s\n' "$out" | sed -n 's/^ *--- FAIL: \([^ ]*\).*/\1/p' | grep -v '^TestSystemThroughFaults$' | sort -u | head -4 | tr '\n' ' ')
   if [ -z "$caught" ] && printf '%s' "$out" | grep -q '^FAIL\|panic'; then caught="(build or panic)"; fi
   if [ -z "$caught" ]; then echo "$1: NOT CAUGHT"; missed=1; else echo "$1: caught by $caught"; fi
@@ -20,7 +23,7 @@
 mutate "a hold without the 2%" workeragent/agent.go 's/ClockDrift = 1\.0205/ClockDrift = 1.0/'
 mutate "an empty disk that votes" internal/system/core/store.go 's/if bootstrap \{/if true {/'
 mutate "starts sent before they are stored" jobs/place.go 's/b\.after\(func\(\) \{\n\t\trun\.durable = true\n\t\tw\.dirty = true\n\t\}\)/run.durable = true; w.dirty = true/'
-mutate "no wait for runs of workers unheard" jobs/book.go 's/expiry: now \+ b\.options\.LapseAfter/expiry: now/'
+mutate "no wait for runs of workers unheard" jobs/restore.go 's/expiry: now \+ b\.options\.LapseAfter/expiry: now/'
 mutate "an older owner is obeyed" workeragent/agent.go 's/if token < a\.token \{/if token < 0 {/g'
 mutate "replicas take writes of older owners" coord/shard/replica.go 's/if token != r\.Sealed \|\| r\.InStep != token/if r.InStep == 0/'
 mutate "messages of older epochs are answered" coord/membership/membership.go 's/if sent\.Epoch < m\.Epoch \{/if false {/'
@@ -39,4 +42,13 @@
 mutate "a call is repeated by the library" internal/system/rpc/rpc.go 's/call\.GetBody = nil/call.Header.Set("Idempotency-Key", "x")/'
 mutate "accepted before it is durable" internal/system/core/jobsapi.go 's/sequence := o\.flush\(\)\n\to\.mu\.Unlock\(\)\n\treturn &api\.Empty\{\}, o\.waitIn\(ctx, sequence\)/o.flush()\n\to.mu.Unlock()\n\treturn &api.Empty{}, nil/'
 mutate "a refusal without a committed value" internal/system/core/config.go 's/if taken\.Digest == o\.digest/if false/'
+mutate "nothing runs beside kept room" jobs/reserve.go 's/kept\.room\(\)\.Holds\(wanted\)/false/' ./jobs
+mutate "what is kept is kept without end" jobs/overdue.go 's/p\.unreserved = idle \|\| u\.job\.lasts\(u\.stage\)/p.unreserved = idle && false/' ./jobs
+mutate "limits hold back without end" jobs/place.go 's/if b\.overdueDue \{/if false {/' ./jobs
+mutate "waiting work is not counted anew" jobs/report.go 's/\t\tb\.recount\(\)\n//' ./jobs
+mutate "debts are paid turn by turn" jobs/place.go 's/\t\t\tskipTurns\(queues\)\n//' ./jobs
+mutate "what cannot run hides what can" jobs/place.go 's/q\.next = more/_ = more/' ./jobs
+mutate "a dropped queue takes jobs after a takeover" jobs/book.go 's/\t\tq\.removed = true\n\t\tb/\t\tb/' ./jobs
+mutate "a start that was ordered counts as begun" jobs/place.go 's/u\.job\.started = true/u.job.started = true; b.noteBegun(u.job)/' ./jobs
+mutate "operators are cut off at a planned end" internal/system/core/core.go 's/c\.drain\(operators\)/_ = operators/' ./internal/system/simulation
 exit $missed
