--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -19,7 +19,7 @@
   if [ -z "$caught" ]; then echo "$1: NOT CAUGHT"; missed=1; else echo "$1: caught by $caught"; fi
 }
 mutate "a quorum one short" coord/membership/membership.go 's/return len\(m\.Seats\)\/2 \+ 1/return max(1, len(m.Seats)\/2)/'
-mutate "last_seen before the sync" jobs/report.go 's/b\.after\(func\(\) \{\n\t\tw\.noted = max\(w\.noted, last\)\n\t\tw\.dirty = true\n\t\}\)/w.noted = max(w.noted, last)/'
+mutate "last_seen before the sync" jobs/ends.go 's/b\.after\(func\(\) \{\n\t\tw\.noted = max\(w\.noted, last\)\n\t\tw\.dirty = true\n\t\}\)/w.noted = max(w.noted, last)/'
 mutate "a hold without the 2%" workeragent/agent.go 's/ClockDrift = 1\.0205/ClockDrift = 1.0/'
 mutate "an empty disk that votes" internal/system/core/store.go 's/if bootstrap \{/if true {/'
 mutate "starts sent before they are stored" jobs/place.go 's/b\.after\(func\(\) \{\n\t\trun\.durable = true\n\t\tw\.dirty = true\n\t\}\)/run.durable = true; w.dirty = true/'
