--- a/internal/system/core/leaving.go
+++ b/internal/system/core/leaving.go
@@ -82,14 +82,10 @@
 // it gave it that this scheduler leaves. The lock is held.
 func (c *Core) inStepOf(shard string) int64 {
 	newest := claim{}
-	for _, p := range c.peers {
-		if !p.alive() || p.heard.Before(c.leavingSince.Add(toldAfter)) {
-			continue
-		}
-		for _, one := range p.last.Claims {
-			if one.Shard == shard && one.Fresh && one.Token > newest.Token {
-				newest = one
-			}
+	for address, one := range c.freshClaims() {
+		told := !c.peers[address].heard.Before(c.leavingSince.Add(toldAfter))
+		if told && one.Shard == shard && one.Token > newest.Token {
+			newest = one
 		}
 	}
 	return newest.InStep
--- a/internal/system/core/ownership.go
+++ b/internal/system/core/ownership.go
@@ -63,14 +63,9 @@
 	if o := c.owners[name]; o != nil && !o.isDeposed() {
 		return false
 	}
-	for _, p := range c.peers {
-		if !p.alive() {
-			continue
-		}
-		for _, one := range p.last.Claims {
-			if one.Shard == name && one.Fresh {
-				return false
-			}
+	for _, one := range c.freshClaims() {
+		if one.Shard == name {
+			return false
 		}
 	}
 	candidates := append(c.aliveAddresses(), c.address)
--- a/internal/system/core/peers.go
+++ b/internal/system/core/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"iter"
 	"maps"
 	"slices"
 	"sync"
@@ -85,6 +86,23 @@
 	return alive
 }
 
+// freshClaims yields what living core schedulers say that they own by a quorum's word of a moment ago, with their
+// addresses. The lock is held.
+func (c *Core) freshClaims() iter.Seq2[string, claim] {
+	return func(yield func(string, claim) bool) {
+		for address, p := range c.peers {
+			if !p.alive() {
+				continue
+			}
+			for _, one := range p.last.Claims {
+				if one.Fresh && !yield(address, one) {
+					return
+				}
+			}
+		}
+	}
+}
+
 func (p *peerState) alive() bool { return time.Since(p.heard) < aliveFor && !p.last.Leaving }
 
 // onPing takes a message. sentAt is when the ping was sent that it answers; zero for a ping itself.
--- a/internal/system/core/store_membership.go
+++ b/internal/system/core/store_membership.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"context"
 	"errors"
 
 	"sedgevale/coord/membership"
@@ -24,6 +25,43 @@
 	return origin{Member: s.identity.ID, Epoch: s.membership.Epoch}, member, nil
 }
 
+// admitSeated is admit for what voters and learners answer alike. The lock is held.
+func (s *store) admitSeated(to target) (origin, error) {
+	from, _, err := s.admit(to)
+	return from, err
+}
+
+// change takes a message that changes what this disk holds: it is admitted, applied, and answered once the entry that
+// apply returns is durable. Apply returns nil where there is nothing to store; the lock is held then.
+func (s *store) change(ctx context.Context, admit func(target) (origin, error), to target, apply func(origin) (*entry, error)) error {
+	s.mu.Lock()
+	from, err := admit(to)
+	var change *entry
+	if err == nil {
+		change, err = apply(from)
+	}
+	if err != nil || change == nil {
+		s.mu.Unlock()
+		return err
+	}
+	ticket, err := s.append(change)
+	s.mu.Unlock()
+	return wait(ctx, ticket, err)
+}
+
+// look answers from what this disk holds, once all of it is durable that was told.
+func (s *store) look(ctx context.Context, to target, answer func(origin)) error {
+	s.mu.Lock()
+	from, err := s.admitVoter(to)
+	if err != nil {
+		s.mu.Unlock()
+		return err
+	}
+	answer(from)
+	s.mu.Unlock()
+	return s.waitSettled(ctx)
+}
+
 // admitMembership takes over the membership that a message brings, or refuses the message. The lock is held.
 func (s *store) admitMembership(sent membership.Membership) error {
 	install, err := s.membership.Meet(sent)
--- a/internal/system/core/store_registers.go
+++ b/internal/system/core/store_registers.go
@@ -18,62 +18,46 @@
 }
 
 func (s *store) prepare(ctx context.Context, r *prepareRequest) (*prepareResponse, error) {
-	s.mu.Lock()
-	from, err := s.admitVoter(r.To)
+	answer := &prepareResponse{}
+	err := s.change(ctx, s.admitVoter, r.To, func(from origin) (*entry, error) {
+		*answer = prepareResponse{From: from, Promise: s.acceptor(r.Name).Prepare(r.Ballot, r.Known)}
+		if !answer.Promise.Granted {
+			return nil, nil
+		}
+		return &entry{Kind: entryPromise, Name: r.Name, Promised: r.Ballot}, nil
+	})
 	if err != nil {
-		s.mu.Unlock()
-		return nil, err
-	}
-	promise := s.acceptor(r.Name).Prepare(r.Ballot, r.Known)
-	answer := &prepareResponse{From: from, Promise: promise}
-	if !promise.Granted {
-		s.mu.Unlock()
-		return answer, nil
-	}
-	ticket, err := s.append(&entry{Kind: entryPromise, Name: r.Name, Promised: r.Ballot})
-	s.mu.Unlock()
-	if err := wait(ctx, ticket, err); err != nil {
 		return nil, err
 	}
 	return answer, nil
 }
 
 func (s *store) accept(ctx context.Context, r *acceptRequest) (*acceptResponse, error) {
-	s.mu.Lock()
-	from, err := s.admitVoter(r.To)
+	answer := &acceptResponse{}
+	err := s.change(ctx, s.admitVoter, r.To, func(from origin) (*entry, error) {
+		*answer = acceptResponse{From: from, Accepted: s.acceptor(r.Name).Accept(r.Ballot, r.Value)}
+		if !answer.Accepted {
+			return nil, nil
+		}
+		return &entry{Kind: entryAccept, Name: r.Name, Ballot: r.Ballot, Value: r.Value}, nil
+	})
 	if err != nil {
-		s.mu.Unlock()
-		return nil, err
-	}
-	answer := &acceptResponse{From: from}
-	if !s.acceptor(r.Name).Accept(r.Ballot, r.Value) {
-		s.mu.Unlock()
-		return answer, nil
-	}
-	ticket, err := s.append(&entry{Kind: entryAccept, Name: r.Name, Ballot: r.Ballot, Value: r.Value})
-	s.mu.Unlock()
-	if err := wait(ctx, ticket, err); err != nil {
 		return nil, err
 	}
-	answer.Accepted = true
 	return answer, nil
 }
 
 // peek returns what was accepted last, without a promise.
 func (s *store) peek(ctx context.Context, r *peekRequest) (*peekResponse, error) {
-	s.mu.Lock()
-	from, err := s.admitVoter(r.To)
+	answer := &peekResponse{}
+	err := s.look(ctx, r.To, func(from origin) {
+		a := s.acceptor(r.Name)
+		*answer = peekResponse{From: from, Accepted: a.Accepted}
+		if a.Accepted != r.Known {
+			answer.Value = a.Value
+		}
+	})
 	if err != nil {
-		s.mu.Unlock()
-		return nil, err
-	}
-	a := s.acceptor(r.Name)
-	answer := &peekResponse{From: from, Accepted: a.Accepted}
-	if a.Accepted != r.Known {
-		answer.Value = a.Value
-	}
-	s.mu.Unlock()
-	if err := s.waitSettled(ctx); err != nil {
 		return nil, err
 	}
 	return answer, nil
@@ -81,21 +65,17 @@
 
 // state returns all that a learner has to hold before it votes.
 func (s *store) state(ctx context.Context, r *stateRequest) (*stateResponse, error) {
-	s.mu.Lock()
-	from, err := s.admitVoter(r.To)
+	answer := &stateResponse{Registers: map[string]register.Acceptor{}, Shards: map[string]int64{}}
+	err := s.look(ctx, r.To, func(from origin) {
+		answer.From = from
+		for name, a := range s.registers {
+			answer.Registers[name] = *a
+		}
+		for name, replica := range s.replicas {
+			answer.Shards[name] = replica.Sealed
+		}
+	})
 	if err != nil {
-		s.mu.Unlock()
-		return nil, err
-	}
-	answer := &stateResponse{From: from, Registers: map[string]register.Acceptor{}, Shards: map[string]int64{}}
-	for name, a := range s.registers {
-		answer.Registers[name] = *a
-	}
-	for name, replica := range s.replicas {
-		answer.Shards[name] = replica.Sealed
-	}
-	s.mu.Unlock()
-	if err := s.waitSettled(ctx); err != nil {
 		return nil, err
 	}
 	return answer, nil
--- a/internal/system/core/store_shards.go
+++ b/internal/system/core/store_shards.go
@@ -19,22 +19,16 @@
 }
 
 func (s *store) seal(ctx context.Context, r *sealRequest) (*sealResponse, error) {
-	s.mu.Lock()
-	from, _, err := s.admit(r.To)
+	answer := &sealResponse{}
+	err := s.change(ctx, s.admitSeated, r.To, func(from origin) (*entry, error) {
+		replica := s.replica(r.Shard)
+		if !replica.Seal(r.Token) {
+			return nil, result.Errorf(result.Fenced, "shard %s: token %d is known, %d came", r.Shard, replica.Sealed, r.Token)
+		}
+		*answer = sealResponse{From: from, Voter: replica.Voter, InStep: replica.InStep, Digests: replica.Set.Digests()}
+		return &entry{Kind: entrySeal, Name: r.Shard, Token: r.Token}, nil
+	})
 	if err != nil {
-		s.mu.Unlock()
-		return nil, err
-	}
-	replica := s.replica(r.Shard)
-	if !replica.Seal(r.Token) {
-		sealed := replica.Sealed
-		s.mu.Unlock()
-		return nil, result.Errorf(result.Fenced, "shard %s: token %d is known, %d came", r.Shard, sealed, r.Token)
-	}
-	answer := &sealResponse{From: from, Voter: replica.Voter, InStep: replica.InStep, Digests: replica.Set.Digests()}
-	ticket, err := s.append(&entry{Kind: entrySeal, Name: r.Shard, Token: r.Token})
-	s.mu.Unlock()
-	if err := wait(ctx, ticket, err); err != nil {
 		return nil, err
 	}
 	return answer, nil
@@ -97,42 +91,32 @@
 }
 
 func (s *store) repair(ctx context.Context, r *repairRequest) (*ackResponse, error) {
-	s.mu.Lock()
-	from, _, err := s.admit(r.To)
-	if err != nil {
-		s.mu.Unlock()
-		return nil, err
-	}
-	if !s.replica(r.Shard).Repair(r.Token, r.Number, r.Ranges, r.Last) {
-		s.mu.Unlock()
-		return nil, result.Errorf(result.Fenced, "shard %s: a token above %d or a later repair is known", r.Shard, r.Token)
-	}
-	ticket, err := s.append(&entry{Kind: entryRepair, Name: r.Shard, Token: r.Token, Number: r.Number, Ranges: r.Ranges, Flag: r.Last})
-	s.mu.Unlock()
-	return &ackResponse{From: from}, wait(ctx, ticket, err)
+	answer := &ackResponse{}
+	err := s.change(ctx, s.admitSeated, r.To, func(from origin) (*entry, error) {
+		answer.From = from
+		if !s.replica(r.Shard).Repair(r.Token, r.Number, r.Ranges, r.Last) {
+			return nil, result.Errorf(result.Fenced, "shard %s: a token above %d or a later repair is known", r.Shard, r.Token)
+		}
+		return &entry{Kind: entryRepair, Name: r.Shard, Token: r.Token, Number: r.Number, Ranges: r.Ranges, Flag: r.Last}, nil
+	})
+	return answer, err
 }
 
 func (s *store) write(ctx context.Context, r *writeRequest) (*ackResponse, error) {
-	s.mu.Lock()
-	from, _, err := s.admit(r.To)
-	if err != nil {
-		s.mu.Unlock()
-		return nil, err
-	}
-	replica := s.replica(r.Shard)
-	if !replica.Write(r.Token, r.Records) {
-		sealed := replica.Sealed
-		s.mu.Unlock()
-		if sealed > r.Token {
-			return nil, result.Errorf(result.Fenced, "shard %s: token %d is known, %d came", r.Shard, sealed, r.Token)
+	answer := &ackResponse{}
+	err := s.change(ctx, s.admitSeated, r.To, func(from origin) (*entry, error) {
+		answer.From = from
+		replica := s.replica(r.Shard)
+		written := replica.Write(r.Token, r.Records)
+		switch {
+		case !written && replica.Sealed > r.Token:
+			return nil, result.Errorf(result.Fenced, "shard %s: token %d is known, %d came", r.Shard, replica.Sealed, r.Token)
+		case !written:
+			return nil, result.Errorf(result.NotRecovered, "shard %s: the replica is not in step", r.Shard)
+		case len(r.Records) == 0: // a heartbeat
+			return nil, nil
 		}
-		return nil, result.Errorf(result.NotRecovered, "shard %s: the replica is not in step", r.Shard)
-	}
-	if len(r.Records) == 0 { // a heartbeat
-		s.mu.Unlock()
-		return &ackResponse{From: from}, nil
-	}
-	ticket, err := s.append(&entry{Kind: entryWrite, Name: r.Shard, Token: r.Token, Records: r.Records})
-	s.mu.Unlock()
-	return &ackResponse{From: from}, wait(ctx, ticket, err)
+		return &entry{Kind: entryWrite, Name: r.Shard, Token: r.Token, Records: r.Records}, nil
+	})
+	return answer, err
 }
--- a/internal/system/core/watch.go
+++ b/internal/system/core/watch.go
@@ -88,15 +88,8 @@
 			consider(name, c.address, o.token)
 		}
 	}
-	for address, p := range c.peers {
-		if !p.alive() {
-			continue
-		}
-		for _, one := range p.last.Claims {
-			if one.Fresh {
-				consider(one.Shard, address, one.Token)
-			}
-		}
+	for address, one := range c.freshClaims() {
+		consider(one.Shard, address, one.Token)
 	}
 	owners := make([]api.Owner, 0, len(newest))
 	for _, o := range newest {
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -29,7 +29,6 @@
 	blocked    map[*unit]bool
 	reserved   map[*Worker]*reservation
 	ready      []*Worker
-	emptiest   []*Worker            // the ready workers, those that hold least first, made when it is asked for
 	mean       float64              // of what ready workers hold
 	racks      map[string][]*Worker // of the ready workers, made when it is asked for
 	lateFirst  bool                 // units that are late already are not put behind
