Keep workers of the newest list only

Change: the order goes with the list. Result: TestKeptWorkersAreReady failed before, passes; tests of jobs pass.

--- a/jobs/place.go
+++ b/jobs/place.go
@@ -76,7 +76,7 @@
 		return
 	}
 	b.readyStale, b.readyAt = false, now
-	b.ready, b.readyMean = b.ready[:0], 0
+	b.ready, b.emptiest, b.readyMean = b.ready[:0], nil, 0
 	for _, w := range b.workers {
 		if w.State == Ready && now-w.heard < agentSilent {
 			b.ready = append(b.ready, w)
--- a/jobs/withheld_test.go
+++ b/jobs/withheld_test.go
@@ -103,3 +103,33 @@
 	30 disk commit
 	30 client short = running`)
 }
+
+// Workers are kept among those that are there now, not among those of an earlier list that was as long.
+func TestKeptWorkersAreReady(t *testing.T) {
+	s := play(t, `
+	0    worker a cpu=8000
+	0    worker b cpu=8000 kind=z
+	10   client submit busy 1x cpu=5000 est=60000 label=k
+	10   client submit less 1x cpu=4000 est=60000 label=z
+	20   disk commit
+	100  worker a cpu=8000 active busy.0.0.0/1
+	100  worker b cpu=8000 kind=z active less.0.0.0/1
+	110  client submit large 1x cpu=6000 est=60000
+	500  tick
+	600  worker a cpu=8000 active busy.0.0.0/1
+	600  worker b cpu=8000 kind=z active less.0.0.0/1
+	700  worker b cpu=8000 kind=z instance=i-next
+	710  client submit more 1x cpu=7000 est=60000
+	720  disk commit
+	1400 worker a cpu=8000 active busy.0.0.0/1
+	1400 worker b cpu=8000 kind=z instance=i-next
+	1400 tick`)
+	if len(s.book.reserved) == 0 {
+		t.Fatal("no worker is kept for what waits")
+	}
+	for w := range s.book.reserved {
+		if s.book.Worker(w.Ref) != w {
+			t.Errorf("%s is kept, which is not there any more", w.Ref)
+		}
+	}
+}
