--- a/jobs/place_test.go
+++ b/jobs/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
--- a/jobs/timeline_test.go
+++ b/jobs/timeline_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"path"
-	"slices"
 	"sort"
 	"strconv"
 	"strings"
