Bound how many overdue units one round tries

Cause: by reading; a thousand overdue units in a shard of 3,200 workers would have each looked through all of them, ten times a second. Change: 64 a round, the next round goes on behind them; what found no room in the same pass is left out unless only a reservation kept it out.

--- a/jobs/overdue.go
+++ b/jobs/overdue.go
@@ -7,6 +7,7 @@
 const (
 	overdueAfter = 1500 * time.Millisecond // a unit that waits for longer is not held back by its queue's limit or credit
 	overdueLook  = 1024                    // waiting units that are looked at in one round
+	overdueMost  = 64                      // of these, units that are tried
 	mostlyIdle   = 0.6                     // part of the cores in use up to which reservations do not hold it back either
 )
 
@@ -15,7 +16,7 @@
 // last, since each of these is wanted at work all the time.
 func (b *Book) placeOverdue(p *pass) {
 	idle := b.inUse(p) < mostlyIdle
-	for _, u := range b.overdueUnits(p) {
+	for _, u := range b.overdueUnits(p, idle) {
 		p.unreserved = idle || u.job.lasts(u.stage)
 		b.placeOne(p, u)
 	}
@@ -31,17 +32,20 @@
 	return ratio(used, all)
 }
 
-// overdueUnits returns the units that are overdue, of as many waiting ones as one round looks at; the next round goes on
-// behind them.
-func (b *Book) overdueUnits(p *pass) []*unit {
+// overdueUnits returns units that are overdue, of as many waiting ones as one round looks at; the next round goes on behind
+// them. What was found to fit nowhere in this pass is left out, unless reservations were all that kept it out.
+func (b *Book) overdueUnits(p *pass, idle bool) []*unit {
 	var found []*unit
 	look := overdueLook
 	for range b.order {
 		q := b.order[b.overdueFrom%len(b.order)]
 		ended := q.lookFrom(&q.overdueNext, &look, func(u *unit) {
-			if p.isOverdue(u) {
+			if p.isOverdue(u) && (idle || u.job.lasts(u.stage) || !p.blocked[u]) {
 				found = append(found, u)
 			}
+			if len(found) == overdueMost {
+				look = 0
+			}
 		})
 		if !ended {
 			return found
