--- a/internal/system/core/store_registers.go
+++ b/internal/system/core/store_registers.go
@@ -81,6 +81,17 @@
 	return answer, nil
 }
 
+// voicesOf returns how many members told their state in an epoch.
+func voicesOf(epoch int64, learned []*stateResponse) int {
+	members := map[string]bool{}
+	for _, one := range learned {
+		if one.From.Epoch == epoch {
+			members[one.From.Member] = true
+		}
+	}
+	return len(members)
+}
+
 // restore takes over what a quorum of voters told this learner after it had taken its seat.
 func (s *store) restore(ctx context.Context, epoch int64, learned []*stateResponse) error {
 	s.mu.Lock()
@@ -88,6 +99,10 @@
 		s.mu.Unlock()
 		return result.Errorf(result.EpochOutdated, "the seat was lost since epoch %d", epoch)
 	}
+	if told := voicesOf(epoch, learned); told < s.membership.Quorum() {
+		s.mu.Unlock()
+		return result.Errorf(result.Unavailable, "%d voters told their state in epoch %d, %d are a quorum", told, epoch, s.membership.Quorum())
+	}
 	var entries []*entry
 	tokens := map[string]int64{}
 	for _, one := range learned {
--- a/internal/system/core/store_test.go
+++ b/internal/system/core/store_test.go
@@ -201,6 +201,64 @@
 	s.wantCode(err, result.NotRecovered)
 }
 
+// A disk that gave its seat up and takes one anew has missed what was written meanwhile, though the owner is still the one
+// that it was in step with: it votes about no shard before that owner has repaired it, also after a loss of power.
+func TestSeatTakenAnewIsNoVoterForItsShards(t *testing.T) {
+	s := newSite(t)
+	for _, address := range []string{"a", "b", "c"} {
+		s.wantCode(s.repair(address, 3), result.OK)
+	}
+	s.dirs["d"] = t.TempDir()
+	s.start("d", false)
+	s.wantCode(s.rejoin("d", 2, "a", "b"), result.OK)
+	s.wantCode(s.write("a", 3, "later"), result.OK)
+	s.wantCode(s.write("b", 3, "later"), result.OK)
+	s.wantCode(s.rejoin("c", 2, "a", "b"), result.OK)
+	votes := func() bool {
+		answer, err := s.stores["c"].seal(s.ctx(), &sealRequest{To: s.to("c", "c"), Shard: "s", Token: 3})
+		s.wantCode(err, result.OK)
+		return answer.Voter
+	}
+	if votes() {
+		t.Error("it votes about what it has missed")
+	}
+	s.start("c", false)
+	if votes() {
+		t.Error("it votes about what it has missed, after a loss of power")
+	}
+	s.wantCode(s.repair("c", 3), result.OK)
+	if !votes() {
+		t.Error("it does not vote after the repair")
+	}
+}
+
+// A learner takes over what a quorum told it in its own epoch, each member once; less may lack what was chosen.
+func TestLearnerReadsAQuorum(t *testing.T) {
+	s := newSite(t)
+	s.wantCode(s.accept("b", s.to("b", "b"), 5, "chosen"), result.OK)
+	s.wantCode(s.accept("c", s.to("c", "c"), 5, "chosen"), result.OK)
+	st := s.wipe("c")
+	before, err := s.stores["a"].state(s.ctx(), &stateRequest{To: s.to("a", "a")})
+	s.wantCode(err, result.OK)
+	s.change(membership.Admit(2, st.identity.ID, "c"), []string{"a", "b"}, "c")
+	told := map[string]*stateResponse{}
+	for _, other := range []string{"a", "b"} {
+		told[other], err = s.stores[other].state(s.ctx(), &stateRequest{To: s.to(other, "c")})
+		s.wantCode(err, result.OK)
+	}
+	epoch := st.membership.Epoch
+	s.wantCode(st.restore(s.ctx(), epoch, []*stateResponse{told["a"]}), result.Unavailable)
+	s.wantCode(st.restore(s.ctx(), epoch, []*stateResponse{told["a"], told["a"]}), result.Unavailable)
+	s.wantCode(st.restore(s.ctx(), epoch, []*stateResponse{before, told["b"]}), result.Unavailable)
+	if st.identity.Restored || st.registers["config"] != nil {
+		t.Error("something was taken over from less than a quorum")
+	}
+	s.wantCode(st.restore(s.ctx(), epoch, []*stateResponse{told["a"], told["b"]}), result.OK)
+	if got := string(st.registers["config"].Value); got != "chosen" {
+		t.Errorf("learned %q", got)
+	}
+}
+
 // A replica with a new disk may have forgotten records: it takes writes, but no part in a takeover before an owner has
 // brought it in step.
 func TestNewDiskIsNoVoterForItsShards(t *testing.T) {
