--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -41,7 +41,7 @@
 mutate "old orders are refused" internal/system/core/config.go 's/o\.match < record\.History\[0\]\.Base/false/'
 mutate "a call is repeated by the library" internal/system/rpc/rpc.go 's/call\.GetBody = nil/call.Header.Set("Idempotency-Key", "x")/'
 mutate "accepted before it is durable" internal/system/core/jobsapi.go 's/sequence := o\.flush\(\)\n\to\.mu\.Unlock\(\)\n\treturn &api\.Empty\{\}, o\.waitIn\(ctx, sequence\)/o.flush()\n\to.mu.Unlock()\n\treturn &api.Empty{}, nil/'
-mutate "a refusal without a committed value" internal/system/core/config.go 's/if taken\.Digest == o\.digest/if false/'
+mutate "a change that was taken is refused when it comes again" internal/system/core/config.go 's/if taken\.Digest == o\.digest/if false && taken.Digest == o.digest/'
 mutate "nothing runs beside kept room" jobs/reserve.go 's/kept\.room\(\)\.Holds\(wanted\)/false/' ./jobs
 mutate "what is kept is kept without end" jobs/overdue.go 's/p\.unreserved = idle \|\| u\.job\.lasts\(u\.stage\)/p.unreserved = idle && false/' ./jobs
 mutate "limits hold back without end" jobs/place.go 's/if b\.overdueDue \{/if false {/' ./jobs
