Bound the answer to a worker and the orders to a side agent

Change: 3 MiB of starts an answer, by what JSON makes of them; 1,000 starts a call; the rest follows. Result: TestAnswerIsNeverTooLong failed before, TestOrdersComeInParts is new; tests of jobs and workeragent pass. Also a test that the next life of a worker may be of another kind: held already.

--- a/jobs/book_test.go
+++ b/jobs/book_test.go
@@ -368,3 +368,32 @@
 		t.Error("a queue that a configuration names is not known")
 	}
 }
+
+// One call to a side agent carries so many starts at most; the rest follow in the next.
+func TestOrdersComeInParts(t *testing.T) {
+	s := play(t, `
+	0  worker a cpu=64000
+	10 client submit j 2500x cpu=10 est=1000
+	20 disk commit`)
+	for part, want := range []int{startsMost, startsMost, 2500 - 2*startsMost} {
+		orders := s.book.Orders(time.Duration(30+part)*time.Millisecond, s.book.Worker("i-a@side-a"), 0)
+		if orders == nil || len(orders.Starts) != want {
+			t.Fatalf("part %d: %+v", part, orders)
+		}
+	}
+}
+
+// After a crash the next life may be of another kind, at the same address.
+func TestNextLifeMayBeOfAnotherKind(t *testing.T) {
+	play(t, `
+	0    worker a cpu=4000
+	10   client submit j 1x cpu=500 est=100 label=k
+	20   disk commit
+	30   orders a = start j.0.0.0/1
+	60   worker a cpu=4000 active j.0.0.0/1
+	900  worker a instance=i-a2 cpu=2000 kind=z
+	910  client submit z 4x cpu=500 est=100 label=z
+	920  disk commit
+	930  orders a2 = start z.0.0.0/1 start z.0.0.1/1 start z.0.0.2/1 start z.0.0.3/1
+	940  client j = running`)
+}
--- a/jobs/orders.go
+++ b/jobs/orders.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// startsMost is how many starts one call to a side agent carries: a few megabytes with the longest texts.
+const startsMost = 1000
+
 // DirtyWorkers returns the workers whose side agents should be told something, and forgets which they were.
 func (b *Book) DirtyWorkers() []*Worker {
 	var dirty []*Worker
@@ -14,7 +17,7 @@
 	return dirty
 }
 
-// Orders returns what a worker's side agent should be told now, or nil.
+// Orders returns what a worker's side agent should be told now, or nil. What is too much for one call is due for the next.
 func (b *Book) Orders(now time.Duration, w *Worker, sentNoted int64) *Orders {
 	if w.State == Unheard || w.State == Lapsed {
 		return nil
@@ -31,7 +34,7 @@
 		case run.stopping || !b.wants(run):
 			run.lastSent = now
 			orders.Stops = append(orders.Stops, key)
-		case run.reported:
+		case run.reported || len(orders.Starts) == startsMost:
 		default:
 			run.lastSent = now
 			orders.Starts = append(orders.Starts, b.startOf(run))
--- a/workeragent/agent.go
+++ b/workeragent/agent.go
@@ -22,9 +22,14 @@
 	// Slack covers the time between an instant and its being looked at.
 	Slack = 100 * time.Millisecond
 
-	finishedMost = 500             // ends that one heartbeat lists at most
-	keepDropped  = 5 * time.Second // a dropped order is reported for so long
-	keepNever    = time.Minute     // an order for a dropped run is turned down for so long
+	finishedMost = 500     // ends that one heartbeat lists at most
+	startBytes   = 3 << 20 // of the 4 MiB that a worker takes as an answer; the rest is for stops
+	// startOverhead is more than a start takes in JSON beside its texts.
+	startOverhead = 48
+	// escapedByte is the length of a byte that JSON escapes.
+	escapedByte = 6
+	keepDropped = 5 * time.Second // a dropped order is reported for so long
+	keepNever   = time.Minute     // an order for a dropped run is turned down for so long
 )
 
 // LapseAfter returns the time after its agent was last granted a lease in which all runs of a worker
@@ -157,7 +162,8 @@
 	return answer
 }
 
-// starts returns the orders that fit beside all that runs, is being stopped or is on its way.
+// starts returns the orders that fit beside all that runs, is being stopped or is on its way, as many as one answer may
+// carry.
 func (a *Agent) starts() []Start {
 	if !a.mayStart() {
 		return nil
@@ -167,11 +173,17 @@
 		return nil
 	}
 	var starts []Start
+	left := startBytes
 	for ref, o := range a.held {
 		demand := o.start.Demand
 		if o.flying || !free.Holds(demand) {
 			continue
 		}
+		size := wireSize(ref.Task) + wireSize(o.start.Text) + wireSize(o.start.Saved) + startOverhead
+		if size > left && len(starts) > 0 {
+			continue
+		}
+		left -= size
 		free.CPU -= demand.CPU
 		free.MemMB -= demand.MemMB
 		free.GPU -= demand.GPU
--- a/workeragent/agent_test.go
+++ b/workeragent/agent_test.go
@@ -411,3 +411,40 @@
 		}
 	}
 }
+
+// A worker takes an answer of 4 MiB at most. Orders that would make it longer wait for the next one.
+func TestAnswerIsNeverTooLong(t *testing.T) {
+	const workerTakes = 4 << 20
+	now := time.Second
+	agent := New(now, "i-1", "life1", testTiming)
+	beat := Heartbeat{State: string(jobs.Ready), Sequence: 1, Capacity: Capacity{CPU: 64000, MemMB: 1 << 20}}
+	agent.OnBeat(now, beat)
+	orders := &jobs.Orders{Instance: "i-1", Life: agent.Life()}
+	text := strings.Repeat("<\x01\"", 1333)
+	for i := range 2500 {
+		orders.Starts = append(orders.Starts, jobs.Start{Task: fmt.Sprint("0123456789abcdef.0.0.", i), Attempt: 1, Text: text, Demand: jobs.Resources{CPU: 10}})
+	}
+	if err := agent.OnOrders(now, 1, orders); err != nil {
+		t.Fatal(err)
+	}
+	if err := agent.OnLease(now, 1, 0); err != nil {
+		t.Fatal(err)
+	}
+	started := 0
+	for answers := 1; started < len(orders.Starts); answers++ {
+		answer := agent.Answer(now)
+		wire, err := answer.MarshalJSON()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(wire) > workerTakes || len(answer.Started) == 0 {
+			t.Fatalf("answer %d has %d bytes and %d starts", answers, len(wire), len(answer.Started))
+		}
+		started += len(answer.Started)
+		for _, start := range answer.Started {
+			beat.Active = append(beat.Active, Active{Task: start.Task, Attempt: start.Attempt})
+		}
+		beat.Sequence++
+		agent.OnBeat(now, beat)
+	}
+}
--- a/workeragent/message.go
+++ b/workeragent/message.go
@@ -177,3 +177,15 @@
 	}
 	out.RawByte(']')
 }
+
+// wireSize returns how long a text is in JSON at most.
+func wireSize(text string) int {
+	size := len(text)
+	for i := range len(text) {
+		switch c := text[i]; {
+		case c < ' ', c >= 0x7f, c == '"', c == '\\', c == '<', c == '>', c == '&':
+			size += escapedByte - 1
+		}
+	}
+	return size
+}
