--- a/internal/system/simulation/edge_test.go
+++ b/internal/system/simulation/edge_test.go
@@ -26,7 +26,9 @@
 
 // stubCore answers an edge scheduler like a core scheduler that owns the shard.
 type stubCore struct {
-	stale  atomic.Bool // no quorum's word
+	stale  atomic.Bool        // no quorum's word
+	unset  atomic.Bool        // no configuration was taken yet
+	stop   context.CancelFunc // ends the edge scheduler as SIGTERM does
 	submit func() error
 	calls  atomic.Int64
 }
@@ -39,6 +41,10 @@
 			Fresh: !s.stale.Load(), ConfigVersion: 1, Owners: []api.Owner{{Shard: service, Address: "10.0.0.1:7000", Token: 1}},
 			OwnersDigest: 1, Cores: []string{"10.0.0.1:7000"},
 		}
+		if s.unset.Load() {
+			time.Sleep(time.Duration(r.WaitMS) * time.Millisecond)
+			return &api.WatchResponse{Fresh: true, Cores: answer.Cores}, nil
+		}
 		if r.ConfigVersion < 1 {
 			answer.Config = []byte(`{"version":1,"routes":[{"name":"q","host":"h","path_prefix":"/q/","timeout_ms":3000,` +
 				`"service":"svc","retries":2}],"services":[{"name":"svc"}],"limits":{"max_body_bytes":200}}`)
@@ -67,6 +73,7 @@
 		w := &world{t: t, seeds: firstSeeds, fabric: newFabric(), ledger: newLedger(time.Now()), machines: map[string]*machine{}, begun: time.Now()}
 		core := stub.start(w)
 		ctx, cancel := context.WithCancel(context.Background())
+		stub.stop = cancel
 		h := w.fabric.host("10.0.1.1")
 		p := node.NewProcess(w.settings(&machine{name: "edge0", ip: "10.0.1.1"}), logr.Discard(), h.dial, h.listen)
 		ended := make(chan error)
@@ -143,6 +150,50 @@
 	})
 }
 
+// Before the first configuration nothing is known of any queue: 503, which is no verdict, never 404.
+func TestNoConfigurationIsNoVerdict(t *testing.T) {
+	stub := &stubCore{}
+	stub.unset.Store(true)
+	withEdge(t, stub, func(w *world) {
+		for _, method := range []string{http.MethodPost, http.MethodGet, http.MethodDelete} {
+			if got, _ := w.call(method, edgeAddr, jobPath, "h", "", goodJob); got != http.StatusServiceUnavailable {
+				t.Errorf("%s: status %d", method, got)
+			}
+		}
+		if got, _ := w.call(http.MethodGet, "10.0.1.1:91", "/sedgevale/readyz", "h", "", ""); got != http.StatusServiceUnavailable {
+			t.Errorf("ready: %d without a configuration", got)
+		}
+	})
+}
+
+// Requests that an edge scheduler reads until it stops accepting, after SIGTERM too, get their whole answer, however long
+// the owner takes.
+func TestPlannedEndAnswersClients(t *testing.T) {
+	stub := &stubCore{submit: func() error {
+		time.Sleep(700 * time.Millisecond)
+		return nil
+	}}
+	withEdge(t, stub, func(w *world) {
+		answers := make(chan int)
+		send := func(wait time.Duration) {
+			time.Sleep(wait)
+			status, _ := w.call(http.MethodPost, edgeAddr, jobPath, "h", "", goodJob)
+			answers <- status
+		}
+		waits := []time.Duration{0, 150 * time.Millisecond, 900 * time.Millisecond, 1900 * time.Millisecond}
+		for _, wait := range waits {
+			go send(wait)
+		}
+		time.Sleep(100 * time.Millisecond)
+		stub.stop()
+		for range waits {
+			if status := <-answers; status != http.StatusOK {
+				t.Errorf("status %d", status)
+			}
+		}
+	})
+}
+
 func TestBadRequestsAreNamed(t *testing.T) {
 	cases := []struct{ name, path, body, want string }{
 		{"cut short", jobPath, goodJob[:20], "job:"},
