--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -122,3 +122,30 @@
 		t.Errorf("picked %d of none", got)
 	}
 }
+
+func TestTurnsToCredit(t *testing.T) {
+	cases := []struct {
+		debts []Deficit
+		want  float64
+	}{
+		{nil, 0},
+		{[]Deficit{0}, 1},
+		{[]Deficit{-199}, 1},
+		{[]Deficit{-200}, 2},
+		{[]Deficit{-691200, -450, -1e9}, 3},
+	}
+	for _, one := range cases {
+		turns := TurnsToCredit(one.debts, 200)
+		if turns != one.want {
+			t.Errorf("%v: %v turns, %v wanted", one.debts, turns, one.want)
+		}
+		credit := false
+		for _, d := range one.debts {
+			d.Visit(turns*200, true)
+			credit = credit || d > 0
+		}
+		if len(one.debts) > 0 && !credit {
+			t.Errorf("%v: nobody has credit after %v turns", one.debts, turns)
+		}
+	}
+}
