Let limits keep room for the urgent for 6 s under load, 1.5 s else

Change: above 0.6 of the cores in use work is overdue after 6 s; tasks that last and idle shards as before.

--- a/jobs/overdue.go
+++ b/jobs/overdue.go
@@ -5,10 +5,11 @@
 // Limits and reservations decide who goes first. They must not keep room idle that somebody waits for, so both are
 // bounded in time: work that has waited for long, with nothing of its job at work, goes to any worker with room.
 const (
-	overdueAfter = 1500 * time.Millisecond // a unit that waits for longer is not held back by its queue's limit or credit
-	overdueLook  = 1024                    // waiting units that are looked at in one round
-	overdueMost  = 64                      // of these, units that are tried
-	mostlyIdle   = 0.6                     // part of the cores in use up to which reservations do not hold it back either
+	overdueAfter  = 1500 * time.Millisecond // a unit that waits for longer is not held back by its queue's limit or credit,
+	overdueLoaded = 6 * time.Second         // nor one that waits for longer under load, when limits keep room for the urgent
+	overdueLook   = 1024                    // waiting units that are looked at in one round
+	overdueMost   = 64                      // of these, units that are tried
+	mostlyIdle    = 0.6                     // part of the cores in use up to which there is no load
 )
 
 // placeOverdue places what has waited for too long, one task of each job, in room that all queues within their limits
@@ -40,7 +41,7 @@
 	for range b.order {
 		q := b.order[b.overdueFrom%len(b.order)]
 		ended := q.lookFrom(&q.overdueNext, &look, func(u *unit) {
-			if p.isOverdue(u) && (idle || u.job.lasts(u.stage) || !p.blocked[u]) {
+			if p.isOverdue(u, idle) && (idle || u.job.lasts(u.stage) || !p.blocked[u]) {
 				found = append(found, u)
 			}
 			if len(found) == overdueMost {
@@ -55,9 +56,13 @@
 	return found
 }
 
-// isOverdue reports whether a unit has waited for too long.
-func (p *pass) isOverdue(u *unit) bool {
-	return p.now-u.since >= overdueAfter && (u.job.assigned == 0 || u.job.lasts(u.stage))
+// isOverdue reports whether a unit has waited for too long: a task that lasts, or one of a job with nothing at work.
+func (p *pass) isOverdue(u *unit, idle bool) bool {
+	waited := p.now - u.since
+	if u.job.lasts(u.stage) {
+		return waited >= overdueAfter
+	}
+	return u.job.assigned == 0 && (waited >= overdueLoaded || idle && waited >= overdueAfter)
 }
 
 // lookFrom visits waiting units from a place on, as many as are left to look at, and reports whether it came to the
