--- /dev/null
+++ b/internal/joblog/store/background_test.go
@@ -0,0 +1,89 @@
+package store_test
+
+import (
+	"testing"
+	"time"
+
+	"sedgevale/internal/joblog"
+	"sedgevale/internal/joblog/store"
+	"sedgevale/internal/standin"
+)
+
+// slowDisk holds up syncs of files, as a disk does on which others sync too.
+type slowDisk struct {
+	store.FS
+	begun chan struct{} // told when a sync begins
+	goOn  chan struct{} // a sync waits for it
+}
+
+type slowFile struct {
+	store.File
+	disk *slowDisk
+}
+
+func (d *slowDisk) Create(path string) (store.File, error) {
+	f, err := d.FS.Create(path)
+	return &slowFile{f, d}, err
+}
+
+func (f *slowFile) Sync() error {
+	f.disk.begun <- struct{}{}
+	<-f.disk.goOn
+	return f.File.Sync()
+}
+
+// Guards that a record is with the operating system, and so outlives the end of the process, while a sync of earlier
+// records takes its time; and that nobody is told that it is durable before a sync that began after it.
+func TestRecordsAreWrittenDuringASync(t *testing.T) {
+	memory := standin.NewDisk(1, 1<<20)
+	disk := &slowDisk{FS: memory, begun: make(chan struct{}), goOn: make(chan struct{})}
+	s, err := store.Open(store.Options{FS: disk, Dir: "j", Secret: secret, Sync: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	let := func() { <-disk.begun; disk.goOn <- struct{}{} }
+	first, second := make(chan error, 1), make(chan error, 1)
+	s.Put(joblog.Record{Kind: joblog.Taken, Serial: 1, At: 1, Job: "one", Class: "once"}, func(err error) { first <- err })
+	let() // the new segment's own
+	<-disk.begun
+	s.Put(joblog.Record{Kind: joblog.Taken, Serial: 2, At: 2, Job: "two", Class: "once"}, func(err error) { second <- err })
+	deadline := time.Now().Add(10 * time.Second)
+	for !recorded(t, memory, "two") {
+		if time.Now().After(deadline) {
+			t.Fatal("a record waits in memory behind a sync of earlier ones")
+		}
+	}
+	disk.goOn <- struct{}{}
+	if err := <-first; err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-second:
+		t.Error("a record counts as durable by a sync that began before it was written")
+	default:
+	}
+	let()
+	if err := <-second; err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for {
+			let()
+		}
+	}()
+	s.Close()
+}
+
+// recorded reports whether a process that starts now would find a job in the journal.
+func recorded(t *testing.T, disk *standin.Disk, job string) bool {
+	view, err := store.Read(disk, "j", secret, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, j := range view.Jobs {
+		if j.ID == job {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/joblog/store/lane.go
+++ b/internal/joblog/store/lane.go
@@ -11,7 +11,7 @@
 )
 
 // lane is the segments that one process writes. It is for one goroutine and waits for
-// the disk.
+// the disk, but for syncs of records: between beginSync and endSync it can be written.
 //
 // After a failed write or sync the file is not written any more: whether its pages will
 // ever reach the disk is then unknown. The next segment follows on the last record that
@@ -37,6 +37,7 @@
 	durTip joblog.Mac // the same at the last good sync
 	durSeq uint64
 	pend   []joblog.Record // written since, or to be written again
+	mark   *syncMark       // what the sync that is under way makes durable; nil for none
 	behind bool            // pend is of the process before, whose run was
 	before [16]byte
 
@@ -111,7 +112,7 @@
 // write appends records; they are not durable yet. After an error none of them is in
 // the journal.
 func (l *lane) write(recs []joblog.Record) error {
-	if l.file != nil && l.off > l.limit {
+	if l.file != nil && l.off > l.limit && l.mark == nil { // the limit may be passed by what comes during a sync
 		if err := l.sync(); err != nil {
 			return err
 		}
@@ -220,13 +221,62 @@
 	return nil
 }
 
-func (l *lane) synced() {
-	l.durable, l.durSeq, l.durTip = l.off, l.seq, l.tip
-	clear(l.pend)
-	l.pend = l.pend[:0]
+// syncMark is how far a file was written when its sync began.
+type syncMark struct {
+	file    File
+	off     int64
+	seq     uint64
+	tip     joblog.Mac
+	records int  // of pend
+	given   bool // the file was given up meanwhile
 }
 
-// sync makes all that was written durable.
+func (l *lane) markNow() *syncMark {
+	return &syncMark{file: l.file, off: l.off, seq: l.seq, tip: l.tip, records: len(l.pend)}
+}
+
+// synced notes that all that was written is durable.
+func (l *lane) synced() { l.syncedTo(l.markNow()) }
+
+func (l *lane) syncedTo(m *syncMark) {
+	l.durable, l.durSeq, l.durTip = m.off, m.seq, m.tip
+	left := copy(l.pend, l.pend[m.records:])
+	clear(l.pend[left:])
+	l.pend = l.pend[:left]
+}
+
+// beginSync returns what makes all that was written so far durable. That may run beside what the lane writes meanwhile;
+// endSync takes its result.
+func (l *lane) beginSync() (do func() error) {
+	if l.file == nil {
+		err := l.sync()
+		return func() error { return err }
+	}
+	l.mark = l.markNow()
+	return l.mark.file.Sync
+}
+
+var errGivenUp = errors.New("the file was given up while it was synced")
+
+// endSync takes the result of a sync.
+func (l *lane) endSync(err error) error {
+	m := l.mark
+	l.mark = nil
+	switch {
+	case m == nil:
+		return err
+	case m.given:
+		_ = m.file.Close()
+		return errors.Join(errGivenUp, err)
+	case err != nil:
+		l.distrust()
+		return err
+	}
+	l.syncedTo(m)
+	return nil
+}
+
+// sync makes all that was written durable, and waits for it. None may be under way.
 func (l *lane) sync() error {
 	if l.file == nil {
 		if len(l.pend) == 0 {
@@ -234,12 +284,7 @@
 		}
 		return l.next()
 	}
-	if err := l.file.Sync(); err != nil {
-		l.distrust()
-		return err
-	}
-	l.synced()
-	return nil
+	return l.endSync(l.beginSync()())
 }
 
 // seal ends a segment that is durable.
@@ -257,7 +302,11 @@
 // distrust gives the file up. What was durable is read again, since a disk that fails
 // a sync may have lost more than that.
 func (l *lane) distrust() {
-	_ = l.file.Close()
+	if l.mark != nil && l.mark.file == l.file {
+		l.mark.given = true // endSync closes it
+	} else {
+		_ = l.file.Close()
+	}
 	l.file = nil
 	l.segments = append(l.segments, segment{l.number, l.path(), l.off, l.last})
 	if err := l.verify(); err != nil {
@@ -302,14 +351,9 @@
 	return n
 }
 
-// prune drops the n oldest sealed segments. What they say of jobs that must be kept is
-// written again first. Only once that is durable, and that the segments are dropped on
-// purpose, the files go.
-func (l *lane) prune(now time.Time, n int) error {
-	n = min(n, len(l.segments))
-	if n == 0 {
-		return nil
-	}
+// beginPrune writes what allows to drop the n oldest sealed segments: again what they say of jobs that must be kept, and that
+// they are dropped on purpose. Only once that is durable, endPrune drops the files.
+func (l *lane) beginPrune(now time.Time, n int) error {
 	var recs []joblog.Record
 	for serial, number := range l.first {
 		if j := l.book.Jobs[serial]; j != nil && number <= l.segments[n-1].number {
@@ -324,19 +368,16 @@
 		return err
 	}
 	recs = append(recs, joblog.Record{Kind: joblog.Pruned, At: now.UnixMicro(), Count: dropped})
-	if err := l.write(recs); err != nil {
-		return err
-	}
-	if err := l.sync(); err != nil {
-		return err
-	}
-	defer func() { _ = l.fs.SyncDir(l.dir) }() // where it fails, files may come back
-	for _, s := range l.segments[:n] {         // also if it cannot be removed: nothing in it counts any more
+	return l.write(recs)
+}
+
+// endPrune drops the n oldest sealed segments.
+func (l *lane) endPrune(n int) {
+	for _, s := range l.segments[:n] { // also if it cannot be removed: nothing in it counts any more
 		l.stale = append(l.stale, s.path)
 	}
 	l.segments = l.segments[n:]
 	l.clean()
-	return nil
 }
 
 // clean removes files that do not count any more, the oldest first.
--- a/internal/joblog/store/powercut_test.go
+++ b/internal/joblog/store/powercut_test.go
@@ -29,6 +29,7 @@
 	out    []*flight
 	early  bool            // a mutation: it is sent before the intent is durable
 	over   map[string]bool // served, and answered
+	call   func()          // of the disk, begun and not done
 }
 
 type flight struct {
@@ -44,6 +45,27 @@
 		t.Fatalf("a journal that does not open: %v", err)
 	}
 	w.store = s
+	w.call = nil
+	s.Beside(func(do func()) {
+		if w.r.IntN(2) == 0 { // done at once, but its end is heard of later
+			do()
+			return
+		}
+		w.call = do
+	})
+}
+
+// await has the disk end what was begun.
+func (w *world) await() {
+	for {
+		if w.call != nil {
+			w.call()
+			w.call = nil
+		}
+		if !w.store.EndCall() {
+			return
+		}
+	}
 }
 
 // step is one of the things that happen, drawn at random.
@@ -54,10 +76,13 @@
 		w.take()
 	case n < 9:
 		w.store.Batch()
+	case n < 11:
+		w.store.BeginSync()
 	case n < 13:
-		w.store.Sync()
+		w.await()
 	case n < 14:
-		w.store.Tend()
+		w.await()
+		w.store.BeginTend()
 	case n < 15 && w.r.IntN(10) == 0:
 		w.now = w.now.Add(40 * time.Second) // segments grow old
 	default:
--- a/internal/joblog/store/store.go
+++ b/internal/joblog/store/store.go
@@ -46,6 +46,7 @@
 	maxLanes   = 8
 	tickEvery  = 100 * time.Millisecond
 	lazySync   = 20 * time.Millisecond // records that nobody waits for are durable after so long
+	tendLate   = 3 * tickEvery         // from then on looking after the room goes before a sync
 	sweepEvery = time.Minute
 	pruneMost  = 16      // segments dropped at a time
 	heldMost   = 1 << 16 // records kept in memory while the disk takes none
@@ -90,6 +91,8 @@
 	dirty   time.Time // since when something is written and not durable
 	reserve bool      // the reserved file is there
 	failing bool      // the last write or sync failed
+	under   *diskCall // the call of the disk that is under way, if one is
+	spawn   func(func())
 }
 
 // Stats are counts since the start.
@@ -133,7 +136,7 @@
 		return nil, fmt.Errorf("journal %s: %w", o.Dir, err)
 	}
 	s := &Store{opt: o, lock: lock, wake: make(chan struct{}, 1), ended: make(chan struct{}),
-		space: joblog.Space{Reserve: o.Reserve, Most: o.MaxBytes}}
+		space: joblog.Space{Reserve: o.Reserve, Most: o.MaxBytes}, spawn: func(do func()) { go do() }}
 	var rec recovery
 	if s.lane, rec, err = openLane(o.FS, dir, key, o.Segment, s.doubt); err != nil {
 		lock.Close()
@@ -269,31 +272,50 @@
 	defer tick.Stop()
 	checked := time.Time{}
 	for {
-		wait := tickEvery
-		if !s.dirty.IsZero() {
-			wait = min(wait, lazySync)
-		}
-		tick.Reset(wait)
+		tick.Reset(s.pause())
+		failed := false
 		select {
 		case <-s.wake:
 		case <-tick.C:
+		case err := <-s.returned():
+			s.endCall(err)
+			failed = err != nil
 		}
 		end := s.batch(s.box.Take())
 		now := s.opt.Now()
-		if len(s.waiting) > 0 || !s.dirty.IsZero() && (now.Sub(s.dirty) >= lazySync || now.Before(s.dirty)) {
+		since := now.Sub(checked)
+		due := since >= tickEvery || since < 0
+		if !failed && s.wantsSync(now) && (!due || since < tendLate) {
 			s.sync()
 		}
-		if since := now.Sub(checked); since >= tickEvery || since < 0 {
+		if due && s.under == nil {
 			checked = now
 			s.tend(now)
 		}
 		if end {
+			s.await()
 			s.finish()
 			return
 		}
 	}
 }
 
+// pause is how long the loop waits at most.
+func (s *Store) pause() time.Duration {
+	if s.dirty.IsZero() {
+		return tickEvery
+	}
+	return min(tickEvery, lazySync)
+}
+
+// wantsSync reports whether what was written should be made durable now.
+func (s *Store) wantsSync(now time.Time) bool {
+	if s.under != nil {
+		return false
+	}
+	return len(s.waiting) > 0 || !s.dirty.IsZero() && (now.Sub(s.dirty) >= lazySync || now.Before(s.dirty))
+}
+
 // batch writes what has come in, and reports whether the end was asked for.
 func (s *Store) batch(items []entry) (end bool) {
 	if len(items) == 0 && len(s.held) == 0 {
@@ -306,7 +328,10 @@
 		e := &items[i]
 		switch {
 		case e.call != nil:
-			defer e.call()
+			defer func() {
+				s.await()
+				e.call()
+			}()
 		case e.rec.Kind == 0:
 			end = true
 		default:
@@ -382,36 +407,44 @@
 	}
 }
 
+// sync has what was written made durable, and tells those who wait for that. With a disk it goes on beside the loop.
 func (s *Store) sync() {
 	if s.opt.Sync {
-		if err := s.lane.sync(); err != nil {
-			s.failed(err) // those who wait go on waiting: it is tried again in another file
-			return
-		}
-		s.works()
-		s.mu.Lock()
-		s.stats.Syncs++
-		s.mu.Unlock()
-	} else {
-		s.lane.synced()
+		s.makeDurable(nil)
+		return
 	}
+	s.lane.synced()
 	s.dirty = time.Time{}
-	for i, f := range s.waiting {
-		f(nil)
-		s.waiting[i] = nil
-	}
+	s.tellDurable(s.waiting)
 	s.waiting = s.waiting[:0]
 }
 
+func (s *Store) tellDurable(waiting []func(error)) {
+	for i, done := range waiting {
+		done(nil)
+		waiting[i] = nil
+	}
+}
+
 // tend looks after the room, and drops what is old.
 func (s *Store) tend(now time.Time) {
 	s.measure()
-	if !s.space.Full() && !s.reserve && s.opt.Reserve > 0 {
-		if err := s.makeReserve(); err != nil {
+	if s.space.Full() || s.reserve || s.opt.Reserve <= 0 {
+		s.dropOld(now)
+		return
+	}
+	s.call(s.makeReserve, func(err error) {
+		if err != nil {
 			s.failed(fmt.Errorf("the reserve: %w", err))
 			return
 		}
-	}
+		s.reserve = true
+		s.dropOld(now)
+	})
+}
+
+// dropOld drops segments that are old, or over the bound of the journal.
+func (s *Store) dropOld(now time.Time) {
 	if now.Sub(s.swept) >= sweepEvery || now.Before(s.swept) {
 		s.swept = now
 		s.sweep(now)
@@ -434,12 +467,18 @@
 	if n == 0 {
 		return
 	}
-	if err := l.prune(now, n); err != nil {
-		s.failed(err)
-	}
 	if s.dirty.IsZero() {
 		s.dirty = now
 	}
+	if err := l.beginPrune(now, n); err != nil {
+		s.failed(err)
+		return
+	}
+	s.makeDurable(func() {
+		l.endPrune(n)
+		// Where it fails, files may come back.
+		s.call(func() error { return l.fs.SyncDir(l.dir) }, func(error) {})
+	})
 }
 
 // sweep drops lanes that no process has, once all in them is old and nothing waits for
@@ -507,7 +546,7 @@
 	}
 }
 
-// makeReserve writes a file that is removed when room is needed. Its bytes are written,
+// makeReserve, which runs beside the loop, writes a file that is removed when room is needed. Its bytes are written,
 // not only counted: a hole takes no room.
 func (s *Store) makeReserve() error {
 	path := join(s.lane.dir, reserveName)
@@ -532,7 +571,6 @@
 		_ = s.opt.FS.Remove(path)
 		return err
 	}
-	s.reserve = true
 	return nil
 }
 
