Keep room free for the first priority, as much as its demand varied lately

Change: other queues leave free what the first priority wanted beyond its present use within the last seconds (a peak that decays by 2 % a round), down to their own share; nothing where there is no urgent demand. Tests fail with it taken out.

--- a/jobs/book.go
+++ b/jobs/book.go
@@ -65,6 +65,7 @@
 	overdueFrom int                      // the queue at which that goes on
 	preemptAt   time.Duration            // when work may be preempted again
 	wake        bool                     // something may be placed now
+	headroom    headroom
 	claimants   []admission.Claimant
 	scratch     []float64
 }
--- /dev/null
+++ b/jobs/headroom_test.go
@@ -0,0 +1,50 @@
+package jobs
+
+import (
+	"strings"
+	"testing"
+)
+
+// Room that the first priority has wanted lately is kept free of other work, so that it need not preempt; after a while
+// without such demand the others have it.
+func TestRoomIsKeptForTheUrgentDemandSeenLately(t *testing.T) {
+	const text = `
+	0   worker a cpu=4000
+	10  client submit u 2x cpu=1000 est=100
+	20  disk commit
+	30  orders a = start u.0.0.0/1 start u.0.0.1/1
+	60  worker a cpu=4000 active u.0.0.0/1 active u.0.0.1/1
+	100 tick
+	150 worker a cpu=4000 end 1/u.0.0.0/1/done end 2/u.0.0.1/1/done
+	160 disk commit
+	170 orders a = noted 2
+	180 client submit low-j 4x cpu=1000 est=5000
+	190 disk commit
+	200 orders a = start low-j.0.0.0/1 start low-j.0.0.1/1
+	210 worker a cpu=4000 active low-j.0.0.0/1 active low-j.0.0.1/1
+	220 client submit v 2x cpu=1000 est=100
+	230 disk commit
+	240 orders a = start v.0.0.0/1 start v.0.0.1/1`
+	play(t, text)
+	s := play(t, text+`
+	300 worker a cpu=4000 active low-j.0.0.0/1 active low-j.0.0.1/1 end 3/v.0.0.0/1/done end 4/v.0.0.1/1/done
+	310 disk commit
+	320 orders a = noted 4`)
+	for range 200 {
+		s.book.headroom.endRound(0, 1)
+	}
+	s.book.wake = true
+	s.step(330*1e6, []string{"disk", "commit"}, "")
+	s.step(335*1e6, []string{"disk", "commit"}, "")
+	s.step(340*1e6, strings.Fields("orders a = start low-j.0.0.2/1 start low-j.0.0.3/1"), "room that nobody urgent wanted for 20 s")
+}
+
+// Without urgent demand nothing is kept.
+func TestNoRoomIsKeptWithoutUrgentDemand(t *testing.T) {
+	play(t, `
+	0   worker a cpu=4000
+	100 tick
+	180 client submit low-j 4x cpu=1000 est=5000
+	190 disk commit
+	200 orders a = start low-j.0.0.0/1 start low-j.0.0.1/1 start low-j.0.0.2/1 start low-j.0.0.3/1`)
+}
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -131,9 +131,10 @@
 		return true
 	}
 	before := p.started
+	q.limit = b.allowed(q)
 	units, more := p.inOrder(q)
 	for _, u := range units {
-		if q.held >= q.sigma && q.held > 0 {
+		if q.held >= q.limit && q.held > 0 {
 			return false
 		}
 		credit := true
@@ -183,7 +184,7 @@
 // releaseTasks places tasks of a unit one by one. It reports whether the queue still has credit.
 func (b *Book) releaseTasks(p *pass, u *unit) bool {
 	for len(u.tasks) > 0 {
-		if u.queue.held >= u.queue.sigma && u.queue.held > 0 {
+		if u.queue.held >= u.queue.limit && u.queue.held > 0 {
 			return true
 		}
 		w := b.pick(p, u, nil)
--- a/jobs/queue.go
+++ b/jobs/queue.go
@@ -27,6 +27,8 @@
 	held        float64              // parts of workers that its runs hold
 	local       float64              // the local share
 	sigma       float64              // the admission limit on held
+	floor       float64              // its own share of all room
+	limit       float64              // what it may hold in this turn: sigma, or less where room is kept for others
 	deficit     admission.Deficit
 	usual       float64 // EWMA of the logarithm of a task's run time in seconds
 	bias        float64 // EWMA of the logarithm of a task's run time over its estimate
@@ -151,6 +153,14 @@
 		claimants = append(claimants, admission.Claimant{Want: q.want(), Share: shareOf(q.Priority) / weights})
 	}
 	b.claimants = claimants
+	urgent := 0.0
+	for i, q := range b.order {
+		q.floor = limit * claimants[i].Share
+		if q.Priority == 0 {
+			urgent += claimants[i].Want
+		}
+	}
+	b.headroom.endRound(urgent, limit)
 	level := 0.0
 	if demand > limit {
 		level = admission.FairLevel(claimants, limit)
--- a/jobs/withheld.go
+++ b/jobs/withheld.go
@@ -8,6 +8,7 @@
 // The reasons, in the order in which they are looked for.
 const (
 	ByQueueLimit  Reason = "queue limit"  // the queue holds as much as its sigma allows
+	ByHeadroom    Reason = "headroom"     // room is kept for the first priority
 	ByCredit      Reason = "credit"       // deficit round robin owes the others first
 	ByReservation Reason = "reservation"  // each worker with room is kept for a unit that waits for more
 	ByWorkerLimit Reason = "worker limit" // the learned limits of the workers with room
@@ -96,6 +97,8 @@
 	switch {
 	case q.held >= q.sigma && q.held > 0:
 		return ByQueueLimit
+	case q.held >= q.limit && q.held > 0:
+		return ByHeadroom
 	case q.deficit <= 0:
 		return ByCredit
 	}
