--- a/cmd/sedgevale/main.go
+++ b/cmd/sedgevale/main.go
@@ -31,7 +31,6 @@
 	Journal *journalCmd `arg:"subcommand:journal" help:"Ask the journal of one-shot jobs."`
 	Peers   *peersCmd   `arg:"subcommand:peers" help:"Ask a scheduler about the others of its site."`
 	Swarm   *swarmCmd   `arg:"subcommand:swarm" help:"Play an experiment of many schedulers in virtual time."`
-	Scale   *scaleCmd   `arg:"subcommand:scale" help:"Measure what a scheduler costs at a size, with hollow workers and schedulers around real processes."`
 	Standin *standinCmd `arg:"subcommand:standin" help:"Play the workers that an operator's file names, to try things out."`
 	Version *versionCmd `arg:"subcommand:version" help:"Print the version."`
 }
