Ask in one function whether a worker suits a unit; keep none that its holder may not use

Cause: capacity, labels and anti-affinity were asked in placeable, fittingOf, reserve and Withheld, each a little otherwise; reserve left anti-affinity out and kept workers that their holder could not use. Change: Book.suits in all four; the head of overdue.go no longer promises a bound that reservations do not have. Measured: TestNoWorkerIsKeptThatItsHolderMayNotUse fails on the version before (i-a is kept) and passes; the tests of jobs pass. Ruled out: any other difference between the four (negative anti-affinity means none, as before in placement).

--- a/jobs/overdue.go
+++ b/jobs/overdue.go
@@ -2,8 +2,9 @@
 
 import "time"
 
-// Limits and reservations decide who goes first. They must not keep room idle that somebody waits for, so both are
-// bounded in time: work that has waited for long, with nothing of its job at work, goes to any worker with room.
+// Limits, the room kept for the first priority, and reservations decide who goes first. Work that has waited for long, with
+// nothing of its job at work, is no longer held back by the first two; by reservations it is, for as long as there is load,
+// unless it lasts.
 const (
 	overdueAfter  = 1500 * time.Millisecond // a unit that waits for longer is not held back by its queue's limit or credit,
 	overdueLoaded = 6 * time.Second         // nor one that waits for longer under load, when limits keep room for the urgent
--- a/jobs/pick.go
+++ b/jobs/pick.go
@@ -129,16 +129,12 @@
 
 // fittingOf returns at most so many of some workers that may take a task of the unit now.
 func (b *Book) fittingOf(p *pass, u *unit, taken *tentative, workers []*Worker, most int) []*Worker {
-	step := &u.job.Spec.Stages[u.stage]
-	demand := step.demand()
+	demand := u.job.Spec.Stages[u.stage].demand()
 	var fits []*Worker
 	for _, w := range workers {
 		if len(fits) >= most {
 			break
 		}
-		if !w.carries(step.Constraints) {
-			continue
-		}
 		wanted := demand
 		count := 0
 		if taken != nil {
@@ -148,10 +144,7 @@
 			wanted = wanted.plus(taken.used[w])
 			count = taken.count[w]
 		}
-		if !w.room(wanted) || !p.mayUse(w, u, wanted) {
-			continue
-		}
-		if step.AntiAffinity > 0 && b.together(w, u)+count >= step.AntiAffinity {
+		if !w.room(wanted) || !p.mayUse(w, u, wanted) || !b.suits(w, u, count) {
 			continue
 		}
 		fits = append(fits, w)
@@ -159,6 +152,16 @@
 	return fits
 }
 
+// suits reports whether a worker, if it were empty, could take a task of a unit beside so many that are meant for it: by its
+// capacity, its labels and the unit's anti-affinity.
+func (b *Book) suits(w *Worker, u *unit, meant int) bool {
+	step := &u.job.Spec.Stages[u.stage]
+	if !w.Capacity.Holds(step.demand()) || !w.carries(step.Constraints) {
+		return false
+	}
+	return step.AntiAffinity <= 0 || b.together(w, u)+meant < step.AntiAffinity
+}
+
 // together counts the tasks of a unit's step and time that a worker holds.
 func (b *Book) together(w *Worker, u *unit) int {
 	n := 0
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"slices"
 	"time"
 
 	"sedgevale/admission"
@@ -238,16 +239,7 @@
 
 // placeable reports whether a worker that takes tasks could take one of a unit's if it were empty.
 func (b *Book) placeable(p *pass, u *unit) bool {
-	step := &u.job.Spec.Stages[u.stage]
-	for _, w := range p.ready {
-		if !w.Capacity.Holds(step.demand()) || !w.carries(step.Constraints) {
-			continue
-		}
-		if step.AntiAffinity == 0 || b.together(w, u) < step.AntiAffinity {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(p.ready, func(w *Worker) bool { return b.suits(w, u, 0) })
 }
 
 // start assigns a task to a worker. The order may be sent once the change is durable.
--- a/jobs/place_test.go
+++ b/jobs/place_test.go
@@ -280,3 +280,24 @@
 	310  disk commit
 	320  orders a = start j.0.0.?/1`)
 }
+
+// A worker is kept for a task only if the task may run there: not where enough of its step are.
+func TestNoWorkerIsKeptThatItsHolderMayNotUse(t *testing.T) {
+	s := play(t, `
+	0   worker a cpu=4000 rack=r1
+	0   worker b cpu=4000 rack=r2
+	10  client submit x 1x cpu=3500 label=r2 est=9000
+	20  client submit low-apart 2x cpu=3000 apart=1 est=9000
+	30  disk commit
+	600 worker a cpu=4000 rack=r1
+	600 worker b cpu=4000 rack=r2
+	610 tick`)
+	if len(s.book.reserved) == 0 {
+		t.Fatal("no worker is kept for the task that waits")
+	}
+	for w := range s.book.reserved {
+		if w.Instance != "i-b" {
+			t.Errorf("%s is kept, where one of the step's tasks is already", w.Instance)
+		}
+	}
+}
--- a/jobs/reserve.go
+++ b/jobs/reserve.go
@@ -47,7 +47,7 @@
 		if members == 0 || len(p.reserved)*2 >= len(p.ready) {
 			return
 		}
-		if p.reserved[w] != nil || !w.Capacity.Holds(step.demand()) || !w.carries(step.Constraints) {
+		if p.reserved[w] != nil || !b.suits(w, u, 0) {
 			continue
 		}
 		p.reserved[w] = &reservation{holder: u, worker: w}
--- a/jobs/withheld.go
+++ b/jobs/withheld.go
@@ -63,10 +63,7 @@
 	}
 	limited, reserved := 0, 0
 	for _, w := range b.ready[:min(len(b.ready), withheldLook)] {
-		if !w.free().Holds(step.demand()) || !w.carries(step.Constraints) {
-			continue
-		}
-		if step.AntiAffinity > 0 && b.together(w, u) >= step.AntiAffinity {
+		if !w.free().Holds(step.demand()) || !b.suits(w, u, 0) {
 			continue
 		}
 		told.Worker = w.Ref
