--- a/internal/system/core/ownership.go
+++ b/internal/system/core/ownership.go
@@ -14,7 +14,7 @@
 
 const (
 	ownEvery        = 60 * time.Millisecond
-	firstOwnAfter   = 250 * time.Millisecond // after the start, for others to say what they own
+	firstOwnAfter   = 250 * time.Millisecond // after the start, for others to say what they own, if not all have said it
 	takeoverPause   = 400 * time.Millisecond
 	takeoverTimeout = 2500 * time.Millisecond
 	ownerPrefix     = "owner/"
@@ -38,7 +38,7 @@
 	for ctx.Err() == nil {
 		time.Sleep(ownEvery)
 		state := c.currentConfig()
-		if state == nil || time.Since(c.started) < firstOwnAfter || !c.quorumHeard() {
+		if state == nil || !c.quorumHeard() || (time.Since(c.started) < firstOwnAfter && !c.allHeard()) {
 			continue
 		}
 		for _, service := range state.config.Services {
--- a/internal/system/core/peers.go
+++ b/internal/system/core/peers.go
@@ -235,6 +235,25 @@
 	return len(m.Seats) > 0 && n >= m.Quorum()
 }
 
+// allHeard reports whether all holders of seats, and all whom others hear, answered lately, so that nobody who owns a shard
+// has yet to say so.
+func (c *Core) allHeard() bool {
+	m := c.store.currentMembership()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, member := range m.Filled() {
+		if member.Address != c.address && !c.peer(member.Address).alive() {
+			return false
+		}
+	}
+	for address, p := range c.peers {
+		if address != c.address && p.known && !p.alive() {
+			return false
+		}
+	}
+	return true
+}
+
 // readSoon has a register's chosen value read. The lock is held.
 func (c *Core) readSoon(name string) {
 	if c.reading[name] {
