--- a/scripts/ablation.sh
+++ b/scripts/ablation.sh
@@ -28,7 +28,6 @@
 prepare "as it is"
 prepare "no headroom" jobs/headroom.go 's/h\.others = max\(0, limit-h\.peak\)/h.others = limit/'
 prepare "no triage" jobs/queue.go 's/\t\tb\.triage\(now, q, limit\)\n//'
-prepare "due anew at a takeover" jobs/restore.go 's/now - job\.dueFor\(t\.Number, wallMS\)/now/'
 prepare "no preemption" jobs/place.go 's/\tb\.preempt\(p\)\n//'
 prepare "no reservations" jobs/place.go 's/\tb\.reserve\(p, u, members\)\n/\t_ = members\n/'
 prepare "accelerators not packed" jobs/pick.go 's/if step\.GPU > 0 \{/if false {/'
