Let tasks that last use room that is kept for the first priority

Each is wanted at work all the time, and they are few. Change: their unit is released up to sigma. Ruled out: the queue's sigma as the cause.

--- a/jobs/headroom.go
+++ b/jobs/headroom.go
@@ -34,3 +34,12 @@
 	beside := q.held + max(0, b.headroom.others-held)
 	return min(q.sigma, max(beside, q.floor))
 }
+
+// limitOf returns how much the queue may hold before a unit is released. Tasks that last use room that is kept for the first
+// priority: each of them is wanted at work all the time, and they are few.
+func (q *Queue) limitOf(u *unit) float64 {
+	if u.job.lasts(u.stage) {
+		return q.sigma
+	}
+	return q.limit
+}
--- a/jobs/headroom_test.go
+++ b/jobs/headroom_test.go
@@ -48,3 +48,21 @@
 	190 disk commit
 	200 orders a = start low-j.0.0.0/1 start low-j.0.0.1/1 start low-j.0.0.2/1 start low-j.0.0.3/1`)
 }
+
+// Tasks that last use room that is kept for the first priority.
+func TestTasksThatLastUseKeptRoom(t *testing.T) {
+	play(t, `
+	0   worker a cpu=4000
+	10  client submit u 4x cpu=1000 est=100
+	20  disk commit
+	30  orders a = start u.0.0.0/1 start u.0.0.1/1 start u.0.0.2/1 start u.0.0.3/1
+	60  worker a cpu=4000 active u.0.0.0/1 active u.0.0.1/1 active u.0.0.2/1 active u.0.0.3/1
+	100 tick
+	150 worker a cpu=4000 end 1/u.0.0.0/1/done end 2/u.0.0.1/1/done end 3/u.0.0.2/1/done end 4/u.0.0.3/1/done
+	160 disk commit
+	170 orders a = noted 4
+	180 client submit low-j 2x cpu=1000 est=5000
+	190 client submit low-l 2x cpu=1000 est=500 lasts
+	200 disk commit
+	210 orders a = start low-j.0.0.0/1 start low-l.0.0.0/1 start low-l.0.0.1/1`)
+}
--- a/jobs/place.go
+++ b/jobs/place.go
@@ -132,7 +132,7 @@
 	q.limit = b.allowed(q)
 	units, more := p.inOrder(q)
 	for _, u := range units {
-		if q.held >= q.limit && q.held > 0 {
+		if q.held >= q.limitOf(u) && q.held > 0 {
 			return false
 		}
 		credit := true
@@ -182,7 +182,7 @@
 // releaseTasks places tasks of a unit one by one. It reports whether the queue still has credit.
 func (b *Book) releaseTasks(p *pass, u *unit) bool {
 	for len(u.tasks) > 0 {
-		if u.queue.held >= u.queue.limit && u.queue.held > 0 {
+		if u.queue.held >= u.queue.limitOf(u) && u.queue.held > 0 {
 			return true
 		}
 		w := b.pick(p, u, nil)
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -51,4 +51,9 @@
 mutate "a dropped queue takes jobs after a takeover" jobs/book.go 's/\t\tq\.removed = true\n\t\tb/\t\tb/' ./jobs
 mutate "a start that was ordered counts as begun" jobs/place.go 's/u\.job\.started = true/u.job.started = true; b.noteBegun(u.job)/' ./jobs
 mutate "operators are cut off at a planned end" internal/system/core/core.go 's/c\.drain\(operators\)/_ = operators/' ./internal/system/simulation
+mutate "no room is kept for the first priority" jobs/headroom.go 's/h\.others = max\(0, limit-h\.peak\)/h.others = limit/' ./jobs
+mutate "tasks that last wait behind kept room" jobs/headroom.go 's/if u\.job\.lasts\(u\.stage\)/if false/' ./jobs
+mutate "what cannot be in time goes before what can" jobs/queue.go 's/\t\tb\.triage\(now, q, limit\)\n//' ./jobs
+mutate "shards are taken before all have spoken" internal/system/core/peers.go 's/p\.known && !p\.alive\(\)/false/' ./internal/system/core
+mutate "a worker is kept that its holder may not use" jobs/reserve.go 's/!b\.suits\(w, u, 0\)/!w.Capacity.Holds(step.demand())/' ./jobs
 exit $missed
