--- a/scripts/ablation.sh
+++ b/scripts/ablation.sh
@@ -44,5 +44,5 @@
   for seed in $seeds; do list="$list $(worth "as it is" "$seed"):$(worth "$name" "$seed")"; done
   echo "$name $list" | awk -v name="$name" '{ n = 0; s = 0; q = 0; w = ""
     for (i = 1; i <= NF; i++) if (split($i, p, ":") == 2 && p[1] != "" && p[2] != "") { d = p[2] - p[1]; n++; s += d; q += d * d; w = w " " p[2] }
-    if (n) printf "%-26s %s  difference %+.4f sd %.4f\n", name, w, s / n, n > 1 ? sqrt(q > s * s / n ? (q - s * s / n) / (n - 1) : 0) : 0; else print name ": no result" }'
+    if (n) printf "%-26s %s  difference %+.4f sd %.4f\n", name, w, s / n, (n > 1 ? sqrt((q > s * s / n) ? (q - s * s / n) / (n - 1) : 0) : 0); else print name ": no result" }'
 done
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -54,6 +54,6 @@
 mutate "no room is kept for the first priority" jobs/headroom.go 's/h\.others = max\(0, limit-h\.peak\)/h.others = limit/' ./jobs
 mutate "tasks that last wait behind kept room" jobs/headroom.go 's/if u\.job\.lasts\(u\.stage\)/if false/' ./jobs
 mutate "what cannot be in time goes before what can" jobs/queue.go 's/\t\tb\.triage\(now, q, limit\)\n//' ./jobs
-mutate "shards are taken before all have spoken" internal/system/core/peers.go 's/p\.known && !p\.alive\(\)/false/' ./internal/system/core
+mutate "shards are taken before all have spoken" internal/system/core/peers.go 's/p\.known && !p\.alive\(\)/p.known \&\& false/' ./internal/system/core
 mutate "a worker is kept that its holder may not use" jobs/reserve.go 's/!b\.suits\(w, u, 0\)/!w.Capacity.Holds(step.demand())/' ./jobs
 exit $missed
