--- /dev/null
+++ b/internal/route/header_rules.go
@@ -0,0 +1,179 @@
+package route
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"sedgevale/internal/http1"
+)
+
+func fieldsOf(q *Request, request bool) *[]http1.Field {
+	if request {
+		return &q.Fields
+	}
+	return &q.Response
+}
+
+// framing are fields that say where a message ends; a rule that changed them could make
+// two messages of one.
+var framing = []string{"content-length", "transfer-encoding", "connection", "upgrade", "te", "trailer"}
+
+func headerName(s string) error {
+	if slices.Contains(framing, strings.ToLower(s)) {
+		return unsupported("changing %s, which frames the message,", s)
+	}
+	if s == "" || strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r >= 0x7f || strings.ContainsRune("():;,/=\"", r) }) {
+		return fmt.Errorf("%q is no name of a header field", s)
+	}
+	return nil
+}
+
+func headerAction(request bool, change func([]http1.Field, string, string) []http1.Field) action {
+	return func(args []string, files Files) (func(*Request) (*Answer, bool), error) {
+		if len(args) != 2 {
+			return nil, fmt.Errorf("needs a name and a value")
+		}
+		if err := headerName(args[0]); err != nil {
+			return nil, err
+		}
+		value, err := ParseFormat(args[1], files)
+		if err != nil {
+			return nil, err
+		}
+		return func(q *Request) (*Answer, bool) {
+			f := fieldsOf(q, request)
+			*f = change(*f, args[0], clean(value.Of(q)))
+			q.edited()
+			return nil, false
+		}, nil
+	}
+}
+
+func parseDelHeader(request bool) action {
+	return func(args []string, _ Files) (func(*Request) (*Answer, bool), error) {
+		if len(args) != 1 && len(args) != 3 {
+			return nil, fmt.Errorf("needs a name")
+		}
+		names := func(n string) bool { return strings.EqualFold(n, args[0]) }
+		if len(args) == 3 {
+			m, ok := methods[args[2]]
+			if args[1] != "-m" || !ok {
+				return nil, unsupported("the arguments %s", strings.Join(args[1:], " "))
+			}
+			test, err := m([]string{strings.ToLower(args[0])}, false)
+			if err != nil {
+				return nil, err
+			}
+			names = func(n string) bool { return test(strings.ToLower(n)) }
+		} else if err := headerName(args[0]); err != nil {
+			return nil, err
+		}
+		return func(q *Request) (*Answer, bool) {
+			f := fieldsOf(q, request)
+			var out []http1.Field
+			for _, one := range *f {
+				if !names(one.Name) || slices.Contains(framing, strings.ToLower(one.Name)) {
+					out = append(out, one)
+				}
+			}
+			*f = out
+			q.edited()
+			return nil, false
+		}, nil
+	}
+}
+
+func parseReplaceHeader(request, parts bool) action {
+	return func(args []string, files Files) (func(*Request) (*Answer, bool), error) {
+		if len(args) != 3 {
+			return nil, fmt.Errorf("needs a name, a regular expression and a replacement")
+		}
+		if err := headerName(args[0]); err != nil {
+			return nil, err
+		}
+		change, err := replacement(args[1], args[2], files)
+		if err != nil {
+			return nil, err
+		}
+		return func(q *Request) (*Answer, bool) {
+			f := fieldsOf(q, request)
+			out := slices.Clone(*f)
+			for i := range out {
+				if !strings.EqualFold(out[i].Name, args[0]) {
+					continue
+				}
+				if !parts {
+					out[i].Value = clean(change(q, out[i].Value))
+					continue
+				}
+				values := strings.Split(out[i].Value, ",")
+				for j, v := range values {
+					values[j] = change(q, strings.TrimSpace(v))
+				}
+				out[i].Value = clean(strings.Join(values, ", "))
+			}
+			*f = out
+			q.edited()
+			return nil, false
+		}, nil
+	}
+}
+
+// replacement reads a regular expression and a format with \1 for what it has found.
+func replacement(pattern, format string, files Files) (func(*Request, string) string, error) {
+	re, err := compileRegexp(pattern, false)
+	if err != nil {
+		return nil, err
+	}
+	f, err := ParseFormat(format, files)
+	if err != nil {
+		return nil, err
+	}
+	if s, fixed := f.Fixed(); fixed {
+		to := backrefs(s)
+		return func(_ *Request, s string) string { return replace(re, s, to, false) }, nil
+	}
+	return func(q *Request, s string) string { return replace(re, s, backrefs(f.Of(q)), false) }, nil
+}
+
+func parseReplace(get func(*Request) string, set func(*Request, string)) action {
+	return func(args []string, files Files) (func(*Request) (*Answer, bool), error) {
+		if len(args) != 2 {
+			return nil, fmt.Errorf("needs a regular expression and a replacement")
+		}
+		change, err := replacement(args[0], args[1], files)
+		if err != nil {
+			return nil, err
+		}
+		return func(q *Request) (*Answer, bool) {
+			if s := change(q, get(q)); targetable(s) {
+				set(q, s)
+			}
+			return nil, false
+		}, nil
+	}
+}
+
+// targetable reports whether a text can stand in a request line.
+func targetable(s string) bool {
+	return s != "" && strings.IndexFunc(s, func(r rune) bool { return r <= ' ' || r == 0x7f }) < 0
+}
+
+func formatAction(set func(*Request, string)) action {
+	return func(args []string, files Files) (func(*Request) (*Answer, bool), error) {
+		if len(args) != 1 {
+			return nil, fmt.Errorf("needs one value")
+		}
+		f, err := ParseFormat(args[0], files)
+		if err != nil {
+			return nil, err
+		}
+		return func(q *Request) (*Answer, bool) {
+			if s := f.Of(q); targetable(s) {
+				set(q, s)
+			}
+			return nil, false
+		}, nil
+	}
+}
--- a/jobs/triage_test.go
+++ b/jobs/triage_test.go
@@ -110,3 +110,18 @@
 	}, gen.SliceOf(gen.IntRange(1, 20))))
 	properties.TestingRun(t)
 }
+
+// What a round costs a queue of which as many units wait as are looked at, far beyond what it can do in time.
+func BenchmarkTriage(b *testing.B) {
+	q := newQueue(QueueConfig{Name: "q", TargetLatencyMS: 1000, Extension: 2})
+	for i := range triageMost {
+		due := time.Duration(i) * 10 * time.Millisecond
+		q.waiting.ReplaceOrInsert(unitOf(q, uint64(i), due, due+3*time.Second))
+	}
+	q.held, q.served = 10, 10
+	book := New(Options{}, nil)
+	book.mean = Resources{CPU: 1000}
+	for b.Loop() {
+		book.triage(5*time.Second, q, 10)
+	}
+}
