Keep a retried job's verdict and call nothing damage where retention dropped its first records

Cause: a reader met the intent of attempt 1 of a job whose first records retention had removed and called that damage; a resolved job was not copied, so its verdict became unknown and an operator was asked to settle it. Change: retention also copies resolved jobs that were retried in a later segment; the reader accepts a first intent above 0 only behind missing records.

--- a/internal/journal/jobtable.go
+++ b/internal/journal/jobtable.go
@@ -15,6 +15,8 @@
 	PrunedThrough  uint64          // retention has dropped the records up to this sequence number
 	MissingRecords uint64          // records that are known to be lost
 	Inconsistent   int             // records that contradict the ones before them
+
+	incomplete bool // records before this point are missing: retention dropped them, they were lost, or they are damaged
 }
 
 // NewJobTable returns an empty JobTable.
@@ -53,16 +55,14 @@
 	return t.applyToJob(r)
 }
 
-// applyToJob replays a record about a job that was accepted before. An intent has enough to go on without the record of the
-// acceptance.
+// applyToJob replays a record about a job that was accepted before.
 func (t *JobTable) applyToJob(r *Record) (*Job, error) {
 	j := t.Jobs[r.Serial]
 	if j == nil {
 		if r.Kind != Intent {
 			return nil, ErrUnknownJob
 		}
-		j = &Job{Serial: r.Serial, ID: r.JobID, RecordsMissing: true}
-		t.Jobs[r.Serial] = j
+		return t.beginWithIntent(r)
 	}
 	if err := j.Apply(r); err != nil {
 		return t.noteInconsistency(j, err)
@@ -70,14 +70,32 @@
 	return j, nil
 }
 
+// beginWithIntent takes up a job whose acceptance is not on record; an intent has enough to go on without it. Where records
+// before it are missing, the first intent may be one of a later attempt: the earlier ones were in the same gap, and a CarriedOver
+// record that follows has all of them.
+func (t *JobTable) beginWithIntent(r *Record) (*Job, error) {
+	attemptsMissing := r.Attempt > 0
+	j := &Job{Serial: r.Serial, ID: r.JobID, RecordsMissing: attemptsMissing || !t.incomplete}
+	t.Jobs[r.Serial] = j
+	if err := j.Apply(r); err != nil {
+		return t.noteInconsistency(j, err)
+	}
+	if attemptsMissing && !t.incomplete {
+		return t.noteInconsistency(j, intentOutOfOrder(r.Attempt, 0))
+	}
+	return j, nil
+}
+
 func (t *JobTable) noteInconsistency(j *Job, err error) (*Job, error) {
 	t.Inconsistent++
 	j.RecordsMissing = true
 	return j, fmt.Errorf("job %s: %w", j.ID, err)
 }
 
-// MarkMissingRecords notes that records are missing at this point: each open job may lack some.
+// MarkMissingRecords notes that records are missing at this point, which may be the journal's beginning: each open job may lack
+// some, and jobs that follow may have begun among them.
 func (t *JobTable) MarkMissingRecords() {
+	t.incomplete = true
 	for _, j := range t.Jobs {
 		if j.Open() {
 			j.RecordsMissing = true
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -149,6 +149,50 @@
 	}
 }
 
+// The first intent on record of a job may be one of a later attempt only where records before it are missing; a gap between the
+// attempts of a job whose records are complete is always a contradiction.
+func TestFirstIntentOfALaterAttempt(t *testing.T) {
+	later := Record{Kind: Intent, Serial: 7, JobID: "j", Worker: "b", Attempt: 1}
+	complete := NewJobTable()
+	if j, err := complete.Apply(&later); err == nil || complete.Inconsistent != 1 || !j.RecordsMissing {
+		t.Errorf("in a complete journal: %v, %+v", err, j)
+	}
+	pruned := NewJobTable()
+	pruned.MarkMissingRecords() // at the journal's beginning
+	j, err := pruned.Apply(&later)
+	if err != nil || pruned.Inconsistent != 0 {
+		t.Fatalf("behind missing records: %v", err)
+	}
+	if v, reason, workers := j.Verdict(); v != Unknown || !slices.Equal(workers, []string{"b"}) {
+		t.Errorf("%v (%s) at %v", v, reason, workers)
+	}
+	if _, err := pruned.Apply(&Record{Kind: Ended, Serial: 7, Attempt: 0, Code: uint8(OutcomeServed)}); err != nil {
+		t.Errorf("the end of an attempt whose intent is missing: %v", err)
+	}
+	if v, reason, workers := j.Verdict(); v != Ran || !slices.Equal(workers, []string{"b"}) {
+		t.Errorf("%v (%s) at %v", v, reason, workers)
+	}
+	copied := Job{Serial: 7, ID: "j", Attempts: []Attempt{{Worker: "a", Outcome: OutcomeServed}, {Number: 1, Worker: "b", NeverRan: true, Outcome: OutcomeCancelled}}}
+	if j, err = pruned.Apply(&Record{Kind: CarriedOver, Serial: 7, CarriedJob: &copied}); err != nil || j.RecordsMissing {
+		t.Fatalf("its copy: %v, %+v", err, j)
+	}
+	if _, err := pruned.Apply(&Record{Kind: Intent, Serial: 7, JobID: "j", Worker: "c", Attempt: 3}); err == nil || pruned.Inconsistent != 1 {
+		t.Errorf("a gap after the copy: %v", err)
+	}
+}
+
+// An acceptance among missing records leaves nothing open: the first attempt's intent is on record, and so all attempts are.
+func TestAcceptanceMissing(t *testing.T) {
+	b := NewJobTable()
+	b.MarkMissingRecords()
+	j, _ := b.Apply(&Record{Kind: Intent, Serial: 7, JobID: "j", Worker: "b"})
+	_, _ = b.Apply(&Record{Kind: Ended, Serial: 7, Code: uint8(OutcomeConnectFailed), NeverRan: true})
+	_, _ = b.Apply(&Record{Kind: Answered, Serial: 7, Code: uint8(Failed)})
+	if v, reason, _ := j.Verdict(); v != DidNotRun {
+		t.Errorf("%v: %s", v, reason)
+	}
+}
+
 // Guards the format: what is encoded decodes to the same, and a truncated record is rejected.
 func TestRecordRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/journal/store/replay.go
+++ b/internal/journal/store/replay.go
@@ -73,7 +73,7 @@
 type visitor struct {
 	run    func()                                 // the process that wrote the records so far has ended
 	record func(r *journal.Record, number uint64) // number is the segment's
-	gap    func()                                 // records are missing here
+	gap    func()                                 // records are missing here, before the first segment too
 	skip   func(encoded []byte) bool              // reports whether a record need not be decoded
 }
 
@@ -220,6 +220,9 @@
 	s, out := &r.segments[i], r.out
 	if i == 0 {
 		out.lastSequence, out.lastMac = s.header.First-1, s.header.Prev
+		if s.header.First > 1 { // applyRetention says whether that is damage
+			r.missing()
+		}
 	}
 	if i > 0 && s.header.Run != out.run && r.visitor.run != nil {
 		r.visitor.run()
--- a/internal/journal/store/segmentlog.go
+++ b/internal/journal/store/segmentlog.go
@@ -40,12 +40,13 @@
 	unsyncedOfPriorRun bool      // unsynced was written by the process before, whose id was priorRun
 	priorRun           [16]byte
 
-	table        *journal.JobTable // jobs that are open or wait for an operator
-	firstSegment map[uint64]uint64 // by serial: the segment with the oldest record of such a job
-	segments     []segment         // finished, by number
-	stale        []string          // obsolete files that are still to be removed
-	buffer       []byte            // for encoding, reused
-	onProblem    func(Problem)
+	table     *journal.JobTable // jobs that are open or wait for an operator
+	extents   map[uint64]extent // of these jobs, by serial
+	straddled straddledJobs     // resolved jobs that retention must copy all the same
+	segments  []segment         // finished, by number
+	stale     []string          // obsolete files that are still to be removed
+	buffer    []byte            // for encoding, reused
+	onProblem func(Problem)
 }
 
 // recovery is what openSegmentLog has found.
@@ -58,7 +59,7 @@
 
 // openSegmentLog replays the segments in a directory, to be continued. It writes nothing.
 func openSegmentLog(fsys FS, dir string, key *journal.Key, limit int64, onProblem func(Problem)) (*segmentLog, recovery, error) {
-	l := &segmentLog{fs: fsys, dir: dir, key: key, maxSegment: limit, table: journal.NewJobTable(), firstSegment: map[uint64]uint64{}, onProblem: onProblem}
+	l := &segmentLog{fs: fsys, dir: dir, key: key, maxSegment: limit, table: journal.NewJobTable(), extents: map[uint64]extent{}, straddled: straddledJobs{}, onProblem: onProblem}
 	_, _ = rand.Read(l.run[:])
 	var rec recovery
 	got, err := readSegments(fsys, dir, key, visitor{
@@ -92,10 +93,12 @@
 
 // removeResolved drops a job if it is resolved.
 func (l *segmentLog) removeResolved(serial uint64, j *journal.Job) {
-	if j.Resolved() {
-		l.table.Remove(serial)
-		delete(l.firstSegment, serial)
+	if !j.Resolved() {
+		return
 	}
+	l.straddled.keep(j, l.extents[serial])
+	l.table.Remove(serial)
+	delete(l.extents, serial)
 }
 
 // apply replays a record of a segment. The table counts records that contradict others.
@@ -104,9 +107,15 @@
 	if j == nil {
 		return
 	}
-	if _, ok := l.firstSegment[j.Serial]; !ok || r.Kind == journal.CarriedOver {
-		l.firstSegment[j.Serial] = number
+	where, known := l.extents[j.Serial]
+	switch {
+	case !known || r.Kind == journal.CarriedOver:
+		where = extent{first: number}
+		delete(l.straddled, j.Serial)
+	case r.Kind == journal.Intent && number > where.first:
+		where.straddles = true
 	}
+	l.extents[j.Serial] = where
 	l.removeResolved(j.Serial, j)
 }
 
@@ -352,17 +361,17 @@
 	return n
 }
 
-// beginPrune writes what the n oldest finished segments must not be dropped without: copies of the jobs in them that are not resolved, and a
-// record that says which records were dropped. EndPrune may be called once those are durable.
+// beginPrune writes what the n oldest finished segments must not be dropped without: copies of the jobs in them that are not resolved or go
+// on behind them, and a record that says which records were dropped. EndPrune may be called once those are durable.
 func (l *segmentLog) beginPrune(now time.Time, n int) error {
+	lastDropped := l.segments[n-1].number
 	var records []journal.Record
-	for serial, number := range l.firstSegment {
-		if j := l.table.Jobs[serial]; j != nil && number <= l.segments[n-1].number {
-			copied := *j
-			copied.Attempts = append([]journal.Attempt(nil), j.Attempts...)
-			records = append(records, journal.Record{Kind: journal.CarriedOver, Serial: serial, At: now.UnixMicro(), CarriedJob: &copied})
+	for serial, where := range l.extents {
+		if j := l.table.Jobs[serial]; j != nil && where.first <= lastDropped {
+			records = append(records, carriedOver(now, j))
 		}
 	}
+	records = append(records, l.straddled.copies(now, lastDropped)...)
 	// The records before the next segment go, whichever that is.
 	dropped, err := l.lastSequenceBefore(n)
 	if err != nil {
