Wait for all of a core scheduler's goroutines, and reject truncated messages

Cause: core.Run returned while its loops and calls ran on, rounds went on for up to 700 ms after their context, statefile.Log.Close neither waited for its writer nor closed its file, a rotation whose sync failed kept a descriptor, avrocodec took a truncated body without an error, rpc cut an answer at 32 MiB without one, and an encoding error of jobs.Submit was answered as an invalid job.

--- a/internal/avrocodec/codec.go
+++ b/internal/avrocodec/codec.go
@@ -6,7 +6,9 @@
 package avrocodec
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"reflect"
 	"strings"
 	"sync"
@@ -78,12 +80,20 @@
 	return avro.Marshal(schema, message)
 }
 
-// Decode decodes body into the struct to which message points. A truncated body is no error: the fields that it lacks stay as
-// they were (avro.Unmarshal ignores io.EOF). Callers have to ensure that body is complete.
+// ErrTruncated is returned for a body that ends before all fields are read.
+var ErrTruncated = errors.New("avrocodec: the body is truncated")
+
+// Decode decodes body into the struct to which message points. A body that lacks fields is ErrTruncated; message is then set in
+// part.
 func Decode(body []byte, message any) error {
 	schema, err := SchemaOf(reflect.TypeOf(message).Elem())
 	if err != nil {
 		return err
 	}
-	return avro.Unmarshal(schema, body, message)
+	reader := avro.NewReader(nil, 0).Reset(body)
+	reader.ReadVal(schema, message)
+	if errors.Is(reader.Error, io.EOF) || errors.Is(reader.Error, io.ErrUnexpectedEOF) { // avro.Unmarshal would ignore the former
+		return fmt.Errorf("%w: %d bytes are no %v", ErrTruncated, len(body), reflect.TypeOf(message).Elem())
+	}
+	return reader.Error
 }
--- a/internal/avrocodec/codec_test.go
+++ b/internal/avrocodec/codec_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"reflect"
 	"testing"
 )
@@ -30,6 +31,25 @@
 	Bytes   []byte
 }
 
+// A body that lacks bytes is rejected, wherever it ends; a complete one is not.
+func TestTruncatedBodyIsRejected(t *testing.T) {
+	body, err := Encode(&record{Flag: true, Items: []inner{{"a", 7}, {"b", 300}}, ByKey: map[string]float64{"k": 1.5}, Raw: []byte("raw")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range len(body) {
+		if err := Decode(body[:n], &record{}); !errors.Is(err, ErrTruncated) {
+			t.Errorf("%d of %d bytes: %v", n, len(body), err)
+		}
+	}
+	if err := Decode(body, &record{}); err != nil {
+		t.Errorf("all bytes: %v", err)
+	}
+	if err := Decode(nil, &struct{}{}); err != nil {
+		t.Errorf("a message without fields: %v", err)
+	}
+}
+
 // Stored records and messages are read by the order of fields: names may change, the bytes stay.
 func TestFieldNamesAreNotEncoded(t *testing.T) {
 	body, err := Encode(&record{Flag: true, Items: []inner{{"a", 7}}, ByKey: map[string]float64{"k": 1.5}, Raw: []byte("raw")})
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -29,11 +29,15 @@
 				return
 			}
 			calls <- q.RequestURI
-			if a := <-answers; a != "" {
+			select {
+			case a := <-answers:
+				if a == "" {
+					return
+				}
 				_, _ = io.WriteString(c, a)
-				continue
+			case <-t.Context().Done():
+				return
 			}
-			return
 		}
 	}), calls
 }
--- a/internal/journal/store/diskcall_test.go
+++ b/internal/journal/store/diskcall_test.go
@@ -66,12 +66,21 @@
 	if err := <-second; err != nil {
 		t.Fatal(err)
 	}
+	closed, ended := make(chan struct{}), make(chan struct{})
 	go func() {
+		defer close(ended)
 		for {
-			let()
+			select {
+			case <-disk.started:
+				disk.proceed <- struct{}{}
+			case <-closed:
+				return
+			}
 		}
 	}()
 	s.Close()
+	close(closed)
+	<-ended
 }
 
 // recorded reports whether a process that starts now would find a job in the journal.
--- a/internal/system/core/core.go
+++ b/internal/system/core/core.go
@@ -20,6 +20,8 @@
 	"sedgevale/workeragent"
 )
 
+const logCloseTimeout = 500 * time.Millisecond
+
 // Core is a scheduler on a core machine.
 type Core struct {
 	settings *settings.Settings
@@ -32,6 +34,8 @@
 	timing   workeragent.Timing
 	started  time.Time
 
+	goroutines *goroutineGroup // all that this scheduler starts
+
 	// mu guards the fields below and all of each peerState. It is taken before owner.mu and never held over a call.
 	mu                sync.Mutex
 	peers             map[string]*peerState  // by address
@@ -62,8 +66,11 @@
 	if err != nil {
 		return err
 	}
-	defer store.log.Close()
-	c := newCore(process, store)
+	running, stop := context.WithCancel(context.WithoutCancel(ctx)) // the loops go on while this scheduler drains
+	defer stop()
+	c := newCore(running, process, store)
+	defer c.closeLog(running)
+	defer c.goroutines.shutDown()
 	process.RegisterMetrics(collector{c})
 	if err := process.Listen(ctx, c.address, c.internalHandler()); err != nil {
 		return err
@@ -72,12 +79,9 @@
 	if err != nil {
 		return err
 	}
-	running, stop := context.WithCancel(context.WithoutCancel(ctx)) // the loops go on while this scheduler drains
-	defer stop()
-	go c.pingLoop(running)
-	go c.ownershipLoop(running)
-	go c.joinLoop(running)
-	go c.followMembership(running)
+	for _, loop := range []func(context.Context){c.pingLoop, c.ownershipLoop, c.joinLoop, c.followMembership} {
+		c.goroutines.run(loop)
+	}
 	<-ctx.Done()
 	c.closeOwners()
 	if !errors.Is(context.Cause(ctx), node.ErrKilled) {
@@ -87,11 +91,12 @@
 	return nil
 }
 
-func newCore(process *node.Process, store *store) *Core {
+// newCore returns a scheduler whose goroutines end with the context.
+func newCore(ctx context.Context, process *node.Process, store *store) *Core {
 	s := process.Settings
 	return &Core{
 		settings: s, logger: process.Logger, client: process.Client, store: store, address: s.InternalAddress(),
-		timing: node.LeaseTiming(s), started: time.Now(),
+		timing: node.LeaseTiming(s), started: time.Now(), goroutines: newGoroutineGroup(ctx),
 		peers: map[string]*peerState{}, learned: map[string]chosenValue{}, owners: map[string]*owner{},
 		changed: make(chan struct{}), readsInFlight: map[string]bool{}, takeoverNotBefore: map[string]time.Time{},
 		proposer: store.proposer(), ballotCounter: store.highestBallot(),
@@ -99,6 +104,16 @@
 	}
 }
 
+// closeLog closes the disk's log. A disk that does not answer holds the end of the process up for logCloseTimeout at most;
+// what was acknowledged is durable before.
+func (c *Core) closeLog(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, logCloseTimeout)
+	defer cancel()
+	if err := c.store.log.Close(ctx); err != nil {
+		c.logger.Info("log not closed", "error", err.Error())
+	}
+}
+
 // internalHandler serves the internal protocol.
 func (c *Core) internalHandler() http.Handler {
 	server := rpc.NewServer()
--- a/internal/system/core/doc.go
+++ b/internal/system/core/doc.go
@@ -20,9 +20,9 @@
 //
 // # Locks
 //
-// There are four mutexes. They are taken in this order, and never in another:
+// There are five mutexes. They are taken in this order, and never in another:
 //
-//	Core.mu  ->  owner.mu
+//	Core.mu  ->  owner.mu  ->  goroutineCount.mu
 //	store.mu ->  statefile.Log.mu
 //
 // The two chains are independent: who holds Core.mu or owner.mu calls no method of store, and store calls nothing of Core
@@ -31,18 +31,24 @@
 //   - Core.mu guards the fields below it in Core and all of each peerState. It is held for computations in memory only,
 //     never over a call, a wait or a write to disk. Core.applyConfig, Core.closeOwners, Core.pingMessage and
 //     Core.knownOwners take owner.mu under it.
+//
 //   - owner.mu guards the fields below it in owner, the jobs.Scheduler and the shard.Primary included, and the fields of each
 //     replicator. Callbacks of jobs.Scheduler.Flush run under it. No two owners' mutexes are held at once.
+//
 //   - store.mu guards the fields below it in store. A message is admitted, applied and appended to the log under it, so
 //     that the order of the log is that of the changes; the wait for the disk comes after it is released.
+//
 //   - statefile.Log.mu guards the queue of appends. The log's writer holds it for no write; it takes store.mu alone when
 //     it has a snapshot written.
 //
+//   - goroutineCount.mu orders the start of a goroutine and the shutdown that waits for all. It is held for neither.
+//
 // Methods that say "c.mu is held" (or o.mu, s.mu) in their comments must be called so; all others take the locks that
 // they need.
 //
 // # Goroutines
 //
+// All goroutines of a Core and of its owners are in its goroutineGroup: they end with it, and Run returns when none is left.
 // Run starts pingLoop, ownershipLoop, joinLoop and followMembership, which end after it has drained. Beside them run a
 // takeOver, of about takeoverTimeout at most, for each shard that needs one, at most one ping a peer, and at most one
 // readAsync a register; calls that broadcast has begun go on for up to roundTimeout after their round. An owner runs one
--- a/internal/system/core/jobsapi.go
+++ b/internal/system/core/jobsapi.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 
 	"sedgevale/internal/system/api"
 	"sedgevale/internal/system/result"
 	"sedgevale/internal/system/rpc"
+	"sedgevale/jobs"
 )
 
 func (c *Core) handleJobs(server *rpc.Server) {
@@ -64,7 +66,7 @@
 	durable, err := o.scheduler.Submit(o.monotonicNow(), wallClockMS(), r.ID, r.Queue, r.Body)
 	if err != nil {
 		o.mu.Unlock()
-		return nil, result.Errorf(result.Invalid, "job %s: %w", r.ID, err)
+		return nil, submitError(r.ID, err)
 	}
 	if durable {
 		o.mu.Unlock()
@@ -75,6 +77,15 @@
 	return &api.Empty{}, o.waitCommitted(ctx, sequence)
 }
 
+// submitError returns the answer to a job that the scheduler did not accept: only a body that is invalid is the client's fault.
+func submitError(id string, err error) error {
+	var invalid *jobs.InvalidJobError
+	if errors.As(err, &invalid) {
+		return result.Errorf(result.Invalid, "job %s: %w", id, err)
+	}
+	return result.Errorf(result.Unavailable, "job %s: %w", id, err)
+}
+
 // status returns a job's state. It waits for the commit of a state that is not yet durable.
 func (c *Core) status(ctx context.Context, r *api.JobRequest) (*api.JobResponse, error) {
 	o, err := c.activeOwner(r.Shard)
--- a/internal/system/core/joining.go
+++ b/internal/system/core/joining.go
@@ -226,10 +226,10 @@
 
 // quorumStates asks the voters for their state until a quorum has answered.
 func (c *Core) quorumStates(ctx context.Context, m membership.Membership) ([]*stateResponse, error) {
-	replies, count := broadcast(ctx, c, m, m.Voters(), methodState, c.store.serveState, func(to target) *stateRequest {
+	replies, count := broadcast(c, m, m.Voters(), methodState, c.store.serveState, func(to target) *stateRequest {
 		return &stateRequest{To: to}
 	})
-	answered, lastErr := awaitQuorum(replies, count, m.Quorum(), func(*stateResponse) bool { return true })
+	answered, lastErr := awaitQuorum(ctx, replies, count, m.Quorum(), func(*stateResponse) bool { return true })
 	if len(answered) < m.Quorum() {
 		return nil, result.Errorf(result.Unavailable, "%d of %d voters sent their state, last failure: %w", len(answered), count, lastErr)
 	}
--- a/internal/system/core/learner.go
+++ b/internal/system/core/learner.go
@@ -43,7 +43,7 @@
 
 // handleLearn takes an announcement. Where it has no value and this replica has not accepted the ballot, the message that
 // brought the value here is late or lost, and the register is read.
-func (c *Core) handleLearn(ctx context.Context, r *learnRequest) error {
+func (c *Core) handleLearn(r *learnRequest) error {
 	value := r.Value
 	if len(value) == 0 {
 		value = c.store.acceptedValue(r.Name, r.Ballot)
@@ -53,7 +53,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.readAsync(ctx, r.Name)
+	c.readAsync(r.Name)
 	return nil
 }
 
@@ -97,12 +97,15 @@
 	c.mu.Lock()
 	known := c.learned[name]
 	c.mu.Unlock()
-	replies, count := broadcast(ctx, c, m, m.Voters(), methodReadAccepted, c.store.readAccepted, func(to target) *readAcceptedRequest {
+	replies, count := broadcast(c, m, m.Voters(), methodReadAccepted, c.store.readAccepted, func(to target) *readAcceptedRequest {
 		return &readAcceptedRequest{To: to, Name: name, Known: known.ballot}
 	})
 	votes := map[register.Ballot]int{}
 	for range count {
-		r := <-replies
+		r, ended := awaitReply(ctx, replies)
+		if ended != nil {
+			return result.Errorf(result.Unavailable, "register %s: %w", name, ended)
+		}
 		if r.err != nil {
 			continue
 		}
@@ -121,13 +124,11 @@
 }
 
 // readAsync reads a register in the background, unless a read of it is in flight. c.mu is held.
-func (c *Core) readAsync(ctx context.Context, name string) {
+func (c *Core) readAsync(name string) {
 	if c.readsInFlight[name] {
 		return
 	}
-	c.readsInFlight[name] = true
-	ctx = context.WithoutCancel(ctx)
-	go func() {
+	c.readsInFlight[name] = c.goroutines.run(func(ctx context.Context) {
 		reading, cancel := context.WithTimeout(ctx, asyncReadTimeout)
 		defer cancel()
 		if err := c.read(reading, name); err != nil {
@@ -137,5 +138,5 @@
 		c.mu.Lock()
 		c.readsInFlight[name] = false
 		c.mu.Unlock()
-	}()
+	})
 }
--- a/internal/system/core/owner.go
+++ b/internal/system/core/owner.go
@@ -26,7 +26,7 @@
 	core       *Core
 	name       string // of the shard
 	token      int64  // the fencing token of this ownership
-	goroutines goroutineGroup
+	goroutines *goroutineGroup
 
 	// mu guards the fields below and those of each replicator. Core.mu may be held when it is taken, not the other way.
 	mu            sync.Mutex
@@ -43,23 +43,10 @@
 	inSyncChanged chan struct{} // closed and made anew when a replica has acknowledged something, or the owner is deposed
 }
 
-// goroutineGroup starts goroutines that end with one context.
-type goroutineGroup struct {
-	ctx    context.Context
-	cancel context.CancelFunc
-}
-
-// run starts a goroutine.
-func (g *goroutineGroup) run(task func(context.Context)) { go task(g.ctx) }
-
-// done is closed when the goroutines are to end.
-func (g *goroutineGroup) done() <-chan struct{} { return g.ctx.Done() }
-
-// newOwner returns the owner of a shard over the merged records of a quorum. Its goroutines end with the context.
-func newOwner(ctx context.Context, c *Core, name string, token int64, m membership.Membership, set *shard.RecordSet) *owner {
-	ctx, cancel := context.WithCancel(ctx)
+// newOwner returns the owner of a shard over the merged records of a quorum. Its goroutines are counted by c.goroutines.
+func newOwner(c *Core, name string, token int64, m membership.Membership, set *shard.RecordSet) *owner {
 	o := &owner{
-		core: c, name: name, token: token, goroutines: goroutineGroup{ctx, cancel},
+		core: c, name: name, token: token, goroutines: c.goroutines.derive(),
 		primary:      shard.NewPrimary(token, set, len(m.Seats), m.Quorum()),
 		orderSenders: map[string]*orderSender{}, sessions: sessions{}, inSyncChanged: make(chan struct{}),
 	}
@@ -78,7 +65,7 @@
 
 // close ends the owner for good.
 func (o *owner) close() {
-	o.goroutines.cancel()
+	o.goroutines.close()
 	o.mu.Lock()
 	o.deposed = true
 	o.mu.Unlock()
--- a/internal/system/core/owner_test.go
+++ b/internal/system/core/owner_test.go
@@ -24,9 +24,9 @@
 		}
 		c := &Core{
 			address: "a", logger: logr.Discard(), store: newStore("a"), settings: &settings.Settings{}, started: time.Now(),
-			config: &configState{record: configRecord{Version: 1}, config: config}, owners: map[string]*owner{},
+			config: &configState{record: configRecord{Version: 1}, config: config}, owners: map[string]*owner{}, goroutines: newGoroutineGroup(t.Context()),
 		}
-		o := newOwner(t.Context(), c, "s", 2, membership.Bootstrap(3, []string{"a", "b", "c"}), shard.NewRecordSet())
+		o := newOwner(c, "s", 2, membership.Bootstrap(3, []string{"a", "b", "c"}), shard.NewRecordSet())
 		defer o.close()
 		c.owners["s"] = o
 		for _, r := range o.replicators {
@@ -70,8 +70,9 @@
 // An owner whose last quorum was too long ago answers nothing.
 func TestOwnerWithoutALeaseAnswersNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := &Core{address: "a", logger: logr.Discard(), store: newStore("a"), settings: &settings.Settings{}, owners: map[string]*owner{}}
-		o := newOwner(t.Context(), c, "s", 2, membership.Bootstrap(3, []string{"a", "b", "c"}), shard.NewRecordSet())
+		c := &Core{address: "a", logger: logr.Discard(), store: newStore("a"), settings: &settings.Settings{}, owners: map[string]*owner{},
+			goroutines: newGoroutineGroup(t.Context())}
+		o := newOwner(c, "s", 2, membership.Bootstrap(3, []string{"a", "b", "c"}), shard.NewRecordSet())
 		defer o.close()
 		c.owners["s"] = o
 		code := func() result.Code {
--- a/internal/system/core/peers.go
+++ b/internal/system/core/peers.go
@@ -39,8 +39,8 @@
 }
 
 func (c *Core) handlePeers(server *rpc.Server) {
-	rpc.Handle(server, methodPing, func(ctx context.Context, m *pingMessage) (*pingMessage, error) {
-		if err := c.onPing(ctx, m, time.Time{}); err != nil {
+	rpc.Handle(server, methodPing, func(_ context.Context, m *pingMessage) (*pingMessage, error) {
+		if err := c.onPing(m, time.Time{}); err != nil {
 			return nil, err
 		}
 		return c.pingMessage(), nil
@@ -68,7 +68,7 @@
 }
 
 // onPing takes a peer's message. sentAt is when the ping was sent that it answers; zero for a ping itself.
-func (c *Core) onPing(ctx context.Context, m *pingMessage, sentAt time.Time) error {
+func (c *Core) onPing(m *pingMessage, sentAt time.Time) error {
 	if err := c.store.learnMembership(m.Membership); err != nil {
 		return err
 	}
@@ -95,7 +95,7 @@
 	for name, ballot := range m.Accepted {
 		c.ballotCounter = max(c.ballotCounter, ballot.Counter)
 		if c.learned[name].ballot.Less(ballot) {
-			c.readAsync(ctx, name)
+			c.readAsync(name)
 		}
 	}
 	return nil
--- a/internal/system/core/pinger.go
+++ b/internal/system/core/pinger.go
@@ -33,10 +33,13 @@
 	var pings sync.WaitGroup
 	for _, address := range targets {
 		pings.Add(1)
-		go func() {
+		started := c.goroutines.run(func(context.Context) {
 			defer pings.Done()
 			c.ping(ctx, address, m)
-		}()
+		})
+		if !started {
+			pings.Done()
+		}
 	}
 	if m.Draining {
 		pings.Wait()
@@ -83,7 +86,7 @@
 	if err != nil || answer.Address != address {
 		return
 	}
-	if err := c.onPing(ctx, answer, sentAt); err != nil {
+	if err := c.onPing(answer, sentAt); err != nil {
 		c.logger.Info("core scheduler message rejected", "address", address, "error", err.Error())
 	}
 }
--- a/internal/system/core/proposer.go
+++ b/internal/system/core/proposer.go
@@ -23,8 +23,8 @@
 	rpc.Handle(server, methodPrepare, c.store.prepare)
 	rpc.Handle(server, methodAccept, c.store.accept)
 	rpc.Handle(server, methodReadAccepted, c.store.readAccepted)
-	rpc.Handle(server, methodLearn, func(ctx context.Context, r *learnRequest) (*empty, error) {
-		return &empty{}, c.handleLearn(ctx, r)
+	rpc.Handle(server, methodLearn, func(_ context.Context, r *learnRequest) (*empty, error) {
+		return &empty{}, c.handleLearn(r)
 	})
 }
 
@@ -85,16 +85,16 @@
 	if err := c.learn(name, ballot, next); err != nil {
 		return nil, false, err
 	}
-	go c.announce(context.WithoutCancel(ctx), name, ballot, next)
+	c.goroutines.run(func(ctx context.Context) { c.announce(ctx, name, ballot, next) })
 	return next, false, rejection
 }
 
 // prepareRound runs the prepare phase.
 func (c *Core) prepareRound(ctx context.Context, name string, m membership.Membership, proposal *register.Proposal, known register.Ballot) error {
-	replies, count := broadcast(ctx, c, m, m.Voters(), methodPrepare, c.store.prepare, func(to target) *prepareRequest {
+	replies, count := broadcast(c, m, m.Voters(), methodPrepare, c.store.prepare, func(to target) *prepareRequest {
 		return &prepareRequest{To: to, Name: name, Ballot: proposal.Ballot, Known: known}
 	})
-	err := collectReplies(m, proposal, replies, count, func(seat int, response *prepareResponse) bool {
+	err := collectReplies(ctx, m, proposal, replies, count, func(seat int, response *prepareResponse) bool {
 		return proposal.OnPromise(seat, response.Promise)
 	})
 	if err != nil {
@@ -105,22 +105,26 @@
 
 // acceptRound runs the accept phase.
 func (c *Core) acceptRound(ctx context.Context, name string, m membership.Membership, proposal *register.Proposal, value []byte) error {
-	replies, count := broadcast(ctx, c, m, m.Voters(), methodAccept, c.store.accept, func(to target) *acceptRequest {
+	replies, count := broadcast(c, m, m.Voters(), methodAccept, c.store.accept, func(to target) *acceptRequest {
 		return &acceptRequest{To: to, Name: name, Ballot: proposal.Ballot, Value: value}
 	})
-	return collectReplies(m, proposal, replies, count, func(seat int, response *acceptResponse) bool {
+	return collectReplies(ctx, m, proposal, replies, count, func(seat int, response *acceptResponse) bool {
 		return proposal.OnAccepted(seat, response.Accepted)
 	})
 }
 
-// collectReplies passes the replies of replicas to a proposal until a majority has agreed or can no longer do so.
-func collectReplies[Response any](m membership.Membership, proposal *register.Proposal, replies <-chan reply[Response], count int,
+// collectReplies passes the replies of replicas to a proposal until a majority has agreed or can no longer do so, or the context ends.
+func collectReplies[Response any](ctx context.Context, m membership.Membership, proposal *register.Proposal, replies <-chan reply[Response], count int,
 	take func(seat int, response *Response) (enough bool),
 ) error {
 	phase := proposal.Phase
 	var lastErr error
 	for range count {
-		r := <-replies
+		r, ended := awaitReply(ctx, replies)
+		if ended != nil {
+			lastErr = ended
+			break
+		}
 		if r.err != nil {
 			lastErr = r.err
 			proposal.OnFailure(m.SeatOf(r.member.ID))
--- a/internal/system/core/replication.go
+++ b/internal/system/core/replication.go
@@ -132,7 +132,7 @@
 	}
 	o.deposed = true
 	o.core.logger.Info("shard lost to a newer fencing token", "shard", o.name, "token", o.token)
-	o.goroutines.cancel()
+	o.goroutines.close()
 	o.notifyInSyncChanged()
 }
 
--- a/internal/system/core/store_test.go
+++ b/internal/system/core/store_test.go
@@ -36,6 +36,11 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	s.t.Cleanup(func() {
+		if err := opened.log.Close(context.Background()); err != nil {
+			s.t.Error(err)
+		}
+	})
 	s.stores[address] = opened
 	return opened
 }
@@ -356,7 +361,9 @@
 func TestOnlyDurableStateIsAcknowledged(t *testing.T) {
 	s := newStoreCluster(t)
 	st := s.stores["a"]
-	st.log.Close()
+	if err := st.log.Close(t.Context()); err != nil {
+		t.Error(err)
+	}
 	s.wantCode(s.accept("a", s.to("a", "a"), 5, "value"), result.StorageFailed)
 	_, err := st.readAccepted(s.ctx(), &readAcceptedRequest{To: s.to("a", "a"), Name: "config"})
 	s.wantCode(err, result.StorageFailed)
--- a/internal/system/core/stored_data_test.go
+++ b/internal/system/core/stored_data_test.go
@@ -61,7 +61,9 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			opened.log.Close()
+			if err := opened.log.Close(t.Context()); err != nil {
+				t.Error(err)
+			}
 			var text strings.Builder
 			if err := Describe(dir, &text); err != nil || text.String() != want.text {
 				t.Errorf("error %v, the state is\n%s\nwant\n%s", err, text.String(), want.text)
--- a/internal/system/core/takeover.go
+++ b/internal/system/core/takeover.go
@@ -43,7 +43,7 @@
 	}
 	c.logger.Info("shard taken over", "shard", name, "token", o.token, "records", o.recordCount(),
 		"took_ms", time.Since(startedAt).Milliseconds())
-	go c.pingAll(context.WithoutCancel(ctx))
+	c.goroutines.run(c.pingAll)
 }
 
 // acquire fences all earlier owners of a shard, merges what a quorum of the replicas hold, and returns an owner with which
@@ -62,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	o := newOwner(context.WithoutCancel(ctx), c, name, token, m, set)
+	o := newOwner(c, name, token, m, set)
 	for seat := range sealed {
 		o.replicators[seat].sealed = true
 	}
@@ -100,10 +100,10 @@
 // sealQuorum has a quorum of the voters whose replicas are complete reject all earlier owners, and returns their answers by
 // seat.
 func (c *Core) sealQuorum(ctx context.Context, m membership.Membership, name string, token int64) (map[int]*sealResponse, error) {
-	replies, count := broadcast(ctx, c, m, m.Voters(), methodSeal, c.store.seal, func(to target) *sealRequest {
+	replies, count := broadcast(c, m, m.Voters(), methodSeal, c.store.seal, func(to target) *sealRequest {
 		return &sealRequest{To: to, Shard: name, Token: token}
 	})
-	complete, lastErr := awaitQuorum(replies, count, m.Quorum(), func(r *sealResponse) bool { return r.Voter })
+	complete, lastErr := awaitQuorum(ctx, replies, count, m.Quorum(), func(r *sealResponse) bool { return r.Voter })
 	if len(complete) < m.Quorum() {
 		return nil, result.Errorf(result.Unavailable, "shard %s: %d replicas sealed, last failure: %w", name, len(complete), lastErr)
 	}
--- a/internal/system/rpc/rpc.go
+++ b/internal/system/rpc/rpc.go
@@ -91,7 +91,7 @@
 		return result.Errorf(result.TransportFailed, "%s at %s: %w", method, address, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
-	text, err := io.ReadAll(io.LimitReader(answer.Body, maxMessageBytes))
+	text, err := readAnswer(answer.Body)
 	if err != nil {
 		return result.Errorf(result.TransportFailed, "%s at %s: %w", method, address, err)
 	}
@@ -107,6 +107,18 @@
 	return nil
 }
 
+// errAnswerTooLong is returned for an answer of more than maxMessageBytes.
+var errAnswerTooLong = fmt.Errorf("rpc: the answer has more than %d bytes", maxMessageBytes)
+
+// readAnswer reads the body of an answer.
+func readAnswer(body io.Reader) ([]byte, error) {
+	text, err := io.ReadAll(io.LimitReader(body, maxMessageBytes+1))
+	if err == nil && len(text) > maxMessageBytes {
+		return nil, errAnswerTooLong
+	}
+	return text, err
+}
+
 // dialFailed reports whether the error is one of dialling.
 func dialFailed(err error) bool {
 	var operation *net.OpError
--- a/internal/system/rpc/rpc_test.go
+++ b/internal/system/rpc/rpc_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -139,3 +140,22 @@
 		t.Errorf("%d requests for 21 calls", requests.Load())
 	}
 }
+
+// An answer longer than the bound is an error; its first part is not taken for it.
+func TestAnswerOverTheBound(t *testing.T) {
+	body, err := avrocodec.Encode(&message{"a complete message"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	address, _ := peer(t, func(_ int64, c net.Conn) {
+		long := io.MultiReader(bytes.NewReader(body), bytes.NewReader(make([]byte, maxMessageBytes)))
+		response := http.Response{StatusCode: http.StatusOK, ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(body) + maxMessageBytes), Body: io.NopCloser(long)}
+		_ = response.Write(c)
+	})
+	client := NewClient(DialTCP())
+	defer client.Close()
+	err = client.Call(t.Context(), address, "m", &message{"ask"}, &message{})
+	if !errors.Is(err, errAnswerTooLong) || result.CodeOf(err) != result.TransportFailed {
+		t.Errorf("error %v", err)
+	}
+}
--- a/internal/system/statefile/log.go
+++ b/internal/system/statefile/log.go
@@ -1,6 +1,7 @@
 package statefile
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"os"
@@ -33,6 +34,9 @@
 	closed      bool
 	wake        chan struct{} // holds a signal while the queue is not empty; closed by Close
 
+	ended    chan struct{} // closed when the writer has ended
+	closeErr error         // of file; written before ended is closed
+
 	// Only Open, and then the writer, uses the fields below.
 	generation   int64
 	file         *os.File // the log of the generation; nil after a write to it has failed
@@ -62,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Log{dir: dir, snapshot: snapshot, wake: make(chan struct{}, 1), generation: newest}
+	l := &Log{dir: dir, snapshot: snapshot, wake: make(chan struct{}, 1), ended: make(chan struct{}), generation: newest}
 	if err := l.rotate(); err != nil {
 		return nil, err
 	}
@@ -96,18 +100,26 @@
 	return t
 }
 
-// Close ends the writer once what is queued is written. Later appends fail with os.ErrClosed.
-func (l *Log) Close() {
+// Close ends the writer once what is queued is written, waits for it, and closes the file. Later appends fail with
+// os.ErrClosed. If the context ends first, its error is returned, and the writer ends when the disk answers.
+func (l *Log) Close(ctx context.Context) error {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	if !l.closed {
 		l.closed = true
 		close(l.wake)
 	}
+	l.mu.Unlock()
+	select {
+	case <-l.ended:
+		return l.closeErr
+	case <-ctx.Done():
+		return fmt.Errorf("statefile: the disk has not written what is queued: %w", ctx.Err())
+	}
 }
 
 // write commits what is queued, in groups, until the log is closed.
 func (l *Log) write() {
+	defer close(l.ended)
 	for range l.wake {
 		l.mu.Lock()
 		batch := l.queue
@@ -123,6 +135,9 @@
 			close(t.done)
 		}
 	}
+	if l.file != nil {
+		l.closeErr = l.file.Close()
+	}
 }
 
 // commit makes a batch durable: by one write and one sync of the log, or by a new generation, whose snapshot holds the
@@ -154,13 +169,7 @@
 	if err := l.writeSnapshot(next); err != nil {
 		return fmt.Errorf("statefile: snapshot %d: %w", next, err)
 	}
-	file, err := os.OpenFile(filepath.Join(l.dir, fileName(logPrefix, next)), os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o644)
-	if err == nil {
-		err = file.Sync()
-	}
-	if err == nil {
-		err = syncDir(l.dir)
-	}
+	file, err := l.createLog(next)
 	if err != nil {
 		return fmt.Errorf("statefile: log %d: %w", next, err)
 	}
@@ -173,3 +182,20 @@
 	l.removeBelow(next)
 	return nil
 }
+
+// createLog creates the empty log of a generation and makes its name durable.
+func (l *Log) createLog(generation int64) (*os.File, error) {
+	file, err := os.OpenFile(filepath.Join(l.dir, fileName(logPrefix, generation)), os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, err
+	}
+	err = file.Sync()
+	if err == nil {
+		err = syncDir(l.dir)
+	}
+	if err != nil {
+		_ = file.Close() // nothing was written to it
+		return nil, err
+	}
+	return file, nil
+}
--- a/internal/system/statefile/statefile_test.go
+++ b/internal/system/statefile/statefile_test.go
@@ -1,6 +1,7 @@
 package statefile
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -34,6 +35,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { _ = l.Close(context.Background()) }) // a test may have closed its file
 	return l
 }
 
--- a/internal/system/statefile/stored_data_test.go
+++ b/internal/system/statefile/stored_data_test.go
@@ -130,7 +130,9 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			log.Close()
+			if err := log.Close(t.Context()); err != nil {
+				t.Error(err)
+			}
 			if got := digestOf(payloads); got != stored.digest {
 				t.Errorf("the entries have the digest %s, want %s", got, stored.digest)
 			}
--- a/jobs/lifecycle.go
+++ b/jobs/lifecycle.go
@@ -7,19 +7,28 @@
 	"sedgevale/internal/avrocodec"
 )
 
+// InvalidJobError is returned for a job whose body is invalid; its text is the cause's, which names the item.
+type InvalidJobError struct{ Cause error }
+
+func (e *InvalidJobError) Error() string { return e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *InvalidJobError) Unwrap() error { return e.Cause }
+
 // Submit accepts a job; it is idempotent by the job's ID. Durable reports whether the job's record is already committed;
-// otherwise it is once all changes up to the next Flush are. The error says why a body is invalid.
+// otherwise it is once all changes up to the next Flush are. The error is an *InvalidJobError
+// where the body is invalid; after any other nothing was accepted either.
 func (s *Scheduler) Submit(now time.Duration, wallMS int64, id, queue string, body []byte) (durable bool, err error) {
 	if known := s.jobs[id]; known != nil {
 		return known.durable, nil
 	}
 	job, err := parseJob(id, queue, body)
 	if err != nil {
-		return false, err
+		return false, &InvalidJobError{err}
 	}
 	record, err := avrocodec.Encode(&specRecord{Queue: queue, Body: body})
 	if err != nil {
-		return false, err
+		return false, fmt.Errorf("record of the job: %w", err)
 	}
 	s.newSpecs = append(s.newSpecs, Change{Key: specPrefix + id, Value: record})
 	s.jobs[id] = job
