Give the goroutines of event loops, servers and health checks an owner that waits

Change: package taskgroup (from system/core) has goroutines that end with a context and are waited for; used by core, evloop and reverseproxy; httpd.Stop waits. The proxy's transfers end with it.

--- a/internal/evloop/evloop.go
+++ b/internal/evloop/evloop.go
@@ -13,6 +13,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"github.com/panjf2000/gnet/v2/pkg/logging"
 
+	"sedgevale/internal/taskgroup"
 	"sedgevale/internal/unbounded"
 )
 
@@ -33,6 +34,7 @@
 	client    *gnet.Client
 	loop      gnet.EventLoop
 	functions *unbounded.Queue[func()]
+	dials     *taskgroup.Group // the goroutines of Dial and Enrol
 }
 
 // New starts a Loop.
@@ -49,7 +51,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("event loop: %w", err)
 	}
-	return &Loop{client: client, loop: loop, functions: NewFunctionQueue(loop)}, nil
+	return &Loop{client: client, loop: loop, functions: NewFunctionQueue(loop), dials: taskgroup.New(context.Background())}, nil
 }
 
 // NewFunctionQueue returns a queue of functions, which are called on a loop in the order in which they are added.
@@ -93,24 +95,31 @@
 // Dial connects in a goroutine of its own, since the loop must not block, and adds the connection to the loop. Failed is
 // called on the loop if there is none. The goroutine ends after the timeout at the latest, also after Stop.
 func (l *Loop) Dial(addr string, timeout time.Duration, h Handler, failed func(error)) {
-	go func() {
-		c, err := (&net.Dialer{Timeout: timeout}).DialContext(context.Background(), "tcp", addr)
+	started := l.dials.Go(func(ctx context.Context) {
+		c, err := (&net.Dialer{Timeout: timeout}).DialContext(ctx, "tcp", addr)
 		if err == nil {
 			_, err = l.client.EnrollContext(c, h)
 		}
 		if err != nil {
 			l.Do(func() { failed(err) })
 		}
-	}()
+	})
+	if !started {
+		l.Do(func() { failed(net.ErrClosed) })
+	}
 }
 
 // Enrol adds an established connection to the loop. Failed is called on the loop if it cannot be added.
 func (l *Loop) Enrol(c net.Conn, h Handler, failed func(error)) {
-	go func() {
+	started := l.dials.Go(func(context.Context) {
 		if _, err := l.client.EnrollContext(c, h); err != nil {
 			l.Do(func() { failed(err) })
 		}
-	}()
+	})
+	if !started {
+		_ = c.Close() // nobody uses it
+		l.Do(func() { failed(net.ErrClosed) })
+	}
 }
 
 // Detach removes a connection from its loop and returns it, with the bytes that were read and not used. Its Handler's OnClose
@@ -135,8 +144,11 @@
 // Close closes a connection at once. It must be called on the loop.
 func (l *Loop) Close(c Conn) { _ = l.loop.Close(c) }
 
-// Stop ends the loop and closes all its connections.
-func (l *Loop) Stop() error { return l.client.Stop() }
+// Stop ends the dials in flight, waits for them, ends the loop and closes all its connections. It must not be called on the loop.
+func (l *Loop) Stop() error {
+	l.dials.Shutdown()
+	return l.client.Stop()
+}
 
 type gnetHandler struct{ gnet.BuiltinEventEngine }
 
--- a/internal/evloop/evloop_test.go
+++ b/internal/evloop/evloop_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"log/slog"
+	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"golang.org/x/sys/unix"
+
+	"sedgevale/internal/testkit"
 )
 
 // domainOf returns the address family of a connection's socket.
@@ -56,3 +60,25 @@
 	l.Do(func() { close(done) })
 	<-done
 }
+
+// Stop ends the dials in flight and waits for them, however long they might take; a later one fails.
+func TestStopEndsDials(t *testing.T) {
+	hung := testkit.HungAddr(t)
+	l, err := New(slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 5 {
+		l.Dial(hung, time.Hour, nil, func(error) {})
+	}
+	if err := l.Stop(); err != nil {
+		t.Fatal(err)
+	}
+	if left := testkit.Goroutines("evloop.(*Loop).Dial"); len(left) > 0 {
+		t.Errorf("left running:\n%s", strings.Join(left, "\n\n"))
+	}
+	l.Dial(hung, time.Hour, nil, func(error) {})
+	if left := testkit.Goroutines("evloop.(*Loop).Dial"); len(left) > 0 {
+		t.Errorf("a stopped loop dials:\n%s", strings.Join(left, "\n\n"))
+	}
+}
--- a/internal/httpd/accept.go
+++ b/internal/httpd/accept.go
@@ -13,7 +13,6 @@
 	"golang.org/x/sys/unix"
 )
 
-// acceptBackoff is the pause after a connection could not be accepted: descriptors have run out.
 const acceptBackoff = 5 * time.Millisecond
 
 // acceptor accepts connections on a listening socket, which may be shared with another
@@ -25,6 +24,7 @@
 	paused   chan struct{} // closed once nothing is accepted any more; nil: not paused
 	closed   chan struct{}
 	once     sync.Once
+	backoff  time.Duration // after a connection could not be accepted: descriptors have run out
 }
 
 // listen makes a listening socket. It may share its address (SO_REUSEPORT) with that of
@@ -47,7 +47,7 @@
 }
 
 func newAcceptor(l *net.TCPListener) *acceptor {
-	return &acceptor{listener: l, closed: make(chan struct{})}
+	return &acceptor{listener: l, closed: make(chan struct{}), backoff: acceptBackoff}
 }
 
 // accept passes connections to take until it is closed.
@@ -77,7 +77,11 @@
 			}
 		default:
 			failed(err)
-			time.Sleep(acceptBackoff)
+			select {
+			case <-time.After(a.backoff):
+			case <-a.closed:
+				return
+			}
 		}
 	}
 }
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -70,6 +70,7 @@
 	client      *gnet.Client
 	acceptor    *acceptor
 	stopped     chan struct{}
+	background  sync.WaitGroup // the goroutines that accept and sweep, which end with Stop
 	draining    atomic.Bool
 	clients     atomic.Int64
 	mu          sync.Mutex // guards eventLoops
@@ -150,8 +151,8 @@
 		return fmt.Errorf("event loops for %s: %w", s.addr, err)
 	}
 	s.client, s.acceptor = client, newAcceptor(passed)
-	go s.acceptor.accept(s.register, s.cannotAccept)
-	go s.runSweeps()
+	s.background.Go(func() { s.acceptor.accept(s.register, s.cannotAccept) })
+	s.background.Go(s.runSweeps)
 	return nil
 }
 
@@ -231,10 +232,12 @@
 	})
 }
 
-// Stop closes the listening socket and all connections, and ends the event loops.
+// Stop closes the listening socket, waits until nothing is accepted any more, closes all connections, and ends the event
+// loops.
 func (s *Server) Stop() error {
 	s.acceptor.close()
 	close(s.stopped)
+	s.background.Wait()
 	if err := s.client.Stop(); err != nil && !errors.Is(err, context.Canceled) {
 		return fmt.Errorf("stopping the server on %s: %w", s.addr, err)
 	}
--- /dev/null
+++ b/internal/httpd/stop_test.go
@@ -0,0 +1,58 @@
+package httpd
+
+import (
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"sedgevale/internal/fdlimit"
+	"sedgevale/internal/testkit"
+)
+
+// Once Stop has returned the server's goroutines have ended.
+func TestStopWaitsForItsGoroutines(t *testing.T) {
+	for range 20 {
+		s := New("127.0.0.1:0", 1, nil, fdlimit.New(0), slog.New(slog.DiscardHandler))
+		if err := s.Start(t.Context(), nil); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Stop(); err != nil {
+			t.Fatal(err)
+		}
+		if left := testkit.Goroutines("httpd.(*Server).runSweeps", "httpd.(*acceptor).accept"); len(left) > 0 {
+			t.Fatalf("left running:\n%s", strings.Join(left, "\n\n"))
+		}
+	}
+}
+
+// The pause after a failed accept ends with the acceptor. A listening socket that was shut down can be accepted on no more.
+func TestBackoffOfAcceptHearsClose(t *testing.T) {
+	l, err := listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := newAcceptor(l)
+	a.backoff = time.Hour
+	failures, ended := make(chan error, 1), make(chan struct{})
+	go func() {
+		defer close(ended)
+		a.accept(func(c *net.TCPConn) { _ = c.Close() }, func(err error) { failures <- err })
+	}()
+	raw, err := l.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var failed error
+	if err := raw.Control(func(fd uintptr) { failed = unix.Shutdown(int(fd), unix.SHUT_RDWR) }); err != nil || failed != nil {
+		t.Fatal(err, failed)
+	}
+	if err := testkit.Await(t, "a failed accept", failures); err == nil {
+		t.Error("no error")
+	}
+	a.close()
+	testkit.Await(t, "the end of the acceptor", ended)
+}
--- a/internal/reverseproxy/health.go
+++ b/internal/reverseproxy/health.go
@@ -8,6 +8,7 @@
 	"sedgevale/internal/dispatchconfig"
 	"sedgevale/internal/healthcheck"
 	"sedgevale/internal/pool"
+	"sedgevale/internal/taskgroup"
 )
 
 // applyStates sets the states of a new pool's members from their health and cordons. The
@@ -34,28 +35,28 @@
 	return sedgevale.Draining
 }
 
-// startChecks starts the health checks of the active configuration, which end with the context or with the
-// next call. The lock is held.
-func (p *Proxy) startChecks(work context.Context) {
-	if p.stopChecks != nil {
-		p.stopChecks()
+// startChecks starts the health checks of the active configuration, which end with the proxy or with the next call; Run waits
+// for them. The lock is held.
+func (p *Proxy) startChecks() {
+	if p.checks != nil {
+		p.checks.Cancel()
 	}
-	ctx, stop := context.WithCancel(work)
-	p.stopChecks = stop
+	checks := p.goroutines.Derive()
+	p.checks = checks
 	var all []healthcheck.Check
 	active := p.active.Load()
 	for _, spec := range active.web.Backends {
 		for i := range spec.Servers {
-			if c, ok := active.checkOf(ctx, &spec, &spec.Servers[i]); ok {
+			if c, ok := active.checkOf(checks, &spec, &spec.Servers[i]); ok {
 				all = append(all, c)
 			}
 		}
 	}
-	go healthcheck.NewDriver(p.opt.Log).Run(ctx, all)
+	checks.Go(func(ctx context.Context) { healthcheck.NewDriver(p.opt.Log).Run(ctx, all) })
 }
 
 // checkOf returns the health check of a server, if it has one of its own.
-func (active *activeConfig) checkOf(ctx context.Context, spec *dispatchconfig.WebBackend, m *dispatchconfig.WebServer) (healthcheck.Check, bool) {
+func (active *activeConfig) checkOf(checks *taskgroup.Group, spec *dispatchconfig.WebBackend, m *dispatchconfig.WebServer) (healthcheck.Check, bool) {
 	c, addr, ok, err := spec.HealthCheck(m)
 	if !ok || err != nil || m.Disabled {
 		return healthcheck.Check{}, false
@@ -66,8 +67,10 @@
 	b.mu.Unlock()
 	followers := active.tracking(b.id(m.Name))
 	return healthcheck.Check{Name: b.id(m.Name), Addr: addr, Spec: c, InitiallyDown: down, OnChange: func(up bool, _ string) {
-		if ctx.Err() != nil { // newer checks have taken over
+		select {
+		case <-checks.Done(): // newer checks have taken over
 			return
+		default:
 		}
 		b.setHealth(m.Name, up)
 		for _, f := range followers {
--- a/internal/reverseproxy/helpers_test.go
+++ b/internal/reverseproxy/helpers_test.go
@@ -22,33 +22,40 @@
 
 // serve runs a Proxy until the test ends and returns its address.
 func serve(t testing.TB, w *dispatchconfig.Web) (*Proxy, string) {
+	t.Helper()
+	s, stop := start(t, w)
+	t.Cleanup(stop)
+	return s, w.Frontends[0].Listen[0]
+}
+
+// start runs a Proxy. Stop, which must be called once, ends it and returns when Run has returned.
+func start(t testing.TB, w *dispatchconfig.Web) (p *Proxy, stop func()) {
 	t.Helper()
 	log := slog.New(slog.DiscardHandler)
 	loop, err := evloop.New(log)
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, err := New(Options{Config: w, Loops: 1, Loop: loop, Clock: dispatch.NewClock(), Seed: 1, Budget: fdlimit.New(0), Log: log})
+	t.Cleanup(func() { _ = loop.Stop() })
+	p, err = New(Options{Config: w, Loops: 1, Loop: loop, Clock: dispatch.NewClock(), Seed: 1, Budget: fdlimit.New(0), Log: log})
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, stop := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	go func() { s.Run(ctx); close(done) }()
-	for _, l := range s.Servers() {
+	go func() { p.Run(ctx); close(done) }()
+	for _, l := range p.Servers() {
 		if err := l.Start(ctx, nil); err != nil {
 			t.Fatal(err)
 		}
 	}
-	t.Cleanup(func() {
-		for _, l := range s.Servers() {
+	return p, func() {
+		for _, l := range p.Servers() {
 			_ = l.Stop()
 		}
-		stop()
+		cancel()
 		<-done
-		_ = loop.Stop()
-	})
-	return s, w.Frontends[0].Listen[0]
+	}
 }
 
 // listen listens on a free port. Whoever is given the listener closes it.
--- a/internal/reverseproxy/proxy.go
+++ b/internal/reverseproxy/proxy.go
@@ -24,6 +24,7 @@
 	"sedgevale/internal/httpd"
 	"sedgevale/internal/pool"
 	"sedgevale/internal/route"
+	"sedgevale/internal/taskgroup"
 )
 
 // Options configure a Proxy.
@@ -43,15 +44,15 @@
 	planners    *dispatch.Set
 	transport   *transport
 	servers     []*httpd.Server
-	nextRequest atomic.Uint64 // number of the last request
+	nextRequest atomic.Uint64    // number of the last request
+	goroutines  *taskgroup.Group // they end with Run
 
 	active atomic.Pointer[activeConfig]
 
 	// mu serialises changes of the configuration and guards the fields below. Requests do not take it.
-	mu         sync.Mutex
-	kinds      map[string]int     // by worker id; a number is never given to another worker
-	stopChecks context.CancelFunc // of the health checks that run; nil: none
-	runCtx     context.Context    // of Run; nil: not called yet
+	mu     sync.Mutex
+	kinds  map[string]int   // by worker id; a number is never given to another worker
+	checks *taskgroup.Group // the health checks of the active configuration; nil: Run was not called yet
 }
 
 // activeConfig is the configuration that new requests follow. It is immutable and replaced as a whole by a reload, but for its
@@ -91,7 +92,7 @@
 
 // New returns a Proxy that does not serve yet. The error is about the configuration.
 func New(o Options) (*Proxy, error) {
-	p := &Proxy{opt: o, kinds: map[string]int{}}
+	p := &Proxy{opt: o, kinds: map[string]int{}, goroutines: taskgroup.New(context.Background())}
 	p.transport = newTransport(p)
 	active, err := p.build(o.Config)
 	if err != nil {
@@ -127,13 +128,11 @@
 // called once.
 func (p *Proxy) Run(ctx context.Context) {
 	p.mu.Lock()
-	p.runCtx = ctx
-	p.startChecks(ctx)
+	p.startChecks()
 	p.mu.Unlock()
-	var background sync.WaitGroup
-	background.Go(func() { p.transport.closeIdleConns(ctx) })
+	p.goroutines.Go(p.transport.closeIdleConns)
 	p.planners.Run(ctx)
-	background.Wait()
+	p.goroutines.Shutdown()
 }
 
 // Open returns the number of requests that wait for the head of a response.
@@ -154,8 +153,8 @@
 	}
 	p.planners.UpdateSettings(p.moduleSettings(active))
 	p.install(active)
-	if p.runCtx != nil {
-		p.startChecks(p.runCtx)
+	if p.checks != nil {
+		p.startChecks()
 	}
 	old := p.opt.Config
 	for _, f := range w.Frontends {
--- a/internal/reverseproxy/transfer.go
+++ b/internal/reverseproxy/transfer.go
@@ -29,8 +29,8 @@
 	client   *httpd.Detached
 	attempts chan *dispatch.Attempt // that the module has sent
 	replies  chan localReply        // of ours, one at most
-	stopped  chan struct{}          // closed by stop
-	stopOnce sync.Once
+	ctx      context.Context        // ends with stop, and with the proxy
+	cancel   context.CancelFunc
 
 	// mu guards the fields below.
 	mu           sync.Mutex
@@ -49,7 +49,8 @@
 }
 
 func newTransfer(r *proxyRequest, c *httpd.Detached) *transfer {
-	return &transfer{request: r, client: c, attempts: make(chan *dispatch.Attempt, 1), replies: make(chan localReply, 1), stopped: make(chan struct{})}
+	ctx, cancel := context.WithCancel(r.proxy.goroutines.Context())
+	return &transfer{request: r, client: c, attempts: make(chan *dispatch.Attempt, 1), replies: make(chan localReply, 1), ctx: ctx, cancel: cancel}
 }
 
 func (t *transfer) reply(status int, fields []http1.Field, body []byte, _ bool) {
@@ -79,7 +80,7 @@
 
 // stop ends the current attempt, after a time-out or when the client has disconnected.
 func (t *transfer) stop() {
-	t.stopOnce.Do(func() { close(t.stopped) })
+	t.cancel()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.server != nil {
@@ -87,9 +88,10 @@
 	}
 }
 
-// run carries the request out, by one attempt after another, until it has a response. Begin routes
+// run carries the request out, by one attempt after another, until it has a response or the proxy ends. Begin routes
 // the request, so that attempts or a reply come.
 func (t *transfer) run(begin func()) {
+	defer t.cancel()
 	defer func() { _ = t.client.Close() }()
 	if t.request.head.Get("Expect") != "" && !t.request.head.HTTP10 {
 		_ = t.client.SetWriteDeadline(time.Now().Add(replyTimeout))
@@ -107,6 +109,8 @@
 			if !t.attempt(attempt) {
 				return
 			}
+		case <-t.request.proxy.goroutines.Done(): // the planner, from which these come, has ended
+			return
 		}
 	}
 }
@@ -149,8 +153,12 @@
 	}
 	defer r.proxy.opt.Budget.Release()
 	dialer := net.Dialer{Timeout: connect}
-	server, err := dialer.DialContext(context.Background(), "tcp", addr)
-	if err != nil {
+	server, err := dialer.DialContext(t.ctx, "tcp", addr)
+	switch {
+	case err != nil && t.ctx.Err() != nil: // stopped meanwhile
+		t.ended(attempt, sedgevale.NotSent)
+		return true
+	case err != nil:
 		t.ended(attempt, sedgevale.ConnectFailed)
 		return true
 	}
@@ -216,7 +224,7 @@
 	t.server, t.bodySent, t.headReceived, t.uploaded = server, true, false, false
 	t.mu.Unlock()
 	select {
-	case <-t.stopped:
+	case <-t.ctx.Done():
 		_ = server.SetDeadline(time.Unix(1, 0))
 	default:
 	}
--- a/internal/system/core/broadcast.go
+++ b/internal/system/core/broadcast.go
@@ -28,7 +28,7 @@
 ) (<-chan reply[Response], int) {
 	replies := make(chan reply[Response], len(members))
 	for _, member := range members {
-		started := c.goroutines.run(func(ctx context.Context) {
+		started := c.goroutines.Go(func(ctx context.Context) {
 			ctx, cancel := context.WithTimeout(ctx, roundTimeout)
 			defer cancel()
 			to := target{Membership: m, Member: member.ID}
@@ -110,6 +110,6 @@
 	p.pingInFlight = true
 	c.mu.Unlock()
 	if !inFlight {
-		c.goroutines.run(func(ctx context.Context) { c.ping(ctx, address, c.pingMessage()) })
+		c.goroutines.Go(func(ctx context.Context) { c.ping(ctx, address, c.pingMessage()) })
 	}
 }
--- a/internal/system/core/core.go
+++ b/internal/system/core/core.go
@@ -17,6 +17,7 @@
 	"sedgevale/internal/system/node"
 	"sedgevale/internal/system/rpc"
 	"sedgevale/internal/system/settings"
+	"sedgevale/internal/taskgroup"
 	"sedgevale/workeragent"
 )
 
@@ -34,7 +35,7 @@
 	timing   workeragent.Timing
 	started  time.Time
 
-	goroutines *goroutineGroup // all that this scheduler starts
+	goroutines *taskgroup.Group // all that this scheduler starts
 
 	// mu guards the fields below and all of each peerState. It is taken before owner.mu and never held over a call.
 	mu                sync.Mutex
@@ -70,7 +71,7 @@
 	defer stop()
 	c := newCore(running, process, store)
 	defer c.closeLog(running)
-	defer c.goroutines.shutDown()
+	defer c.goroutines.Shutdown()
 	process.RegisterMetrics(collector{c})
 	if err := process.Listen(ctx, c.address, c.internalHandler()); err != nil {
 		return err
@@ -80,7 +81,7 @@
 		return err
 	}
 	for _, loop := range []func(context.Context){c.pingLoop, c.ownershipLoop, c.joinLoop, c.followMembership} {
-		c.goroutines.run(loop)
+		c.goroutines.Go(loop)
 	}
 	<-ctx.Done()
 	c.closeOwners()
@@ -96,7 +97,7 @@
 	s := process.Settings
 	return &Core{
 		settings: s, logger: process.Logger, client: process.Client, store: store, address: s.InternalAddress(),
-		timing: node.LeaseTiming(s), started: time.Now(), goroutines: newGoroutineGroup(ctx),
+		timing: node.LeaseTiming(s), started: time.Now(), goroutines: taskgroup.New(ctx),
 		peers: map[string]*peerState{}, learned: map[string]chosenValue{}, owners: map[string]*owner{},
 		changed: make(chan struct{}), readsInFlight: map[string]bool{}, takeoverNotBefore: map[string]time.Time{},
 		proposer: store.proposer(), ballotCounter: store.highestBallot(),
--- a/internal/system/core/doc.go
+++ b/internal/system/core/doc.go
@@ -22,7 +22,7 @@
 //
 // There are five mutexes. They are taken in this order, and never in another:
 //
-//	Core.mu  ->  owner.mu  ->  goroutineCount.mu
+//	Core.mu  ->  owner.mu  ->  taskgroup.Group
 //	store.mu ->  statefile.Log.mu
 //
 // The two chains are independent: who holds Core.mu or owner.mu calls no method of store, and store calls nothing of Core
@@ -41,14 +41,14 @@
 //   - statefile.Log.mu guards the queue of appends. The log's writer holds it for no write; it takes store.mu alone when
 //     it has a snapshot written.
 //
-//   - goroutineCount.mu orders the start of a goroutine and the shutdown that waits for all. It is held for neither.
+//   - taskgroup.Group orders the start of a goroutine and the shutdown that waits for all. It is held for neither.
 //
 // Methods that say "c.mu is held" (or o.mu, s.mu) in their comments must be called so; all others take the locks that
 // they need.
 //
 // # Goroutines
 //
-// All goroutines of a Core and of its owners are in its goroutineGroup: they end with it, and Run returns when none is left.
+// All goroutines of a Core and of its owners are in its taskgroup.Group: they end with it, and Run returns when none is left.
 // Run starts pingLoop, ownershipLoop, joinLoop and followMembership, which end after it has drained. Beside them run a
 // takeOver, of about takeoverTimeout at most, for each shard that needs one, at most one ping a peer, and at most one
 // readAsync a register; calls that broadcast has begun go on for up to roundTimeout after their round. An owner runs one
--- a/internal/system/core/goroutines_test.go
+++ b/internal/system/core/goroutines_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"runtime"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -19,6 +18,8 @@
 	"sedgevale/internal/system/result"
 	"sedgevale/internal/system/rpc"
 	"sedgevale/internal/system/settings"
+	"sedgevale/internal/taskgroup"
+	"sedgevale/internal/testkit"
 	"sedgevale/jobs"
 )
 
@@ -28,33 +29,6 @@
 	return nil, ctx.Err()
 }
 
-func TestGroupWaitsForAllItsGoroutines(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		group := newGoroutineGroup(t.Context())
-		derived := group.derive()
-		ended := 0
-		for range 3 {
-			derived.run(func(ctx context.Context) {
-				<-ctx.Done()
-				time.Sleep(time.Second)
-				ended++
-			})
-		}
-		derived.close()
-		if group.ctx.Err() != nil {
-			t.Error("a derived group ended the one that it is derived from")
-		}
-		began := time.Now()
-		group.shutDown()
-		if ended != 3 || time.Since(began) != time.Second {
-			t.Errorf("%d of 3 goroutines ended after %v", ended, time.Since(began))
-		}
-		if group.run(func(context.Context) {}) || derived.run(func(context.Context) {}) {
-			t.Error("a group that was shut down started a goroutine")
-		}
-	})
-}
-
 // A round ends with its context, and not when the last call times out.
 func TestRoundsEndWithTheirContext(t *testing.T) {
 	const timeout = 100 * time.Millisecond
@@ -78,7 +52,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := &Core{
 					address: "d:1", logger: logr.Discard(), store: newStore("d:1"), client: rpc.NewClient(dialNobody), proposer: "p",
-					learned: map[string]chosenValue{}, goroutines: newGoroutineGroup(t.Context()),
+					learned: map[string]chosenValue{}, goroutines: taskgroup.New(t.Context()),
 				}
 				c.store.membership = membership.Bootstrap(3, []string{"a:1", "b:1", "c:1"})
 				ctx, cancel := context.WithTimeout(t.Context(), timeout)
@@ -87,7 +61,7 @@
 				if err := round(c, ctx); result.CodeOf(err) != result.Unavailable || time.Since(began) != timeout {
 					t.Errorf("%v after %v", err, time.Since(began))
 				}
-				c.goroutines.shutDown()
+				c.goroutines.Shutdown()
 				c.client.Close() // ends the dials
 				if time.Since(began) != timeout {
 					t.Errorf("the calls of the round went on until %v after it", time.Since(began)-timeout)
@@ -115,12 +89,8 @@
 			if err := Run(ctx, process); err != nil {
 				t.Fatal(err)
 			}
-			stacks := make([]byte, 1<<20)
-			stacks = stacks[:runtime.Stack(stacks, true)]
-			for _, stack := range strings.Split(string(stacks), "\n\n") {
-				if strings.Contains(stack, "core.(*Core)") || strings.Contains(stack, "statefile.(*Log)") {
-					t.Errorf("left running:\n%s", stack)
-				}
+			for _, stack := range testkit.Goroutines("core.(*Core)", "statefile.(*Log)") {
+				t.Errorf("left running:\n%s", stack)
 			}
 		})
 	}
--- a/internal/system/core/learner.go
+++ b/internal/system/core/learner.go
@@ -128,7 +128,7 @@
 	if c.readsInFlight[name] {
 		return
 	}
-	c.readsInFlight[name] = c.goroutines.run(func(ctx context.Context) {
+	c.readsInFlight[name] = c.goroutines.Go(func(ctx context.Context) {
 		reading, cancel := context.WithTimeout(ctx, asyncReadTimeout)
 		defer cancel()
 		if err := c.read(reading, name); err != nil {
--- a/internal/system/core/order_sender.go
+++ b/internal/system/core/order_sender.go
@@ -22,7 +22,7 @@
 	if s == nil || s.worker != w {
 		s = &orderSender{worker: w, wake: newSignal()}
 		o.orderSenders[w.Ref] = s
-		o.goroutines.run(func(ctx context.Context) { o.sendOrdersLoop(ctx, s) })
+		o.goroutines.Go(func(ctx context.Context) { o.sendOrdersLoop(ctx, s) })
 	}
 	return s
 }
--- a/internal/system/core/owner.go
+++ b/internal/system/core/owner.go
@@ -8,6 +8,7 @@
 
 	"sedgevale/coord/membership"
 	"sedgevale/coord/shard"
+	"sedgevale/internal/taskgroup"
 	"sedgevale/jobs"
 )
 
@@ -26,7 +27,7 @@
 	core       *Core
 	name       string // of the shard
 	token      int64  // the fencing token of this ownership
-	goroutines *goroutineGroup
+	goroutines *taskgroup.Group
 
 	// mu guards the fields below and those of each replicator. Core.mu may be held when it is taken, not the other way.
 	mu            sync.Mutex
@@ -46,7 +47,7 @@
 // newOwner returns the owner of a shard over the merged records of a quorum. Its goroutines are counted by c.goroutines.
 func newOwner(c *Core, name string, token int64, m membership.Membership, set *shard.RecordSet) *owner {
 	o := &owner{
-		core: c, name: name, token: token, goroutines: c.goroutines.derive(),
+		core: c, name: name, token: token, goroutines: c.goroutines.Derive(),
 		primary:      shard.NewPrimary(token, set, len(m.Seats), m.Quorum()),
 		orderSenders: map[string]*orderSender{}, sessions: sessions{}, inSyncChanged: make(chan struct{}),
 	}
@@ -65,7 +66,7 @@
 
 // close ends the owner for good.
 func (o *owner) close() {
-	o.goroutines.close()
+	o.goroutines.Cancel()
 	o.mu.Lock()
 	o.deposed = true
 	o.mu.Unlock()
@@ -143,7 +144,7 @@
 		return err
 	}
 	o.started = true
-	o.goroutines.run(o.tickLoop)
+	o.goroutines.Go(o.tickLoop)
 	return nil
 }
 
--- a/internal/system/core/owner_commit.go
+++ b/internal/system/core/owner_commit.go
@@ -75,7 +75,7 @@
 		return nil
 	case <-ctx.Done():
 		return result.Errorf(result.OutcomeUnknown, "shard %s: not durable in time", o.name)
-	case <-o.goroutines.done():
+	case <-o.goroutines.Done():
 		return result.Errorf(result.OutcomeUnknown, "shard %s: deposed", o.name)
 	}
 }
--- a/internal/system/core/owner_test.go
+++ b/internal/system/core/owner_test.go
@@ -13,6 +13,7 @@
 	"sedgevale/internal/system/clusterconfig"
 	"sedgevale/internal/system/result"
 	"sedgevale/internal/system/settings"
+	"sedgevale/internal/taskgroup"
 )
 
 // A job is acknowledged once a quorum has stored it, and not before, also when it is submitted again.
@@ -24,7 +25,7 @@
 		}
 		c := &Core{
 			address: "a", logger: logr.Discard(), store: newStore("a"), settings: &settings.Settings{}, started: time.Now(),
-			config: &configState{record: configRecord{Version: 1}, config: config}, owners: map[string]*owner{}, goroutines: newGoroutineGroup(t.Context()),
+			config: &configState{record: configRecord{Version: 1}, config: config}, owners: map[string]*owner{}, goroutines: taskgroup.New(t.Context()),
 		}
 		o := newOwner(c, "s", 2, membership.Bootstrap(3, []string{"a", "b", "c"}), shard.NewRecordSet())
 		defer o.close()
@@ -71,7 +72,7 @@
 func TestOwnerWithoutALeaseAnswersNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &Core{address: "a", logger: logr.Discard(), store: newStore("a"), settings: &settings.Settings{}, owners: map[string]*owner{},
-			goroutines: newGoroutineGroup(t.Context())}
+			goroutines: taskgroup.New(t.Context())}
 		o := newOwner(c, "s", 2, membership.Bootstrap(3, []string{"a", "b", "c"}), shard.NewRecordSet())
 		defer o.close()
 		c.owners["s"] = o
--- a/internal/system/core/ownership.go
+++ b/internal/system/core/ownership.go
@@ -32,7 +32,7 @@
 				c.mu.Lock()
 				c.takeoverNotBefore[service.Name] = time.Now().Add(takeoverTimeout)
 				c.mu.Unlock()
-				c.goroutines.run(func(ctx context.Context) { c.takeOver(ctx, service.Name) })
+				c.goroutines.Go(func(ctx context.Context) { c.takeOver(ctx, service.Name) })
 			}
 		}
 		c.dropDeposed()
--- a/internal/system/core/pinger.go
+++ b/internal/system/core/pinger.go
@@ -33,7 +33,7 @@
 	var pings sync.WaitGroup
 	for _, address := range targets {
 		pings.Add(1)
-		started := c.goroutines.run(func(context.Context) {
+		started := c.goroutines.Go(func(context.Context) {
 			defer pings.Done()
 			c.ping(ctx, address, m)
 		})
--- a/internal/system/core/proposer.go
+++ b/internal/system/core/proposer.go
@@ -85,7 +85,7 @@
 	if err := c.learn(name, ballot, next); err != nil {
 		return nil, false, err
 	}
-	c.goroutines.run(func(ctx context.Context) { c.announce(ctx, name, ballot, next) })
+	c.goroutines.Go(func(ctx context.Context) { c.announce(ctx, name, ballot, next) })
 	return next, false, rejection
 }
 
--- a/internal/system/core/replication.go
+++ b/internal/system/core/replication.go
@@ -35,7 +35,7 @@
 
 func (o *owner) startReplicators() {
 	for _, r := range o.replicators {
-		o.goroutines.run(func(ctx context.Context) { o.replicate(ctx, r) })
+		o.goroutines.Go(func(ctx context.Context) { o.replicate(ctx, r) })
 	}
 }
 
@@ -132,7 +132,7 @@
 	}
 	o.deposed = true
 	o.core.logger.Info("shard lost to a newer fencing token", "shard", o.name, "token", o.token)
-	o.goroutines.close()
+	o.goroutines.Cancel()
 	o.notifyInSyncChanged()
 }
 
--- a/internal/system/core/takeover.go
+++ b/internal/system/core/takeover.go
@@ -43,7 +43,7 @@
 	}
 	c.logger.Info("shard taken over", "shard", name, "token", o.token, "records", o.recordCount(),
 		"took_ms", time.Since(startedAt).Milliseconds())
-	c.goroutines.run(c.pingAll)
+	c.goroutines.Go(c.pingAll)
 }
 
 // acquire fences all earlier owners of a shard, merges what a quorum of the replicas hold, and returns an owner with which
--- a/internal/testkit/leak.go
+++ b/internal/testkit/leak.go
@@ -1,6 +1,8 @@
 package testkit
 
 import (
+	"runtime"
+	"strings"
 	"testing"
 
 	"go.uber.org/goleak"
@@ -13,3 +15,19 @@
 		goleak.IgnoreAnyFunction("github.com/panjf2000/ants/v2.(*poolCommon).purgeStaleWorkers"),
 		goleak.IgnoreAnyFunction("github.com/panjf2000/ants/v2.(*poolCommon).ticktock"))
 }
+
+// Goroutines returns the stacks of the goroutines that run one of these functions, or were started by one, now: where goleak
+// would wait for them to end.
+func Goroutines(functions ...string) (found []string) {
+	buffer := make([]byte, 4<<20)
+	buffer = buffer[:runtime.Stack(buffer, true)]
+	for _, stack := range strings.Split(string(buffer), "\n\n") {
+		for _, function := range functions {
+			if strings.Contains(stack, function) {
+				found = append(found, stack)
+				break
+			}
+		}
+	}
+	return found
+}
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"net"
@@ -19,6 +20,8 @@
 // awaitTimeout is for what must come; no test waits that long when all is well.
 const awaitTimeout = 20 * time.Second
 
+const pollInterval = 2 * time.Millisecond // of Eventually
+
 // Main runs a package's tests with a number of rapid checks each, the same ones every time.
 func Main(m *testing.M, checks int) {
 	flag.Parse()
@@ -134,3 +137,43 @@
 	}
 	return v
 }
+
+// HungAddr returns a TCP address on loopback that answers no connection attempt, neither with an accept nor with a reset, until
+// the test ends: the backlog of its listening socket is full.
+func HungAddr(t testing.TB) string {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = unix.Close(fd) }) // nothing was written to it
+	loopback := &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}
+	if err := errors.Join(unix.Bind(fd, loopback), unix.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(bound.(*unix.SockaddrInet4).Port))
+	const backlogFull = 100 * time.Millisecond // without an answer; loopback answers in microseconds
+	for range 10 {
+		c, err := (&net.Dialer{Timeout: backlogFull}).DialContext(t.Context(), "tcp", addr)
+		if err != nil {
+			return addr
+		}
+		t.Cleanup(func() { _ = c.Close() }) // nothing was written to it
+	}
+	t.Fatal("the backlog does not fill")
+	return ""
+}
+
+// Eventually waits until a condition holds, or fails the test after 20 s.
+func Eventually(t testing.TB, what string, holds func() bool) {
+	t.Helper()
+	for began := time.Now(); !holds(); time.Sleep(pollInterval) {
+		if time.Since(began) > awaitTimeout {
+			t.Fatalf("waited in vain for %s", what)
+		}
+	}
+}
