--- a/coord/rendezvous/rendezvous.go
+++ b/coord/rendezvous/rendezvous.go
@@ -35,15 +35,3 @@
 	}
 	return Rank(key, members)[0]
 }
-
-// Monitors returns the members that a member monitors: the count others with the highest weight for its own name.
-func Monitors(self string, members []string, count int) []string {
-	var others []string
-	for _, member := range members {
-		if member != self {
-			others = append(others, member)
-		}
-	}
-	ranked := Rank(self, others)
-	return ranked[:min(count, len(ranked))]
-}
--- a/coord/shard/primary.go
+++ b/coord/shard/primary.go
@@ -117,19 +117,6 @@
 	return acked[len(acked)-p.quorum]
 }
 
-// AckedByAll returns the number of the change up to which all replicas, learners included, have acknowledged; 0 if one is
-// out of sync. A deletion may be forgotten only then: until then a replica could bring the deleted record back.
-func (p *Primary) AckedByAll() int64 {
-	lowest := p.sequence
-	for _, replica := range p.replicas {
-		if !replica.inSync {
-			return 0
-		}
-		lowest = min(lowest, replica.acked)
-	}
-	return lowest
-}
-
 // FenceResponse is a replica's answer to a new owner's fencing message.
 type FenceResponse struct {
 	InSyncToken int64 // as Replica.InSyncToken
