Close a detached connection that would go back to a stopped server

Cause: a transfer that ended after httpd.Server.Stop waited without end in gnet's EnrollContext, since the event loop had ended. Change: Reattach runs in the server's group, for which Stop waits before it ends the loops; later it closes the connection.

--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -19,6 +19,7 @@
 	"sedgevale/internal/evloop"
 	"sedgevale/internal/fdlimit"
 	"sedgevale/internal/http1"
+	"sedgevale/internal/taskgroup"
 )
 
 // MaxBody is the longest body, in bytes, that is read for a Handler.
@@ -69,8 +70,7 @@
 	log         *slog.Logger
 	client      *gnet.Client
 	acceptor    *acceptor
-	stopped     chan struct{}
-	background  sync.WaitGroup // the goroutines that accept and sweep, which end with Stop
+	goroutines  *taskgroup.Group // those that accept, sweep and reattach connections; Stop waits for them
 	draining    atomic.Bool
 	clients     atomic.Int64
 	mu          sync.Mutex // guards eventLoops
@@ -119,7 +119,7 @@
 		}
 	}
 	s := &Server{addr: addr, loops: min(max(1, loops), maxEventLoops), handler: handler, limits: limits, descriptors: b, log: log,
-		stopped: make(chan struct{}), eventLoops: map[gnet.EventLoop]*eventLoop{}}
+		goroutines: taskgroup.New(context.Background()), eventLoops: map[gnet.EventLoop]*eventLoop{}}
 	b.OnLow(func(n int) { s.onEachLoop(func(l *eventLoop) { l.closeIdle(n) }) })
 	return s
 }
@@ -151,8 +151,8 @@
 		return fmt.Errorf("event loops for %s: %w", s.addr, err)
 	}
 	s.client, s.acceptor = client, newAcceptor(passed)
-	s.background.Go(func() { s.acceptor.accept(s.register, s.cannotAccept) })
-	s.background.Go(s.runSweeps)
+	s.goroutines.Go(func(context.Context) { s.acceptor.accept(s.register, s.cannotAccept) })
+	s.goroutines.Go(s.runSweeps)
 	return nil
 }
 
@@ -236,8 +236,7 @@
 // loops.
 func (s *Server) Stop() error {
 	s.acceptor.close()
-	close(s.stopped)
-	s.background.Wait()
+	s.goroutines.Shutdown()
 	if err := s.client.Stop(); err != nil && !errors.Is(err, context.Canceled) {
 		return fmt.Errorf("stopping the server on %s: %w", s.addr, err)
 	}
@@ -253,15 +252,15 @@
 	}
 }
 
-// runSweeps closes connections whose deadlines have passed, until the server is stopped.
-func (s *Server) runSweeps() {
+// runSweeps closes connections whose deadlines have passed, until the context ends.
+func (s *Server) runSweeps(ctx context.Context) {
 	tick := time.NewTicker(sweepInterval)
 	defer tick.Stop()
 	for {
 		select {
 		case <-tick.C:
 			s.onEachLoop((*eventLoop).sweep)
-		case <-s.stopped:
+		case <-ctx.Done():
 			return
 		}
 	}
--- a/internal/httpd/stop_test.go
+++ b/internal/httpd/stop_test.go
@@ -1,6 +1,8 @@
 package httpd
 
 import (
+	"errors"
+	"io"
 	"log/slog"
 	"net"
 	"strings"
@@ -56,3 +58,26 @@
 	a.close()
 	testkit.Await(t, "the end of the acceptor", ended)
 }
+
+// A connection that was taken off its event loop is closed where the server is stopped when it would go back.
+func TestReattachAfterStop(t *testing.T) {
+	s := New("127.0.0.1:0", 1, nil, fdlimit.New(0), slog.New(slog.DiscardHandler))
+	if err := s.Start(t.Context(), nil); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Stop(); err != nil {
+		t.Fatal(err)
+	}
+	accepted := make(chan net.Conn, 1)
+	client := testkit.Dial(t, testkit.Accept(t, func(c net.Conn) { accepted <- c }))
+	server := testkit.Await(t, "a connection", accepted)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		(&Detached{Conn: server, server: s}).Reattach()
+	}()
+	testkit.Await(t, "Reattach", done)
+	if _, err := client.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("the connection is not closed: %v", err)
+	}
+}
--- a/internal/httpd/stream.go
+++ b/internal/httpd/stream.go
@@ -1,6 +1,7 @@
 package httpd
 
 import (
+	"context"
 	"net"
 	"os"
 	"time"
@@ -126,11 +127,22 @@
 func (d *Detached) Draining() bool { return d.server.draining.Load() }
 
 // Reattach puts a connection back on an event loop, for its next request. Nothing of that
-// may have been read yet: it would be lost.
+// may have been read yet: it would be lost. Where the server is stopped it closes the
+// connection.
 func (d *Detached) Reattach() {
 	_ = d.SetDeadline(time.Time{})
 	d.release()
-	if _, err := d.server.client.EnrollContext(d.Conn, nil); err != nil {
+	// gnet waits for the event loop, without end once that has ended; so Stop has to wait for this.
+	reattached := make(chan struct{})
+	started := d.server.goroutines.Go(func(context.Context) {
+		defer close(reattached)
+		if _, err := d.server.client.EnrollContext(d.Conn, nil); err != nil {
+			_ = d.Conn.Close()
+		}
+	})
+	if !started {
 		_ = d.Conn.Close()
+		return
 	}
+	<-reattached
 }
