Pin the decision module's actions by hashes, and mend a panic that they found

Cause: the module is to be cut into components without another behaviour. The net found at once: a change of settings that makes a pool, while a worker that has left the list still has an attempt, panicked when that ended.

--- a/accounting.go
+++ b/accounting.go
@@ -21,7 +21,7 @@
 func (d *Dispatcher) addOccupied(w *worker, slots float64) {
 	w.inFlight += slots
 	for i, p := range d.pools {
-		if w.poolPositions[i] < 0 {
+		if !w.inPool(i) {
 			continue
 		}
 		p.inFlight += slots
--- /dev/null
+++ b/actions_test.go
@@ -0,0 +1,522 @@
+package sedgevale_test
+
+import (
+	"bufio"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"hash"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"sedgevale"
+)
+
+var updateActions = flag.Bool("update-actions", false, "write the hashes of the actions anew")
+
+const (
+	actionsFile  = "testdata/actions.txt" // as 18ab6f8 wrote it with -update-actions
+	actionWorlds = 96
+	actionSteps  = 4000
+)
+
+// The same settings, seed and events give the same actions as they gave in 18ab6f8, before the module was cut into components (with
+// the mend of TestSettingsChangeWhileARemovedWorkerIsBusy, without which it panics in some worlds): each world switches other features on, and the hash covers every call of the Host and all that the Dispatcher returns.
+func TestActionsAreUnchanged(t *testing.T) {
+	var got []string
+	for seed := range uint64(actionWorlds) {
+		w := newActionWorld(t, seed)
+		for range actionSteps {
+			w.step()
+		}
+		w.finish()
+		got = append(got, fmt.Sprintf("%d %d %s %s", seed, w.actions, hex.EncodeToString(w.hash.Sum(nil)[:12]), strings.Join(w.features, "+")))
+	}
+	if *updateActions {
+		if err := os.WriteFile(actionsFile, []byte(strings.Join(got, "\n")+"\n"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	file, err := os.Open(actionsFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = file.Close() }() // only read
+	lines := bufio.NewScanner(file)
+	for i := range got {
+		if !lines.Scan() || lines.Text() != got[i] {
+			t.Errorf("world %d: %q, want %q", i, got[i], lines.Text())
+		}
+	}
+}
+
+// openAttempt is an attempt that the world has not ended yet.
+type openAttempt struct {
+	id      string
+	n       int
+	worker  string
+	sentAt  time.Duration
+	started bool
+	cancel  bool
+}
+
+type timer struct {
+	at    time.Duration
+	order int
+	token uint64
+}
+
+// actionWorld is a Host with workers and clients that act at random.
+type actionWorld struct {
+	t        *testing.T
+	rng      *rand.Rand
+	now      time.Duration
+	d        *sedgevale.Dispatcher
+	set      sedgevale.Settings
+	features []string
+	hash     hash.Hash
+	actions  int
+
+	list     []sedgevale.WorkerInfo
+	open     []openAttempt
+	sends    map[string]int
+	ended    map[string]bool
+	requests []string // not ended
+	probes   []string
+	timers   []timer
+	order    int
+	serial   int
+	loads    []sedgevale.WorkerLoad
+	tenants  []string // ever named by the settings
+}
+
+func newActionWorld(t *testing.T, seed uint64) *actionWorld {
+	w := &actionWorld{t: t, rng: rand.New(rand.NewPCG(seed, 99)), now: time.Hour, hash: sha256.New(), sends: map[string]int{}, ended: map[string]bool{}}
+	w.set = w.drawSettings(seed)
+	for _, tenant := range w.set.Tenants {
+		w.tenants = append(w.tenants, tenant.Name)
+	}
+	for i := range 3 + w.rng.IntN(14) {
+		w.list = append(w.list, sedgevale.WorkerInfo{
+			Worker: fmt.Sprint("w", i), Zone: i % 3, Kind: i % 2, Cell: i % 4, Weight: []float64{1, 2, 0.5, 4}[w.rng.IntN(4)],
+		})
+	}
+	d, err := sedgevale.New(w.set, seed, w)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.d = d
+	if w.flip("peers") {
+		d.TrackLoadChanges()
+	}
+	d.WorkersUpdated(w.now, sedgevale.UpdateStale, w.list)
+	return w
+}
+
+// flip draws whether a feature is on, and notes it.
+func (w *actionWorld) flip(name string) bool {
+	on := w.rng.IntN(2) == 0
+	if on {
+		w.features = append(w.features, name)
+	}
+	return on
+}
+
+func (w *actionWorld) has(name string) bool { return slices.Contains(w.features, name) }
+
+func (w *actionWorld) drawSettings(seed uint64) sedgevale.Settings {
+	const ms = time.Millisecond
+	class := func(name string, idempotency sedgevale.Idempotency) sedgevale.Class {
+		return sedgevale.Class{
+			Name: name, Idempotency: idempotency, DedupScope: sedgevale.DedupScope(seed % 3), DedupWindow: 800 * ms,
+			LatencyTarget: time.Duration(50+w.rng.IntN(400)) * ms, TargetStretch: float64(w.rng.IntN(3)), ClientTimeout: 3 * time.Second,
+			LateValue: []float64{0, 0.3, 0.8}[w.rng.IntN(3)],
+		}
+	}
+	set := sedgevale.Settings{
+		Classes:     []sedgevale.Class{class("safe", sedgevale.Idempotent), class("keyed", sedgevale.IdempotentByKey), class("unsafe", sedgevale.NotIdempotent)},
+		MaxAttempts: 1 + w.rng.IntN(5), Weights: sedgevale.WeightMeaning(seed % 3), Zone: int(seed % 4), Dispatchers: 1 + int(seed%3),
+	}
+	set.AllowHedging, set.AllowCancel, set.StartNotified = w.flip("hedging"), w.flip("cancel"), w.flip("notified")
+	set.FIFOWorkers, set.LoadByProbe, set.WatchOnDemand = w.flip("fifo"), w.flip("probes"), w.flip("watch")
+	set.RejectedMayHaveRun = w.flip("rejected-may-have-run")
+	if w.flip("tenants") {
+		set.Tenants = []sedgevale.Tenant{{Name: "a", Share: 3}, {Name: "b", Share: 1, Quota: 20}, {Name: "c", Share: 2}}
+	}
+	if w.flip("budget") {
+		set.RetryBudget = sedgevale.RetryBudget{FreeRetries: 3, RetryRatio: 0.2, Window: time.Second}
+	}
+	if w.flip("slow-start") {
+		set.SlowStartCapacity, set.SlowStartDuration, set.OverloadMultiple, set.OverloadWindow = 0.3, 2*time.Second, 2.5, 500*ms
+	}
+	if w.flip("drain-close") {
+		set.DrainCloseTimeout = 400 * ms
+	}
+	if w.flip("retry-after") {
+		set.MaxRetryAfter = time.Second
+	}
+	if w.flip("kinds") {
+		set.Classes[0].Kinds, set.Classes[2].Zones = []int{1}, []int{0, 2}
+	}
+	if w.flip("stream") {
+		set.Classes[1].Streaming = true
+	}
+	for _, name := range []string{"reports", "keys", "hints", "settings", "cordons", "siblings", "subsets", "stalls", "learned"} {
+		w.flip(name)
+	}
+	return set
+}
+
+// note adds an action to the hash.
+func (w *actionWorld) note(format string, args ...any) {
+	w.actions++
+	_, _ = fmt.Fprintf(w.hash, "%d "+format+"\n", append([]any{w.now}, args...)...)
+}
+
+// The calls of the Host.
+
+func (w *actionWorld) Send(id, worker string, timeout time.Duration) {
+	w.note("send %s %s %d", id, worker, timeout)
+	w.open = append(w.open, openAttempt{id: id, n: w.sends[id], worker: worker, sentAt: w.now})
+	w.sends[id]++
+}
+
+func (w *actionWorld) end(id string) {
+	w.ended[id] = true
+	w.requests = slices.DeleteFunc(w.requests, func(other string) bool { return other == id })
+}
+
+func (w *actionWorld) Reject(id string, after time.Duration) {
+	w.note("reject %s %d", id, after)
+	w.end(id)
+}
+
+func (w *actionWorld) Fail(id string) {
+	w.note("fail %s", id)
+	w.end(id)
+}
+
+func (w *actionWorld) Cancel(id string, n int) {
+	w.note("cancel %s %d", id, n)
+	for i := range w.open {
+		if w.open[i].id == id && w.open[i].n == n {
+			w.open[i].cancel = true
+		}
+	}
+}
+
+func (w *actionWorld) SetTimer(after time.Duration, token uint64) {
+	w.note("timer %d %d", after, token)
+	w.order++
+	w.timers = append(w.timers, timer{w.now + after, w.order, token})
+}
+
+func (w *actionWorld) Probe(worker string) {
+	w.note("probe %s", worker)
+	w.probes = append(w.probes, worker)
+}
+
+func (w *actionWorld) CloseIdleConnections(worker string) { w.note("close %s", worker) }
+
+func (w *actionWorld) WatchWorkers() { w.note("watch") }
+
+func (w *actionWorld) Log(text string) { w.note("log %s", text) }
+
+// advance lets time pass and timers fire.
+func (w *actionWorld) advance(by time.Duration) {
+	to := w.now + by
+	for {
+		next := -1
+		for i, one := range w.timers {
+			if one.at <= to && (next < 0 || one.at < w.timers[next].at || one.at == w.timers[next].at && one.order < w.timers[next].order) {
+				next = i
+			}
+		}
+		if next < 0 {
+			w.now = to
+			return
+		}
+		one := w.timers[next]
+		w.timers = slices.Delete(w.timers, next, next+1)
+		w.now = max(w.now, one.at)
+		w.d.TimerFired(w.now, one.token)
+	}
+}
+
+// step lets a moment pass and draws an event.
+func (w *actionWorld) step() {
+	if w.has("stalls") && w.rng.IntN(400) == 0 {
+		w.now += time.Duration(30+w.rng.IntN(500)) * time.Millisecond // without its timers, which are late
+	}
+	w.advance(time.Duration(w.rng.IntN(12_000)) * time.Microsecond)
+	switch n := w.rng.IntN(100); {
+	case n < 34:
+		w.submit()
+	case n < 50:
+		w.start()
+	case n < 82:
+		w.endAttempt()
+	case n < 85:
+		w.progress()
+	case n < 90:
+		w.answerProbe()
+	case n < 92:
+		w.disconnect()
+	case n < 95:
+		w.updateList()
+	default:
+		w.rare()
+	}
+}
+
+func (w *actionWorld) submit() {
+	w.serial++
+	q := sedgevale.Request{ID: fmt.Sprint("r", w.serial), Class: w.rng.IntN(len(w.set.Classes)), TimeLeft: time.Duration(w.rng.IntN(3000)) * time.Millisecond}
+	if len(w.tenants) > 0 { // also one that the settings have removed
+		q.Tenant = w.d.TenantIndex(w.tenants[w.rng.IntN(len(w.tenants))])
+		if q.Tenant < 0 {
+			w.note("tenant gone")
+			return
+		}
+	}
+	if w.has("keys") && w.rng.IntN(3) == 0 {
+		q.AffinityKey = fmt.Sprint("k", w.rng.IntN(6))
+	}
+	if w.has("hints") && w.rng.IntN(2) == 0 {
+		q.RuntimeHint = time.Duration(1+w.rng.IntN(200)) * time.Millisecond
+	}
+	if w.rng.IntN(8) == 0 {
+		q.Slots = float64(1 + w.rng.IntN(3))
+	}
+	q.ClientRetry = w.rng.IntN(10) == 0
+	w.requests = append(w.requests, q.ID)
+	w.note("submit %v", w.d.SubmitRequest(w.now, q))
+}
+
+// pick returns the index of a random open attempt, -1 for none.
+func (w *actionWorld) pick() int {
+	if len(w.open) == 0 {
+		return -1
+	}
+	return w.rng.IntN(len(w.open))
+}
+
+func (w *actionWorld) start() {
+	i := w.pick()
+	if i < 0 || w.open[i].started || !w.set.StartNotified {
+		return
+	}
+	w.open[i].started = true
+	a := w.open[i]
+	w.note("start %v", w.d.AttemptStarted(w.now, a.id, a.n))
+	if w.has("stream") && w.rng.IntN(4) == 0 {
+		w.note("stream %v", w.d.StreamStarted(w.now, a.id, a.n))
+	}
+}
+
+func (w *actionWorld) progress() {
+	if i := w.pick(); i >= 0 && w.open[i].started {
+		w.note("progress %v", w.d.AttemptProgressed(w.now, w.open[i].id, w.open[i].n, 0.5))
+	}
+}
+
+func (w *actionWorld) endAttempt() {
+	i := w.pick()
+	if i < 0 {
+		return
+	}
+	a := w.open[i]
+	w.open = slices.Delete(w.open, i, i+1)
+	result := sedgevale.AttemptResult{ID: a.id, Attempt: a.n, Outcome: sedgevale.Served}
+	if n := w.rng.IntN(20); n < 6 {
+		result.Outcome = []sedgevale.Outcome{
+			sedgevale.Errored, sedgevale.Rejected, sedgevale.TimedOut, sedgevale.ConnectFailed, sedgevale.ConnectionLost, sedgevale.NotSent,
+		}[n]
+	}
+	if a.cancel && w.rng.IntN(4) > 0 {
+		result.Outcome = sedgevale.Cancelled
+	}
+	result.Answered = w.ended[a.id] || result.Outcome == sedgevale.Served
+	if w.has("reports") && w.rng.IntN(2) == 0 {
+		result.Report = w.report()
+	}
+	if result.Answered {
+		w.end(a.id)
+	}
+	w.note("end %v", w.d.AttemptEnded(w.now, result))
+}
+
+func (w *actionWorld) report() *sedgevale.LoadReport {
+	return &sedgevale.LoadReport{HasFreeSlots: true, FreeSlots: float64(w.rng.IntN(6)) - 1, HasInFlight: true, InFlight: float64(w.rng.IntN(5))}
+}
+
+func (w *actionWorld) answerProbe() {
+	if len(w.probes) == 0 {
+		return
+	}
+	i := w.rng.IntN(len(w.probes))
+	name := w.probes[i]
+	w.probes = slices.Delete(w.probes, i, i+1)
+	if w.rng.IntN(6) == 0 {
+		w.d.ProbeResult(w.now, name, nil)
+		return
+	}
+	w.d.ProbeResult(w.now, name, w.report())
+}
+
+func (w *actionWorld) disconnect() {
+	if len(w.requests) > 0 {
+		id := w.requests[w.rng.IntN(len(w.requests))]
+		w.end(id)
+		w.d.ClientDisconnected(w.now, id)
+	}
+}
+
+// updateList changes an entry of the list, and sends it, all of the list, or the failure of the watch.
+func (w *actionWorld) updateList() {
+	e := &w.list[w.rng.IntN(len(w.list))]
+	switch w.rng.IntN(6) {
+	case 0:
+		e.State = sedgevale.Draining
+	case 1:
+		e.State = sedgevale.Removed
+	case 2, 3:
+		e.State, e.StartedAt = sedgevale.Active, w.now
+	case 4:
+		e.Weight = []float64{1, 2, 0.5, 4}[w.rng.IntN(4)]
+	default:
+		e.State = sedgevale.Active
+	}
+	switch w.rng.IntN(8) {
+	case 0:
+		w.d.WorkersUpdated(w.now, sedgevale.UpdateFailed, nil)
+	case 1:
+		listed := slices.DeleteFunc(slices.Clone(w.list), func(e sedgevale.WorkerInfo) bool { return e.State == sedgevale.Removed })
+		w.d.WorkersUpdated(w.now, sedgevale.UpdateFull, listed)
+	default:
+		w.d.WorkersUpdated(w.now, sedgevale.UpdateDelta, []sedgevale.WorkerInfo{*e})
+	}
+}
+
+// rare draws one of the events that only some worlds have.
+func (w *actionWorld) rare() {
+	events := []struct {
+		feature string
+		event   func(worker string)
+	}{
+		{"cordons", w.cordon}, {"siblings", w.siblingLoad}, {"peers", w.peerLoad}, {"subsets", w.subset},
+		{"settings", func(string) { w.sometimes(4, w.changeSettings) }}, {"learned", func(string) { w.sometimes(10, w.handOver) }},
+	}
+	worker := w.list[w.rng.IntN(len(w.list))].Worker
+	if drawn := events[w.rng.IntN(len(events))]; w.has(drawn.feature) {
+		drawn.event(worker)
+	}
+}
+
+// sometimes has something happen one time in so many.
+func (w *actionWorld) sometimes(oneIn int, event func()) {
+	if w.rng.IntN(oneIn) == 0 {
+		event()
+	}
+}
+
+func (w *actionWorld) cordon(worker string) {
+	w.note("cordon %v", w.d.Cordon(w.now, worker, w.rng.IntN(2) == 0))
+}
+
+func (w *actionWorld) siblingLoad(worker string) {
+	load := sedgevale.Load{InFlight: float64(w.rng.IntN(3)), NotStarted: w.rng.IntN(2), WorkSent: float64(w.serial)}
+	w.d.SetSiblingLoad(w.now, map[string]sedgevale.Load{worker: load})
+}
+
+func (w *actionWorld) peerLoad(worker string) {
+	w.loads = w.d.AppendLoadChanges(w.loads[:0])
+	w.note("changes %v", w.loads)
+	load := sedgevale.Load{InFlight: float64(w.rng.IntN(4)), NotStarted: w.rng.IntN(2)}
+	w.d.UpdatePeerLoad(w.now, []sedgevale.WorkerLoad{{Worker: worker, Load: load}})
+}
+
+func (w *actionWorld) subset(string) {
+	var subset []string
+	for _, e := range w.list {
+		if w.rng.IntN(2) == 0 {
+			subset = append(subset, e.Worker)
+		}
+	}
+	w.d.SetSubset(w.now, subset, 1+w.rng.IntN(3))
+}
+
+// changeSettings changes a class, the tenants or the limits.
+func (w *actionWorld) changeSettings() {
+	set := w.set
+	set.Classes = slices.Clone(set.Classes)
+	c := &set.Classes[w.rng.IntN(len(set.Classes))]
+	c.LatencyTarget = time.Duration(50+w.rng.IntN(400)) * time.Millisecond
+	c.Kinds = [][]int{nil, {0}, {0, 1}}[w.rng.IntN(3)]
+	if len(set.Tenants) > 0 {
+		set.Tenants = slices.Clone(set.Tenants)
+		set.Tenants[w.rng.IntN(len(set.Tenants))].Share = float64(1 + w.rng.IntN(5))
+		if w.rng.IntN(3) == 0 {
+			added := sedgevale.Tenant{Name: fmt.Sprint("t", w.serial), Share: 1}
+			set.Tenants, w.tenants = append(set.Tenants[1:], added), append(w.tenants, added.Name)
+		}
+	}
+	set.MaxAttempts = 1 + w.rng.IntN(5)
+	if w.has("budget") {
+		set.RetryBudget.Window = time.Duration(1+w.rng.IntN(2)) * time.Second
+	}
+	w.note("settings %v", w.d.UpdateSettings(set))
+	w.set = set
+}
+
+// handOver hands what was learned to a new Dispatcher, which goes on with requests of its own.
+func (w *actionWorld) handOver() {
+	state := w.d.LearnedState(w.now)
+	text, err := json.Marshal(state)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.note("learned %s", text)
+	w.noteLoads()
+	d, err := sedgevale.New(w.set, uint64(w.serial), w)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.d, w.open, w.requests, w.probes, w.timers = d, nil, nil, nil, nil
+	if w.has("peers") {
+		d.TrackLoadChanges()
+	}
+	d.RestoreCordon(w.list[0].Worker)
+	d.WorkersUpdated(w.now, sedgevale.UpdateStale, w.list)
+	d.RestoreLearnedState(w.now, state)
+}
+
+func (w *actionWorld) noteLoads() {
+	loads := w.d.LoadByWorker()
+	for _, name := range slices.Sorted(maps.Keys(loads)) {
+		w.note("load %s %v", name, loads[name])
+	}
+}
+
+// finish ends all attempts and notes what was learned.
+func (w *actionWorld) finish() {
+	for len(w.open) > 0 {
+		w.advance(time.Millisecond)
+		w.endAttempt()
+	}
+	w.advance(10 * time.Second)
+	text, err := json.Marshal(w.d.LearnedState(w.now))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.note("learned %s", text)
+	w.noteLoads()
+}
--- a/pool.go
+++ b/pool.go
@@ -84,10 +84,10 @@
 		}
 	}
 	for i, p := range d.pools {
-		at := w.poolPositions[i]
-		if at < 0 {
+		if !w.inPool(i) {
 			continue
 		}
+		at := w.poolPositions[i]
 		z := p.zones[w.Zone]
 		last := z[len(z)-1]
 		z[at], last.poolPositions[i] = last, at
@@ -102,7 +102,7 @@
 // (-1). A change of what is summed needs a call before and after it.
 func (d *Dispatcher) adjustPoolSums(w *worker, sign int) {
 	for i, p := range d.pools {
-		if w.poolPositions[i] < 0 {
+		if !w.inPool(i) {
 			continue
 		}
 		p.active += sign
--- a/reconfigure_test.go
+++ b/reconfigure_test.go
@@ -101,3 +101,25 @@
 		}
 	}
 }
+
+// A worker that has left the list, and still has an attempt, knows none of the pools that a change of settings makes. Its attempt
+// ends as any other.
+func TestSettingsChangeWhileARemovedWorkerIsBusy(t *testing.T) {
+	set := settings()
+	d, h := start(t, set, WorkerInfo{Worker: "a", Weight: 1})
+	h.submit(d, "r", 0)
+	if h.last() != "a" {
+		t.Fatalf("sent to %q", h.last())
+	}
+	d.WorkersUpdated(h.now, UpdateDelta, []WorkerInfo{{Worker: "a", State: Removed}})
+	set.Classes = append(set.Classes, Class{Name: "other", LatencyTarget: 200 * ms, ClientTimeout: time.Second, Kinds: []int{3}})
+	if err := d.UpdateSettings(set); err != nil {
+		t.Fatal(err)
+	}
+	h.endAttempt(d, "r", 0, Served)
+	d.WorkersUpdated(h.now, UpdateDelta, []WorkerInfo{{Worker: "a", Kind: 3, Weight: 1}})
+	h.submit(d, "next", 3)
+	if h.last() != "a" {
+		t.Errorf("after its return it gets nothing: %q", h.last())
+	}
+}
--- a/worker.go
+++ b/worker.go
@@ -88,6 +88,12 @@
 	}
 }
 
+// inPool reports whether the worker is in the pool of that index. A worker that has left the list knows none of the pools that
+// were made since.
+func (w *worker) inPool(index int) bool {
+	return index < len(w.poolPositions) && w.poolPositions[index] >= 0
+}
+
 // markAlive notes that the worker is alive.
 func (w *worker) markAlive(now time.Duration) {
 	w.lastSeen, w.connFailures, w.unhealthyUntil, w.unhealthyBackoff = now, 0, 0, 0
