--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -8,7 +8,7 @@
 	"io"
 	"os"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/wire"
 )
 
@@ -22,7 +22,7 @@
 // run answers batches until the input ends.
 func run(in io.Reader, out io.Writer) error {
 	reader := wire.NewReader(in)
-	link := &link{instances: map[string]*sedgevale.Dispatcher{}}
+	link := &link{instances: map[string]*dispatcher.Dispatcher{}}
 	for {
 		seq, err := reader.Batch()
 		if errors.Is(err, io.EOF) {
@@ -54,7 +54,7 @@
 // link is the instances of a program and the reply to the current batch.
 type link struct {
 	out       wire.Writer
-	instances map[string]*sedgevale.Dispatcher
+	instances map[string]*dispatcher.Dispatcher
 }
 
 // batch passes on the events of a batch.
@@ -80,7 +80,7 @@
 	}()
 	switch e.Kind {
 	case wire.InstanceStarted:
-		d, err := sedgevale.New(e.Settings, e.Seed, &l.out)
+		d, err := dispatcher.New(e.Settings, e.Seed, &l.out)
 		if err != nil {
 			return err
 		}
@@ -98,7 +98,7 @@
 }
 
 // deliver passes an event on to its instance.
-func deliver(d *sedgevale.Dispatcher, e *wire.Event) error {
+func deliver(d *dispatcher.Dispatcher, e *wire.Event) error {
 	id, n := e.Result.ID, e.Result.Attempt
 	switch e.Kind {
 	case wire.WorkersUpdated:
--- a/accounting.go
+++ b/dispatcher/accounting.go
@@ -1,34 +1,17 @@
-package sedgevale
-
-// Accounting of slots and attempts in flight.
+package dispatcher
 
 import (
 	"slices"
 	"time"
 )
 
+// Accounting of slots and attempts in flight.
+
 // addInFlight adds slots of this dispatcher, or of its sibling, at the worker.
 func (d *Dispatcher) addInFlight(w *worker, slots float64) {
-	d.inFlight += slots
-	d.addOccupied(w, slots)
-	if d.tracksLoadChanges && !w.loadChanged {
-		w.loadChanged = true
-		d.loadChanged = append(d.loadChanged, w)
-	}
-}
-
-// addOccupied adds slots at the worker, whichever dispatcher has them.
-func (d *Dispatcher) addOccupied(w *worker, slots float64) {
-	w.inFlight += slots
-	for i, p := range d.pools {
-		if !w.inPool(i) {
-			continue
-		}
-		p.inFlight += slots
-		if w.inSubset {
-			p.subsetInFlight += slots
-		}
-	}
+	d.capacity.inFlight += slots
+	d.workers.addOccupied(w, slots)
+	d.loadChanges.note(w)
 }
 
 // startAttempt adds an attempt and returns its number.
@@ -50,7 +33,7 @@
 func (d *Dispatcher) endAttempt(now time.Duration, r *request, a *attempt, o Outcome) {
 	d.writeOff(r, a)
 	a.ended, a.neverRan = true, d.provesNeverRan(o)
-	a.avoidWorker = a.avoidWorker || o != NotSent && o != Cancelled && d.pools[0].active > 1
+	a.avoidWorker = a.avoidWorker || o != NotSent && o != Cancelled && d.workers.pools[0].active > 1
 	r.inFlight--
 	a.worker.attempts = slices.DeleteFunc(a.worker.attempts, func(ref attemptRef) bool {
 		return ref.request == r && &r.attempts[ref.number] == a
@@ -82,3 +65,9 @@
 	r.tenant.inFlight += r.Slots
 	d.addInFlight(a.worker, r.Slots)
 }
+
+// provesNeverRan reports whether the outcome proves that the worker did not begin
+// the attempt.
+func (d *Dispatcher) provesNeverRan(o Outcome) bool {
+	return o == ConnectFailed || o == NotSent || o == Rejected && !d.settings.RejectedMayHaveRun
+}
--- a/actions_test.go
+++ b/dispatcher/actions_test.go
@@ -1,4 +1,4 @@
-package sedgevale_test
+package dispatcher_test
 
 import (
 	"bufio"
@@ -16,7 +16,7 @@
 	"testing"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 )
 
 var updateActions = flag.Bool("update-actions", false, "write the hashes of the actions anew")
@@ -79,13 +79,13 @@
 	t        *testing.T
 	rng      *rand.Rand
 	now      time.Duration
-	d        *sedgevale.Dispatcher
-	set      sedgevale.Settings
+	d        *dispatcher.Dispatcher
+	set      dispatcher.Settings
 	features []string
 	hash     hash.Hash
 	actions  int
 
-	list     []sedgevale.WorkerInfo
+	list     []dispatcher.WorkerInfo
 	open     []openAttempt
 	sends    map[string]int
 	ended    map[string]bool
@@ -94,7 +94,7 @@
 	timers   []timer
 	order    int
 	serial   int
-	loads    []sedgevale.WorkerLoad
+	loads    []dispatcher.WorkerLoad
 	tenants  []string // ever named by the settings
 }
 
@@ -105,11 +105,11 @@
 		w.tenants = append(w.tenants, tenant.Name)
 	}
 	for i := range 3 + w.rng.IntN(14) {
-		w.list = append(w.list, sedgevale.WorkerInfo{
+		w.list = append(w.list, dispatcher.WorkerInfo{
 			Worker: fmt.Sprint("w", i), Zone: i % 3, Kind: i % 2, Cell: i % 4, Weight: []float64{1, 2, 0.5, 4}[w.rng.IntN(4)],
 		})
 	}
-	d, err := sedgevale.New(w.set, seed, w)
+	d, err := dispatcher.New(w.set, seed, w)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -117,7 +117,7 @@
 	if w.flip("peers") {
 		d.TrackLoadChanges()
 	}
-	d.WorkersUpdated(w.now, sedgevale.UpdateStale, w.list)
+	d.WorkersUpdated(w.now, dispatcher.UpdateStale, w.list)
 	return w
 }
 
@@ -132,27 +132,27 @@
 
 func (w *actionWorld) has(name string) bool { return slices.Contains(w.features, name) }
 
-func (w *actionWorld) drawSettings(seed uint64) sedgevale.Settings {
+func (w *actionWorld) drawSettings(seed uint64) dispatcher.Settings {
 	const ms = time.Millisecond
-	class := func(name string, idempotency sedgevale.Idempotency) sedgevale.Class {
-		return sedgevale.Class{
-			Name: name, Idempotency: idempotency, DedupScope: sedgevale.DedupScope(seed % 3), DedupWindow: 800 * ms,
+	class := func(name string, idempotency dispatcher.Idempotency) dispatcher.Class {
+		return dispatcher.Class{
+			Name: name, Idempotency: idempotency, DedupScope: dispatcher.DedupScope(seed % 3), DedupWindow: 800 * ms,
 			LatencyTarget: time.Duration(50+w.rng.IntN(400)) * ms, TargetStretch: float64(w.rng.IntN(3)), ClientTimeout: 3 * time.Second,
 			LateValue: []float64{0, 0.3, 0.8}[w.rng.IntN(3)],
 		}
 	}
-	set := sedgevale.Settings{
-		Classes:     []sedgevale.Class{class("safe", sedgevale.Idempotent), class("keyed", sedgevale.IdempotentByKey), class("unsafe", sedgevale.NotIdempotent)},
-		MaxAttempts: 1 + w.rng.IntN(5), Weights: sedgevale.WeightMeaning(seed % 3), Zone: int(seed % 4), Dispatchers: 1 + int(seed%3),
+	set := dispatcher.Settings{
+		Classes:     []dispatcher.Class{class("safe", dispatcher.Idempotent), class("keyed", dispatcher.IdempotentByKey), class("unsafe", dispatcher.NotIdempotent)},
+		MaxAttempts: 1 + w.rng.IntN(5), Weights: dispatcher.WeightMeaning(seed % 3), Zone: int(seed % 4), Dispatchers: 1 + int(seed%3),
 	}
 	set.AllowHedging, set.AllowCancel, set.StartNotified = w.flip("hedging"), w.flip("cancel"), w.flip("notified")
 	set.FIFOWorkers, set.LoadByProbe, set.WatchOnDemand = w.flip("fifo"), w.flip("probes"), w.flip("watch")
 	set.RejectedMayHaveRun = w.flip("rejected-may-have-run")
 	if w.flip("tenants") {
-		set.Tenants = []sedgevale.Tenant{{Name: "a", Share: 3}, {Name: "b", Share: 1, Quota: 20}, {Name: "c", Share: 2}}
+		set.Tenants = []dispatcher.Tenant{{Name: "a", Share: 3}, {Name: "b", Share: 1, Quota: 20}, {Name: "c", Share: 2}}
 	}
 	if w.flip("budget") {
-		set.RetryBudget = sedgevale.RetryBudget{FreeRetries: 3, RetryRatio: 0.2, Window: time.Second}
+		set.RetryBudget = dispatcher.RetryBudget{FreeRetries: 3, RetryRatio: 0.2, Window: time.Second}
 	}
 	if w.flip("slow-start") {
 		set.SlowStartCapacity, set.SlowStartDuration, set.OverloadMultiple, set.OverloadWindow = 0.3, 2*time.Second, 2.5, 500*ms
@@ -279,7 +279,7 @@
 
 func (w *actionWorld) submit() {
 	w.serial++
-	q := sedgevale.Request{ID: fmt.Sprint("r", w.serial), Class: w.rng.IntN(len(w.set.Classes)), TimeLeft: time.Duration(w.rng.IntN(3000)) * time.Millisecond}
+	q := dispatcher.Request{ID: fmt.Sprint("r", w.serial), Class: w.rng.IntN(len(w.set.Classes)), TimeLeft: time.Duration(w.rng.IntN(3000)) * time.Millisecond}
 	if len(w.tenants) > 0 { // also one that the settings have removed
 		q.Tenant = w.d.TenantIndex(w.tenants[w.rng.IntN(len(w.tenants))])
 		if q.Tenant < 0 {
@@ -335,16 +335,16 @@
 	}
 	a := w.open[i]
 	w.open = slices.Delete(w.open, i, i+1)
-	result := sedgevale.AttemptResult{ID: a.id, Attempt: a.n, Outcome: sedgevale.Served}
+	result := dispatcher.AttemptResult{ID: a.id, Attempt: a.n, Outcome: dispatcher.Served}
 	if n := w.rng.IntN(20); n < 6 {
-		result.Outcome = []sedgevale.Outcome{
-			sedgevale.Errored, sedgevale.Rejected, sedgevale.TimedOut, sedgevale.ConnectFailed, sedgevale.ConnectionLost, sedgevale.NotSent,
+		result.Outcome = []dispatcher.Outcome{
+			dispatcher.Errored, dispatcher.Rejected, dispatcher.TimedOut, dispatcher.ConnectFailed, dispatcher.ConnectionLost, dispatcher.NotSent,
 		}[n]
 	}
 	if a.cancel && w.rng.IntN(4) > 0 {
-		result.Outcome = sedgevale.Cancelled
+		result.Outcome = dispatcher.Cancelled
 	}
-	result.Answered = w.ended[a.id] || result.Outcome == sedgevale.Served
+	result.Answered = w.ended[a.id] || result.Outcome == dispatcher.Served
 	if w.has("reports") && w.rng.IntN(2) == 0 {
 		result.Report = w.report()
 	}
@@ -354,8 +354,8 @@
 	w.note("end %v", w.d.AttemptEnded(w.now, result))
 }
 
-func (w *actionWorld) report() *sedgevale.LoadReport {
-	return &sedgevale.LoadReport{HasFreeSlots: true, FreeSlots: float64(w.rng.IntN(6)) - 1, HasInFlight: true, InFlight: float64(w.rng.IntN(5))}
+func (w *actionWorld) report() *dispatcher.LoadReport {
+	return &dispatcher.LoadReport{HasFreeSlots: true, FreeSlots: float64(w.rng.IntN(6)) - 1, HasInFlight: true, InFlight: float64(w.rng.IntN(5))}
 }
 
 func (w *actionWorld) answerProbe() {
@@ -385,24 +385,24 @@
 	e := &w.list[w.rng.IntN(len(w.list))]
 	switch w.rng.IntN(6) {
 	case 0:
-		e.State = sedgevale.Draining
+		e.State = dispatcher.Draining
 	case 1:
-		e.State = sedgevale.Removed
+		e.State = dispatcher.Removed
 	case 2, 3:
-		e.State, e.StartedAt = sedgevale.Active, w.now
+		e.State, e.StartedAt = dispatcher.Active, w.now
 	case 4:
 		e.Weight = []float64{1, 2, 0.5, 4}[w.rng.IntN(4)]
 	default:
-		e.State = sedgevale.Active
+		e.State = dispatcher.Active
 	}
 	switch w.rng.IntN(8) {
 	case 0:
-		w.d.WorkersUpdated(w.now, sedgevale.UpdateFailed, nil)
+		w.d.WorkersUpdated(w.now, dispatcher.UpdateFailed, nil)
 	case 1:
-		listed := slices.DeleteFunc(slices.Clone(w.list), func(e sedgevale.WorkerInfo) bool { return e.State == sedgevale.Removed })
-		w.d.WorkersUpdated(w.now, sedgevale.UpdateFull, listed)
+		listed := slices.DeleteFunc(slices.Clone(w.list), func(e dispatcher.WorkerInfo) bool { return e.State == dispatcher.Removed })
+		w.d.WorkersUpdated(w.now, dispatcher.UpdateFull, listed)
 	default:
-		w.d.WorkersUpdated(w.now, sedgevale.UpdateDelta, []sedgevale.WorkerInfo{*e})
+		w.d.WorkersUpdated(w.now, dispatcher.UpdateDelta, []dispatcher.WorkerInfo{*e})
 	}
 }
 
@@ -433,15 +433,15 @@
 }
 
 func (w *actionWorld) siblingLoad(worker string) {
-	load := sedgevale.Load{InFlight: float64(w.rng.IntN(3)), NotStarted: w.rng.IntN(2), WorkSent: float64(w.serial)}
-	w.d.SetSiblingLoad(w.now, map[string]sedgevale.Load{worker: load})
+	load := dispatcher.Load{InFlight: float64(w.rng.IntN(3)), NotStarted: w.rng.IntN(2), WorkSent: float64(w.serial)}
+	w.d.SetSiblingLoad(w.now, map[string]dispatcher.Load{worker: load})
 }
 
 func (w *actionWorld) peerLoad(worker string) {
 	w.loads = w.d.AppendLoadChanges(w.loads[:0])
 	w.note("changes %v", w.loads)
-	load := sedgevale.Load{InFlight: float64(w.rng.IntN(4)), NotStarted: w.rng.IntN(2)}
-	w.d.UpdatePeerLoad(w.now, []sedgevale.WorkerLoad{{Worker: worker, Load: load}})
+	load := dispatcher.Load{InFlight: float64(w.rng.IntN(4)), NotStarted: w.rng.IntN(2)}
+	w.d.UpdatePeerLoad(w.now, []dispatcher.WorkerLoad{{Worker: worker, Load: load}})
 }
 
 func (w *actionWorld) subset(string) {
@@ -465,7 +465,7 @@
 		set.Tenants = slices.Clone(set.Tenants)
 		set.Tenants[w.rng.IntN(len(set.Tenants))].Share = float64(1 + w.rng.IntN(5))
 		if w.rng.IntN(3) == 0 {
-			added := sedgevale.Tenant{Name: fmt.Sprint("t", w.serial), Share: 1}
+			added := dispatcher.Tenant{Name: fmt.Sprint("t", w.serial), Share: 1}
 			set.Tenants, w.tenants = append(set.Tenants[1:], added), append(w.tenants, added.Name)
 		}
 	}
@@ -486,7 +486,7 @@
 	}
 	w.note("learned %s", text)
 	w.noteLoads()
-	d, err := sedgevale.New(w.set, uint64(w.serial), w)
+	d, err := dispatcher.New(w.set, uint64(w.serial), w)
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -495,7 +495,7 @@
 		d.TrackLoadChanges()
 	}
 	d.RestoreCordon(w.list[0].Worker)
-	d.WorkersUpdated(w.now, sedgevale.UpdateStale, w.list)
+	d.WorkersUpdated(w.now, dispatcher.UpdateStale, w.list)
 	d.RestoreLearnedState(w.now, state)
 }
 
--- a/api.go
+++ b/dispatcher/api.go
@@ -1,4 +1,4 @@
-package sedgevale
+package dispatcher
 
 import (
 	"errors"
@@ -120,3 +120,22 @@
 	errNoHost           = errors.New("sedgevale: no host")
 	ErrBadRequest       = errors.New("sedgevale: class or tenant out of range")
 )
+
+// Load is a dispatcher's load at a worker.
+type Load struct {
+	InFlight   float64 `json:"held"`              // slots in flight
+	NotStarted int     `json:"waiting,omitempty"` // attempts in flight that have not started
+	WorkSent   float64 `json:"sent,omitempty"`    // work ever sent, in slot seconds
+}
+
+// Plus returns the sum of two loads.
+func (l Load) Plus(m Load) Load {
+	return Load{l.InFlight + m.InFlight, l.NotStarted + m.NotStarted, l.WorkSent + m.WorkSent}
+}
+
+// WorkerLoad is somebody's load at a worker.
+type WorkerLoad struct {
+	Worker string
+	Load
+	Saturated bool // all dispatchers together have more in flight there than the worker has slots
+}
--- a/budget.go
+++ b/dispatcher/budget.go
@@ -1,10 +1,8 @@
-package sedgevale
+package dispatcher
 
-// The budget of attempts beyond each request's first.
+import "time"
 
-import (
-	"time"
-)
+// The budget of attempts beyond each request's first.
 
 // slidingCounter counts the events of a sliding window, by buckets, in constant
 // memory.
@@ -43,21 +41,29 @@
 	return most, most - c.buckets[(c.newest+1)%(counterBuckets+1)]
 }
 
-// resetCounters begins to count attempts and requests in the budget's window.
-func (d *Dispatcher) resetCounters() {
-	length := max(1, d.settings.RetryBudget.Window/counterBuckets)
-	d.retryCounter, d.requestCounter = slidingCounter{bucketLength: length}, slidingCounter{bucketLength: length}
+// retryBudget counts what the settings' budget is about.
+type retryBudget struct {
+	settings RetryBudget
+	retries  slidingCounter // attempts beyond each request's first
+	requests slidingCounter
+}
+
+// configure takes over the settings. Another window is counted anew.
+func (b *retryBudget) configure(set RetryBudget) {
+	if length := max(1, set.Window/counterBuckets); set.Window != b.settings.Window || b.retries.bucketLength == 0 {
+		b.retries, b.requests = slidingCounter{bucketLength: length}, slidingCounter{bucketLength: length}
+	}
+	b.settings = set
 }
 
-// withinRetryBudget reports whether an attempt beyond a request's first keeps the
+// admits reports whether an attempt beyond a request's first keeps the
 // budget. Attempts count for a 64th of the window longer, and requests for as much
 // less, than they must, so that the budget holds in every window.
-func (d *Dispatcher) withinRetryBudget(now time.Duration) bool {
-	b := &d.settings.RetryBudget
-	if b.Window == 0 {
+func (b *retryBudget) admits(now time.Duration) bool {
+	if b.settings.Window == 0 {
 		return true
 	}
-	retries, _ := d.retryCounter.counts(now)
-	_, requests := d.requestCounter.counts(now)
-	return float64(retries+1) <= float64(b.FreeRetries)+b.RetryRatio*float64(requests)
+	retries, _ := b.retries.counts(now)
+	_, requests := b.requests.counts(now)
+	return float64(retries+1) <= float64(b.settings.FreeRetries)+b.settings.RetryRatio*float64(requests)
 }
--- a/budget_test.go
+++ b/dispatcher/budget_test.go
@@ -1,4 +1,4 @@
-package sedgevale
+package dispatcher
 
 import (
 	"fmt"
@@ -81,14 +81,14 @@
 	set.RetryBudget = RetryBudget{FreeRetries: 1, Window: 5 * time.Second}
 	d, h := start(t, set, fleet(3)...)
 	h.submit(d, "a", 0)
-	r := d.requests["a"]
+	r := d.requests.byID["a"]
 	r.attempts[0].ended = true
 	r.inFlight = 0
-	if w := d.workers[1]; !d.mayAttempt(h.now, r, w) {
+	if w := d.workers.all[1]; !d.mayAttempt(h.now, r, w) {
 		t.Fatal("the free attempt is not allowed")
 	}
-	d.retryCounter.add(h.now)
-	for _, w := range d.workers {
+	d.budget.retries.add(h.now)
+	for _, w := range d.workers.all {
 		if d.mayAttempt(h.now, r, w) {
 			t.Error("one free attempt, and it is used up")
 		}
--- /dev/null
+++ b/dispatcher/controlround.go
@@ -0,0 +1,62 @@
+package dispatcher
+
+import (
+	"sedgevale/admission"
+	"time"
+)
+
+// The control round of Wisp's Algorithm 1.
+
+const (
+	runtimeRatioDecay = 0.01 // by which a round draws a runtime ratio towards 1, so that a slow worker is tried again
+)
+
+// endRound is the control round of Wisp's Algorithm 1.
+func (d *Dispatcher) endRound(now time.Duration) {
+	d.rounds.number++
+	d.limits.round = d.rounds.number
+	d.limits.increase(now, d.estimates.reportTTL(), &d.workers)
+	d.estimates.endRound(d.workers.pools[0].targetWeight())
+	d.classes.decayCompletions()
+	d.estimates.lowRuntimeRatio = d.workers.secondLowestRuntimeRatio()
+	d.closeIdleConnsAgain(now)
+	d.probeMeteredWorker()
+	d.connections.endRound()
+	for _, w := range d.workers.all {
+		if w != nil && d.settings.StartNotified && !d.rounds.catchingUp {
+			w.runtimeRatio += runtimeRatioDecay * (1 - w.runtimeRatio)
+			d.writeOffOverdue(now, w)
+		}
+	}
+	d.tenants.retire(now, d.classes.longestTimeout())
+	d.updateLocalShares()
+	for _, t := range d.tenants.all {
+		t.limit = min(t.localShare, d.limits.quantile(t, &d.workers))
+		t.arrivals *= 1 - arrivalsDecay
+	}
+	d.tenants.arrivals *= 1 - arrivalsDecay
+	d.capacity.short = false
+	d.workers.capacityChanged()
+	d.rounds.due = now + roundInterval
+	d.host.SetTimer(roundInterval, tokenRound)
+	d.releasePending(now)
+}
+
+// updateLocalShares sets the tenants' local shares, in slots: they rise while the
+// demand is met, else each is the tenant's max-min fair share. None is below the
+// tenant's quota share, since a demand can appear within the round.
+func (d *Dispatcher) updateLocalShares() {
+	limit := unlimited
+	all := d.workers.pools[0]
+	if all.limitedWorkers*2 > all.active { // a worker without a limit counts at the mean of the others
+		limit = all.limitSum / float64(all.limitedWorkers) * float64(all.active)
+	}
+	limit = d.capacity.endRound(limit)
+	demand, level := d.tenants.demand(), 0.0
+	if demand > limit {
+		level = d.tenants.fairLevel(limit)
+	}
+	for _, t := range d.tenants.all {
+		t.localShare = admission.LocalShare(t.localShare, t.claim(), demand, limit, level, limitIncreaseStep)
+	}
+}
--- a/cordon_test.go
+++ b/dispatcher/cordon_test.go
@@ -1,4 +1,4 @@
-package sedgevale
+package dispatcher
 
 import (
 	"fmt"
@@ -74,7 +74,7 @@
 			t.Fatalf("a job went to %q", w)
 		}
 	}
-	if !d.Cordon(h.now, "a", false) || d.workersByName["a"].cordoned {
+	if !d.Cordon(h.now, "a", false) || d.workers.byName["a"].cordoned {
 		t.Error("it was not put back")
 	}
 }
@@ -120,10 +120,10 @@
 	for _, w := range []string{"a", "b"} {
 		d.Cordon(h.now, w, false)
 	}
-	if got := d.workersByName["a"].warmAt; got != restarted+set.SlowStartDuration {
+	if got := d.workers.byName["a"].warmAt; got != restarted+set.SlowStartDuration {
 		t.Errorf("cold until %v after its restart", got-restarted)
 	}
-	if got := d.workersByName["b"].warmAt; got != h.now+set.SlowStartDuration {
+	if got := d.workers.byName["b"].warmAt; got != h.now+set.SlowStartDuration {
 		t.Errorf("cold until %v after it came back", got-h.now)
 	}
 }
--- a/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -1,4 +1,4 @@
-package sedgevale
+package dispatcher
 
 import (
 	"errors"
@@ -67,7 +67,7 @@
 		}
 		if before := p.uncertain[s.id]; before != "" && p.class[s.id] == 2 {
 			p.t.Fatalf("seed %d: unsafe %s sent again", p.seed, s.id)
-		} else if before != "" && p.class[s.id] == 1 && p.d.workersByName[before].Zone != p.d.workersByName[s.worker].Zone {
+		} else if before != "" && p.class[s.id] == 1 && p.d.workers.byName[before].Zone != p.d.workers.byName[s.worker].Zone {
 			p.t.Fatalf("seed %d: keyed %s left its zone", p.seed, s.id)
 		}
 		p.uncertain[s.id] = s.worker
@@ -101,7 +101,7 @@
 // drainOrReturn has a random worker drain, or come back.
 func (p *randomPlay) drainOrReturn() {
 	w := WorkerInfo{Worker: fmt.Sprint("w", p.rng.IntN(6)), Weight: 1}
-	w.Zone, w.Cell = p.d.workersByName[w.Worker].Zone, p.d.workersByName[w.Worker].Cell
+	w.Zone, w.Cell = p.d.workers.byName[w.Worker].Zone, p.d.workers.byName[w.Worker].Cell
 	if p.rng.IntN(2) == 0 {
 		w.State = Draining
 	}
@@ -121,8 +121,8 @@
 			p.t.Errorf("seed %d: %s has no end", p.seed, id)
 		}
 	}
-	leaked := len(p.d.requests)
-	for id, r := range p.d.requests {
+	leaked := len(p.d.requests.byID)
+	for id, r := range p.d.requests.byID {
 		if r.inFlight > 0 {
 			leaked-- // sent again by the outcomes just above
 		} else {
@@ -146,7 +146,7 @@
 			h.submit(d, fmt.Sprint("r", i), i%3)
 			h.run(d, h.now+5*ms)
 			for _, s := range h.sends {
-				if r := d.requests[s.id]; r != nil && s.n < len(r.attempts) && !r.attempts[s.n].ended && (i+s.n)%3 == 0 {
+				if r := d.requests.byID[s.id]; r != nil && s.n < len(r.attempts) && !r.attempts[s.n].ended && (i+s.n)%3 == 0 {
 					h.endAttempt(d, s.id, s.n, Served)
 				}
 			}
@@ -256,7 +256,7 @@
 	}
 	h.endAttempt(d, "r", 0, Served)
 	h.run(d, h.now+20*ms)
-	if w := d.workersByName["w0"]; w.limit != unlimited || w.unhealthyUntil != 0 || d.classes[0].samples > 0 {
-		t.Errorf("sigma %v, doubt %v, %v jobs learned from", w.limit, w.unhealthyUntil, d.classes[0].samples)
+	if w := d.workers.byName["w0"]; w.limit != unlimited || w.unhealthyUntil != 0 || d.classes.current[0].samples > 0 {
+		t.Errorf("sigma %v, doubt %v, %v jobs learned from", w.limit, w.unhealthyUntil, d.classes.current[0].samples)
 	}
 }
--- a/doc.go
+++ b/dispatcher/doc.go
@@ -1,4 +1,4 @@
-// Package sedgevale makes the decisions of a dispatcher that pushes jobs to
+// Package dispatcher makes the decisions of a dispatcher that pushes jobs to
 // workers. It does no input or output of its own: the host reports events to a
 // Dispatcher, and the Dispatcher answers by calls on a Host.
 //
@@ -24,12 +24,12 @@
 //
 // Four rules hold whatever was learned. An attempt goes only where the request may
 // run (pool.admits). A request that may have run is sent or rejected again only as
-// its idempotency allows (mayAttempt, mayReject). A worker that drains or was removed
+// its idempotency allows (mayAttempt, request.mayReject). A worker that drains or was removed
 // gets nothing more (pool.admits). A worker that warms up gets no more than its slow
-// start allows, summed over all dispatchers (slowStartAdmits).
+// start allows, summed over all dispatchers (slowStart.admits).
 //
 // Every event takes the host's clock as a [time.Duration] from any fixed
 // origin. A Dispatcher is not safe for concurrent use; several of them in one
 // process share nothing. The same settings, seed and events give the same
 // actions.
-package sedgevale
+package dispatcher
--- a/request.go
+++ b/dispatcher/events.go
@@ -1,70 +1,49 @@
-package sedgevale
+package dispatcher
 
-// Requests and attempts: from a client's request to its one final answer.
+import "time"
 
-import (
-	"slices"
-	"time"
-)
+// Events of requests: from a client's request to its one final answer.
 
-// attempt is one sending of a request to a worker. It stays in its request's list
-// once it has ended.
-type attempt struct {
-	worker       *worker
-	sentAt       time.Duration
-	startedAt    time.Duration
-	progressAt   time.Duration // the last report of progress
-	ended        bool
-	neverRan     bool // ended, and the worker surely did not begin it
-	avoidWorker  bool // the request must not go there again: it failed, or was cancelled to try another worker
-	writtenOff   bool // not counted as in flight any more; nothing is expected of it
-	startOverdue bool // no start notice came in time
-}
+const (
+	hintTrust = 0.01 // seconds of running time by which hints are trusted at first
+)
 
-// request is a request that has not got its final answer, or has attempts in flight.
-type request struct {
-	Request
-	class         *class
-	serial        uint64 // names it in timers' tokens
-	tenant        *tenant
-	keyHash       uint64  // 0: no key
-	work          float64 // estimated, in slot seconds
-	runtime       float64 // estimated, in seconds; the latency target grows by it
-	deadline      time.Duration
-	targetAt      time.Duration // an answer by then earns the full value
-	sendBy        time.Duration // while queued: rejected if not sent by then
-	attempts      []attempt
-	inFlight      int  // attempts that have not ended
-	ended         bool // it has its final answer
-	queued        bool
-	streaming     bool      // its answer has begun to stream
-	probed        []*worker // probed for their load on its behalf
-	probesPending int       // answers of those still to come
-	probeRounds   int
-	probeDeadline time.Duration // when answers are no longer waited for
+// ProbeResult brings a worker's answer to [Host.Probe], or nil where none came in
+// time. The worker may have left the list meanwhile.
+func (d *Dispatcher) ProbeResult(now time.Duration, name string, rep *LoadReport) {
+	d.detectStall(now)
+	w := d.workers.byName[name]
+	if w == nil {
+		return
+	}
+	if rep != nil && rep.HasFreeSlots {
+		d.meterReports(now, w, rep)
+		d.applyReport(now, w, rep)
+	}
+	w.endProbe()
+	d.releasePending(now)
 }
 
 // SubmitRequest takes a request from a client. The request may be rejected, sent
 // or queued before it returns. It returns [ErrBadRequest] or
 // [ErrDuplicateRequest] for a request that it did not take.
 func (d *Dispatcher) SubmitRequest(now time.Duration, q Request) error {
-	if q.Class < 0 || q.Class >= len(d.classes) || d.tenantByIndex(q.Tenant) == nil {
+	if q.Class < 0 || q.Class >= len(d.classes.current) || d.tenants.at(q.Tenant) == nil {
 		return ErrBadRequest
 	}
-	if d.requests[q.ID] != nil {
+	if d.requests.byID[q.ID] != nil {
 		return ErrDuplicateRequest
 	}
 	d.startRounds(now)
 	d.detectStall(now)
-	d.requestCounter.add(now)
+	d.budget.requests.add(now)
 	q.Slots = max(1, q.Slots)
-	d.lastSerial++
-	c := d.classes[q.Class]
-	r := &request{Request: q, class: c, serial: d.lastSerial, tenant: d.tenantByIndex(q.Tenant)}
+	c := d.classes.current[q.Class]
+	r := &request{Request: q, class: c, serial: d.requests.nextSerial(), tenant: d.tenants.at(q.Tenant)}
 	r.deadline = now + q.TimeLeft
 	d.estimate(now, r)
 	r.keyHash = hashOf(q.AffinityKey)
-	d.arrivals++
+	d.tenants.arrivals++
 	d.addRequest(r)
 	if q.TimeLeft <= 0 || !d.feasible(now, r, true) {
 		d.endUnserved(now, r)
@@ -89,8 +68,8 @@
 		run = r.RuntimeHint.Seconds()
 		r.work = r.Slots * run * (c.meanRuntime + hintTrust) / (c.meanHint + hintTrust)
 	}
-	d.meanWork += (r.work - d.meanWork) * max(meanGain, 1/float64(r.serial))
-	d.observeWork(r)
+	d.estimates.meanWork += (r.work - d.estimates.meanWork) * max(meanGain, 1/float64(r.serial))
+	d.estimates.observe(r)
 	if r.RuntimeHint <= 0 {
 		run = c.baseRuntime // the target counts the job's own time, however slow workers are now
 	}
@@ -105,7 +84,7 @@
 // returns [ErrUnknownRequest] or [ErrUnknownAttempt], like the other reports of
 // an attempt.
 func (d *Dispatcher) AttemptStarted(now time.Duration, id string, n int) error {
-	r, a, err := d.findAttempt(id, n)
+	r, a, err := d.requests.attempt(id, n)
 	if err != nil {
 		return err
 	}
@@ -116,7 +95,7 @@
 		a.startedAt = now
 		d.writeOffOvertaken(now, a)
 		d.writeBack(r, a)
-		d.capacityChanged()
+		d.workers.capacityChanged()
 		d.releasePending(now)
 	}
 	return nil
@@ -125,7 +104,7 @@
 // AttemptProgressed reports that a worker goes on with attempt n of the request.
 // The share done, 0 to 1, is not used.
 func (d *Dispatcher) AttemptProgressed(now time.Duration, id string, n int, _ float64) error {
-	r, a, err := d.findAttempt(id, n)
+	r, a, err := d.requests.attempt(id, n)
 	if err != nil {
 		return err
 	}
@@ -140,7 +119,7 @@
 // StreamStarted reports that the answer of a streamed class has begun: from here
 // on the request is not cancelled, hedged or ended at its deadline.
 func (d *Dispatcher) StreamStarted(now time.Duration, id string, n int) error {
-	r, a, err := d.findAttempt(id, n)
+	r, a, err := d.requests.attempt(id, n)
 	if err != nil {
 		return err
 	}
@@ -152,7 +131,7 @@
 // AttemptEnded reports how an attempt ended, and the load that came with it. It
 // may send the request again or give it its final answer.
 func (d *Dispatcher) AttemptEnded(now time.Duration, res AttemptResult) error {
-	r, a, err := d.findAttempt(res.ID, res.Attempt)
+	r, a, err := d.requests.attempt(res.ID, res.Attempt)
 	if err != nil {
 		return err
 	}
@@ -170,7 +149,7 @@
 	}
 	d.forgetIfDone(r)
 	d.closeIdleConns(now, a.worker)
-	d.capacityChanged()
+	d.workers.capacityChanged()
 	d.releasePending(now)
 	return nil
 }
@@ -179,65 +158,19 @@
 // is sent for it, and its attempts are cancelled where that is allowed. An unknown
 // request is no error, for it may have ended just then.
 func (d *Dispatcher) ClientDisconnected(now time.Duration, id string) {
-	if r := d.requests[id]; r != nil && !r.ended {
+	if r := d.requests.byID[id]; r != nil && !r.ended {
 		d.closeRequest(r)
 		d.releasePending(now)
 	}
 }
 
-// avoids reports whether the request must not go to the worker again.
-func (r *request) avoids(w *worker) bool {
-	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.avoidWorker && a.worker == w })
-}
-
-// findAttempt returns a request and its attempt n, which has not ended.
-func (d *Dispatcher) findAttempt(id string, n int) (*request, *attempt, error) {
-	r := d.requests[id]
-	if r == nil {
-		return nil, nil, ErrUnknownRequest
-	}
-	if n < 0 || n >= len(r.attempts) || r.attempts[n].ended {
-		return nil, nil, ErrUnknownAttempt
-	}
-	return r, &r.attempts[n], nil
-}
-
 // addRequest registers a request that has come.
 func (d *Dispatcher) addRequest(r *request) {
 	t := r.tenant
 	t.arrivals++
 	t.openRequests++
 	if t.removed && t.openRequests == 1 { // it has its share back
-		d.updateShares()
-	}
-	d.requests[r.ID], d.requestsBySerial[r.serial] = r, r
-}
-
-// closeRequest marks the request as ended and cancels its attempts where that is
-// allowed; nothing is sent for it from here on.
-func (d *Dispatcher) closeRequest(r *request) {
-	if r.ended {
-		return
-	}
-	r.ended = true
-	if r.queued {
-		d.removePending(r)
-	}
-	if d.settings.AllowCancel && !r.streaming {
-		for n := range r.attempts {
-			if !r.attempts[n].ended {
-				d.host.Cancel(r.ID, n)
-			}
-		}
-	}
-	d.forgetIfDone(r)
-}
-
-// forgetIfDone forgets the request once it has its answer and its attempts have ended.
-func (d *Dispatcher) forgetIfDone(r *request) {
-	if r.ended && r.inFlight == 0 && d.requests[r.ID] == r {
-		r.tenant.openRequests--
-		delete(d.requests, r.ID)
-		delete(d.requestsBySerial, r.serial)
+		d.tenants.updateShares()
 	}
+	d.requests.add(r)
 }
--- a/example_test.go
+++ b/dispatcher/example_test.go
@@ -1,10 +1,10 @@
-package sedgevale_test
+package dispatcher_test
 
 import (
 	"fmt"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 )
 
 // printer is a host that prints what a dispatcher decides.
@@ -21,9 +21,9 @@
 func (printer) Log(text string)                         { fmt.Println(text) }
 
 func Example() {
-	d, err := sedgevale.New(sedgevale.Settings{
-		Classes: []sedgevale.Class{{
-			Name: "resize", Idempotency: sedgevale.Idempotent,
+	d, err := dispatcher.New(dispatcher.Settings{
+		Classes: []dispatcher.Class{{
+			Name: "resize", Idempotency: dispatcher.Idempotent,
 			LatencyTarget: 200 * time.Millisecond, TargetStretch: 2, ClientTimeout: 5 * time.Second,
 		}},
 		MaxAttempts: 3,
@@ -35,12 +35,12 @@
 	start := time.Now()
 	clock := func() time.Duration { return time.Since(start) }
 
-	d.WorkersUpdated(clock(), sedgevale.UpdateFull, []sedgevale.WorkerInfo{{Worker: "10.0.0.1:5000"}})
-	err = d.SubmitRequest(clock(), sedgevale.Request{ID: "job-1", TimeLeft: 5 * time.Second})
+	d.WorkersUpdated(clock(), dispatcher.UpdateFull, []dispatcher.WorkerInfo{{Worker: "10.0.0.1:5000"}})
+	err = d.SubmitRequest(clock(), dispatcher.Request{ID: "job-1", TimeLeft: 5 * time.Second})
 	if err != nil {
 		fmt.Println(err)
 	}
-	err = d.AttemptEnded(clock(), sedgevale.AttemptResult{ID: "job-1", Outcome: sedgevale.Served, Answered: true})
+	err = d.AttemptEnded(clock(), dispatcher.AttemptResult{ID: "job-1", Outcome: dispatcher.Served, Answered: true})
 	fmt.Println(err)
 	// Output:
 	// send job-1 to 10.0.0.1:5000
--- a/health.go
+++ b/dispatcher/health.go
@@ -1,11 +1,13 @@
-package sedgevale
-
-// Ejected workers, which reject or fail requests, and unhealthy ones, which may have crashed.
+package dispatcher
 
 import (
+	"math/rand/v2"
+	"slices"
 	"time"
 )
 
+// Ejected workers, which reject or fail requests, and unhealthy ones, which may have crashed.
+
 const (
 	errorRateGain       = 0.25 // EWMA weight of one answer in a worker's error rate
 	maxErrorRate        = 0.4  // a worker with a higher error rate is ejected
@@ -30,10 +32,10 @@
 // eject sends nothing for a while to a worker that answers, but rejects or fails
 // requests: twice as long each time until it serves one. It guards against workers
 // that draw all requests because they hold none.
-func (d *Dispatcher) eject(now time.Duration, w *worker) {
+func (w *worker) eject(now time.Duration, rng *rand.Rand) {
 	if now >= w.ejectedUntil {
 		w.ejectionBackoff = min(max(minEjectionBackoff, 2*w.ejectionBackoff), maxEjectionBackoff)
-		w.ejectedUntil = now + w.ejectionBackoff/2 + time.Duration(d.rng.Int64N(int64(w.ejectionBackoff)))
+		w.ejectedUntil = now + w.ejectionBackoff/2 + time.Duration(rng.Int64N(int64(w.ejectionBackoff)))
 	}
 }
 
@@ -41,10 +43,26 @@
 // there or found no connection: twice as long each time. Then it gets one trial
 // request, and others once it is known to be alive. It guards against crashed workers that
 // are still listed.
-func (d *Dispatcher) markUnhealthy(now time.Duration, w *worker) {
+func (w *worker) markUnhealthy(now time.Duration, rng *rand.Rand) {
 	if now < w.unhealthyUntil {
 		return
 	}
 	w.unhealthyBackoff = min(max(minUnhealthyBackoff, 2*w.unhealthyBackoff), maxUnhealthyBackoff)
-	w.unhealthyUntil = now + w.unhealthyBackoff/2 + time.Duration(d.rng.Int64N(int64(w.unhealthyBackoff)))
+	w.unhealthyUntil = now + w.unhealthyBackoff/2 + time.Duration(rng.Int64N(int64(w.unhealthyBackoff)))
+}
+
+// mayBeAlive reports whether a worker may be alive though an attempt there got no
+// answer: it has given a sign of life since, or, where the attempt's connection
+// broke, others there go on or none broke just before. It guards against the
+// exclusion of workers for faults of single connections.
+func (w *worker) mayBeAlive(a *attempt, o Outcome) bool {
+	switch {
+	case o != TimedOut && w.connFailures == 1:
+		return true
+	case o == ConnectionLost:
+		return slices.ContainsFunc(w.attempts, func(ref attemptRef) bool {
+			return !ref.request.attempts[ref.number].writtenOff
+		})
+	}
+	return w.lastSeen > a.sentAt
 }
--- a/health_test.go
+++ b/dispatcher/health_test.go
@@ -1,4 +1,4 @@
-package sedgevale
+package dispatcher
 
 import (
 	"fmt"
@@ -15,10 +15,10 @@
 }
 
 func newRequest(d *Dispatcher, h *fakeHost, id string) *request {
-	d.lastSerial++
-	r := &request{class: d.classes[0], Request: Request{ID: id, Slots: 1}, serial: d.lastSerial, tenant: d.tenants[0],
+	d.requests.lastSerial++
+	r := &request{class: d.classes.current[0], Request: Request{ID: id, Slots: 1}, serial: d.requests.lastSerial, tenant: d.tenants.all[0],
 		deadline: h.now + 5*time.Second, targetAt: h.now + time.Second}
-	d.requests[id], d.requestsBySerial[r.serial] = r, r
+	d.requests.byID[id], d.requests.bySerial[r.serial] = r, r
 	return r
 }
 
@@ -44,7 +44,7 @@
 		t.Errorf("trial: %d and %d sends", h.attempts["b"], h.attempts["c"])
 	}
 	h.endAttempt(d, "b", 0, Served)
-	if d.workersByName["w0"].unhealthyUntil != 0 {
+	if d.workers.byName["w0"].unhealthyUntil != 0 {
 		t.Error("still doubted after a success")
 	}
 }
@@ -58,7 +58,7 @@
 		set := settings()
 		set.FIFOWorkers, set.Dispatchers = true, 2
 		d, h := start(t, set, fleet(1)...)
-		w := d.workersByName["w0"]
+		w := d.workers.byName["w0"]
 		h.submit(d, "mute", class)
 		h.now += minOvertakeGap + ms
 		d.WorkersUpdated(h.now, UpdateDelta, []WorkerInfo{{Worker: "v", Cell: 5, Weight: 1}}) // the rule on copies allows no other cell
@@ -92,7 +92,7 @@
 	d, h := start(t, set, fleet(1)...)
 	h.submit(d, "mute", 2)
 	h.run(d, h.now+500*ms)
-	if w := d.workersByName["w0"]; w.inFlight != 0 || w.notStarted != 0 {
+	if w := d.workers.byName["w0"]; w.inFlight != 0 || w.notStarted != 0 {
 		t.Errorf("%v slots held, %d to start", w.inFlight, w.notStarted)
 	}
 	h.run(d, h.now+time.Second)
@@ -102,7 +102,7 @@
 	}
 	h.began(d, "next", 0)
 	h.began(d, "mute", 0) // it had only been slow
-	if w := d.workersByName["w0"]; w.inFlight != 2 || w.unhealthyUntil != 0 {
+	if w := d.workers.byName["w0"]; w.inFlight != 2 || w.unhealthyUntil != 0 {
 		t.Errorf("%v slots held, left alone until %v", w.inFlight, w.unhealthyUntil)
 	}
 }
@@ -111,10 +111,10 @@
 // put on them again by its next report.
 func TestOverdueJobsAreNotCounted(t *testing.T) {
 	d, h := start(t, settings(), fleet(1)...)
-	d.classes[2].meanRuntime = 0.1
+	d.classes.current[2].meanRuntime = 0.1
 	h.submit(d, "long", 2)
 	h.began(d, "long", 0)
-	w := d.workersByName["w0"]
+	w := d.workers.byName["w0"]
 	h.run(d, h.now+500*ms)
 	if w.inFlight != 1 {
 		t.Errorf("%v slots held after 5 usual running times", w.inFlight)
@@ -138,7 +138,7 @@
 	set := settings()
 	set.SlowStartDuration, set.SlowStartCapacity, set.OverloadMultiple, set.OverloadWindow = 20*time.Second, 0.1, 3, 2*time.Second
 	d, h := start(t, set, fleet(2)...)
-	w := d.workersByName["w0"]
+	w := d.workers.byName["w0"]
 	for _, id := range []string{"a", "b", "c"} {
 		d.send(h.now, newRequest(d, h, id), w)
 		h.began(d, id, 0)
@@ -181,7 +181,7 @@
 		if failed == 0 || failed > 20 { // a third of 200 would be even
 			t.Errorf("outcome %d: %d of 200 jobs went to the bad worker", o, failed)
 		}
-		w := d.workersByName["w0"]
+		w := d.workers.byName["w0"]
 		w.ejectedUntil = 0
 		for range 8 {
 			d.learn(h.now, newRequest(d, h, "x"), &attempt{worker: w, sentAt: h.now}, Served)
@@ -196,7 +196,7 @@
 // others have capacity, and against latency targets that grow as workers get slower.
 func TestSlowWorkersGetWhatTheyCanDoInTime(t *testing.T) {
 	d, h := start(t, settings(), fleet(3)...)
-	slow, quick := d.workersByName["w0"], d.workersByName["w2"]
+	slow, quick := d.workers.byName["w0"], d.workers.byName["w2"]
 	served := func(w *worker, run time.Duration) {
 		d.learn(h.now, newRequest(d, h, "served"), &attempt{worker: w, sentAt: h.now - run, startedAt: h.now - run}, Served)
 	}
@@ -210,10 +210,10 @@
 	if slow.runtimeRatio < 3 || quick.runtimeRatio > 1.1 {
 		t.Errorf("paces %v of a worker ten times as slow, %v of the others", slow.runtimeRatio, quick.runtimeRatio)
 	}
-	if c := d.classes[0]; c.meanRuntime < 0.12 || c.baseRuntime > 0.12 {
+	if c := d.classes.current[0]; c.meanRuntime < 0.12 || c.baseRuntime > 0.12 {
 		t.Errorf("mean running time %v, of the jobs' own %v", c.meanRuntime, c.baseRuntime)
 	}
-	slow.runtimeRatio, d.meanWork = 8, 0.1 // no request has come yet
+	slow.runtimeRatio, d.estimates.meanWork = 8, 0.1 // no request has come yet
 	for i := range 50 {
 		id := fmt.Sprint("r", i)
 		h.submit(d, id, 0)
@@ -235,13 +235,13 @@
 // wait that it is given is that of a short one.
 func TestWaitIsThatOfAShortJob(t *testing.T) {
 	d, _ := start(t, settings(), fleet(1)...)
-	r := &request{class: d.classes[0], Request: Request{Slots: 1}, runtime: 0.2, work: 0.2, deadline: time.Hour, targetAt: 600 * ms}
+	r := &request{class: d.classes.current[0], Request: Request{Slots: 1}, runtime: 0.2, work: 0.2, deadline: time.Hour, targetAt: 600 * ms}
 	// 200 ms + 2 times its own time, less its own time, for one of 0.4 of 200 ms.
-	if got, want := d.slackAt(0, r, 1), 0.2+shortJobFraction*0.2; got < want-1e-9 || got > want+1e-9 {
+	if got, want := r.slackAt(0, 1), 0.2+shortJobFraction*0.2; got < want-1e-9 || got > want+1e-9 {
 		t.Errorf("slack %v, want %v", got, want)
 	}
 	r.RuntimeHint = 200 * ms
-	if got := d.slackAt(0, r, 1); got < 0.4-1e-9 || got > 0.4+1e-9 {
+	if got := r.slackAt(0, 1); got < 0.4-1e-9 || got > 0.4+1e-9 {
 		t.Errorf("slack %v of a job whose time is known, want 0.4", got)
 	}
 }
--- a/host_test.go
+++ b/dispatcher/host_test.go
@@ -1,4 +1,4 @@
-package sedgevale
+package dispatcher
 
 // A Host for tests, and the helpers of all tests of the package.
 
--- a/learned.go
+++ b/dispatcher/learned.go
@@ -1,12 +1,12 @@
-package sedgevale
-
-// The learned state that a dispatcher hands to the one that takes over.
+package dispatcher
 
 import (
 	"slices"
 	"time"
 )
 
+// The learned state that a dispatcher hands to the one that takes over.
+
 // handoverSamples is how many jobs means that were handed over stand for.
 const handoverSamples = 64
 
@@ -83,18 +83,18 @@
 // LearnedState returns what this dispatcher has learned.
 func (d *Dispatcher) LearnedState(now time.Duration) LearnedState {
 	l := LearnedState{
-		MaxWeights:        slices.Clone(d.maxWeightByKind),
-		MaxFreeSlots:      slices.Clone(d.maxFreeByKind),
-		Capacity:          d.capacity,
-		MeanWork:          d.meanWork,
-		WorkRate:          d.workRate,
-		Arrivals:          d.arrivals,
-		PromptStartRate:   d.promptStartRate,
-		SilentConnections: d.silentConnections,
-		MeteredSeconds:    d.meteredSeconds,
-		ReportChanges:     d.reportChanges,
-	}
-	for _, c := range d.classes {
+		MaxWeights:        slices.Clone(d.workers.maxWeightByKind),
+		MaxFreeSlots:      slices.Clone(d.workers.maxFreeByKind),
+		Capacity:          d.capacity.slots,
+		MeanWork:          d.estimates.meanWork,
+		WorkRate:          d.estimates.workRate,
+		Arrivals:          d.tenants.arrivals,
+		PromptStartRate:   d.connections.promptStartRate,
+		SilentConnections: d.connections.silent,
+		MeteredSeconds:    d.meter.seconds,
+		ReportChanges:     d.meter.changes,
+	}
+	for _, c := range d.classes.current {
 		l.Classes = append(l.Classes, LearnedClass{
 			Name:           c.Name,
 			MeanRuntime:    c.meanRuntime,
@@ -105,7 +105,7 @@
 		})
 	}
 	for i, t := range d.settings.Tenants {
-		v := d.tenantsByIndex[i]
+		v := d.tenants.byIndex[i]
 		l.Tenants = append(l.Tenants, LearnedTenant{
 			Name:       t.Name,
 			Limit:      encodeLimit(v.limit),
@@ -114,7 +114,7 @@
 			Tokens:     v.tokens,
 		})
 	}
-	for _, w := range d.workers {
+	for _, w := range d.workers.all {
 		if w != nil {
 			l.Workers = append(l.Workers, w.learned(now))
 		}
@@ -147,7 +147,7 @@
 // concerns classes, tenants and workers that are known here.
 func (d *Dispatcher) RestoreLearnedState(now time.Duration, l LearnedState) {
 	d.startRounds(now)
-	for _, k := range d.classes {
+	for _, k := range d.classes.current {
 		for _, c := range l.Classes {
 			if c.Name == k.Name {
 				k.meanRuntime, k.baseRuntime, k.meanHint = c.MeanRuntime, c.BaseRuntime, c.MeanHint
@@ -157,36 +157,36 @@
 	}
 	for i := range d.settings.Tenants {
 		for _, t := range l.Tenants {
-			if v := d.tenantsByIndex[i]; t.Name == d.settings.Tenants[i].Name {
+			if v := d.tenants.byIndex[i]; t.Name == d.settings.Tenants[i].Name {
 				v.limit, v.localShare = decodeLimit(t.Limit), decodeLimit(t.LocalShare)
 				v.arrivals, v.tokens = t.Arrivals, t.Tokens
 			}
 		}
 	}
 	for kind, weight := range l.MaxWeights {
-		d.growKindTables(kind)
-		d.maxWeightByKind[kind] = max(d.maxWeightByKind[kind], weight)
+		d.workers.growKindTables(kind)
+		d.workers.maxWeightByKind[kind] = max(d.workers.maxWeightByKind[kind], weight)
 	}
 	for kind, free := range l.MaxFreeSlots {
-		d.growKindTables(kind)
-		d.maxFreeByKind[kind] = max(d.maxFreeByKind[kind], free)
+		d.workers.growKindTables(kind)
+		d.workers.maxFreeByKind[kind] = max(d.workers.maxFreeByKind[kind], free)
 	}
-	d.capacity, d.meanWork, d.workRate, d.arrivals = l.Capacity, l.MeanWork, l.WorkRate, l.Arrivals
-	d.promptStartRate, d.silentConnections = l.PromptStartRate, l.SilentConnections
-	d.meteredSeconds, d.reportChanges = l.MeteredSeconds, l.ReportChanges
-	d.lastSerial = max(d.lastSerial, handoverSamples)
+	d.capacity.slots, d.estimates.meanWork, d.estimates.workRate, d.tenants.arrivals = l.Capacity, l.MeanWork, l.WorkRate, l.Arrivals
+	d.connections.promptStartRate, d.connections.silent = l.PromptStartRate, l.SilentConnections
+	d.meter.seconds, d.meter.changes = l.MeteredSeconds, l.ReportChanges
+	d.requests.lastSerial = max(d.requests.lastSerial, handoverSamples)
 	if l.MeanWork > 0 {
-		d.meanKnownWork, d.knownRequests = l.MeanWork, max(d.knownRequests, handoverSamples)
+		d.estimates.meanKnownWork, d.estimates.knownRequests = l.MeanWork, max(d.estimates.knownRequests, handoverSamples)
 	}
 	for i := range l.Workers {
-		if w := d.workersByName[l.Workers[i].Worker]; w != nil {
+		if w := d.workers.byName[l.Workers[i].Worker]; w != nil {
 			d.restoreWorker(now, w, &l.Workers[i])
 		}
 	}
 }
 
 func (d *Dispatcher) restoreWorker(now time.Duration, w *worker, l *LearnedWorker) {
-	d.setLimit(w, decodeLimit(l.Limit))
+	d.workers.setLimit(w, decodeLimit(l.Limit))
 	w.runtimeRatio, w.errorRate, w.freeSlots = l.RuntimeRatio, l.ErrorRate, l.FreeSlots
 	w.freeSlotsAt = 0
 	if l.FreeSlotsAge >= 0 {
--- a/learning.go
+++ b/dispatcher/learning.go
@@ -1,21 +1,14 @@
-package sedgevale
+package dispatcher
 
-// What is learned from outcomes: running times of classes, runtime ratios of workers, expected work.
+import "time"
 
-import (
-	"slices"
-	"time"
-)
+// What is learned from outcomes: running times of classes, runtime ratios of workers, expected work.
 
 const (
-	meanGain          = 1.0 / 64   // EWMA weight of one outcome in a class's means
-	completionDecay   = 0.02       // by which a round draws a mean completion time towards the running time
-	maxSampleMeans    = 10         // one sample counts for at most this many means
-	runtimeRatioGain  = 1.0 / 8    // EWMA weight of one answer in a worker's runtime ratio
-	baseRuntimeGain   = 1.0 / 4096 // EWMA weight of one answer in its class's base running time
-	runtimeRatioDecay = 0.01       // by which a round draws a runtime ratio towards 1, so that a slow worker is tried again
-	maxWaitTargets    = 2          // latency targets for which a wait counts at most in the mean completion time
-	hintTrust         = 0.01       // seconds of running time by which hints are trusted at first
+	maxSampleMeans   = 10         // one sample counts for at most this many means
+	runtimeRatioGain = 1.0 / 8    // EWMA weight of one answer in a worker's runtime ratio
+	baseRuntimeGain  = 1.0 / 4096 // EWMA weight of one answer in its class's base running time
+	maxWaitTargets   = 2          // latency targets for which a wait counts at most in the mean completion time
 )
 
 // learn updates the worker's and the class's figures from an outcome.
@@ -27,16 +20,16 @@
 	case Rejected:
 		r.tenant.forgetWorker(w)
 		if now-a.sentAt < roundInterval { // else a draining worker has returned what it had not begun
-			d.rescheduleAllowedAt = now + rescheduleBackoff
+			d.connections.rescheduleAllowedAt = now + rescheduleBackoff
 		}
 		w.freeSlots, w.freeSlotsAt = 0, now
-		d.decreaseLimit(w, r.Slots)
-		d.eject(now, w)
+		d.limits.decrease(&d.workers, w, r.Slots)
+		w.eject(now, d.rng)
 	case Errored:
 		w.errorRate += errorRateGain * (1 - w.errorRate)
 		if w.errorRate > maxErrorRate {
-			d.decreaseLimit(w, r.Slots)
-			d.eject(now, w)
+			d.limits.decrease(&d.workers, w, r.Slots)
+			w.eject(now, d.rng)
 		}
 	case TimedOut, ConnectionLost, ConnectFailed:
 		d.learnUnanswered(now, r, a, o)
@@ -50,8 +43,8 @@
 	if w.errorRate < maxErrorRate {
 		w.ejectedUntil, w.ejectionBackoff = 0, 0
 	}
-	delete(d.brokenByCell, w.Cell)
-	if d.catchingUp { // durations measured across the stall say nothing
+	delete(d.slowStart.brokenByCell, w.Cell)
+	if d.rounds.catchingUp { // durations measured across the stall say nothing
 		return
 	}
 	completion := (now - a.sentAt).Seconds()
@@ -77,8 +70,8 @@
 	}
 	maxWait := maxWaitTargets * c.LatencyTarget.Seconds() // one bad worker must not have all rejected
 	c.meanCompletion += gain * (min(completion, c.meanRuntime+maxWait) - c.meanCompletion)
-	d.roundWork += r.Slots * run
-	d.markCleanOutcome(w)
+	d.estimates.roundWork += r.Slots * run
+	d.limits.noteClean(w)
 	if now < r.targetAt {
 		r.tenant.rememberWorker(w)
 	}
@@ -90,43 +83,33 @@
 	if o != TimedOut {
 		w.connFailures++
 	}
-	if d.mayBeAlive(w, a, o) { // then the connection was at fault
-		d.silentConnections += boolToFloat(o == TimedOut && !a.startOverdue)
+	if w.mayBeAlive(a, o) { // then the connection was at fault
+		d.connections.silent += boolToFloat(o == TimedOut && !a.startOverdue)
 		return
 	}
-	d.decreaseLimit(w, r.Slots)
-	d.markUnhealthy(now, w)
+	d.limits.decrease(&d.workers, w, r.Slots)
+	w.markUnhealthy(now, d.rng)
 	if o != TimedOut && w.connFailures >= minConnFailuresForRestart {
 		d.presumeRestart(now, w)
 	}
 }
 
-// mayBeAlive reports whether a worker may be alive though an attempt there got no
-// answer: it has given a sign of life since, or, where the attempt's connection
-// broke, others there go on or none broke just before. It guards against the
-// exclusion of workers for faults of single connections.
-func (d *Dispatcher) mayBeAlive(w *worker, a *attempt, o Outcome) bool {
-	switch {
-	case o != TimedOut && w.connFailures == 1:
-		return true
-	case o == ConnectionLost:
-		return slices.ContainsFunc(w.attempts, func(ref attemptRef) bool {
-			return !ref.request.attempts[ref.number].writtenOff
-		})
+// presumeRestart presumes workers restarted before the list says so: one that broke
+// or refused connections, and all of its cell if another there did lately and none
+// has served since. It guards against workers that come back cold and are
+// overloaded by dispatchers that do not know it yet. If that holds for most
+// workers, the fault is not theirs.
+func (d *Dispatcher) presumeRestart(now time.Duration, w *worker) {
+	restarted := []*worker{w}
+	before := d.slowStart.brokenByCell[w.Cell]
+	d.slowStart.brokenByCell[w.Cell] = brokenConnection{w, now}
+	if before.worker != nil && before.worker != w && now < before.at+presumedRestartTTL {
+		restarted = d.workers.cells[w.Cell]
 	}
-	return w.lastSeen > a.sentAt
-}
-
-// provesNeverRan reports whether the outcome proves that the worker did not begin
-// the attempt.
-func (d *Dispatcher) provesNeverRan(o Outcome) bool {
-	return o == ConnectFailed || o == NotSent || o == Rejected && !d.settings.RejectedMayHaveRun
-}
-
-// markCleanOutcome notes that the worker had a clean outcome in this round.
-func (d *Dispatcher) markCleanOutcome(w *worker) {
-	if !w.cleanRound {
-		w.cleanRound = true
-		d.cleanWorkers = append(d.cleanWorkers, w)
+	for _, v := range restarted {
+		d.slowStart.presumeRestarted(now, v, d.firstCredit)
+	}
+	if d.slowStart.presumed*2 > d.workers.pools[0].active {
+		d.slowStart.clearPresumed(d.workers.all...)
 	}
 }
--- a/membership_test.go
+++ b/dispatcher/membership_test.go
@@ -1,4 +1,4 @@
-package sedgevale
+package dispatcher
 
 import (
 	"fmt"
--- a/peers.go
+++ b/dispatcher/peers.go
@@ -1,29 +1,15 @@
-package sedgevale
+package dispatcher
+
+import "time"
 
 // Load of other dispatchers: of siblings, which are the same scheduler while one process takes over from another, and
 // of peers, which are other schedulers of one site.
 
-import (
-	"time"
-)
-
-// Load is a dispatcher's load at a worker.
-type Load struct {
-	InFlight   float64 `json:"held"`              // slots in flight
-	NotStarted int     `json:"waiting,omitempty"` // attempts in flight that have not started
-	WorkSent   float64 `json:"sent,omitempty"`    // work ever sent, in slot seconds
-}
-
-// Plus returns the sum of two loads.
-func (l Load) Plus(m Load) Load {
-	return Load{l.InFlight + m.InFlight, l.NotStarted + m.NotStarted, l.WorkSent + m.WorkSent}
-}
-
 // LoadByWorker returns this dispatcher's own load at each worker, without that of its
 // siblings.
 func (d *Dispatcher) LoadByWorker() map[string]Load {
 	loads := map[string]Load{}
-	for _, w := range d.workers {
+	for _, w := range d.workers.all {
 		if w == nil {
 			continue
 		}
@@ -38,7 +24,7 @@
 // It counts like this dispatcher's own, for limits and for workers that warm up.
 func (d *Dispatcher) SetSiblingLoad(now time.Duration, loads map[string]Load) {
 	d.startRounds(now)
-	for _, w := range d.workers {
+	for _, w := range d.workers.all {
 		if w == nil {
 			continue
 		}
@@ -50,29 +36,22 @@
 		}
 		w.siblingLoad, w.siblingLoadKnown = l, true
 	}
-	d.capacityChanged()
+	d.workers.capacityChanged()
 	d.releasePending(now)
 }
 
-// WorkerLoad is somebody's load at a worker.
-type WorkerLoad struct {
-	Worker string
-	Load
-	Saturated bool // all dispatchers together have more in flight there than the worker has slots
-}
-
 // TrackLoadChanges has [Dispatcher.AppendLoadChanges] work from now on.
-func (d *Dispatcher) TrackLoadChanges() { d.tracksLoadChanges = true }
+func (d *Dispatcher) TrackLoadChanges() { d.loadChanges.tracked = true }
 
 // AppendLoadChanges appends the load at each worker where it has changed since the
 // last call. Siblings' load is in it, since they are the same scheduler.
 func (d *Dispatcher) AppendLoadChanges(buf []WorkerLoad) []WorkerLoad {
-	for i, w := range d.loadChanged {
-		w.loadChanged, d.loadChanged[i] = false, nil
+	for i, w := range d.loadChanges.workers {
+		w.loadChanged, d.loadChanges.workers[i] = false, nil
 		buf = append(buf, WorkerLoad{w.Worker, Load{w.inFlight - w.peerLoad.InFlight, w.notStarted - w.peerLoad.NotStarted, w.workSent},
-			w.inFlight > d.maxFreeByKind[w.Kind]})
+			w.inFlight > d.workers.maxFreeByKind[w.Kind]})
 	}
-	d.loadChanged = d.loadChanged[:0]
+	d.loadChanges.workers = d.loadChanges.workers[:0]
 	return buf
 }
 
@@ -84,15 +63,15 @@
 	d.startRounds(now)
 	for i := range loads {
 		l := &loads[i]
-		w := d.workersByName[l.Worker]
+		w := d.workers.byName[l.Worker]
 		if w == nil {
 			continue
 		}
-		d.addOccupied(w, l.InFlight-w.peerLoad.InFlight)
+		d.workers.addOccupied(w, l.InFlight-w.peerLoad.InFlight)
 		w.notStarted += l.NotStarted - w.peerLoad.NotStarted
 		w.peerLoad = l.Load
 	}
-	d.capacityChanged()
+	d.workers.capacityChanged()
 	d.releasePending(now)
 }
 
@@ -105,24 +84,24 @@
 	for _, name := range workers {
 		subset[name] = true
 	}
-	d.subsetSize, d.subsetSharers = 0, max(1, sharers)
+	d.workers.subsetSize, d.slowStart.sharers = 0, max(1, sharers)
 	if len(workers) == 0 {
-		d.subsetSharers = d.settings.Dispatchers
+		d.slowStart.sharers = d.settings.Dispatchers
 	}
-	for _, w := range d.workers {
+	for _, w := range d.workers.all {
 		if w == nil {
 			continue
 		}
 		if w.inSubset != subset[w.Worker] {
-			d.adjustPoolSums(w, -1)
+			d.workers.adjustPoolSums(w, -1)
 			w.inSubset = subset[w.Worker]
-			d.adjustPoolSums(w, 1)
-			for _, p := range d.pools {
+			d.workers.adjustPoolSums(w, 1)
+			for _, p := range d.workers.pools {
 				p.subsetStale = true
 			}
 		}
-		d.subsetSize += int(boolToFloat(w.inSubset))
+		d.workers.subsetSize += int(boolToFloat(w.inSubset))
 	}
-	d.capacityChanged()
+	d.workers.capacityChanged()
 	d.releasePending(now)
 }
--- a/peers_test.go
+++ b/dispatcher/peers_test.go
@@ -1,4 +1,4 @@
-package sedgevale
+package dispatcher
 
 import (
 	"encoding/json"
@@ -28,17 +28,17 @@
 	if got := d.LoadByWorker()["w1"]; got.InFlight != 3 || got.NotStarted != 0 || d.LoadByWorker()["w0"] != (Load{}) {
 		t.Errorf("out is %v", d.LoadByWorker())
 	}
-	if d.inFlight != 6 {
-		t.Errorf("%v slots are booked", d.inFlight)
+	if d.capacity.inFlight != 6 {
+		t.Errorf("%v slots are booked", d.capacity.inFlight)
 	}
 	d.SetSiblingLoad(h.now, map[string]Load{"w0": {InFlight: 1}})
-	if w := d.workersByName["w0"]; d.inFlight != 4 || w.inFlight != 1 || w.notStarted != 0 {
-		t.Errorf("%v slots are booked, %v at w0, %d wait", d.inFlight, w.inFlight, w.notStarted)
+	if w := d.workers.byName["w0"]; d.capacity.inFlight != 4 || w.inFlight != 1 || w.notStarted != 0 {
+		t.Errorf("%v slots are booked, %v at w0, %d wait", d.capacity.inFlight, w.inFlight, w.notStarted)
 	}
 	d.WorkersUpdated(h.now, UpdateDelta, []WorkerInfo{{Worker: "w0", State: Removed}})
 	d.SetSiblingLoad(h.now, nil)
-	if d.inFlight != 3 || d.pools[0].inFlight != 3 {
-		t.Errorf("%v slots are booked once the worker and the other are gone", d.inFlight)
+	if d.capacity.inFlight != 3 || d.workers.pools[0].inFlight != 3 {
+		t.Errorf("%v slots are booked once the worker and the other are gone", d.capacity.inFlight)
 	}
 }
 
@@ -47,7 +47,7 @@
 	set := settings()
 	set.SlowStartDuration, set.SlowStartCapacity, set.OverloadMultiple, set.OverloadWindow = 8*time.Second, 0.3, 3, 2*time.Second
 	d, h := start(t, set, WorkerInfo{Worker: "cold", Weight: 1, StartedAt: time.Hour})
-	w := d.workersByName["cold"]
+	w := d.workers.byName["cold"]
 	w.slowStartCredit = 1
 	d.SetSiblingLoad(h.now, map[string]Load{"cold": {WorkSent: 50}}) // before it was known here
 	d.SetSiblingLoad(h.now, map[string]Load{"cold": {WorkSent: 50.75}})
@@ -122,8 +122,8 @@
 		}
 		_ = d.AttemptStarted(h.now, id, 0)
 	}
-	if w := d.workersByName["w0"]; d.inFlight != 2 || w.inFlight != 3 || w.notStarted != 1 || d.pools[0].inFlight != 5 {
-		t.Errorf("booked %v in all, %v of 5 at workers, %v and %d at w0", d.inFlight, d.pools[0].inFlight, w.inFlight, w.notStarted)
+	if w := d.workers.byName["w0"]; d.capacity.inFlight != 2 || w.inFlight != 3 || w.notStarted != 1 || d.workers.pools[0].inFlight != 5 {
+		t.Errorf("booked %v in all, %v of 5 at workers, %v and %d at w0", d.capacity.inFlight, d.workers.pools[0].inFlight, w.inFlight, w.notStarted)
 	}
 	reported := d.AppendLoadChanges(nil)
 	if len(reported) != 1 || reported[0].Worker != "w1" || reported[0].InFlight != 2 || reported[0].NotStarted != 0 {
@@ -134,8 +134,8 @@
 	}
 	d.WorkersUpdated(h.now, UpdateDelta, []WorkerInfo{{Worker: "w0", State: Removed}})
 	d.UpdatePeerLoad(h.now, []WorkerLoad{{Worker: "w1"}})
-	if d.inFlight != 2 || d.pools[0].inFlight != 2 {
-		t.Errorf("booked %v, %v at workers once the others are gone", d.inFlight, d.pools[0].inFlight)
+	if d.capacity.inFlight != 2 || d.workers.pools[0].inFlight != 2 {
+		t.Errorf("booked %v, %v at workers once the others are gone", d.capacity.inFlight, d.workers.pools[0].inFlight)
 	}
 }
 
@@ -171,22 +171,22 @@
 func TestKnownSlotsAreNotOversold(t *testing.T) {
 	d, h := start(t, settings(), fleet(2)...)
 	d.SetSubset(h.now, []string{"w0", "w1"}, 4)
-	d.maxFreeByKind[0] = 4
+	d.workers.maxFreeByKind[0] = 4
 	d.UpdatePeerLoad(h.now, []WorkerLoad{{Worker: "w0", Load: Load{InFlight: 4}}, {Worker: "w1", Load: Load{InFlight: 4}}})
-	r := &request{Request: Request{Slots: 1}, class: d.classes[0], tenant: d.tenants[0]}
-	if d.belowSlotThreshold(h.now, d.workersByName["w0"], r, true) {
+	r := &request{Request: Request{Slots: 1}, class: d.classes.current[0], tenant: d.tenants.all[0]}
+	if d.belowSlotThreshold(h.now, d.workers.byName["w0"], r, true) {
 		t.Error("there is room at a worker whose four slots are taken")
 	}
 	d.UpdatePeerLoad(h.now, []WorkerLoad{{Worker: "w0", Load: Load{InFlight: 3}}})
-	if !d.belowSlotThreshold(h.now, d.workersByName["w0"], r, true) {
+	if !d.belowSlotThreshold(h.now, d.workers.byName["w0"], r, true) {
 		t.Error("there is no room with one of four slots free")
 	}
-	if r.Slots = 2; d.belowSlotThreshold(h.now, d.workersByName["w0"], r, true) {
+	if r.Slots = 2; d.belowSlotThreshold(h.now, d.workers.byName["w0"], r, true) {
 		t.Error("there is room for a job of two slots with one free")
 	}
 	d.UpdatePeerLoad(h.now, []WorkerLoad{{Worker: "w0", Load: Load{InFlight: 4}}})
 	d.SetSubset(h.now, nil, 0) // then what others have out is not all known
-	if r.Slots = 1; !d.belowSlotThreshold(h.now, d.workersByName["w1"], r, true) {
+	if r.Slots = 1; !d.belowSlotThreshold(h.now, d.workers.byName["w1"], r, true) {
 		t.Error("there is no room though the worker holds no more than the mean")
 	}
 }
@@ -200,7 +200,7 @@
 		h.submit(d, fmt.Sprint("r", i), 0)
 	}
 	ours := map[string]bool{"w3": true, "w7": true}
-	for _, w := range d.workers {
+	for _, w := range d.workers.all {
 		if w.inFlight > 0 && !ours[w.Worker] {
 			t.Errorf("%v slots at %s, which is not of the part", w.inFlight, w.Worker)
 		}
@@ -211,12 +211,12 @@
 	if h.submit(d, "out", 0); ours[h.last()] {
 		t.Errorf("the job went to %s, which leaves", h.last())
 	}
-	if d.workersByName[h.last()] == nil || d.workersByName[h.last()].inFlight == 0 {
+	if d.workers.byName[h.last()] == nil || d.workers.byName[h.last()].inFlight == 0 {
 		t.Error("no job went out though 18 workers are free")
 	}
 	d.SetSubset(h.now, nil, 0)
-	if p := d.pools[0]; d.subsetSize != 0 || d.subsetZones(p) != nil || p.targetWeight() != p.weight {
-		t.Errorf("%d workers are ours still, weight %v of %v", d.subsetSize, p.targetWeight(), p.weight)
+	if p := d.workers.pools[0]; d.workers.subsetSize != 0 || d.workers.subsetZones(p) != nil || p.targetWeight() != p.weight {
+		t.Errorf("%d workers are ours still, weight %v of %v", d.workers.subsetSize, p.targetWeight(), p.weight)
 	}
 }
 
@@ -226,9 +226,9 @@
 	set := settings()
 	set.SlowStartDuration, set.SlowStartCapacity, set.OverloadMultiple, set.OverloadWindow, set.Dispatchers = 8*time.Second, 0.3, 3, 2*time.Second, 300
 	d, h := start(t, set, WorkerInfo{Worker: "mine", Weight: 1}, WorkerInfo{Worker: "cold", Weight: 1, StartedAt: time.Hour})
-	d.meanWork = 0.1
-	cold := d.workersByName["cold"]
-	r := &request{class: d.classes[0], work: 0.1, Request: Request{Slots: 1}}
+	d.estimates.meanWork = 0.1
+	cold := d.workers.byName["cold"]
+	r := &request{class: d.classes.current[0], work: 0.1, Request: Request{Slots: 1}}
 	usable := func() bool {
 		cold.slowStartCredit, cold.slowStartCreditAt = 1, h.now
 		return d.usable(h.now, cold, r, true)
--- a/placement_test.go
+++ b/dispatcher/placement_test.go
@@ -1,4 +1,4 @@
-package sedgevale
+package dispatcher
 
 import (
 	"fmt"
@@ -25,7 +25,7 @@
 	}
 	h.submit(d, "zone", 1)
 	for n := range 3 {
-		if w := d.workersByName[h.last()]; w.Zone != 1 {
+		if w := d.workers.byName[h.last()]; w.Zone != 1 {
 			t.Errorf("attempt %d went to zone %d", n, w.Zone)
 		}
 		h.endAttempt(d, "zone", n, ConnectFailed)
@@ -48,13 +48,13 @@
 	set := settings()
 	set.StartNotified = false
 	d, h := start(t, set, fleet(4)...)
-	for _, w := range d.workers[:3] {
+	for _, w := range d.workers.all[:3] {
 		w.inFlight = 3
-		d.inFlight += 3
+		d.capacity.inFlight += 3
 	}
-	d.workers[2].inFlight, d.inFlight = 20, d.inFlight+17 // mean 6.5: threshold 7.5
+	d.workers.all[2].inFlight, d.capacity.inFlight = 20, d.capacity.inFlight+17 // mean 6.5: threshold 7.5
 	for range 100 {
-		if w := d.pickWorker(h.now, &request{class: d.classes[0], Request: Request{Slots: 1}}, true); w == d.workers[2] {
+		if w := d.pickWorker(h.now, &request{class: d.classes.current[0], Request: Request{Slots: 1}}, true); w == d.workers.all[2] {
 			t.Fatal("picked a worker above the threshold")
 		}
 	}
@@ -74,7 +74,7 @@
 	}
 	_ = d.AttemptStarted(h.now, "b", 0)
 	h.run(d, h.now+200*ms)
-	if w := d.workersByName[hung]; w.unhealthyUntil <= h.now || w.limit == unlimited {
+	if w := d.workers.byName[hung]; w.unhealthyUntil <= h.now || w.limit == unlimited {
 		t.Errorf("overdue start: left alone until %v, sigma %v", w.unhealthyUntil, w.limit)
 	}
 	h.submit(d, "c", 0)
@@ -85,7 +85,7 @@
 		}
 	}
 	_ = d.AttemptStarted(h.now, "a", 0)
-	if d.workersByName[hung].unhealthyUntil != 0 {
+	if d.workers.byName[hung].unhealthyUntil != 0 {
 		t.Error("still left alone after a sign")
 	}
 }
@@ -95,7 +95,7 @@
 	d, h := start(t, settings(), WorkerInfo{Worker: "large", Weight: 3}, WorkerInfo{Worker: "small", Weight: 1})
 	large := 0
 	for range 2000 {
-		if d.pickWorker(h.now, &request{class: d.classes[0], Request: Request{Slots: 1}, deadline: inTwo(h), targetAt: inTwo(h)}, true).Worker == "large" {
+		if d.pickWorker(h.now, &request{class: d.classes.current[0], Request: Request{Slots: 1}, deadline: inTwo(h), targetAt: inTwo(h)}, true).Worker == "large" {
 			large++
 		}
 	}
@@ -129,7 +129,7 @@
 		_ = d.SubmitRequest(h.now, Request{ID: "x", AffinityKey: "k", TimeLeft: 5 * time.Second})
 		_ = d.SubmitRequest(h.now, Request{ID: "y", AffinityKey: "k", TimeLeft: 5 * time.Second})
 		x, y := h.sends[len(h.sends)-2].worker, h.last()
-		if d.workersByName[x].Zone != 0 || d.workersByName[y].Zone != 1 {
+		if d.workers.byName[x].Zone != 0 || d.workers.byName[y].Zone != 1 {
 			t.Errorf("homes %s and %s", x, y)
 		}
 	}
--- a/probe_test.go
+++ b/dispatcher/probe_test.go
@@ -1,4 +1,4 @@
-package sedgevale
+package dispatcher
 
 import (
 	"fmt"
@@ -11,9 +11,9 @@
 	set := settings()
 	set.Weights = WeightLive
 	d, h := start(t, set, WorkerInfo{Worker: "a", Weight: 4}, WorkerInfo{Worker: "b", Weight: 2})
-	d.maxFreeByKind[0] = 4
+	d.workers.maxFreeByKind[0] = 4
 	d.WorkersUpdated(h.now, UpdateDelta, []WorkerInfo{{Worker: "a", Weight: 3.2}, {Worker: "b", Weight: 2}})
-	if a, b := d.workersByName["a"].freeSlots, d.workersByName["b"].freeSlots; math.Abs(a-3) > 1e-9 || b != 0 {
+	if a, b := d.workers.byName["a"].freeSlots, d.workers.byName["b"].freeSlots; math.Abs(a-3) > 1e-9 || b != 0 {
 		t.Errorf("free %v and %v, want 3 and 0", a, b)
 	}
 }
@@ -76,21 +76,21 @@
 	set.LoadByProbe = true
 	set.Tenants = []Tenant{{Share: 1}, {Share: 1}}
 	d, h := start(t, set, fleet(100)...)
-	d.meteredSeconds, d.reportChanges, d.meanWork = 1, 100, 0.2
-	tn := d.tenants[0]
-	for _, w := range d.workers[:9] {
+	d.meter.seconds, d.meter.changes, d.estimates.meanWork = 1, 100, 0.2
+	tn := d.tenants.all[0]
+	for _, w := range d.workers.all[:9] {
 		tn.rememberWorker(w)
 	}
-	tn.rememberWorker(d.workers[4])
-	if len(tn.recentWorkers) != maxRecentWorkers || tn.recentWorkers[maxRecentWorkers-1] != d.workers[4] {
+	tn.rememberWorker(d.workers.all[4])
+	if len(tn.recentWorkers) != maxRecentWorkers || tn.recentWorkers[maxRecentWorkers-1] != d.workers.all[4] {
 		t.Fatalf("%d known, the last %s", len(tn.recentWorkers), tn.recentWorkers[len(tn.recentWorkers)-1].Worker)
 	}
-	d.learn(h.now, &request{class: d.classes[0], tenant: tn, Request: Request{Slots: 1}}, &attempt{worker: d.workers[4]}, Rejected)
+	d.learn(h.now, &request{class: d.classes.current[0], tenant: tn, Request: Request{Slots: 1}}, &attempt{worker: d.workers.all[4]}, Rejected)
 	for i := range 20 {
 		h.probes = nil
 		_ = d.SubmitRequest(h.now, Request{ID: fmt.Sprint("r", i), TimeLeft: 5 * time.Second, RuntimeHint: 200 * ms})
 		for _, name := range h.probes {
-			w := d.workersByName[name]
+			w := d.workers.byName[name]
 			if w.index == 4 || w.index > 8 {
 				t.Fatalf("asked %s", name)
 			}
@@ -109,8 +109,8 @@
 		set.LoadByProbe = true
 		set.Tenants = []Tenant{{Share: 1, Quota: 100}}
 		d, h := start(t, set, fleet(30)...)
-		d.meteredSeconds, d.reportChanges = 1, 100
-		d.classes[0].meanRuntime, d.classes[0].meanHint, d.classes[0].meanCompletion = 0.2, 0.2, 0.2
+		d.meter.seconds, d.meter.changes = 1, 100
+		d.classes.current[0].meanRuntime, d.classes.current[0].meanHint, d.classes.current[0].meanCompletion = 0.2, 0.2, 0.2
 		_ = d.SubmitRequest(h.now, Request{ID: "r", TimeLeft: 5 * time.Second, RuntimeHint: 200 * ms})
 		for i := 0; i < len(h.probes); i++ {
 			d.ProbeResult(h.now, h.probes[i], &LoadReport{HasFreeSlots: true, HasInFlight: true, InFlight: held})
--- a/queue_test.go
+++ b/dispatcher/queue_test.go
@@ -1,4 +1,4 @@
-package sedgevale
+package dispatcher
 
 import (
 	"fmt"
@@ -98,7 +98,7 @@
 	set.StartNotified = false
 	set.Tenants = []Tenant{{Share: 1, Quota: 2}, {Share: 1, Quota: 2}}
 	d, h := start(t, set, fleet(2)...)
-	for _, w := range d.workers {
+	for _, w := range d.workers.all {
 		w.freeSlots, w.freeSlotsAt = 0, h.now-time.Minute
 	}
 	for i := range 10 {
--- a/reconfigure_test.go
+++ b/dispatcher/reconfigure_test.go
@@ -1,4 +1,4 @@
-package sedgevale
+package dispatcher
 
 import (
 	"slices"
@@ -16,19 +16,19 @@
 	h.submit(d, "free", 0)
 	h.submit(d, "many", 0)
 	learned := 0.25
-	d.classes[0].meanRuntime = learned
+	d.classes.current[0].meanRuntime = learned
 	next := set
 	next.MaxAttempts = 1
 	next.Classes = []Class{{Name: "new", LatencyTarget: 200 * ms, ClientTimeout: 5 * time.Second, Kinds: []int{7}}, set.Classes[0]}
 	next.Classes[1].Idempotency, next.Classes[1].TargetStretch = NotIdempotent, 9 // stricter
-	if err := d.UpdateSettings(Settings{}); err == nil || len(d.classes) != 3 {
+	if err := d.UpdateSettings(Settings{}); err == nil || len(d.classes.current) != 3 {
 		t.Error("settings without a class were taken")
 	}
 	if err := d.UpdateSettings(next); err != nil {
 		t.Fatal(err)
 	}
-	if k := d.classes[1]; k.meanRuntime != learned || k.Idempotency != NotIdempotent || len(d.classesInUse) != 4 {
-		t.Errorf("the class goes on as %+v, %d are kept", k, len(d.classesInUse))
+	if k := d.classes.current[1]; k.meanRuntime != learned || k.Idempotency != NotIdempotent || len(d.classes.inUse) != 4 {
+		t.Errorf("the class goes on as %+v, %d are kept", k, len(d.classes.inUse))
 	}
 	h.endAttempt(d, "once", 0, ConnectionLost)
 	if h.ends["once"] != "failed" {
@@ -68,10 +68,10 @@
 	if err := d.UpdateSettings(next); err != nil {
 		t.Fatal(err)
 	}
-	if len(d.classesInUse) != 2 || d.inFlight != 0 || len(d.requests) != 0 {
-		t.Errorf("%d classes are kept, %v slots booked, %d requests open", len(d.classesInUse), d.inFlight, len(d.requests))
+	if len(d.classes.inUse) != 2 || d.capacity.inFlight != 0 || len(d.requests.byID) != 0 {
+		t.Errorf("%d classes are kept, %v slots booked, %d requests open", len(d.classes.inUse), d.capacity.inFlight, len(d.requests.byID))
 	}
-	for _, tn := range d.tenants {
+	for _, tn := range d.tenants.all {
 		if len(tn.pendingWork) != 2 || slices.Max(tn.pendingWork) > 1e-9 {
 			t.Errorf("work held: %v", tn.pendingWork)
 		}
@@ -85,14 +85,14 @@
 	for i := range 3 {
 		h.submit(d, string(rune('a'+i)), i)
 	}
-	d.classes[1].meanRuntime = 0.5
+	d.classes.current[1].meanRuntime = 0.5
 	set.Classes = slices.Clone(set.Classes[:1])
 	set.Classes[0].LatencyTarget = time.Second
 	if err := d.UpdateSettings(set); err != nil {
 		t.Fatal(err)
 	}
-	if len(d.classesInUse) != 4 || d.pendingRequests != 3 {
-		t.Errorf("%d classes are kept for %d held jobs", len(d.classesInUse), d.pendingRequests)
+	if len(d.classes.inUse) != 4 || d.requests.pending != 3 {
+		t.Errorf("%d classes are kept for %d held jobs", len(d.classes.inUse), d.requests.pending)
 	}
 	d.WorkersUpdated(h.now, UpdateFull, fleet(3))
 	for _, id := range []string{"a", "b", "c"} {
--- a/rejection_test.go
+++ b/dispatcher/rejection_test.go
@@ -1,4 +1,4 @@
-package sedgevale
+package dispatcher
 
 import (
 	"math"
@@ -30,13 +30,13 @@
 
 func TestRejectedEarlyWhenItCannotBeInTime(t *testing.T) {
 	d, h := start(t, settings(), fleet(1)...)
-	*d.classes[0] = class{Class: d.classes[0].Class, pool: d.pools[0], meanRuntime: 0.1, meanCompletion: 0.1, samples: 10, inFlight: 1}
-	d.tenants[0].pendingWork[0], d.capacity, d.pools[0].noCapacity = 10, 1, true
+	*d.classes.current[0] = class{Class: d.classes.current[0].Class, pool: d.workers.pools[0], meanRuntime: 0.1, meanCompletion: 0.1, samples: 10, inFlight: 1}
+	d.tenants.all[0].pendingWork[0], d.capacity.slots, d.workers.pools[0].noCapacity = 10, 1, true
 	h.submit(d, "late", 0)
 	if h.ends["late"] != "refused" {
 		t.Errorf("behind 10 s of work: %q", h.ends["late"])
 	}
-	d.tenants[0].pendingWork[0] = 0
+	d.tenants.all[0].pendingWork[0] = 0
 	h.submit(d, "fine", 0)
 	if h.ends["fine"] != "" {
 		t.Errorf("behind nothing: %q", h.ends["fine"])
@@ -47,7 +47,7 @@
 // since no outcome came to lower it.
 func TestRejectionsEndByThemselves(t *testing.T) {
 	d, h := start(t, settings(), fleet(2)...)
-	*d.classes[0] = class{Class: d.classes[0].Class, pool: d.pools[0], meanRuntime: 0.1, meanCompletion: 3, samples: 1000}
+	*d.classes.current[0] = class{Class: d.classes.current[0].Class, pool: d.workers.pools[0], meanRuntime: 0.1, meanCompletion: 3, samples: 1000}
 	h.submit(d, "trial", 0)
 	if h.attempts["trial"] != 1 {
 		t.Fatal("no job is let through to renew the mean")
@@ -55,7 +55,7 @@
 	for range 200 {
 		d.endRound(h.now)
 	}
-	if c := d.classes[0].meanCompletion; c > 0.2 {
+	if c := d.classes.current[0].meanCompletion; c > 0.2 {
 		t.Errorf("mean completion still %v after 20 s without jobs", c)
 	}
 }
@@ -63,7 +63,7 @@
 // Incident ie55aff: a request may arrive with no time left.
 func TestNoTimeLeft(t *testing.T) {
 	d, h := start(t, settings(), fleet(2)...)
-	if err := d.SubmitRequest(h.now, Request{ID: "r", Class: 2}); err != nil || h.ends["r"] != "refused" || len(d.requests) > 0 {
+	if err := d.SubmitRequest(h.now, Request{ID: "r", Class: 2}); err != nil || h.ends["r"] != "refused" || len(d.requests.byID) > 0 {
 		t.Errorf("error %v, end %q", err, h.ends["r"])
 	}
 }
@@ -72,7 +72,7 @@
 // counts is the hint.
 func TestHintedJobIsJudgedByItsOwnTime(t *testing.T) {
 	d, h := start(t, settings(), fleet(2)...)
-	*d.classes[0] = class{Class: d.classes[0].Class, pool: d.pools[0], meanRuntime: 1, meanHint: 1, meanCompletion: 1.05, samples: 1000, inFlight: 1}
+	*d.classes.current[0] = class{Class: d.classes.current[0].Class, pool: d.workers.pools[0], meanRuntime: 1, meanHint: 1, meanCompletion: 1.05, samples: 1000, inFlight: 1}
 	_ = d.SubmitRequest(h.now, Request{ID: "short", TimeLeft: 5 * time.Second, RuntimeHint: 10 * ms})
 	if h.attempts["short"] != 1 {
 		t.Errorf("short job: %q", h.ends["short"])
@@ -81,14 +81,14 @@
 
 func TestOneLongWaitCountsForTwoLatencyTargets(t *testing.T) {
 	d, h := start(t, settings(), fleet(2)...)
-	*d.classes[0] = class{Class: d.classes[0].Class, pool: d.pools[0], meanRuntime: 0.1, meanCompletion: 0.1, samples: 1000}
+	*d.classes.current[0] = class{Class: d.classes.current[0].Class, pool: d.workers.pools[0], meanRuntime: 0.1, meanCompletion: 0.1, samples: 1000}
 	h.submit(d, "r", 0)
 	h.run(d, h.now+4*time.Second)
 	_ = d.AttemptStarted(h.now, "r", 0)
 	h.now += 100 * ms
 	h.endAttempt(d, "r", 0, Served)
-	if want := 0.1 + meanGain*maxWaitTargets*0.2; math.Abs(d.classes[0].meanCompletion-want) > 1e-6 {
-		t.Errorf("mean completion %v, want %v", d.classes[0].meanCompletion, want)
+	if want := 0.1 + meanGain*maxWaitTargets*0.2; math.Abs(d.classes.current[0].meanCompletion-want) > 1e-6 {
+		t.Errorf("mean completion %v, want %v", d.classes.current[0].meanCompletion, want)
 	}
 }
 
@@ -112,11 +112,11 @@
 	set := settings()
 	set.MaxRetryAfter = 150 * ms
 	d, h := start(t, set)
-	d.meanWork = 0.1
+	d.estimates.meanWork = 0.1
 	seen := map[time.Duration]bool{}
 	for range 50 {
 		for _, left := range []time.Duration{time.Second, 0, 0} {
-			r := &request{class: d.classes[0], deadline: h.now + left, targetAt: h.now + left}
+			r := &request{class: d.classes.current[0], deadline: h.now + left, targetAt: h.now + left}
 			after := d.retryAfter(h.now, r)
 			if after <= 0 || after > set.MaxRetryAfter {
 				t.Fatalf("come back after %v", after)
@@ -128,7 +128,7 @@
 		t.Errorf("%d different times of 150", len(seen))
 	}
 	d.settings.MaxRetryAfter = 0
-	if after := d.retryAfter(h.now, &request{class: d.classes[0]}); after != 0 {
+	if after := d.retryAfter(h.now, &request{class: d.classes.current[0]}); after != 0 {
 		t.Errorf("advice of %v where none is heeded", after)
 	}
 }
--- a/retry.go
+++ b/dispatcher/retry.go
@@ -1,73 +1,21 @@
-package sedgevale
+package dispatcher
 
-// Retries and hedged requests: attempts beyond a request's first, and when they may be made.
+import "time"
 
-import (
-	"time"
-)
+// Retries and hedged requests: attempts beyond a request's first, and when they may be made.
 
 const (
-	promptStartGain        = 1.0 / 32              // EWMA weight of one start
-	minPromptStartRate     = 0.35                  // share of attempts that start at once, for a reschedule to be worth it
-	rescheduleBackoff      = 30 * time.Second      // after a rejection: cancelled attempts may still fill queues
-	maxReschedules         = 2                     // times that an attempt is cancelled to try another worker
-	minLateValue           = 0.5                   // a late answer that earns less is not waited for
-	minStartTimeout        = 20 * time.Millisecond // for a start notice
-	maxStartTimeout        = time.Second           // for a start notice
-	promptStartTimeout     = 60 * time.Millisecond // for a start notice where a slot should be free
-	minOvertakeGap         = 30 * time.Millisecond // between two sends, for the later one to overtake by starting first
-	maxStartWaitJobs       = 3                     // mean work after which a start is not waited for any more
-	maxRuntimeMultiple     = 4                     // expected running times after which an attempt is written off
-	minSilentConnections   = 1.0                   // decayed count, for running attempts to be hedged
-	silentConnectionsDecay = 0.01                  // of that count, a round
+	rescheduleBackoff  = 30 * time.Second      // after a rejection: cancelled attempts may still fill queues
+	maxReschedules     = 2                     // times that an attempt is cancelled to try another worker
+	minLateValue       = 0.5                   // a late answer that earns less is not waited for
+	minStartTimeout    = 20 * time.Millisecond // for a start notice
+	maxStartTimeout    = time.Second           // for a start notice
+	promptStartTimeout = 60 * time.Millisecond // for a start notice where a slot should be free
+	minOvertakeGap     = 30 * time.Millisecond // between two sends, for the later one to overtake by starting first
+	maxStartWaitJobs   = 3                     // mean work after which a start is not waited for any more
+	maxRuntimeMultiple = 4                     // expected running times after which an attempt is written off
 )
 
-// mayAttempt reports whether the request may be sent to this worker: it has attempts
-// and retry budget left, none in flight there, and none that may have run forbids a
-// repeat there. Nothing else decides that.
-func (d *Dispatcher) mayAttempt(now time.Duration, r *request, w *worker) bool {
-	if r.ended || len(r.attempts) >= d.settings.MaxAttempts || r.inFlight > 0 && !d.settings.AllowHedging ||
-		len(r.attempts) > 0 && !d.withinRetryBudget(now) {
-		return false
-	}
-	for i := range r.attempts {
-		a := &r.attempts[i]
-		if a.worker == w && !a.ended {
-			return false
-		}
-		if !a.neverRan && !r.class.mayRepeatAt(now, a, w) {
-			return false
-		}
-	}
-	return true
-}
-
-// mayRepeatAt reports whether the worker may get the request again though the attempt
-// may have run: always if the class is idempotent; if it is idempotent by key, while
-// the worker still drops the repeat.
-func (c *class) mayRepeatAt(now time.Duration, a *attempt, w *worker) bool {
-	switch c.Idempotency {
-	case Idempotent:
-		return true
-	case NotIdempotent:
-		return false
-	}
-	sameGroup := c.DedupScope == DedupAll || c.DedupScope == DedupZone && a.worker.Zone == w.Zone ||
-		c.DedupScope == DedupCell && a.worker.Cell == w.Cell
-	return sameGroup && now < a.sentAt+c.DedupWindow-min(roundInterval, c.DedupWindow/8)
-}
-
-// mayHaveRun returns, for a request that is idempotent by key, the worker of its first
-// attempt that may have run, or nil.
-func (d *Dispatcher) mayHaveRun(r *request) *worker {
-	for i := range r.attempts {
-		if a := &r.attempts[i]; !a.neverRan && r.class.Idempotency == IdempotentByKey {
-			return a.worker
-		}
-	}
-	return nil
-}
-
 // retryOrEnd queues a request whose attempts have all failed for a retry, or ends it.
 func (d *Dispatcher) retryOrEnd(now time.Duration, r *request) {
 	c := r.class
@@ -75,7 +23,7 @@
 	for i := range r.attempts {
 		uncertain = uncertain || !r.attempts[i].neverRan
 	}
-	if len(r.attempts) >= d.settings.MaxAttempts || uncertain && c.Idempotency == NotIdempotent || !d.withinRetryBudget(now) ||
+	if len(r.attempts) >= d.settings.MaxAttempts || uncertain && c.Idempotency == NotIdempotent || !d.budget.admits(now) ||
 		!d.feasible(now, r, false) {
 		d.endUnserved(now, r)
 		return
@@ -91,7 +39,7 @@
 func (d *Dispatcher) hedge(now time.Duration, r *request) {
 	if !d.settings.AllowHedging || r.ended || r.queued || r.streaming || r.inFlight != 1 ||
 		r.class.Idempotency == NotIdempotent || len(r.attempts) >= d.settings.MaxAttempts ||
-		!d.withinRetryBudget(now) || d.timeToSend(now, r) <= 0 {
+		!d.budget.admits(now) || d.timeToSend(now, r) <= 0 {
 		return
 	}
 	r.tenant.tokens++ // it has been counted against the quota once
@@ -105,8 +53,8 @@
 // cancelled attempts that still run.
 func (d *Dispatcher) mayReschedule(now time.Duration, r *request) bool {
 	return d.settings.AllowCancel && r.class.Idempotency != NotIdempotent && !r.streaming && r.inFlight == 1 &&
-		len(r.attempts) < min(1+maxReschedules, d.settings.MaxAttempts) && d.promptStartRate > minPromptStartRate &&
-		now >= d.rescheduleAllowedAt && d.lightlyLoaded() && d.withinRetryBudget(now) && d.timeToSend(now, r) > 0
+		len(r.attempts) < min(1+maxReschedules, d.settings.MaxAttempts) && d.connections.mayReschedule(now) &&
+		d.workers.lightlyLoaded() && d.budget.admits(now) && d.timeToSend(now, r) > 0
 }
 
 // checkStart acts when no start notice has come in time: the worker has a queue, or
@@ -119,7 +67,7 @@
 		return
 	}
 	a.startOverdue = true
-	if d.settings.AllowCancel && r.class.LateValue < minLateValue && !r.streaming && d.lightlyLoaded() {
+	if d.settings.AllowCancel && r.class.LateValue < minLateValue && !r.streaming && d.workers.lightlyLoaded() {
 		last := min(r.deadline, r.targetAt) - seconds(r.work/r.Slots)
 		if now >= last {
 			d.endUnserved(now, r) // it would only delay others
@@ -127,11 +75,11 @@
 		}
 		d.setTimer(last-now, tokenStartDue, r, n)
 	}
-	d.decreaseLimit(a.worker, r.Slots)
+	d.limits.decrease(&d.workers, a.worker, r.Slots)
 	if a.worker.lastSeen < a.sentAt {
-		d.markUnhealthy(now, a.worker)
+		a.worker.markUnhealthy(now, d.rng)
 	}
-	slotWasFree := a.worker.inFlight <= d.maxFreeByKind[a.worker.Kind] && d.overdueStartImpliesSilentConn()
+	slotWasFree := a.worker.inFlight <= d.workers.maxFreeByKind[a.worker.Kind] && d.overdueStartImpliesSilentConn()
 	if slotWasFree {
 		d.writeOff(r, a) // the next attempt there shows whether the worker is full or this connection silent
 	}
@@ -151,11 +99,11 @@
 // have fallen silent. They are written off, and hedged where they may run twice. It
 // guards against slots that seem taken until the time-outs come.
 func (d *Dispatcher) writeOffOvertaken(now time.Duration, by *attempt) {
-	for i := 0; d.settings.FIFOWorkers && !d.catchingUp && i < len(by.worker.attempts); i++ {
+	for i := 0; d.settings.FIFOWorkers && !d.rounds.catchingUp && i < len(by.worker.attempts); i++ {
 		ref := by.worker.attempts[i]
 		a := &ref.request.attempts[ref.number]
 		if a.sentAt+minOvertakeGap < by.sentAt && a.startedAt == 0 && !a.writtenOff {
-			d.silentConnections++
+			d.connections.silent++
 			d.writeOff(ref.request, a)
 			d.hedge(now, ref.request)
 		}
@@ -173,7 +121,7 @@
 			continue
 		}
 		if a.startedAt == 0 {
-			if now-a.sentAt > seconds(maxStartWaitJobs*d.meanWork) {
+			if now-a.sentAt > seconds(maxStartWaitJobs*d.estimates.meanWork) {
 				d.writeOff(ref.request, a)
 			}
 			continue
@@ -183,7 +131,7 @@
 		if since > maxRuntimeMultiple*expected+maxStartTimeout/4 {
 			d.writeOff(ref.request, a)
 		}
-		if d.silentConnections > minSilentConnections && since > 2*expected {
+		if d.connections.fallSilent() && since > 2*expected {
 			d.hedge(now, ref.request)
 		}
 	}
@@ -193,5 +141,5 @@
 // no other dispatcher fills the worker's slots, or connections are known to fall
 // silent now.
 func (d *Dispatcher) overdueStartImpliesSilentConn() bool {
-	return d.settings.Dispatchers == 1 || d.silentConnections > minSilentConnections
+	return d.settings.Dispatchers == 1 || d.connections.fallSilent()
 }
--- a/retry_test.go
+++ b/dispatcher/retry_test.go
@@ -1,4 +1,4 @@
-package sedgevale
+package dispatcher
 
 import (
 	"fmt"
@@ -15,7 +15,7 @@
 			if len(h.sends) != 1 {
 				t.Fatalf("not sent at once: %v", h.sends)
 			}
-			first := d.workersByName[h.last()]
+			first := d.workers.byName[h.last()]
 			h.now += ms
 			h.endAttempt(d, "r", 0, o)
 			again, mayRepeat := len(h.sends) > 1, d.provesNeverRan(o) || effect != NotIdempotent
@@ -25,7 +25,7 @@
 			if !again && mayRepeat {
 				t.Errorf("effect %d, outcome %d: not tried again", effect, o)
 			}
-			if again && effect == IdempotentByKey && !d.provesNeverRan(o) && d.workersByName[h.last()].Zone != first.Zone {
+			if again && effect == IdempotentByKey && !d.provesNeverRan(o) && d.workers.byName[h.last()].Zone != first.Zone {
 				t.Errorf("keyed, outcome %d: left the zone that drops repeats", o)
 			}
 			if !mayRepeat && h.ends["r"] != "failed" {
@@ -40,8 +40,8 @@
 	d, h := start(t, settings(), fleet(4)...)
 	h.submit(d, "r", 1)
 	h.now += 1950 * ms
-	r := d.requests["r"]
-	for _, w := range d.workers {
+	r := d.requests.byID["r"]
+	for _, w := range d.workers.all {
 		if d.mayAttempt(h.now, r, w) {
 			t.Errorf("may go to %s at the end of the window", w.Worker)
 		}
@@ -54,8 +54,8 @@
 	set.Classes[1].DedupWindow = 80 * ms
 	d, h := start(t, set, fleet(6)...)
 	h.submit(d, "r", 1)
-	r := d.requests["r"]
-	mate := d.workersByName[fmt.Sprint("w", (d.workersByName[h.last()].index+2)%6)] // of the same zone
+	r := d.requests.byID["r"]
+	mate := d.workers.byName[fmt.Sprint("w", (d.workers.byName[h.last()].index+2)%6)] // of the same zone
 	if !d.mayAttempt(h.now+60*ms, r, mate) || d.mayAttempt(h.now+75*ms, r, mate) {
 		t.Error("want a repeat within 70 ms of the first send, and none after")
 	}
@@ -66,8 +66,8 @@
 	set.AllowHedging = false
 	d, h := start(t, set, fleet(4)...)
 	h.submit(d, "r", 0)
-	for _, w := range d.workers {
-		if d.mayAttempt(h.now, d.requests["r"], w) {
+	for _, w := range d.workers.all {
+		if d.mayAttempt(h.now, d.requests.byID["r"], w) {
 			t.Error("a second attempt would be sent while the first is in flight")
 		}
 	}
@@ -82,11 +82,11 @@
 		}
 		return n
 	}
-	r := &request{class: d.classes[0], Request: Request{Slots: 1}, deadline: inTwo(h), targetAt: inTwo(h)}
+	r := &request{class: d.classes.current[0], Request: Request{Slots: 1}, deadline: inTwo(h), targetAt: inTwo(h)}
 	if n := far(r); n != 0 {
 		t.Errorf("%d of 1000 first picks outside the own zone while it has room", n)
 	}
-	r.attempts = []attempt{{worker: d.workers[0], ended: true}}
+	r.attempts = []attempt{{worker: d.workers.all[0], ended: true}}
 	if n := far(r); n < 400 || n > 600 {
 		t.Errorf("%d of 1000 further picks outside the own zone", n)
 	}
@@ -109,10 +109,10 @@
 	for i := range 20 {
 		id := fmt.Sprint("k", i)
 		h.submit(d, id, 1)
-		cell := d.workersByName[h.last()].Cell
+		cell := d.workers.byName[h.last()].Cell
 		h.endAttempt(d, id, 0, Rejected)
-		if h.attempts[id] != 2 || d.workersByName[h.last()].Cell != cell {
-			t.Fatalf("keyed: %d sends, cell %d after %d", h.attempts[id], d.workersByName[h.last()].Cell, cell)
+		if h.attempts[id] != 2 || d.workers.byName[h.last()].Cell != cell {
+			t.Fatalf("keyed: %d sends, cell %d after %d", h.attempts[id], d.workers.byName[h.last()].Cell, cell)
 		}
 		h.endAttempt(d, id, 1, Served)
 	}
@@ -141,7 +141,7 @@
 		if effect == NotIdempotent {
 			continue
 		}
-		if w := d.workersByName[first]; w.unhealthyUntil <= h.now {
+		if w := d.workers.byName[first]; w.unhealthyUntil <= h.now {
 			t.Errorf("doubted until %v: it can give no sign of this job any more", w.unhealthyUntil-h.now)
 		}
 		h.endAttempt(d, "r", 0, Cancelled)
@@ -160,11 +160,11 @@
 		{"we hold a job a worker", 150 * ms, 8, false},
 	} {
 		d, h := start(t, settings(), fleet(8)...)
-		d.classes[0].meanRuntime, d.classes[0].baseRuntime = 0.3, 0.3 // so that the start is waited for longer
+		d.classes.current[0].meanRuntime, d.classes.current[0].baseRuntime = 0.3, 0.3 // so that the start is waited for longer
 		h.submit(d, "full", 0)
 		h.now += c.after
 		h.endAttempt(d, "full", 0, Rejected)
-		d.addInFlight(d.workers[1], c.held)
+		d.addInFlight(d.workers.all[1], c.held)
 		h.cancels = nil
 		h.run(d, h.now+400*ms)
 		if got := len(h.cancels) > 0; got != c.calledOf {
--- a/slowstart_test.go
+++ b/dispatcher/slowstart_test.go
@@ -1,4 +1,4 @@
-package sedgevale
+package dispatcher
 
 import (
 	"fmt"
@@ -19,7 +19,7 @@
 			h.submit(d, fmt.Sprint("r", i), 0)
 			h.run(d, h.now+20*ms)
 			for _, s := range h.sends {
-				if r := d.requests[s.id]; r != nil && !r.attempts[s.n].ended {
+				if r := d.requests.byID[s.id]; r != nil && !r.attempts[s.n].ended {
 					if a := &r.attempts[s.n]; a.startedAt == 0 {
 						_ = d.AttemptStarted(h.now, s.id, s.n)
 					} else if h.now >= s.at+100*ms {
@@ -28,7 +28,7 @@
 				}
 			}
 			h.sends = slices.DeleteFunc(h.sends, func(s sent) bool {
-				return d.requests[s.id] == nil && s.worker != "cold"
+				return d.requests.byID[s.id] == nil && s.worker != "cold"
 			})
 		}
 	}
@@ -64,7 +64,7 @@
 	set.SlowStartDuration, set.SlowStartCapacity, set.OverloadMultiple, set.OverloadWindow = 8*time.Second, 0.3, 2.5, 1500*ms
 	d, h := start(t, set, fleet(1)...)
 	d.WorkersUpdated(h.now, UpdateDelta, []WorkerInfo{{Worker: "w0", Weight: 1, StartedAt: h.now - time.Second}})
-	if w := d.workersByName["w0"]; w.warmAt != h.now+7*time.Second || w.slowStartCredit > 0 {
+	if w := d.workers.byName["w0"]; w.warmAt != h.now+7*time.Second || w.slowStartCredit > 0 {
 		t.Errorf("cold until %v with credit %v", w.warmAt-h.now, w.slowStartCredit)
 	}
 }
@@ -74,10 +74,10 @@
 	set := settings()
 	set.SlowStartDuration, set.SlowStartCapacity, set.OverloadMultiple, set.OverloadWindow, set.Dispatchers = 8*time.Second, 0.5, 0.5, 2*time.Second, 1
 	d, h := start(t, set, fleet(1)...)
-	d.meanKnownWork, d.knownRequests, d.workRate = 0.1, 1, 1
-	w := d.workersByName["w0"]
+	d.estimates.meanKnownWork, d.estimates.knownRequests, d.estimates.workRate = 0.1, 1, 1
+	w := d.workers.byName["w0"]
 	w.warmAt, w.slowStartCredit, w.slowStartCreditAt = h.now+8*time.Second, -1, h.now-time.Second
-	d.slowStartAdmits(h.now, w, &request{class: d.classes[0]})
+	d.slowStart.admits(h.now, w, &request{class: d.classes.current[0]}, &d.estimates)
 	if want := -1 + 0.5*0.5/2; math.Abs(w.slowStartCredit-want) > 1e-9 {
 		t.Errorf("credit %v after a second, want %v", w.slowStartCredit, want)
 	}
@@ -105,15 +105,15 @@
 	}
 	began := h.now - time.Second
 	d.WorkersUpdated(h.now, UpdateDelta, []WorkerInfo{{Worker: "w10", Weight: 1, StartedAt: began}})
-	if w := d.workersByName["w10"]; w.warmAt != began+set.SlowStartDuration || w.presumedRestartAt != 0 {
+	if w := d.workers.byName["w10"]; w.warmAt != began+set.SlowStartDuration || w.presumedRestartAt != 0 {
 		t.Error("the list's news does not replace the presumption")
 	}
 	h.run(d, h.now+presumedRestartTTL+ms)
-	for _, w := range d.workers {
-		d.usable(h.now, w, &request{class: d.classes[0], Request: Request{Slots: 1}}, true)
+	for _, w := range d.workers.all {
+		d.usable(h.now, w, &request{class: d.classes.current[0], Request: Request{Slots: 1}}, true)
 	}
-	if n := warmingUp(d, h); n != 1 || d.presumedRestarts != 0 {
-		t.Errorf("%d cold without news, %d presumed", n, d.presumedRestarts)
+	if n := warmingUp(d, h); n != 1 || d.slowStart.presumed != 0 {
+		t.Errorf("%d cold without news, %d presumed", n, d.slowStart.presumed)
 	}
 	d, h = start(t, set, all...)
 	failEnough(d, h, 0, ConnectFailed)
@@ -132,7 +132,7 @@
 
 // warmingUp counts the workers that warm up.
 func warmingUp(d *Dispatcher, h *fakeHost) (n int) {
-	for _, w := range d.workers {
+	for _, w := range d.workers.all {
 		if w.warmAt > h.now {
 			n++
 		}
@@ -142,9 +142,9 @@
 
 // failEnough ends as many attempts at a worker as it takes to presume a restart: fewer may be single connections.
 func failEnough(d *Dispatcher, h *fakeHost, worker int, o Outcome) {
-	r := &request{class: d.classes[0], tenant: d.tenants[0], Request: Request{Slots: 1}}
+	r := &request{class: d.classes.current[0], tenant: d.tenants.all[0], Request: Request{Slots: 1}}
 	for range minConnFailuresForRestart {
-		d.learn(h.now, r, &attempt{worker: d.workers[worker]}, o)
+		d.learn(h.now, r, &attempt{worker: d.workers.all[worker]}, o)
 	}
 }
 
@@ -186,7 +186,7 @@
 			}
 			for _, s := range h.sends {
 				open[i] = append(open[i], timedJob{s.at + time.Duration(work[s.id]*float64(time.Second)), s.id})
-				if k := d.workersByName[s.worker]; k.StartedAt > 0 {
+				if k := d.workers.byName[s.worker]; k.StartedAt > 0 {
 					got[s.worker] = append(got[s.worker], s)
 				}
 			}
@@ -210,7 +210,7 @@
 func serveDone(d *Dispatcher, h *fakeHost, open []timedJob, now time.Duration) []timedJob {
 	keep := open[:0]
 	for _, j := range open {
-		if j.done > now || d.requests[j.id] == nil {
+		if j.done > now || d.requests.byID[j.id] == nil {
 			keep = append(keep, j)
 			continue
 		}
--- a/tenants_test.go
+++ b/dispatcher/tenants_test.go
@@ -1,4 +1,4 @@
-package sedgevale
+package dispatcher
 
 import (
 	"errors"
@@ -39,7 +39,7 @@
 }
 
 func (d *Dispatcher) turns() (names string) {
-	for _, t := range d.tenants {
+	for _, t := range d.tenants.all {
 		names += t.name
 	}
 	return names
@@ -81,8 +81,8 @@
 		}
 	}
 	h.run(d, h.now+150*ms)
-	if d.pendingRequests == 0 || d.tenants[0].deficit == 0 && d.tenants[1].deficit == 0 {
-		t.Fatalf("nothing is held, or nobody has credit: %d", d.pendingRequests)
+	if d.requests.pending == 0 || d.tenants.all[0].deficit == 0 && d.tenants.all[1].deficit == 0 {
+		t.Fatalf("nothing is held, or nobody has credit: %d", d.requests.pending)
 	}
 	checkOthersStay(t, d, set)
 }
@@ -90,18 +90,18 @@
 // checkOthersStay changes the tenants, and checks that those that stay go on as they were.
 func checkOthersStay(t *testing.T, d *Dispatcher, set Settings) {
 	t.Helper()
-	turn, credited := d.tenants[d.turn], d.turnCredited
-	before := []tenant{*d.tenants[0], *d.tenants[2]}
+	turn, credited := d.tenants.all[d.tenants.turn], d.tenants.turnCredited
+	before := []tenant{*d.tenants.all[0], *d.tenants.all[2]}
 	next := set
 	next.Tenants = []Tenant{{"e", 9, 0}, {"c", 2, 3}, {"b", 1, 1}, {"a", 4, 3}} // d goes, e comes, b is less, the order is another
 	if err := d.UpdateSettings(next); err != nil {
 		t.Fatal(err)
 	}
-	if d.turns() != "abcde" || d.tenants[d.turn] != turn || d.turnCredited != credited {
-		t.Errorf("turns %s, it is that of %s (credited %v), was %s (%v)", d.turns(), d.tenants[d.turn].name, d.turnCredited, turn.name, credited)
+	if d.turns() != "abcde" || d.tenants.all[d.tenants.turn] != turn || d.tenants.turnCredited != credited {
+		t.Errorf("turns %s, it is that of %s (credited %v), was %s (%v)", d.turns(), d.tenants.all[d.tenants.turn].name, d.tenants.turnCredited, turn.name, credited)
 	}
 	for i, at := range []int{0, 2} {
-		was, is := before[i], *d.tenants[at]
+		was, is := before[i], *d.tenants.all[at]
 		if was.numbers() != is.numbers() || !was.sameLists(&is) {
 			t.Errorf("tenant %s changed:\n%+v\n%+v", is.name, was, is)
 		}
@@ -109,7 +109,7 @@
 	checkOrderOfTenants(t, d)
 	bad := next
 	bad.Tenants = []Tenant{{"a", 0, 0}}
-	if err := d.UpdateSettings(bad); err == nil || d.turns() != "abcde" || d.tenantsByIndex[1].name != "c" {
+	if err := d.UpdateSettings(bad); err == nil || d.turns() != "abcde" || d.tenants.byIndex[1].name != "c" {
 		t.Errorf("settings with a share of 0: error %v, turns %s", err, d.turns())
 	}
 }
@@ -118,8 +118,8 @@
 func checkOrderOfTenants(t *testing.T, d *Dispatcher) {
 	t.Helper()
 	for i, name := range []string{"e", "c", "b", "a"} {
-		if d.tenantsByIndex[i].name != name || d.TenantIndex(name) != i {
-			t.Errorf("number %d is %s, and %s has number %d", i, d.tenantsByIndex[i].name, name, d.TenantIndex(name))
+		if d.tenants.byIndex[i].name != name || d.TenantIndex(name) != i {
+			t.Errorf("number %d is %s, and %s has number %d", i, d.tenants.byIndex[i].name, name, d.TenantIndex(name))
 		}
 	}
 }
@@ -139,14 +139,14 @@
 	for i := range 6 {
 		h.askFor(d, fmt.Sprint("c", i), 2, 5*time.Second)
 	}
-	held := d.tenants[2].pendingSlots
+	held := d.tenants.all[2].pendingSlots
 	if held == 0 || len(h.sends) == 0 {
 		t.Fatalf("%v held, %d sent", held, len(h.sends))
 	}
 	if err := d.UpdateSettings(tenantSettings("ab", 2, 1)); err != nil {
 		t.Fatal(err)
 	}
-	if c := d.tenants[2]; c.share != 0.25 || c.pendingSlots != held {
+	if c := d.tenants.all[2]; c.share != 0.25 || c.pendingSlots != held {
 		t.Errorf("it has a share of %v and holds %v; before it was 0.25 and %v", c.share, c.pendingSlots, held)
 	}
 	if got := d.TenantIndex("c"); got != 2 {
@@ -165,17 +165,17 @@
 // checkShareOfRemovedTenant checks the share of tenant c, which is removed and has no job left.
 func checkShareOfRemovedTenant(t *testing.T, d *Dispatcher, h *fakeHost) {
 	t.Helper()
-	if a, c := d.tenants[0], d.tenants[2]; c.share != 0 || a.share != 2.0/3 {
+	if a, c := d.tenants.all[0], d.tenants.all[2]; c.share != 0 || a.share != 2.0/3 {
 		t.Errorf("without a job it has a share of %v, and a has %v", c.share, a.share)
 	}
 	h.askFor(d, "late", d.TenantIndex("c"), time.Second) // as from a queue before the Dispatcher
-	if a, c := d.tenants[0], d.tenants[2]; c.share != 0.25 || a.share != 0.5 {
+	if a, c := d.tenants.all[0], d.tenants.all[2]; c.share != 0.25 || a.share != 0.5 {
 		t.Errorf("with a job again it has a share of %v, and a has %v", c.share, a.share)
 	}
 	h.endAttempt(d, "late", 0, Served)
 	h.run(d, h.now+5*time.Second+2*roundInterval)
-	if d.turns() != "ab" || d.removedTenants != 0 || d.TenantIndex("c") != -1 {
-		t.Errorf("turns %s, %d gone, number %d", d.turns(), d.removedTenants, d.TenantIndex("c"))
+	if d.turns() != "ab" || d.tenants.removed != 0 || d.TenantIndex("c") != -1 {
+		t.Errorf("turns %s, %d gone, number %d", d.turns(), d.tenants.removed, d.TenantIndex("c"))
 	}
 	if err := d.SubmitRequest(h.now, Request{ID: "never", Tenant: 2, TimeLeft: time.Second}); !errors.Is(err, ErrBadRequest) {
 		t.Errorf("a job of nobody: %v", err)
@@ -188,7 +188,7 @@
 	d, h := start(t, set, fleet(3)...)
 	h.askFor(d, "r", 1, 5*time.Second)
 	h.endAttempt(d, "r", 0, Served)
-	b := d.tenants[1]
+	b := d.tenants.all[1]
 	jobs, deficit := b.sentJobs, b.deficit
 	for range 3 {
 		for _, s := range []Settings{tenantSettings("a", 1), set} {
@@ -198,11 +198,11 @@
 		}
 		h.run(d, h.now+roundInterval)
 	}
-	if d.tenantsByIndex[1] != b || b.sentJobs != jobs || b.deficit != deficit || b.removed || d.removedTenants != 0 || d.turns() != "ab" {
-		t.Errorf("it is %+v, turns %s", d.tenantsByIndex[1], d.turns())
+	if d.tenants.byIndex[1] != b || b.sentJobs != jobs || b.deficit != deficit || b.removed || d.tenants.removed != 0 || d.turns() != "ab" {
+		t.Errorf("it is %+v, turns %s", d.tenants.byIndex[1], d.turns())
 	}
 	h.run(d, h.now+time.Minute)
-	if d.tenantsByIndex[1] != b || d.turns() != "ab" {
+	if d.tenants.byIndex[1] != b || d.turns() != "ab" {
 		t.Errorf("later the turns are %s", d.turns())
 	}
 }
@@ -213,12 +213,12 @@
 	set := tenantSettings("ab", 1, 9)
 	set.Tenants[0].Quota, set.Tenants[1].Quota = 40, 40
 	d, h := start(t, set, fleet(3)...)
-	d.arrivals, d.tenants[0].arrivals = 10, 10 // more than its share of what arrives
-	within := func() (n int) {                 // jobs within its share in two seconds
+	d.tenants.arrivals, d.tenants.all[0].arrivals = 10, 10 // more than its share of what arrives
+	within := func() (n int) {                             // jobs within its share in two seconds
 		for range 2000 {
 			h.now += ms
-			if d.withinShare(h.now, d.tenants[0]) {
-				d.tenants[0].tokens--
+			if d.tenants.withinShare(h.now, d.tenants.all[0], d.capacity.slots) {
+				d.tenants.all[0].tokens--
 				n++
 			}
 		}
@@ -327,7 +327,7 @@
 		if err := m.d.SubmitRequest(m.h.now, Request{ID: fmt.Sprint("r", m.asked), Tenant: number, TimeLeft: time.Second, RuntimeHint: 50 * ms}); err != nil {
 			r.Fatal(err)
 		}
-		if got := m.d.requests[fmt.Sprint("r", m.asked)]; got != nil && got.tenant.name != name {
+		if got := m.d.requests.byID[fmt.Sprint("r", m.asked)]; got != nil && got.tenant.name != name {
 			r.Fatalf("a job of %s is %s's", name, got.tenant.name)
 		}
 		m.asked++
@@ -352,29 +352,29 @@
 func (m *tenantsModel) check(r *rapid.T) {
 	d := m.d
 	seen, open, sum := map[*tenant]bool{}, 0, 0.0
-	for _, v := range d.tenants {
+	for _, v := range d.tenants.all {
 		if seen[v] {
 			r.Fatalf("%s has two turns", v.name)
 		}
 		seen[v], open, sum = true, open+v.openRequests, sum+v.share
-		if len(v.pendingWork) != len(d.classesInUse) || v.openRequests < 0 {
-			r.Fatalf("%s: %d classes of %d, %d open", v.name, len(v.pendingWork), len(d.classesInUse), v.openRequests)
+		if len(v.pendingWork) != len(d.classes.inUse) || v.openRequests < 0 {
+			r.Fatalf("%s: %d classes of %d, %d open", v.name, len(v.pendingWork), len(d.classes.inUse), v.openRequests)
 		}
 	}
-	if len(d.tenantsByIndex) != max(1, len(m.set.Tenants)) || len(d.tenants) != len(d.tenantsByIndex)+d.removedTenants || open != len(d.requests) || math.Abs(sum-1) > 1e-9 {
-		r.Fatalf("%d named of %d, %d turns, %d gone, %d open of %d, shares add up to %v", len(d.tenantsByIndex), len(m.set.Tenants),
-			len(d.tenants), d.removedTenants, open, len(d.requests), sum)
+	if len(d.tenants.byIndex) != max(1, len(m.set.Tenants)) || len(d.tenants.all) != len(d.tenants.byIndex)+d.tenants.removed || open != len(d.requests.byID) || math.Abs(sum-1) > 1e-9 {
+		r.Fatalf("%d named of %d, %d turns, %d gone, %d open of %d, shares add up to %v", len(d.tenants.byIndex), len(m.set.Tenants),
+			len(d.tenants.all), d.tenants.removed, open, len(d.requests.byID), sum)
 	}
 	m.checkSettings(r, seen)
-	if d.turn >= len(d.tenants) {
-		r.Fatalf("the turn is that of %d of %d", d.turn, len(d.tenants))
+	if d.tenants.turn >= len(d.tenants.all) {
+		r.Fatalf("the turn is that of %d of %d", d.tenants.turn, len(d.tenants.all))
 	}
 }
 
 // checkSettings checks the tenants of the settings, each of which has a turn.
 func (m *tenantsModel) checkSettings(r *rapid.T, seen map[*tenant]bool) {
 	for i, v := range m.set.Tenants {
-		if got := m.d.tenantsByIndex[i]; got.name != v.Name || got.weight != v.Share || got.quota != quotaFactor*v.Quota || got.removed || !seen[got] {
+		if got := m.d.tenants.byIndex[i]; got.name != v.Name || got.weight != v.Share || got.quota != quotaFactor*v.Quota || got.removed || !seen[got] {
 			r.Fatalf("tenant %d is %+v, settings say %+v", i, got, v)
 		}
 	}
@@ -394,7 +394,7 @@
 		_ = d.AttemptEnded(h.now, AttemptResult{ID: h.sends[m.done].id, Attempt: h.sends[m.done].n, Outcome: Cancelled})
 	}
 	h.run(d, h.now+10*time.Second)
-	if d.removedTenants != 0 || len(d.requests) != 0 {
-		r.Fatalf("in the end %d are gone and still there, with %d requests", d.removedTenants, len(d.requests))
+	if d.tenants.removed != 0 || len(d.requests.byID) != 0 {
+		r.Fatalf("in the end %d are gone and still there, with %d requests", d.tenants.removed, len(d.requests.byID))
 	}
 }
--- /dev/null
+++ b/dispatcher/units.go
@@ -0,0 +1,40 @@
+package dispatcher
+
+import (
+	"sedgevale/admission"
+	"time"
+)
+
+// Units, and helpers of all files.
+
+// hashOf returns a key's hash by FNV-1a and a finalizer; it is 0 only for no key.
+func hashOf(s string) uint64 {
+	if s == "" {
+		return 0
+	}
+	h := uint64(14695981039346656037)
+	for i := range len(s) {
+		h = (h ^ uint64(s[i])) * 1099511628211
+	}
+	return mix(h) | 1
+}
+
+// mix is the 64-bit finalizer of MurmurHash3.
+func mix(h uint64) uint64 {
+	h = (h ^ h>>33) * 0xff51afd7ed558ccd
+	h = (h ^ h>>33) * 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+// unlimited stands for no limit.
+var unlimited = admission.Unlimited
+
+// boolToFloat returns 1 for true.
+func boolToFloat(is bool) float64 {
+	if is {
+		return 1
+	}
+	return 0
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/pages_test.go
+++ b/docs/pages_test.go
@@ -1,4 +1,5 @@
-package sedgevale_test
+// Package docs_test holds the pages against the sources; the package has tests alone.
+package docs_test
 
 import (
 	"go/ast"
@@ -14,7 +15,7 @@
 var (
 	codeSpan   = regexp.MustCompile("`([^`\n]+)`")
 	sourcePath = regexp.MustCompile(`^(?:[a-zA-Z0-9_.-]+/)*[a-zA-Z0-9_-]+\.(?:go|md|toml|sh|txt|yml)$|` +
-		`^(?:internal|coord|cmd|docs|deploy|scripts|jobs|scheduler|admission|workeragent)(?:/[a-zA-Z0-9_-]+)+/?$`)
+		`^(?:internal|coord|cmd|docs|deploy|scripts|jobs|scheduler|admission|dispatcher|workeragent)(?:/[a-zA-Z0-9_-]+)+/?$`)
 	testName   = regexp.MustCompile(`^(?:Test|Fuzz|Benchmark)[A-Z][A-Za-z0-9]+$`)
 	identifier = regexp.MustCompile(`^([A-Za-z]\w*)\.([A-Za-z]\w*)(?:\.([A-Za-z]\w*))?$`)
 	pageLink   = regexp.MustCompile(`\]\(([^)#:]+)(?:#[^)]*)?\)`)
@@ -29,6 +30,7 @@
 // TestPagesNameWhatExists holds the pages against the sources: files, packages, tests, declared names and links that a page
 // names are there. Pages on incidents and the changelog tell of their own time and are left out.
 func TestPagesNameWhatExists(t *testing.T) {
+	t.Chdir("..")
 	sources := readSources(t)
 	pages := append(glob(t, "*.md"), append(glob(t, "docs/*.md"), glob(t, "docs/design/*.md")...)...)
 	for _, page := range pages {
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 )
 
 // List is the list of workers as of a revision: all of them, or the entries that have changed.
@@ -28,8 +28,8 @@
 	UpSince  int64   `json:"up_since_ms" toml:"up_since_ms,omitempty"`
 }
 
-var phases = map[string]sedgevale.WorkerState{
-	"ready": sedgevale.Active, "draining": sedgevale.Draining, "gone": sedgevale.Removed,
+var phases = map[string]dispatcher.WorkerState{
+	"ready": dispatcher.Active, "draining": dispatcher.Draining, "gone": dispatcher.Removed,
 }
 
 // Parse decodes and validates a list.
@@ -55,10 +55,10 @@
 type Names struct{ Zones, Kinds []string }
 
 // WorkerInfos converts a list for the dispatcher. When maps Unix times in milliseconds onto the dispatcher's clock.
-func (n Names) WorkerInfos(l List, when func(unixMilli int64) time.Duration) []sedgevale.WorkerInfo {
-	entries := make([]sedgevale.WorkerInfo, 0, len(l.Members))
+func (n Names) WorkerInfos(l List, when func(unixMilli int64) time.Duration) []dispatcher.WorkerInfo {
+	entries := make([]dispatcher.WorkerInfo, 0, len(l.Members))
 	for _, m := range l.Members {
-		entries = append(entries, sedgevale.WorkerInfo{Worker: m.ID, Zone: indexOf(n.Zones, m.Locality),
+		entries = append(entries, dispatcher.WorkerInfo{Worker: m.ID, Zone: indexOf(n.Zones, m.Locality),
 			Kind: indexOf(n.Kinds, m.Flavor), Cell: m.Cell, State: phases[m.Phase], Weight: m.Size,
 			StartedAt: when(m.UpSince)})
 	}
@@ -77,7 +77,7 @@
 }
 
 // Ready reports whether the worker accepts new requests.
-func (m *Member) Ready() bool { return phases[m.Phase] == sedgevale.Active }
+func (m *Member) Ready() bool { return phases[m.Phase] == dispatcher.Active }
 
 // Apply returns the list after an update, which is a full list or the changed entries. It shares no memory with l.
 func (l List) Apply(change List, full bool) List {
@@ -95,7 +95,7 @@
 		}
 	}
 	for _, m := range change.Members {
-		if phases[m.Phase] != sedgevale.Removed {
+		if phases[m.Phase] != dispatcher.Removed {
 			out.Members = append(out.Members, m)
 		}
 	}
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/evloop"
 	"sedgevale/internal/testkit"
 )
@@ -151,10 +151,10 @@
 		t.Fatal(err)
 	}
 	got := Names{Zones: []string{"y", "x"}, Kinds: []string{"f"}}.WorkerInfos(l, func(ms int64) time.Duration { return time.Duration(ms) })
-	if want := (sedgevale.WorkerInfo{Worker: "a", Zone: 1, Cell: 3, Weight: 2, StartedAt: 7}); got[0] != want {
+	if want := (dispatcher.WorkerInfo{Worker: "a", Zone: 1, Cell: 3, Weight: 2, StartedAt: 7}); got[0] != want {
 		t.Errorf("%+v", got[0])
 	}
-	if w := got[1]; w.State != sedgevale.Removed || w.Zone != 2 || w.Kind != 1 {
+	if w := got[1]; w.State != dispatcher.Removed || w.Zone != 2 || w.Kind != 1 {
 		t.Errorf("unknown names have the indexes of known ones: %+v", w)
 	}
 	for _, text := range []string{`{`, `{"members":[{"id":"a","phase":"odd"}]}`, `{"members":[{"phase":"ready"}]}`} {
--- a/internal/dispatch/endings_test.go
+++ b/internal/dispatch/endings_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/testkit"
 )
 
@@ -17,11 +17,11 @@
 func (n manualJournal) RecordIntent(_ uint64, _ int, _, _ string, done func(bool)) {
 	n.intents <- done
 }
-func (manualJournal) AttemptSent(uint64, int)                           {}
-func (manualJournal) AttemptStarted(uint64, int)                        {}
-func (manualJournal) AttemptEnded(uint64, int, sedgevale.Outcome, bool) {}
-func (manualJournal) Answered(uint64, Answer)                           {}
-func (manualJournal) ClientDisconnected(uint64)                         {}
+func (manualJournal) AttemptSent(uint64, int)                            {}
+func (manualJournal) AttemptStarted(uint64, int)                         {}
+func (manualJournal) AttemptEnded(uint64, int, dispatcher.Outcome, bool) {}
+func (manualJournal) Answered(uint64, Answer)                            {}
+func (manualJournal) ClientDisconnected(uint64)                          {}
 
 // Guards against an attempt that is sent after its client has disconnected, where attempts may
 // not be cancelled: one that awaits its intent is not given to the carrier, and one that may
@@ -30,7 +30,7 @@
 	for _, recorded := range []bool{false, true} {
 		c := &carrier{sent: make(chan *Attempt, 16), cancelled: make(chan *Attempt, 16), withdrawn: make(chan *Attempt, 16)}
 		clock := NewClock()
-		p, err := NewPlanner(sedgevale.Settings{Classes: classes(), MaxAttempts: 3}, 1, clock, c, func() {}, slog.New(slog.DiscardHandler))
+		p, err := NewPlanner(dispatcher.Settings{Classes: classes(), MaxAttempts: 3}, 1, clock, c, func() {}, slog.New(slog.DiscardHandler))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -41,7 +41,7 @@
 		ctx, stop := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() { defer close(done); p.Run(ctx) }()
-		p.WorkersUpdated(sedgevale.UpdateFull, []sedgevale.WorkerInfo{{Worker: "w"}})
+		p.WorkersUpdated(dispatcher.UpdateFull, []dispatcher.WorkerInfo{{Worker: "w"}})
 		x := NewExchange(Job{ID: "r", Class: &classes()[1], Tenant: -1}, clock.Now()+5*time.Second, newClient())
 		p.SubmitRequest(x)
 		if recorded {
@@ -56,7 +56,7 @@
 			if testkit.Await(t, "the attempt to be withdrawn", c.withdrawn) != a {
 				t.Error("another attempt was withdrawn")
 			}
-			p.AttemptEnded(a, sedgevale.NotSent, nil, nil)
+			p.AttemptEnded(a, dispatcher.NotSent, nil, nil)
 		}
 		if n := openNow(t, p); n != 0 || len(c.sent) > 0 {
 			t.Errorf("recorded %v: %d open, %d sent", recorded, n, len(c.sent))
@@ -70,7 +70,7 @@
 // that may have run, not from one that was never sent. A class without such a window has no
 // expiry.
 func TestExpiry(t *testing.T) {
-	keyed := &sedgevale.Class{Idempotency: sedgevale.IdempotentByKey, DedupWindow: time.Second}
+	keyed := &dispatcher.Class{Idempotency: dispatcher.IdempotentByKey, DedupWindow: time.Second}
 	x := &Exchange{Job: Job{Class: keyed}}
 	if got := x.retryExpiry(); got != 0 {
 		t.Errorf("of a first attempt: %v", got)
@@ -83,7 +83,7 @@
 	if a.Expired(4*time.Second-1) || !a.Expired(4*time.Second) || (&Attempt{}).Expired(time.Hour) {
 		t.Error("the wrong moment")
 	}
-	x.Class = &sedgevale.Class{Idempotency: sedgevale.NotIdempotent}
+	x.Class = &dispatcher.Class{Idempotency: dispatcher.NotIdempotent}
 	if got := x.retryExpiry(); got != 0 {
 		t.Errorf("of another class: %v", got)
 	}
@@ -101,10 +101,10 @@
 		x := NewExchange(Job{ID: "r", Class: &classes()[0], Tenant: -1}, clock.Now()+5*time.Second, c)
 		p.SubmitRequest(x)
 		if tried {
-			p.AttemptEnded(testkit.Await(t, "the attempt", carry.sent), sedgevale.Rejected, nil, nil) // w is left alone for now
+			p.AttemptEnded(testkit.Await(t, "the attempt", carry.sent), dispatcher.Rejected, nil, nil) // w is left alone for now
 		}
 		p.ClientDisconnected(x)
-		p.WorkersUpdated(sedgevale.UpdateDelta, []sedgevale.WorkerInfo{{Worker: "v"}})
+		p.WorkersUpdated(dispatcher.UpdateDelta, []dispatcher.WorkerInfo{{Worker: "v"}})
 		if n := openNow(t, p); n != 0 || len(carry.sent) > 0 || c.count() > 0 {
 			t.Errorf("tried %v: %d open, %d sent, %d answers", tried, n, len(carry.sent), c.count())
 		}
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -1,5 +1,5 @@
 // Package dispatch drives the decision module: a [Planner] owns a
-// [sedgevale.Dispatcher] and its timers, an [Exchange] is one request with its
+// [dispatcher.Dispatcher] and its timers, an [Exchange] is one request with its
 // attempts and its one final answer, a [Set] is the planners of a program. The
 // package stands between the servers, which read clients' requests, and the carriers,
 // which send attempts to workers; it knows no protocol and decides nothing.
@@ -8,14 +8,14 @@
 import (
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 )
 
 // Job is what a client asks for.
 type Job struct {
 	ID          string
-	Class       *sedgevale.Class // as it was when the job came; immutable
-	Tenant      int              // index into the settings by which the job was parsed; -1: there were no tenants
+	Class       *dispatcher.Class // as it was when the job came; immutable
+	Tenant      int               // index into the settings by which the job was parsed; -1: there were no tenants
 	TenantName  string
 	Client      string        // of the tenant; may be empty
 	AffinityKey string        // what a worker may have cached for the job; may be empty
@@ -64,11 +64,11 @@
 	client       Client
 	deadline     time.Duration // on the Clock
 	attempts     []*Attempt
-	inFlight     int               // attempts that have not ended
-	answered     bool              // or the client has disconnected
-	lastOutcome  sedgevale.Outcome // of the attempt that ended last
-	journal      Journal           // nil: the job is not recorded
-	recordNumber uint64            // in the journal; 0: not recorded
+	inFlight     int                // attempts that have not ended
+	answered     bool               // or the client has disconnected
+	lastOutcome  dispatcher.Outcome // of the attempt that ended last
+	journal      Journal            // nil: the job is not recorded
+	recordNumber uint64             // in the journal; 0: not recorded
 }
 
 // NewExchange returns an Exchange for a job whose client waits until the deadline, a
--- a/internal/dispatch/journal.go
+++ b/internal/dispatch/journal.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 )
 
 // Journal keeps a durable record of jobs that must not run twice. Its methods must not
@@ -19,7 +19,7 @@
 	AttemptSent(number uint64, attempt int)
 	AttemptStarted(number uint64, attempt int)
 	// AttemptEnded records how an attempt ended, and whether it surely never ran.
-	AttemptEnded(number uint64, attempt int, o sedgevale.Outcome, neverRan bool)
+	AttemptEnded(number uint64, attempt int, o dispatcher.Outcome, neverRan bool)
 	Answered(number uint64, a Answer)
 	ClientDisconnected(number uint64)
 }
@@ -89,7 +89,7 @@
 			x.answer(Answer{Kind: Rejected, RetryAfter: min(unrecordedRetryAfter, p.settings.MaxRetryAfter), Reason: "it cannot be recorded"})
 		}
 	}
-	p.endAttempt(a, sedgevale.NotSent, nil, nil)
+	p.endAttempt(a, dispatcher.NotSent, nil, nil)
 }
 
 // mayHaveRunBesides reports whether an attempt other than the given one may have run.
--- a/internal/dispatch/journal_test.go
+++ b/internal/dispatch/journal_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/testkit"
 )
 
@@ -45,7 +45,7 @@
 }
 func (b *fakeJournal) AttemptSent(uint64, int)    { b.note("sent") }
 func (b *fakeJournal) AttemptStarted(uint64, int) { b.note("started") }
-func (b *fakeJournal) AttemptEnded(_ uint64, _ int, _ sedgevale.Outcome, neverRan bool) {
+func (b *fakeJournal) AttemptEnded(_ uint64, _ int, _ dispatcher.Outcome, neverRan bool) {
 	if neverRan {
 		b.note("ended unseen")
 	} else {
@@ -96,7 +96,7 @@
 	}
 	p.AttemptSent(a)
 	p.AttemptStarted(a)
-	p.AttemptEnded(a, sedgevale.Served, []byte("x"), nil)
+	p.AttemptEnded(a, dispatcher.Served, []byte("x"), nil)
 	if got := testkit.Await(t, "an answer", c.first); got.Kind != Served {
 		t.Errorf("answered %+v", got)
 	}
--- a/internal/dispatch/peer_load.go
+++ b/internal/dispatch/peer_load.go
@@ -3,31 +3,31 @@
 import (
 	"sync"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 )
 
 // peerSignals is what a Planner exchanges with other schedulers of the site.
 type peerSignals struct {
-	onLoadChange  func([]sedgevale.WorkerLoad) // nil: load changes are not tracked
-	loadChanges   []sedgevale.WorkerLoad
+	onLoadChange  func([]dispatcher.WorkerLoad) // nil: load changes are not tracked
+	loadChanges   []dispatcher.WorkerLoad
 	subset        []string
 	subsetSharers int
 
-	peerLoadMu   sync.Mutex             // guards peerLoad
-	peerLoad     []sedgevale.WorkerLoad // of other schedulers, not read by Run yet
-	peerLoadRead []sedgevale.WorkerLoad // swapped with peerLoad by Run
+	peerLoadMu   sync.Mutex              // guards peerLoad
+	peerLoad     []dispatcher.WorkerLoad // of other schedulers, not read by Run yet
+	peerLoadRead []dispatcher.WorkerLoad // swapped with peerLoad by Run
 }
 
 // OnLoadChange has f called with the planner's load at each worker where that has changed.
 // The calls come from Run; f must not block, nor keep the slice. OnLoadChange must be
 // called before Run.
-func (p *Planner) OnLoadChange(f func([]sedgevale.WorkerLoad)) {
+func (p *Planner) OnLoadChange(f func([]dispatcher.WorkerLoad)) {
 	p.onLoadChange = f
 	p.dispatcher.TrackLoadChanges()
 }
 
 // UpdatePeerLoad brings the load of other schedulers at some workers. The slice is not kept.
-func (p *Planner) UpdatePeerLoad(loads []sedgevale.WorkerLoad) {
+func (p *Planner) UpdatePeerLoad(loads []dispatcher.WorkerLoad) {
 	p.peerLoadMu.Lock()
 	p.peerLoad = append(p.peerLoad, loads...)
 	p.peerLoadMu.Unlock()
@@ -35,7 +35,7 @@
 }
 
 // SetSubset sets the planner's subset of the workers; see
-// [sedgevale.Dispatcher.SetSubset].
+// [dispatcher.Dispatcher.SetSubset].
 func (p *Planner) SetSubset(workers []string, sharers int) {
 	p.enqueueCall(func() {
 		p.subset, p.subsetSharers = workers, sharers
@@ -74,7 +74,7 @@
 	p.dispatcher.SetSubset(p.now, p.subset, p.subsetSharers)
 	p.loadChanges = p.loadChanges[:0]
 	for worker := range p.workers {
-		p.loadChanges = append(p.loadChanges, sedgevale.WorkerLoad{Worker: worker})
+		p.loadChanges = append(p.loadChanges, dispatcher.WorkerLoad{Worker: worker})
 	}
 	p.onLoadChange(p.loadChanges)
 }
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -10,7 +10,7 @@
 	"slices"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/unbounded"
 )
 
@@ -23,21 +23,21 @@
 	carrier  Carrier
 	watch    func()
 	log      *slog.Logger
-	settings sedgevale.Settings
+	settings dispatcher.Settings
 	seed     uint64
 
-	dispatcher *sedgevale.Dispatcher
+	dispatcher *dispatcher.Dispatcher
 	queue      *unbounded.Queue[event]
 	commands   *unbounded.Queue[func()] // of operators: run before each event
 	wake       chan struct{}            // holds a token while something waits in queue or commands
 	timers     timers
-	lastTimer  uint64                          // serial number
-	now        time.Duration                   // of the event that is handled
-	exchanges  map[string]*Exchange            // by ID: not answered, or with attempts in flight
-	workers    map[string]sedgevale.WorkerInfo // the list, for a fresh Dispatcher
-	cordoned   map[string]bool                 // workers by name, for the same
-	journal    Journal                         // nil: none
-	tally      tally                           // counts for a log line, with -tags tally
+	lastTimer  uint64                           // serial number
+	now        time.Duration                    // of the event that is handled
+	exchanges  map[string]*Exchange             // by ID: not answered, or with attempts in flight
+	workers    map[string]dispatcher.WorkerInfo // the list, for a fresh Dispatcher
+	cordoned   map[string]bool                  // workers by name, for the same
+	journal    Journal                          // nil: none
+	tally      tally                            // counts for a log line, with -tags tally
 	sharing
 	peerSignals
 }
@@ -63,20 +63,20 @@
 	kind     eventKind
 	exchange *Exchange
 	attempt  *Attempt
-	outcome  sedgevale.Outcome
-	report   *sedgevale.LoadReport
+	outcome  dispatcher.Outcome
+	report   *dispatcher.LoadReport
 	result   []byte
 	progress float64
 	ok       bool
 	worker   string
-	listKind sedgevale.UpdateKind
-	entries  []sedgevale.WorkerInfo
+	listKind dispatcher.UpdateKind
+	entries  []dispatcher.WorkerInfo
 	call     func()
 }
 
 // NewPlanner returns a Planner. Watch is called when the Dispatcher asks for the list
 // of workers. The error is that of the settings.
-func NewPlanner(set sedgevale.Settings, seed uint64, clock Clock, carrier Carrier, watch func(),
+func NewPlanner(set dispatcher.Settings, seed uint64, clock Clock, carrier Carrier, watch func(),
 	log *slog.Logger) (*Planner, error) {
 	p := &Planner{
 		clock:     clock,
@@ -87,13 +87,13 @@
 		seed:      seed,
 		wake:      make(chan struct{}, 1),
 		exchanges: map[string]*Exchange{},
-		workers:   map[string]sedgevale.WorkerInfo{},
+		workers:   map[string]dispatcher.WorkerInfo{},
 		cordoned:  map[string]bool{},
 		sharing:   sharing{siblings: map[int]*sibling{}},
 	}
 	p.queue, p.commands = unbounded.New[event](p.wakeUp), unbounded.New[func()](p.wakeUp)
 	var err error
-	p.dispatcher, err = sedgevale.New(set, seed, p)
+	p.dispatcher, err = dispatcher.New(set, seed, p)
 	return p, err
 }
 
@@ -122,17 +122,17 @@
 }
 
 // AttemptEnded reports how an attempt ended. Result is the worker's answer if it was served.
-func (p *Planner) AttemptEnded(a *Attempt, o sedgevale.Outcome, result []byte, report *sedgevale.LoadReport) {
+func (p *Planner) AttemptEnded(a *Attempt, o dispatcher.Outcome, result []byte, report *dispatcher.LoadReport) {
 	p.queue.Put(event{kind: eventEnded, attempt: a, outcome: o, result: result, report: report})
 }
 
 // ProbeResult brings the answer to a probe, or nil where none came in time.
-func (p *Planner) ProbeResult(worker string, report *sedgevale.LoadReport) {
+func (p *Planner) ProbeResult(worker string, report *dispatcher.LoadReport) {
 	p.queue.Put(event{kind: eventProbeResult, worker: worker, report: report})
 }
 
 // WorkersUpdated brings an update of the list of workers. The Planner keeps the entries.
-func (p *Planner) WorkersUpdated(list sedgevale.UpdateKind, entries []sedgevale.WorkerInfo) {
+func (p *Planner) WorkersUpdated(list dispatcher.UpdateKind, entries []dispatcher.WorkerInfo) {
 	p.queue.Put(event{kind: eventWorkersUpdated, listKind: list, entries: entries})
 }
 
@@ -236,7 +236,7 @@
 					a.ended, a.neverRan = true, a.awaitsIntent
 					p.carrier.Cancel(a)
 					if a.recordNumber != 0 {
-						p.journal.AttemptEnded(a.recordNumber, a.Number, sedgevale.Cancelled, a.neverRan)
+						p.journal.AttemptEnded(a.recordNumber, a.Number, dispatcher.Cancelled, a.neverRan)
 					}
 				}
 			}
@@ -245,17 +245,17 @@
 		clear(p.exchanges)
 		p.timers = nil
 		p.seed++
-		d, err := sedgevale.New(p.settings, p.seed, p)
+		d, err := dispatcher.New(p.settings, p.seed, p)
 		if err != nil {
 			p.log.Error("decision module did not start", "err", err)
 			return
 		}
 		p.dispatcher = d
-		entries := make([]sedgevale.WorkerInfo, 0, len(p.workers))
+		entries := make([]dispatcher.WorkerInfo, 0, len(p.workers))
 		for _, e := range p.workers {
 			entries = append(entries, e)
 		}
-		p.dispatcher.WorkersUpdated(p.clock.Now(), sedgevale.UpdateFull, entries)
+		p.dispatcher.WorkersUpdated(p.clock.Now(), dispatcher.UpdateFull, entries)
 		for worker := range p.cordoned {
 			p.dispatcher.RestoreCordon(worker)
 		}
@@ -348,7 +348,7 @@
 	}
 	p.exchanges[x.ID] = x
 	p.announceOpened(x.ID)
-	err := p.dispatcher.SubmitRequest(p.now, sedgevale.Request{ID: x.ID, Class: class, Tenant: tenant, AffinityKey: x.AffinityKey,
+	err := p.dispatcher.SubmitRequest(p.now, dispatcher.Request{ID: x.ID, Class: class, Tenant: tenant, AffinityKey: x.AffinityKey,
 		TimeLeft: left, RuntimeHint: x.RuntimeHint, Slots: x.Slots, ClientRetry: x.ClientRetry})
 	if err != nil {
 		p.log.Error("decision module rejected a request", "err", err)
@@ -360,7 +360,7 @@
 // classOf returns the index of a job's class in the settings, or -1. While the job
 // was on its way here the settings may have changed, and its class with them.
 func (p *Planner) classOf(x *Exchange) int {
-	return slices.IndexFunc(p.settings.Classes, func(c sedgevale.Class) bool { return x.Class != nil && c.Name == x.Class.Name })
+	return slices.IndexFunc(p.settings.Classes, func(c dispatcher.Class) bool { return x.Class != nil && c.Name == x.Class.Name })
 }
 
 // tenantOf returns the Dispatcher's index of a job's tenant, or -1. The index that the
@@ -376,7 +376,7 @@
 
 // UpdateSettings takes over new settings, which must not be changed any more. Jobs in flight
 // keep their class.
-func (p *Planner) UpdateSettings(set sedgevale.Settings) {
+func (p *Planner) UpdateSettings(set dispatcher.Settings) {
 	p.enqueueCall(func() {
 		if err := p.dispatcher.UpdateSettings(set); err != nil {
 			p.log.Error("decision module rejected new settings", "err", err)
@@ -387,7 +387,7 @@
 	})
 }
 
-func (p *Planner) endAttempt(a *Attempt, o sedgevale.Outcome, result []byte, report *sedgevale.LoadReport) {
+func (p *Planner) endAttempt(a *Attempt, o dispatcher.Outcome, result []byte, report *dispatcher.LoadReport) {
 	if a.ended {
 		return
 	}
@@ -396,8 +396,8 @@
 	if a.timer.index >= 0 { // it would keep the request's body in memory until the deadline
 		heap.Remove(&p.timers, a.timer.index)
 	}
-	a.neverRan = a.awaitsIntent || o == sedgevale.ConnectFailed || o == sedgevale.NotSent ||
-		o == sedgevale.Rejected && !p.settings.RejectedMayHaveRun
+	a.neverRan = a.awaitsIntent || o == dispatcher.ConnectFailed || o == dispatcher.NotSent ||
+		o == dispatcher.Rejected && !p.settings.RejectedMayHaveRun
 	if a.recordNumber != 0 {
 		p.journal.AttemptEnded(a.recordNumber, a.Number, o, a.neverRan)
 	}
@@ -405,21 +405,21 @@
 	x.inFlight--
 	p.loadChanged = true
 	x.lastOutcome = o
-	if o == sedgevale.Served {
+	if o == dispatcher.Served {
 		x.answer(Answer{Kind: Served, Result: result})
 		p.withdrawUnsent(x)
 	}
-	p.logUnexpected(p.dispatcher.AttemptEnded(p.now, sedgevale.AttemptResult{ID: x.ID, Attempt: a.Number, Outcome: o,
+	p.logUnexpected(p.dispatcher.AttemptEnded(p.now, dispatcher.AttemptResult{ID: x.ID, Attempt: a.Number, Outcome: o,
 		Answered: x.answered, Report: report}))
 	p.forgetIfDone(x)
 }
 
-func (p *Planner) updateWorkers(list sedgevale.UpdateKind, entries []sedgevale.WorkerInfo) {
-	if list == sedgevale.UpdateFull || list == sedgevale.UpdateStale {
+func (p *Planner) updateWorkers(list dispatcher.UpdateKind, entries []dispatcher.WorkerInfo) {
+	if list == dispatcher.UpdateFull || list == dispatcher.UpdateStale {
 		clear(p.workers)
 	}
 	for _, e := range entries {
-		if p.workers[e.Worker] = e; e.State == sedgevale.Removed {
+		if p.workers[e.Worker] = e; e.State == dispatcher.Removed {
 			delete(p.workers, e.Worker)
 		}
 	}
@@ -437,7 +437,7 @@
 // logUnexpected logs an error of the Dispatcher, unless it is about a request or an
 // attempt that has ended meanwhile.
 func (p *Planner) logUnexpected(err error) {
-	if err != nil && !errors.Is(err, sedgevale.ErrUnknownRequest) && !errors.Is(err, sedgevale.ErrUnknownAttempt) {
+	if err != nil && !errors.Is(err, dispatcher.ErrUnknownRequest) && !errors.Is(err, dispatcher.ErrUnknownAttempt) {
 		p.log.Error("decision module rejected an event", "err", err)
 	}
 }
@@ -455,7 +455,7 @@
 			p.rejectUnrecorded(t.attempt)
 		default:
 			p.carrier.Cancel(t.attempt)
-			p.endAttempt(t.attempt, sedgevale.TimedOut, nil, nil)
+			p.endAttempt(t.attempt, dispatcher.TimedOut, nil, nil)
 		}
 	}
 }
--- a/internal/dispatch/planner_host.go
+++ b/internal/dispatch/planner_host.go
@@ -3,17 +3,17 @@
 import (
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 )
 
-// Send implements [sedgevale.Host].
+// Send implements [dispatcher.Host].
 func (p *Planner) Send(id, worker string, timeout time.Duration) {
 	x := p.exchanges[id]
 	if x == nil {
 		return
 	}
 	a := &Attempt{Exchange: x, Worker: worker, Number: len(x.attempts), Deadline: x.deadline, Planner: p,
-		AtMostOnce: x.Class.Idempotency == sedgevale.NotIdempotent}
+		AtMostOnce: x.Class.Idempotency == dispatcher.NotIdempotent}
 	if timeout > 0 {
 		a.Deadline = min(a.Deadline, p.now+timeout)
 	}
@@ -27,7 +27,7 @@
 	p.sendAttempt(a)
 }
 
-// Reject implements [sedgevale.Host].
+// Reject implements [dispatcher.Host].
 func (p *Planner) Reject(id string, after time.Duration) {
 	if x := p.exchanges[id]; x != nil {
 		p.tally.reject()
@@ -37,7 +37,7 @@
 	}
 }
 
-// Fail implements [sedgevale.Host].
+// Fail implements [dispatcher.Host].
 func (p *Planner) Fail(id string) {
 	if x := p.exchanges[id]; x != nil {
 		p.tally.fail()
@@ -55,14 +55,14 @@
 		switch {
 		case a.ended:
 		case a.awaitsIntent:
-			p.AttemptEnded(a, sedgevale.NotSent, nil, nil)
+			p.AttemptEnded(a, dispatcher.NotSent, nil, nil)
 		default:
 			p.carrier.CancelUnsent(a)
 		}
 	}
 }
 
-// Cancel implements [sedgevale.Host].
+// Cancel implements [dispatcher.Host].
 func (p *Planner) Cancel(id string, attempt int) {
 	x := p.exchanges[id]
 	if x == nil || attempt >= len(x.attempts) || x.attempts[attempt].ended {
@@ -70,27 +70,27 @@
 	}
 	p.tally.cancel()
 	if a := x.attempts[attempt]; a.awaitsIntent { // the carrier does not have it
-		p.AttemptEnded(a, sedgevale.NotSent, nil, nil)
+		p.AttemptEnded(a, dispatcher.NotSent, nil, nil)
 	} else {
 		p.carrier.Cancel(a)
 	}
 }
 
-// SetTimer implements [sedgevale.Host].
+// SetTimer implements [dispatcher.Host].
 func (p *Planner) SetTimer(after time.Duration, token uint64) {
 	p.setTimer(&timer{due: p.now + after, token: token})
 }
 
-// Probe implements [sedgevale.Host].
+// Probe implements [dispatcher.Host].
 func (p *Planner) Probe(worker string) { p.carrier.Probe(worker, p) }
 
-// CloseIdleConnections implements [sedgevale.Host].
+// CloseIdleConnections implements [dispatcher.Host].
 func (p *Planner) CloseIdleConnections(worker string) { p.carrier.CloseIdleConnections(worker) }
 
-// WatchWorkers implements [sedgevale.Host].
+// WatchWorkers implements [dispatcher.Host].
 func (p *Planner) WatchWorkers() { p.watch() }
 
-// Log implements [sedgevale.Host].
+// Log implements [dispatcher.Host].
 func (p *Planner) Log(text string) { p.log.Warn(text) }
 
 // dedupWindowMargin is kept of the window in which workers drop repeats, for the time
@@ -101,7 +101,7 @@
 // window in which workers drop repeats, counted from the first attempt that may have
 // run.
 func (x *Exchange) retryExpiry() time.Duration {
-	if x.Class.Idempotency != sedgevale.IdempotentByKey {
+	if x.Class.Idempotency != dispatcher.IdempotentByKey {
 		return 0
 	}
 	for _, a := range x.attempts {
@@ -118,11 +118,11 @@
 		return "no answer in time"
 	}
 	switch x.lastOutcome {
-	case sedgevale.Errored:
+	case dispatcher.Errored:
 		return "the worker failed"
-	case sedgevale.ConnectionLost:
+	case dispatcher.ConnectionLost:
 		return "the connection to the worker broke"
-	case sedgevale.TimedOut:
+	case dispatcher.TimedOut:
 		return "no answer in time"
 	}
 	return "not served"
--- a/internal/dispatch/planner_test.go
+++ b/internal/dispatch/planner_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/testkit"
 )
 
@@ -59,10 +59,10 @@
 	return len(c.answers)
 }
 
-func classes() []sedgevale.Class {
-	return []sedgevale.Class{
-		{Name: "free", Idempotency: sedgevale.Idempotent, LatencyTarget: time.Second, ClientTimeout: 5 * time.Second},
-		{Name: "once", Idempotency: sedgevale.NotIdempotent, LatencyTarget: time.Second, ClientTimeout: 5 * time.Second},
+func classes() []dispatcher.Class {
+	return []dispatcher.Class{
+		{Name: "free", Idempotency: dispatcher.Idempotent, LatencyTarget: time.Second, ClientTimeout: 5 * time.Second},
+		{Name: "once", Idempotency: dispatcher.NotIdempotent, LatencyTarget: time.Second, ClientTimeout: 5 * time.Second},
 	}
 }
 
@@ -71,7 +71,7 @@
 	t.Helper()
 	c := &carrier{sent: make(chan *Attempt, 16), cancelled: make(chan *Attempt, 16)}
 	clock := NewClock()
-	p, err := NewPlanner(sedgevale.Settings{Classes: classes(), MaxAttempts: 3, AllowCancel: true}, 1, clock, c,
+	p, err := NewPlanner(dispatcher.Settings{Classes: classes(), MaxAttempts: 3, AllowCancel: true}, 1, clock, c,
 		func() {}, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
@@ -80,11 +80,11 @@
 	done := make(chan struct{})
 	go func() { defer close(done); p.Run(ctx) }()
 	t.Cleanup(func() { stop(); <-done })
-	var entries []sedgevale.WorkerInfo
+	var entries []dispatcher.WorkerInfo
 	for _, w := range workers {
-		entries = append(entries, sedgevale.WorkerInfo{Worker: w})
+		entries = append(entries, dispatcher.WorkerInfo{Worker: w})
 	}
-	p.WorkersUpdated(sedgevale.UpdateFull, entries)
+	p.WorkersUpdated(dispatcher.UpdateFull, entries)
 	return p, c, clock
 }
 
@@ -124,7 +124,7 @@
 	if testkit.Await(t, "an event", carry.cancelled) != a {
 		t.Error("another attempt was called off")
 	}
-	p.AttemptEnded(a, sedgevale.Served, []byte("late"), nil)
+	p.AttemptEnded(a, dispatcher.Served, []byte("late"), nil)
 	if n := openNow(t, p); n != 0 || c.count() != 1 {
 		t.Errorf("%d exchanges open, %d answers", n, c.count())
 	}
@@ -136,7 +136,7 @@
 	p, carry, clock := begin(t, "v", "w")
 	c := newClient()
 	p.SubmitRequest(NewExchange(Job{ID: "r", Class: &classes()[1], Tenant: -1}, clock.Now()+5*time.Second, c))
-	p.AttemptEnded(testkit.Await(t, "an event", carry.sent), sedgevale.ConnectionLost, nil, nil)
+	p.AttemptEnded(testkit.Await(t, "an event", carry.sent), dispatcher.ConnectionLost, nil, nil)
 	if got := testkit.Await(t, "an event", c.first); got.Kind != Failed || !got.MayHaveRun {
 		t.Errorf("answered %+v", got)
 	}
@@ -153,13 +153,13 @@
 	c := newClient()
 	p.SubmitRequest(NewExchange(Job{ID: "r", Class: &classes()[1], Tenant: -1}, clock.Now()+5*time.Second, c))
 	first := testkit.Await(t, "an event", carry.sent)
-	p.WorkersUpdated(sedgevale.UpdateDelta, []sedgevale.WorkerInfo{{Worker: first.Worker, State: sedgevale.Draining}})
-	p.AttemptEnded(first, sedgevale.NotSent, nil, nil)
+	p.WorkersUpdated(dispatcher.UpdateDelta, []dispatcher.WorkerInfo{{Worker: first.Worker, State: dispatcher.Draining}})
+	p.AttemptEnded(first, dispatcher.NotSent, nil, nil)
 	second := testkit.Await(t, "an event", carry.sent)
 	if second.Worker == first.Worker {
 		t.Error("sent to the worker that drains")
 	}
-	p.AttemptEnded(second, sedgevale.Served, []byte("ok"), nil)
+	p.AttemptEnded(second, dispatcher.Served, []byte("ok"), nil)
 	if got := testkit.Await(t, "an event", c.first); got.Kind != Served || string(got.Result) != "ok" {
 		t.Errorf("answered %+v", got)
 	}
@@ -178,7 +178,7 @@
 	}
 	again := newClient()
 	p.SubmitRequest(NewExchange(Job{ID: "s", Class: &classes()[0], Tenant: -1}, clock.Now()+5*time.Second, again))
-	p.AttemptEnded(testkit.Await(t, "an event", carry.sent), sedgevale.Served, nil, nil)
+	p.AttemptEnded(testkit.Await(t, "an event", carry.sent), dispatcher.Served, nil, nil)
 	if got := testkit.Await(t, "an event", again.first); got.Kind != Served {
 		t.Errorf("answered %+v", got)
 	}
@@ -312,7 +312,7 @@
 			t.Fatalf("an attempt went to %s", a.Worker)
 		}
 		p.AttemptStarted(a)
-		p.AttemptEnded(a, sedgevale.Served, nil, nil)
+		p.AttemptEnded(a, dispatcher.Served, nil, nil)
 	}
 }
 
@@ -348,7 +348,7 @@
 		s := testkit.Await(t, "the sibling's update", updates)
 		opened = len(s.Opened) > 0 && s.Opened[len(s.Opened)-1] == "b"
 	}
-	p.AttemptEnded(first, sedgevale.Served, nil, nil)
+	p.AttemptEnded(first, dispatcher.Served, nil, nil)
 	for ended := false; !ended; {
 		s := testkit.Await(t, "the sibling's update", updates)
 		ended = len(s.Ended) > 0 && s.Ended[0] == "mine" && s.Loads[first.Worker].InFlight == 0
@@ -369,13 +369,13 @@
 	first := testkit.Await(t, "an attempt", carry.sent)
 	p.SubmitRequest(NewExchange(Job{ID: "free", Class: &classes()[0], Tenant: -1}, clock.Now()+5*time.Second, free))
 	second := testkit.Await(t, "an attempt", carry.sent)
-	swapped := []sedgevale.Class{classes()[1], classes()[0], {Name: "new", LatencyTarget: time.Second, ClientTimeout: 5 * time.Second}}
-	p.UpdateSettings(sedgevale.Settings{Classes: swapped[1:], MaxAttempts: 3, AllowCancel: true}) // once is gone
-	p.AttemptEnded(first, sedgevale.ConnectionLost, nil, nil)
+	swapped := []dispatcher.Class{classes()[1], classes()[0], {Name: "new", LatencyTarget: time.Second, ClientTimeout: 5 * time.Second}}
+	p.UpdateSettings(dispatcher.Settings{Classes: swapped[1:], MaxAttempts: 3, AllowCancel: true}) // once is gone
+	p.AttemptEnded(first, dispatcher.ConnectionLost, nil, nil)
 	if a := testkit.Await(t, "the answer", once.first); a.Kind != Failed {
 		t.Errorf("what must not run twice: %+v", a)
 	}
-	p.AttemptEnded(second, sedgevale.ConnectionLost, nil, nil)
+	p.AttemptEnded(second, dispatcher.ConnectionLost, nil, nil)
 	if a := testkit.Await(t, "another attempt", carry.sent); a.ID != "free" {
 		t.Errorf("sent again was %s", a.ID)
 	}
@@ -395,9 +395,9 @@
 func TestUpdateSettingsKeepsTheTenantOfJobs(t *testing.T) {
 	p, carry, clock := begin(t, "w", "v")
 	tenants := func(names string) {
-		set := sedgevale.Settings{Classes: classes(), MaxAttempts: 3, AllowCancel: true}
+		set := dispatcher.Settings{Classes: classes(), MaxAttempts: 3, AllowCancel: true}
 		for _, n := range names {
-			set.Tenants = append(set.Tenants, sedgevale.Tenant{Name: string(n), Share: 1})
+			set.Tenants = append(set.Tenants, dispatcher.Tenant{Name: string(n), Share: 1})
 		}
 		p.UpdateSettings(set)
 	}
@@ -423,6 +423,6 @@
 		if a.ID != id {
 			t.Errorf("%+v: %s was sent", c, a.ID)
 		}
-		p.AttemptEnded(a, sedgevale.Served, nil, nil)
+		p.AttemptEnded(a, dispatcher.Served, nil, nil)
 	}
 }
--- a/internal/dispatch/set.go
+++ b/internal/dispatch/set.go
@@ -5,7 +5,7 @@
 	"hash/maphash"
 	"sync"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 )
 
 // Set is the planners of one program. A request belongs to one of them by its ID; the
@@ -42,9 +42,9 @@
 
 // WorkersUpdated brings an update of the list of workers to all planners, each with a copy of
 // its own.
-func (s *Set) WorkersUpdated(list sedgevale.UpdateKind, entries []sedgevale.WorkerInfo) {
+func (s *Set) WorkersUpdated(list dispatcher.UpdateKind, entries []dispatcher.WorkerInfo) {
 	for _, p := range s.planners {
-		p.WorkersUpdated(list, append([]sedgevale.WorkerInfo(nil), entries...))
+		p.WorkersUpdated(list, append([]dispatcher.WorkerInfo(nil), entries...))
 	}
 }
 
@@ -96,7 +96,7 @@
 // Where it has fewer or more planners, each here goes on from one there.
 func (s *Set) TakeOver(number int, send func(planner int, s SiblingState), states []HandoverState) {
 	for i, p := range s.planners {
-		var learned sedgevale.LearnedState
+		var learned dispatcher.LearnedState
 		if len(states) > 0 {
 			learned = states[i%len(states)].Learned
 		}
@@ -122,7 +122,7 @@
 }
 
 // UpdateSettings has all planners take over new settings.
-func (s *Set) UpdateSettings(set sedgevale.Settings) {
+func (s *Set) UpdateSettings(set dispatcher.Settings) {
 	for _, p := range s.planners {
 		p.UpdateSettings(set)
 	}
--- a/internal/dispatch/siblings.go
+++ b/internal/dispatch/siblings.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 )
 
 // siblingUpdateInterval is the least time between two messages to a sibling.
@@ -12,27 +12,27 @@
 // SiblingState is what a planner sends to its sibling in the other process of an upgrade:
 // the two are one scheduler. It is immutable once it has been sent.
 type SiblingState struct {
-	Loads  map[string]sedgevale.Load `json:"out"`              // load by worker, now
-	Opened []string                  `json:"opened,omitempty"` // IDs of jobs, since the last message
-	Ended  []string                  `json:"ended,omitempty"`  // the same
+	Loads  map[string]dispatcher.Load `json:"out"`              // load by worker, now
+	Opened []string                   `json:"opened,omitempty"` // IDs of jobs, since the last message
+	Ended  []string                   `json:"ended,omitempty"`  // the same
 }
 
 // HandoverState is the state that a planner hands over to a new process.
 type HandoverState struct {
-	Shared  SiblingState           `json:"shared"`
-	Learned sedgevale.LearnedState `json:"learned"`
+	Shared  SiblingState            `json:"shared"`
+	Learned dispatcher.LearnedState `json:"learned"`
 }
 
 // sibling is the other process of the same scheduler during an upgrade, as a planner
 // knows it.
 type sibling struct {
 	send  func(SiblingState)
-	open  map[string]struct{}               // IDs of jobs
-	loads map[int]map[string]sedgevale.Load // by planner and worker
+	open  map[string]struct{}                // IDs of jobs
+	loads map[int]map[string]dispatcher.Load // by planner and worker
 }
 
 func newSibling(send func(SiblingState)) *sibling {
-	return &sibling{send, map[string]struct{}{}, map[int]map[string]sedgevale.Load{}}
+	return &sibling{send, map[string]struct{}{}, map[int]map[string]dispatcher.Load{}}
 }
 
 // sharing is what a Planner keeps of its siblings. Without any it costs nothing.
@@ -57,7 +57,7 @@
 }
 
 // TakeOver takes over what a sibling has learned, and adds the sibling.
-func (p *Planner) TakeOver(number int, send func(SiblingState), learned sedgevale.LearnedState) {
+func (p *Planner) TakeOver(number int, send func(SiblingState), learned dispatcher.LearnedState) {
 	p.enqueueCall(func() {
 		p.dispatcher.RestoreLearnedState(p.now, learned)
 		p.siblings[number] = newSibling(send)
@@ -96,7 +96,7 @@
 
 // updateSiblingLoad gives the Dispatcher the load of all siblings.
 func (p *Planner) updateSiblingLoad() {
-	sum := map[string]sedgevale.Load{}
+	sum := map[string]dispatcher.Load{}
 	for _, other := range p.siblings {
 		for _, loads := range other.loads {
 			for worker, l := range loads {
--- a/internal/dispatch/tally.go
+++ b/internal/dispatch/tally.go
@@ -6,7 +6,7 @@
 	"log/slog"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 )
 
 // tally counts what a planner did, for one log line every tallyInterval, so that
@@ -15,7 +15,7 @@
 type tally struct {
 	since                   time.Duration
 	sends, retries, cancels int
-	outcomes                [sedgevale.NotSent + 1]int
+	outcomes                [dispatcher.NotSent + 1]int
 	rejected, failed        int
 	starts, startLate       int
 	startSum                time.Duration
@@ -35,10 +35,10 @@
 	}
 }
 
-func (t *tally) cancel()                   { t.cancels++ }
-func (t *tally) reject()                   { t.rejected++ }
-func (t *tally) fail()                     { t.failed++ }
-func (t *tally) ended(o sedgevale.Outcome) { t.outcomes[o]++ }
+func (t *tally) cancel()                    { t.cancels++ }
+func (t *tally) reject()                    { t.rejected++ }
+func (t *tally) fail()                      { t.failed++ }
+func (t *tally) ended(o dispatcher.Outcome) { t.outcomes[o]++ }
 func (t *tally) started(a *Attempt, now time.Duration) {
 	t.starts++
 	delay := now - a.sentAt
@@ -62,9 +62,9 @@
 		}
 		log.Info("tally", "sends", t.sends, "further", t.retries, "cancels", t.cancels,
 			"refused", t.rejected, "failed", t.failed,
-			"served", o[sedgevale.Served], "errored", o[sedgevale.Errored], "full", o[sedgevale.Rejected],
-			"timed_out", o[sedgevale.TimedOut], "connect_failed", o[sedgevale.ConnectFailed], "lost", o[sedgevale.ConnectionLost],
-			"cancelled", o[sedgevale.Cancelled], "not_sent", o[sedgevale.NotSent],
+			"served", o[dispatcher.Served], "errored", o[dispatcher.Errored], "full", o[dispatcher.Rejected],
+			"timed_out", o[dispatcher.TimedOut], "connect_failed", o[dispatcher.ConnectFailed], "lost", o[dispatcher.ConnectionLost],
+			"cancelled", o[dispatcher.Cancelled], "not_sent", o[dispatcher.NotSent],
 			"starts", t.starts, "starts_late", t.startLate, "start_mean_ms", mean.Milliseconds())
 	}
 	*t = tally{since: now}
--- a/internal/dispatch/tally_off.go
+++ b/internal/dispatch/tally_off.go
@@ -6,7 +6,7 @@
 	"log/slog"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 )
 
 // tally is empty without -tags tally; see tally.go.
@@ -16,7 +16,7 @@
 func (*tally) cancel()                         {}
 func (*tally) reject()                         {}
 func (*tally) fail()                           {}
-func (*tally) ended(sedgevale.Outcome)         {}
+func (*tally) ended(dispatcher.Outcome)        {}
 func (*tally) started(*Attempt, time.Duration) {}
 func (*tally) out(*slog.Logger, time.Duration) {}
 
--- a/internal/dispatch/tally_test.go
+++ b/internal/dispatch/tally_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 )
 
 // The line sums what happened since the last and comes no sooner than tallyInterval.
@@ -22,8 +22,8 @@
 	tl.sent(second, 10*time.Millisecond)
 	tl.started(first, 30*time.Millisecond)
 	tl.started(second, 210*time.Millisecond)
-	tl.ended(sedgevale.Served)
-	tl.ended(sedgevale.Cancelled)
+	tl.ended(dispatcher.Served)
+	tl.ended(dispatcher.Cancelled)
 	tl.cancel()
 	tl.fail()
 	tl.out(log, tallyInterval-time.Millisecond)
--- a/internal/dispatchconfig/config_test.go
+++ b/internal/dispatchconfig/config_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 )
 
 const platform = `{"name":"n0","listen":"127.0.0.1:3000","discovery":"127.0.0.1:8500","seed":"92094eb940cf389a",
@@ -56,9 +56,9 @@
 		t.Fatal(err)
 	}
 	k := m.Classes[0]
-	if k.Idempotency != sedgevale.IdempotentByKey || k.DedupScope != sedgevale.DedupCell || k.DedupWindow != 7500*time.Millisecond ||
+	if k.Idempotency != dispatcher.IdempotentByKey || k.DedupScope != dispatcher.DedupCell || k.DedupWindow != 7500*time.Millisecond ||
 		k.TargetStretch != 2.5 || k.Kinds != nil || m.Dispatchers != 6 || !m.WatchOnDemand || !m.StartNotified || m.LoadByProbe ||
-		m.Weights != sedgevale.WeightSize || m.SlowStartDuration != 22*time.Second || m.MaxRetryAfter != 2*time.Second ||
+		m.Weights != dispatcher.WeightSize || m.SlowStartDuration != 22*time.Second || m.MaxRetryAfter != 2*time.Second ||
 		m.Tenants[0].Quota != 58 {
 		t.Errorf("%+v", m)
 	}
--- a/internal/dispatchconfig/settings.go
+++ b/internal/dispatchconfig/settings.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 )
 
 // Settings are the deployment's settings in the names of the platform. Times
@@ -79,15 +79,15 @@
 }
 
 var (
-	effects = map[string]sedgevale.Idempotency{
-		"free": sedgevale.Idempotent, "guarded": sedgevale.IdempotentByKey, "single_shot": sedgevale.NotIdempotent,
+	effects = map[string]dispatcher.Idempotency{
+		"free": dispatcher.Idempotent, "guarded": dispatcher.IdempotentByKey, "single_shot": dispatcher.NotIdempotent,
 	}
-	scopes = map[string]sedgevale.DedupScope{
-		"": sedgevale.DedupAll, "all": sedgevale.DedupAll, "zone": sedgevale.DedupZone, "cell": sedgevale.DedupCell,
+	scopes = map[string]dispatcher.DedupScope{
+		"": dispatcher.DedupAll, "all": dispatcher.DedupAll, "zone": dispatcher.DedupZone, "cell": dispatcher.DedupCell,
 	}
-	weights = map[string]sedgevale.WeightMeaning{
-		"": sedgevale.WeightNone, "none": sedgevale.WeightNone, "nominal": sedgevale.WeightSize,
-		"rough": sedgevale.WeightSize, "live": sedgevale.WeightLive,
+	weights = map[string]dispatcher.WeightMeaning{
+		"": dispatcher.WeightNone, "none": dispatcher.WeightNone, "nominal": dispatcher.WeightSize,
+		"rough": dispatcher.WeightSize, "live": dispatcher.WeightLive,
 	}
 )
 
@@ -130,7 +130,7 @@
 			return invalid(at("hard_limit"), "missing, or not above 0 (seconds)")
 		case !(c.Promise > 0):
 			return invalid(at("promise"), "missing, or not above 0 (seconds)")
-		case effects[c.Effect] == sedgevale.IdempotentByKey && !(c.Window > 0):
+		case effects[c.Effect] == dispatcher.IdempotentByKey && !(c.Window > 0):
 			return invalid(at("window"), "missing, or not above 0 (seconds), though its effect is %s", c.Effect)
 		}
 	}
@@ -180,11 +180,11 @@
 
 // ModuleSettings returns the settings in the module's form, for one of so many planners
 // in this process.
-func (s *Settings) ModuleSettings(planners int) (sedgevale.Settings, error) {
+func (s *Settings) ModuleSettings(planners int) (dispatcher.Settings, error) {
 	if err := s.check(); err != nil {
-		return sedgevale.Settings{}, err
+		return dispatcher.Settings{}, err
 	}
-	m := sedgevale.Settings{
+	m := dispatcher.Settings{
 		Zone:          s.Zone,
 		Dispatchers:   max(1, s.PeersTotal) * max(1, planners),
 		MaxAttempts:   s.Bounds.MaxAttempts,
@@ -213,13 +213,13 @@
 		m.Classes = append(m.Classes, s.moduleClass(i))
 	}
 	for _, r := range s.Realms {
-		m.Tenants = append(m.Tenants, sedgevale.Tenant{Name: r.Name, Share: r.Share, Quota: r.Quota})
+		m.Tenants = append(m.Tenants, dispatcher.Tenant{Name: r.Name, Share: r.Share, Quota: r.Quota})
 	}
 	return m, nil
 }
 
 // retryBudget sets the budget of further attempts, if the settings have one.
-func (s *Settings) retryBudget(m *sedgevale.Settings) error {
+func (s *Settings) retryBudget(m *dispatcher.Settings) error {
 	r := &s.Rules
 	if r.ExtraFree == nil && r.RepeatRatio == nil && r.RatioSpan == nil {
 		return nil
@@ -238,9 +238,9 @@
 }
 
 // moduleClass returns the i-th class in the module's form.
-func (s *Settings) moduleClass(i int) sedgevale.Class {
+func (s *Settings) moduleClass(i int) dispatcher.Class {
 	c := &s.Classes[i]
-	k := sedgevale.Class{Name: c.Name, DedupWindow: Seconds(c.Window), LatencyTarget: Seconds(c.Promise),
+	k := dispatcher.Class{Name: c.Name, DedupWindow: Seconds(c.Window), LatencyTarget: Seconds(c.Promise),
 		ClientTimeout: Seconds(c.HardLimit), LateValue: c.LateShare, Streaming: c.Stream, TargetStretch: c.AimStretch}
 	k.Idempotency, k.DedupScope = effects[c.Effect], scopes[c.Scope]
 	if k.TargetStretch == 0 && i < len(s.Family.ClassStretch) {
--- a/internal/fairqueue/driver/driver_test.go
+++ b/internal/fairqueue/driver/driver_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/dispatch"
 	"sedgevale/internal/fairqueue"
 	"sedgevale/internal/testkit"
@@ -36,7 +36,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	class := &sedgevale.Class{Name: "view"}
+	class := &dispatcher.Class{Name: "view"}
 	return d, p, func(id string, tenant int, left time.Duration) (*dispatch.Exchange, *client) {
 		c := &client{got: make(chan dispatch.Answer, 4)}
 		x := dispatch.NewExchange(dispatch.Job{ID: id, Class: class, Tenant: tenant, TenantName: []string{"a", "b"}[tenant], Client: id, Slots: 1}, clock.Now()+left, c)
--- a/internal/fleetsim/faults.go
+++ b/internal/fleetsim/faults.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/dispatchconfig"
 )
 
@@ -53,7 +53,7 @@
 // indexes.
 func (sim *simulation) drawWorkers(share float64) (some []int) {
 	for _, i := range sim.rand.Perm(len(sim.workers)) {
-		if sim.workerList[i].State == sedgevale.Active {
+		if sim.workerList[i].State == dispatcher.Active {
 			some = append(some, i)
 		}
 	}
@@ -75,11 +75,11 @@
 // little later.
 func (sim *simulation) replaceWorker(at int) {
 	old := sim.workers[at]
-	sim.workerList[at].State = sedgevale.Draining
+	sim.workerList[at].State = dispatcher.Draining
 	sim.addWorker(old.cores, old.speed, sim.now)
 	sim.publishList()
 	sim.after(6*time.Second, func() {
-		sim.workerList[at].State = sedgevale.Removed
+		sim.workerList[at].State = dispatcher.Removed
 		old.removed = true
 		sim.publishList()
 	})
@@ -88,6 +88,6 @@
 // publishList sends an update of the list to each scheduler, with a random delay.
 func (sim *simulation) publishList() {
 	for _, s := range sim.schedulers {
-		s.handleAfter(millis(20+180*sim.netRand.Float64()), func() { s.updateWorkers(sedgevale.UpdateDelta) })
+		s.handleAfter(millis(20+180*sim.netRand.Float64()), func() { s.updateWorkers(dispatcher.UpdateDelta) })
 	}
 }
--- a/internal/fleetsim/host.go
+++ b/internal/fleetsim/host.go
@@ -3,11 +3,11 @@
 import (
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/dispatchconfig"
 )
 
-// The scheduler as sedgevale.Host.
+// The scheduler as dispatcher.Host.
 
 // Send sends an attempt on an idle connection, or on a new one.
 func (s *scheduler) Send(id, worker string, _ time.Duration) {
@@ -29,7 +29,7 @@
 		way *= 3
 		sim.result.Connections++
 	}
-	end := func(o sedgevale.Outcome, report *sedgevale.LoadReport) {
+	end := func(o dispatcher.Outcome, report *dispatcher.LoadReport) {
 		s.handleAfter(millis(sim.experiment.Network.OneWayMillis), func() { s.attemptEnded(j, number, o, report) })
 	}
 	a.task.started = func() {
@@ -40,43 +40,43 @@
 		})
 	}
 	a.task.ended = func(ok bool, free float64) {
-		report := &sedgevale.LoadReport{HasFreeSlots: true, FreeSlots: free}
+		report := &dispatcher.LoadReport{HasFreeSlots: true, FreeSlots: free}
 		if a.task.cancelled || j.answered {
 			sim.result.wastedWork += j.work.Seconds() * float64(j.slots)
 		}
 		if ok {
-			end(sedgevale.Served, report)
+			end(dispatcher.Served, report)
 		} else {
-			end(sedgevale.Errored, report)
+			end(dispatcher.Errored, report)
 		}
 	}
 	sim.after(way, func() {
 		switch {
 		case a.task.cancelled:
 		case w.removed:
-			end(sedgevale.ConnectFailed, nil)
+			end(dispatcher.ConnectFailed, nil)
 		case !w.enqueue(a.task):
-			end(sedgevale.Rejected, &sedgevale.LoadReport{HasFreeSlots: true, FreeSlots: w.reportedFree})
+			end(dispatcher.Rejected, &dispatcher.LoadReport{HasFreeSlots: true, FreeSlots: w.reportedFree})
 		}
 	})
 }
 
 // attemptEnded reports to the Dispatcher how an attempt ended, and answers the client if
 // it was served.
-func (s *scheduler) attemptEnded(j *job, number int, o sedgevale.Outcome, report *sedgevale.LoadReport) {
+func (s *scheduler) attemptEnded(j *job, number int, o dispatcher.Outcome, report *dispatcher.LoadReport) {
 	a := j.attempts[number]
 	if a.ended {
 		return
 	}
 	a.ended = true
-	if o == sedgevale.Served || o == sedgevale.Errored || o == sedgevale.Rejected {
+	if o == dispatcher.Served || o == dispatcher.Errored || o == dispatcher.Rejected {
 		s.idleConns[a.worker] = append(s.idleConns[a.worker], s.sim.now)
 	}
-	if o == sedgevale.Served && !j.answered {
+	if o == dispatcher.Served && !j.answered {
 		s.sim.clientServed(j, s)
 		j.answered = true
 	}
-	_ = s.dispatcher.AttemptEnded(s.sim.now, sedgevale.AttemptResult{ID: j.id, Attempt: number, Outcome: o, Answered: j.answered, Report: report})
+	_ = s.dispatcher.AttemptEnded(s.sim.now, dispatcher.AttemptResult{ID: j.id, Attempt: number, Outcome: o, Answered: j.answered, Report: report})
 }
 
 // Cancel cancels an attempt and closes its connection.
@@ -86,7 +86,7 @@
 	sim.result.Cancelled++
 	a.task.cancelled = true
 	sim.after(millis(sim.experiment.Network.OneWayMillis), func() { sim.workers[a.worker].cancel(a.task) })
-	s.handleAfter(0, func() { s.attemptEnded(j, number, sedgevale.Cancelled, nil) })
+	s.handleAfter(0, func() { s.attemptEnded(j, number, dispatcher.Cancelled, nil) })
 }
 
 // Reject answers the client, which may try again.
@@ -117,7 +117,7 @@
 // Probe asks a worker for its load.
 func (s *scheduler) Probe(worker string) {
 	s.handleAfter(2*millis(s.sim.experiment.Network.OneWayMillis), func() {
-		s.dispatcher.ProbeResult(s.sim.now, worker, &sedgevale.LoadReport{HasFreeSlots: true, FreeSlots: s.sim.workers[s.sim.workerIndex[worker]].reportedFree})
+		s.dispatcher.ProbeResult(s.sim.now, worker, &dispatcher.LoadReport{HasFreeSlots: true, FreeSlots: s.sim.workers[s.sim.workerIndex[worker]].reportedFree})
 	})
 }
 
--- a/internal/fleetsim/scheduler.go
+++ b/internal/fleetsim/scheduler.go
@@ -4,25 +4,25 @@
 	"slices"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/dispatchconfig"
 	"sedgevale/internal/peers"
 )
 
 // scheduler is a scheduler: a real Dispatcher and a real exchange of load with its
-// peers. It implements [sedgevale.Host].
+// peers. It implements [dispatcher.Host].
 type scheduler struct {
 	sim            *simulation
 	number         int
 	incarnation    int // restarts and crashes so far; what was scheduled in an earlier one is void
 	up             bool
 	frozenUntil    time.Duration
-	dispatcher     *sedgevale.Dispatcher
+	dispatcher     *dispatcher.Dispatcher
 	peers          *peers.Node // nil: load is not exchanged
 	jobs           map[string]*job
 	idleConns      map[int][]time.Duration // by worker's index: since when each is idle
-	loadChanges    []sedgevale.WorkerLoad  // buffer
-	peerLoad       []sedgevale.WorkerLoad  // buffer
+	loadChanges    []dispatcher.WorkerLoad // buffer
+	peerLoad       []dispatcher.WorkerLoad // buffer
 	servedValue    float64                 // in time
 	submittedValue float64
 }
@@ -59,7 +59,7 @@
 	s.up, s.frozenUntil = true, 0
 	s.jobs, s.idleConns = map[string]*job{}, map[int][]time.Duration{}
 	var err error
-	if s.dispatcher, err = sedgevale.New(sim.settings(), sim.rand.Uint64(), s); err != nil {
+	if s.dispatcher, err = dispatcher.New(sim.settings(), sim.rand.Uint64(), s); err != nil {
 		panic(err) // the settings are constants and a checked experiment's
 	}
 	if sim.variant.Peers {
@@ -74,13 +74,13 @@
 		s.dispatcher.TrackLoadChanges()
 		s.handleAfter(peers.TickInterval, s.tick)
 	}
-	s.handle(func() { s.updateWorkers(sedgevale.UpdateStale) })
+	s.handle(func() { s.updateWorkers(dispatcher.UpdateStale) })
 }
 
 // settings returns the settings of all schedulers.
-func (sim *simulation) settings() sedgevale.Settings {
+func (sim *simulation) settings() dispatcher.Settings {
 	model := &sim.experiment.Worker
-	set := sedgevale.Settings{
+	set := dispatcher.Settings{
 		Dispatchers:       len(sim.schedulers),
 		MaxAttempts:       6,
 		AllowHedging:      true,
@@ -88,7 +88,7 @@
 		StartNotified:     true,
 		FIFOWorkers:       true,
 		MaxRetryAfter:     2 * time.Second,
-		Weights:           sedgevale.WeightSize,
+		Weights:           dispatcher.WeightSize,
 		SlowStartDuration: dispatchconfig.Seconds(model.SlowStartSeconds),
 		SlowStartCapacity: model.SlowStartCapacity,
 		OverloadMultiple:  overloadMultiple,
@@ -105,14 +105,14 @@
 }
 
 // updateWorkers gives the scheduler the list of workers as it is now.
-func (s *scheduler) updateWorkers(kind sedgevale.UpdateKind) {
+func (s *scheduler) updateWorkers(kind dispatcher.UpdateKind) {
 	s.dispatcher.WorkersUpdated(s.sim.now, kind, s.sim.workerList)
 	if s.peers == nil {
 		return
 	}
 	var ids []string
 	for _, m := range s.sim.workerList {
-		if m.State == sedgevale.Active {
+		if m.State == dispatcher.Active {
 			ids = append(ids, m.Worker)
 		}
 	}
@@ -166,7 +166,7 @@
 func (s *scheduler) applyPeerLoad() {
 	s.peerLoad = s.peerLoad[:0]
 	s.peers.TakeLoadChanges(func(id string, slots, waiting int) {
-		s.peerLoad = append(s.peerLoad, sedgevale.WorkerLoad{Worker: id, Load: sedgevale.Load{InFlight: float64(slots), NotStarted: waiting}})
+		s.peerLoad = append(s.peerLoad, dispatcher.WorkerLoad{Worker: id, Load: dispatcher.Load{InFlight: float64(slots), NotStarted: waiting}})
 	})
 	if len(s.peerLoad) > 0 {
 		s.dispatcher.UpdatePeerLoad(s.sim.now, s.peerLoad)
@@ -182,7 +182,7 @@
 	s.handle(func() {
 		j.answered, j.attempts = false, nil
 		s.jobs[j.id] = j
-		_ = s.dispatcher.SubmitRequest(s.sim.now, sedgevale.Request{
+		_ = s.dispatcher.SubmitRequest(s.sim.now, dispatcher.Request{
 			ID:          j.id,
 			Class:       j.class,
 			Tenant:      j.tenant,
--- a/internal/fleetsim/simulation.go
+++ b/internal/fleetsim/simulation.go
@@ -8,7 +8,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/dispatchconfig"
 )
 
@@ -20,8 +20,8 @@
 	rand          *rand.Rand // of arrivals, work and faults: the same for all variants
 	netRand       *rand.Rand // of messages
 	workers       []*worker
-	workerIndex   map[string]int         // by name
-	workerList    []sedgevale.WorkerInfo // by index
+	workerIndex   map[string]int          // by name
+	workerList    []dispatcher.WorkerInfo // by index
 	schedulers    []*scheduler
 	arrivalRate   float64   // jobs a second
 	tenantQuota   float64   // jobs a second, of all tenants together
@@ -102,7 +102,7 @@
 	w := newWorker(&sim.clock, rand.New(rand.NewPCG(sim.rand.Uint64(), 3)), &sim.experiment.Worker, cores, speed)
 	w.startedAt, w.slowStart = from, from > 0
 	sim.workerIndex[id] = len(sim.workers)
-	sim.workerList = append(sim.workerList, sedgevale.WorkerInfo{Worker: id, Cell: len(sim.workers) / 8, Weight: float64(cores), StartedAt: from})
+	sim.workerList = append(sim.workerList, dispatcher.WorkerInfo{Worker: id, Cell: len(sim.workers) / 8, Weight: float64(cores), StartedAt: from})
 	sim.workers = append(sim.workers, w)
 }
 
--- a/internal/fleetsim/workload.go
+++ b/internal/fleetsim/workload.go
@@ -3,37 +3,37 @@
 import (
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 )
 
 // classes are the classes of jobs. No job's name or tenant's name has an influence on
 // a run.
 var classes = []struct {
-	sedgevale.Class
+	dispatcher.Class
 	value    float64       // of an answer in time
 	fraction float64       // of all jobs
 	work     time.Duration // core time at speed 1, on average
 	twoSlots float64       // share of jobs that take two slots
 }{
 	{
-		Class: sedgevale.Class{Name: "idempotent", Idempotency: sedgevale.Idempotent,
+		Class: dispatcher.Class{Name: "idempotent", Idempotency: dispatcher.Idempotent,
 			LatencyTarget: 100 * time.Millisecond, TargetStretch: 1.75, ClientTimeout: 5 * time.Second},
 		value: 1, fraction: 0.44, work: 200 * time.Millisecond,
 	},
 	{
-		Class: sedgevale.Class{Name: "at-most-once", Idempotency: sedgevale.NotIdempotent,
+		Class: dispatcher.Class{Name: "at-most-once", Idempotency: dispatcher.NotIdempotent,
 			LatencyTarget: 100 * time.Millisecond, TargetStretch: 2.5, ClientTimeout: 5 * time.Second},
 		value: 3, fraction: 0.31, work: 100 * time.Millisecond, twoSlots: 0.25,
 	},
 	{
-		Class: sedgevale.Class{Name: "idempotent-by-key", Idempotency: sedgevale.IdempotentByKey, DedupScope: sedgevale.DedupCell, DedupWindow: 7500 * time.Millisecond,
+		Class: dispatcher.Class{Name: "idempotent-by-key", Idempotency: dispatcher.IdempotentByKey, DedupScope: dispatcher.DedupCell, DedupWindow: 7500 * time.Millisecond,
 			LatencyTarget: 100 * time.Millisecond, TargetStretch: 2.5, ClientTimeout: 5 * time.Second},
 		value: 10, fraction: 0.25, work: 100 * time.Millisecond, twoSlots: 0.25,
 	},
 }
 
 // tenants are the tenants with their quota shares.
-var tenants = []sedgevale.Tenant{
+var tenants = []dispatcher.Tenant{
 	{Name: "a", Share: 0.30},
 	{Name: "b", Share: 0.19},
 	{Name: "c", Share: 0.18},
--- a/internal/jobrequest/jobrequest.go
+++ b/internal/jobrequest/jobrequest.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/dispatch"
 	"sedgevale/internal/http1"
 	"sedgevale/internal/httpd"
@@ -37,8 +37,8 @@
 
 // Settings are the settings by which requests are parsed. They are not changed, only replaced.
 type Settings struct {
-	Classes []sedgevale.Class
-	Tenants []sedgevale.Tenant // none: any tenant may send jobs
+	Classes []dispatcher.Class
+	Tenants []dispatcher.Tenant // none: any tenant may send jobs
 }
 
 // New returns a Parser with those settings, whose deadlines are on the clock.
@@ -79,9 +79,9 @@
 }
 
 // Class returns the class of that name, or nil.
-func (p *Parser) Class(name string) *sedgevale.Class { return p.settings.Load().class(name) }
+func (p *Parser) Class(name string) *dispatcher.Class { return p.settings.Load().class(name) }
 
-func (s *Settings) class(name string) *sedgevale.Class {
+func (s *Settings) class(name string) *dispatcher.Class {
 	for i := range s.Classes {
 		if s.Classes[i].Name == name {
 			return &s.Classes[i]
@@ -185,7 +185,7 @@
 		return badRequest("Request-Id must be one word")
 	case h.timeout <= 0:
 		return badRequest("Request-Timeout is missing")
-	case j.IdempotencyKey == "" && j.Class.Idempotency == sedgevale.IdempotentByKey:
+	case j.IdempotencyKey == "" && j.Class.Idempotency == dispatcher.IdempotentByKey:
 		return badRequest("this class needs an Idempotency-Key")
 	}
 	return nil
--- a/internal/jobrequest/jobrequest_test.go
+++ b/internal/jobrequest/jobrequest_test.go
@@ -6,15 +6,15 @@
 	"testing"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/dispatch"
 	"sedgevale/internal/http1"
 	"sedgevale/internal/httpd"
 )
 
 func newParser() *Parser {
-	return New(dispatch.NewClock(), &Settings{Classes: []sedgevale.Class{{Name: "free"}, {Name: "key", Idempotency: sedgevale.IdempotentByKey}},
-		Tenants: []sedgevale.Tenant{{Name: "a"}, {Name: "b"}}})
+	return New(dispatch.NewClock(), &Settings{Classes: []dispatcher.Class{{Name: "free"}, {Name: "key", Idempotency: dispatcher.IdempotentByKey}},
+		Tenants: []dispatcher.Tenant{{Name: "a"}, {Name: "b"}}})
 }
 
 func request(method, target string, fields ...string) *httpd.Request {
@@ -95,10 +95,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.Update(&Settings{Classes: []sedgevale.Class{{Name: "new"}, {Name: "free", Idempotency: sedgevale.NotIdempotent}},
-		Tenants: []sedgevale.Tenant{{Name: "a"}}})
+	r.Update(&Settings{Classes: []dispatcher.Class{{Name: "new"}, {Name: "free", Idempotency: dispatcher.NotIdempotent}},
+		Tenants: []dispatcher.Tenant{{Name: "a"}}})
 	after, _, err := earlier.Parse(q, "", 0)
-	if err != nil || after.Class.Idempotency != sedgevale.NotIdempotent || before.Class.Idempotency != sedgevale.Idempotent {
+	if err != nil || after.Class.Idempotency != dispatcher.NotIdempotent || before.Class.Idempotency != dispatcher.Idempotent {
 		t.Errorf("before %+v, after %+v, error %v", before.Class, after.Class, err)
 	}
 	if r.Class("key") != nil || r.Class("new") == nil {
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -10,7 +10,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 )
 
 // Kind is the event that a record stands for.
@@ -80,7 +80,7 @@
 }
 
 // Outcome is how an attempt ended. The numbers are part of the format and independent of those of
-// sedgevale.Outcome, which may change.
+// dispatcher.Outcome, which may change.
 type Outcome uint8
 
 // The outcomes.
@@ -95,14 +95,14 @@
 	OutcomeNotSent
 )
 
-var outcomeNumbers = map[sedgevale.Outcome]Outcome{
-	sedgevale.Served: OutcomeServed, sedgevale.Errored: OutcomeErrored, sedgevale.Rejected: OutcomeRejected,
-	sedgevale.TimedOut: OutcomeTimedOut, sedgevale.ConnectFailed: OutcomeConnectFailed, sedgevale.ConnectionLost: OutcomeConnectionLost,
-	sedgevale.Cancelled: OutcomeCancelled, sedgevale.NotSent: OutcomeNotSent,
+var outcomeNumbers = map[dispatcher.Outcome]Outcome{
+	dispatcher.Served: OutcomeServed, dispatcher.Errored: OutcomeErrored, dispatcher.Rejected: OutcomeRejected,
+	dispatcher.TimedOut: OutcomeTimedOut, dispatcher.ConnectFailed: OutcomeConnectFailed, dispatcher.ConnectionLost: OutcomeConnectionLost,
+	dispatcher.Cancelled: OutcomeCancelled, dispatcher.NotSent: OutcomeNotSent,
 }
 
-// OutcomeOf returns the journal's number for a sedgevale.Outcome.
-func OutcomeOf(o sedgevale.Outcome) Outcome { return outcomeNumbers[o] }
+// OutcomeOf returns the journal's number for a dispatcher.Outcome.
+func OutcomeOf(o dispatcher.Outcome) Outcome { return outcomeNumbers[o] }
 
 // String returns the outcome as reports for operators show it.
 func (o Outcome) String() string {
--- a/internal/journal/recorder/recorder.go
+++ b/internal/journal/recorder/recorder.go
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/dispatch"
 	"sedgevale/internal/dispatchconfig"
 	"sedgevale/internal/journal"
@@ -99,7 +99,7 @@
 }
 
 // AttemptEnded implements dispatch.Journal: it records how an attempt ended, and whether it certainly never ran.
-func (r *Recorder) AttemptEnded(number uint64, attempt int, o sedgevale.Outcome, neverRan bool) {
+func (r *Recorder) AttemptEnded(number uint64, attempt int, o dispatcher.Outcome, neverRan bool) {
 	r.store.Put(journal.Record{Kind: journal.Ended, Serial: number, At: now(), Attempt: attempt,
 		Code: uint8(journal.OutcomeOf(o)), NeverRan: neverRan}, nil)
 }
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/discovery"
 	"sedgevale/internal/dispatch"
 	"sedgevale/internal/peers"
@@ -54,10 +54,10 @@
 	conn   *net.UDPConn // nil: not bound
 	paused bool
 	node   *peers.Node
-	loads  []map[string]sedgevale.Load // by planner, where there are several
+	loads  []map[string]dispatcher.Load // by planner, where there are several
 
 	// Buffers, reused.
-	loadChanges  []sedgevale.WorkerLoad
+	loadChanges  []dispatcher.WorkerLoad
 	stateChanges []peers.Change
 	lags         []peers.Lag
 }
@@ -76,8 +76,8 @@
 	}
 	l.node = peers.New(nodeOptions)
 	for i, p := range o.Planners {
-		l.loads = append(l.loads, map[string]sedgevale.Load{})
-		p.OnLoadChange(func(changed []sedgevale.WorkerLoad) { l.updateLoads(i, changed) })
+		l.loads = append(l.loads, map[string]dispatcher.Load{})
+		p.OnLoadChange(func(changed []dispatcher.WorkerLoad) { l.updateLoads(i, changed) })
 	}
 	return l
 }
@@ -241,7 +241,7 @@
 }
 
 // updateLoads takes the changed loads of a planner, in whose goroutine it is called.
-func (l *Link) updateLoads(planner int, changed []sedgevale.WorkerLoad) {
+func (l *Link) updateLoads(planner int, changed []dispatcher.WorkerLoad) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.options.Clock.Now()
@@ -252,7 +252,7 @@
 			} else {
 				l.loads[planner][t.Worker] = t.Load
 			}
-			t.Load = sedgevale.Load{}
+			t.Load = dispatcher.Load{}
 			for _, out := range l.loads {
 				t.Load = t.Plus(out[t.Worker])
 			}
@@ -319,7 +319,7 @@
 func (l *Link) deliverLoads() {
 	l.loadChanges = l.loadChanges[:0]
 	l.node.TakeLoadChanges(func(id string, slots, waiting int) {
-		l.loadChanges = append(l.loadChanges, sedgevale.WorkerLoad{Worker: id, Load: sedgevale.Load{InFlight: float64(slots), NotStarted: waiting}})
+		l.loadChanges = append(l.loadChanges, dispatcher.WorkerLoad{Worker: id, Load: dispatcher.Load{InFlight: float64(slots), NotStarted: waiting}})
 	})
 	if len(l.loadChanges) == 0 {
 		return
--- a/internal/peerlink/peerlink_test.go
+++ b/internal/peerlink/peerlink_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/discovery"
 	"sedgevale/internal/dispatch"
 	"sedgevale/internal/testkit"
@@ -35,14 +35,14 @@
 	carrier *carrier
 	link    *Link
 	clock   dispatch.Clock
-	class   *sedgevale.Class
+	class   *dispatcher.Class
 }
 
 var list = discovery.List{Complete: true, Members: []discovery.Member{{ID: "box-1"}, {ID: "box-2"}, {ID: "box-3"}}}
 
 func startScheduler(t *testing.T, self int, addrs []netip.AddrPort) *testScheduler {
 	t.Helper()
-	set := sedgevale.Settings{Classes: []sedgevale.Class{{Name: "free", LatencyTarget: time.Second, ClientTimeout: 5 * time.Second}}, MaxAttempts: 2}
+	set := dispatcher.Settings{Classes: []dispatcher.Class{{Name: "free", LatencyTarget: time.Second, ClientTimeout: 5 * time.Second}}, MaxAttempts: 2}
 	s := &testScheduler{carrier: &carrier{make(chan *dispatch.Attempt, 16)}, clock: dispatch.NewClock(), class: &set.Classes[0]}
 	log := slog.New(slog.DiscardHandler)
 	var err error
@@ -51,11 +51,11 @@
 	}
 	s.link = New(Options{Listen: addrs[self], Peers: addrs, Self: self, Site: 1, MinSubscribers: 12, MinSubset: 6,
 		Planners: []*dispatch.Planner{s.planner}, Clock: s.clock, Log: log})
-	var entries []sedgevale.WorkerInfo
+	var entries []dispatcher.WorkerInfo
 	for _, m := range list.Members {
-		entries = append(entries, sedgevale.WorkerInfo{Worker: m.ID})
+		entries = append(entries, dispatcher.WorkerInfo{Worker: m.ID})
 	}
-	s.planner.WorkersUpdated(sedgevale.UpdateFull, entries)
+	s.planner.WorkersUpdated(dispatcher.UpdateFull, entries)
 	s.link.SetWorkers(list)
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{}, 2)
--- a/internal/platformapi/golden_test.go
+++ b/internal/platformapi/golden_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/dispatch"
 	"sedgevale/internal/fdlimit"
 	"sedgevale/internal/httpd"
@@ -71,8 +71,8 @@
 func TestAnswerBytes(t *testing.T) {
 	var ready atomic.Bool
 	rules := jobrequest.New(dispatch.NewClock(), &jobrequest.Settings{
-		Classes: []sedgevale.Class{{Name: "free"}, {Name: "keyed", Idempotency: sedgevale.IdempotentByKey}},
-		Tenants: []sedgevale.Tenant{{Name: "co-op"}},
+		Classes: []dispatcher.Class{{Name: "free"}, {Name: "keyed", Idempotency: dispatcher.IdempotentByKey}},
+		Tenants: []dispatcher.Tenant{{Name: "co-op"}},
 	})
 	addr := testkit.FreeAddr(t)
 	s := httpd.New(addr, 1, platformapi.New(rules, goldenPlanners{}, ready.Load), fdlimit.New(0), slog.New(slog.DiscardHandler))
--- a/internal/reverseproxy/health.go
+++ b/internal/reverseproxy/health.go
@@ -4,7 +4,7 @@
 	"context"
 	"strings"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/dispatchconfig"
 	"sedgevale/internal/healthcheck"
 	"sedgevale/internal/pool"
@@ -28,11 +28,11 @@
 
 // workerState is a member's state as the module knows it. A draining server still gets requests by
 // affinity, so only one that is down or in maintenance is not picked.
-func workerState(p pool.State) sedgevale.WorkerState {
+func workerState(p pool.State) dispatcher.WorkerState {
 	if p == pool.Up || p == pool.Draining {
-		return sedgevale.Active
+		return dispatcher.Active
 	}
-	return sedgevale.Draining
+	return dispatcher.Draining
 }
 
 // startChecks starts the health checks of the active configuration, which end with the proxy or with the next call; Run waits
@@ -137,7 +137,7 @@
 	id, addr := b.id(m.Name), m.Addr
 	b.mu.Unlock()
 	p.transport.update(false, []serverInfo{{id, addr, connect, to == pool.Up}})
-	p.planners.WorkersUpdated(sedgevale.UpdateDelta, []sedgevale.WorkerInfo{{Worker: id, Kind: p.kind(id), State: workerState(to)}})
+	p.planners.WorkersUpdated(dispatcher.UpdateDelta, []dispatcher.WorkerInfo{{Worker: id, Kind: p.kind(id), State: workerState(to)}})
 	b.dispatchQueue()
 }
 
--- a/internal/reverseproxy/proxy.go
+++ b/internal/reverseproxy/proxy.go
@@ -16,7 +16,7 @@
 	"sync/atomic"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/dispatch"
 	"sedgevale/internal/dispatchconfig"
 	"sedgevale/internal/evloop"
@@ -77,14 +77,14 @@
 	mu            sync.Mutex
 	spec          dispatchconfig.WebBackend
 	rules         *route.Rules
-	pool          *pool.Pool         // nil: no servers
-	hash          *route.Format      // nil: requests are not hashed
-	safeClasses   []*sedgevale.Class // by member, for requests that may be retried
-	unsafeClasses []*sedgevale.Class // by member, for others
-	unhealthy     map[string]bool    // by server: its checks fail
-	cordoned      map[string]bool    // by server: an operator has cordoned it
-	avoidUntil    []time.Duration    // by member, on Clock: a connection failed, so others are preferred
-	timerArmed    bool               // for the queue's next time-out
+	pool          *pool.Pool          // nil: no servers
+	hash          *route.Format       // nil: requests are not hashed
+	safeClasses   []*dispatcher.Class // by member, for requests that may be retried
+	unsafeClasses []*dispatcher.Class // by member, for others
+	unhealthy     map[string]bool     // by server: its checks fail
+	cordoned      map[string]bool     // by server: an operator has cordoned it
+	avoidUntil    []time.Duration     // by member, on Clock: a connection failed, so others are preferred
+	timerArmed    bool                // for the queue's next time-out
 }
 
 // connectFailureBackoff is how long a server is avoided after a connection to it has failed.
@@ -215,9 +215,9 @@
 			kind = len(p.kinds)
 			p.kinds[id] = kind
 		}
-		class := sedgevale.Class{Name: id, Idempotency: sedgevale.Idempotent, LatencyTarget: limit, ClientTimeout: limit, LateValue: 1, Kinds: []int{kind}}
+		class := dispatcher.Class{Name: id, Idempotency: dispatcher.Idempotent, LatencyTarget: limit, ClientTimeout: limit, LateValue: 1, Kinds: []int{kind}}
 		once := class
-		once.Name, once.Idempotency = id+"!", sedgevale.NotIdempotent
+		once.Name, once.Idempotency = id+"!", dispatcher.NotIdempotent
 		b.safeClasses, b.unsafeClasses = append(b.safeClasses, &class), append(b.unsafeClasses, &once)
 	}
 	b.avoidUntil = make([]time.Duration, len(spec.Servers))
@@ -229,15 +229,15 @@
 
 // moduleSettings returns the decision module's settings: a class for each server, since the pool
 // picks the server, and one attempt for each request, since after a failure the pool picks again.
-func (p *Proxy) moduleSettings(active *activeConfig) sedgevale.Settings {
-	set := sedgevale.Settings{MaxAttempts: 1, AllowCancel: true, Dispatchers: 1}
+func (p *Proxy) moduleSettings(active *activeConfig) dispatcher.Settings {
+	set := dispatcher.Settings{MaxAttempts: 1, AllowCancel: true, Dispatchers: 1}
 	for _, b := range active.web.Backends {
 		for i := range active.backends[b.Name].safeClasses {
 			set.Classes = append(set.Classes, *active.backends[b.Name].safeClasses[i], *active.backends[b.Name].unsafeClasses[i])
 		}
 	}
 	if len(set.Classes) == 0 { // no backend has servers; the module requires a class
-		set.Classes = []sedgevale.Class{{Name: "-", LatencyTarget: time.Second, ClientTimeout: time.Second, Kinds: []int{}}}
+		set.Classes = []dispatcher.Class{{Name: "-", LatencyTarget: time.Second, ClientTimeout: time.Second, Kinds: []int{}}}
 	}
 	return set
 }
@@ -281,7 +281,7 @@
 
 // publish gives planner and transport the complete list of servers and their states.
 func (p *Proxy) publish(active *activeConfig) {
-	var entries []sedgevale.WorkerInfo
+	var entries []dispatcher.WorkerInfo
 	var members []serverInfo
 	for _, b := range active.web.Backends {
 		be := active.backends[b.Name]
@@ -290,13 +290,13 @@
 		for i, m := range b.Servers {
 			id := be.id(m.Name)
 			state, _ := be.pool.State(i)
-			entries = append(entries, sedgevale.WorkerInfo{Worker: id, Kind: p.kinds[id], State: workerState(state)})
+			entries = append(entries, dispatcher.WorkerInfo{Worker: id, Kind: p.kinds[id], State: workerState(state)})
 			members = append(members, serverInfo{id, m.Addr, connect, state == pool.Up || state == pool.Draining})
 		}
 		be.mu.Unlock()
 	}
 	p.transport.update(true, members)
-	p.planners.WorkersUpdated(sedgevale.UpdateFull, entries)
+	p.planners.WorkersUpdated(dispatcher.UpdateFull, entries)
 }
 
 // portOf returns the port of a TCP address, 0 of another.
--- a/internal/reverseproxy/request.go
+++ b/internal/reverseproxy/request.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/dispatch"
 	"sedgevale/internal/dispatchconfig"
 	"sedgevale/internal/http1"
@@ -369,9 +369,9 @@
 }
 
 // retryCauses are outcomes of attempts as retry_on names them.
-var retryCauses = map[sedgevale.Outcome]string{sedgevale.ConnectFailed: "conn-failure", sedgevale.NotSent: "conn-failure",
-	sedgevale.Rejected: "conn-failure", sedgevale.ConnectionLost: "empty-response", sedgevale.TimedOut: "response-timeout",
-	sedgevale.Errored: "junk-response"}
+var retryCauses = map[dispatcher.Outcome]string{dispatcher.ConnectFailed: "conn-failure", dispatcher.NotSent: "conn-failure",
+	dispatcher.Rejected: "conn-failure", dispatcher.ConnectionLost: "empty-response", dispatcher.TimedOut: "response-timeout",
+	dispatcher.Errored: "junk-response"}
 
 // noteCause notes why an attempt ends. It is called before that is reported to the planner.
 func (r *proxyRequest) noteCause(cause string) {
--- a/internal/reverseproxy/server_conn.go
+++ b/internal/reverseproxy/server_conn.go
@@ -7,7 +7,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/evloop"
 	"sedgevale/internal/http1"
 )
@@ -56,14 +56,14 @@
 	case sc.parser.UntilClose(): // the end of the connection is that of the body
 		sc.finish(&responsePart{end: true})
 	case ua.reported: // its response has begun
-		sc.transport.end(ua, sedgevale.ConnectionLost)
+		sc.transport.end(ua, dispatcher.ConnectionLost)
 		if ua.request.finish() {
 			ua.request.responder.abort()
 		}
 	case sc.writing || sc.loopConn.OutboundBuffered() > 0:
-		sc.transport.end(ua, sedgevale.ConnectFailed)
+		sc.transport.end(ua, dispatcher.ConnectFailed)
 	default:
-		sc.transport.end(ua, sedgevale.ConnectionLost)
+		sc.transport.end(ua, dispatcher.ConnectionLost)
 	}
 }
 
@@ -83,7 +83,7 @@
 	sc.out = ua.request.appendWire(sc.out[:0], ua.request.bodyLength())
 	sc.writing = true
 	if _, err := sc.loopConn.Write(sc.out); err != nil {
-		sc.transport.end(ua, sedgevale.ConnectFailed)
+		sc.transport.end(ua, dispatcher.ConnectFailed)
 		return
 	}
 	sc.writing = false
@@ -162,16 +162,16 @@
 		delete(sc.transport.attempts, ua.attempt)
 		delete(sc.transport.byRequest, ua.request)
 		sc.transport.closeConn(sc)
-		ua.attempt.Planner.AttemptEnded(ua.attempt, sedgevale.ConnectionLost, nil, nil)
+		ua.attempt.Planner.AttemptEnded(ua.attempt, dispatcher.ConnectionLost, nil, nil)
 		return false
 	}
 	if !ua.request.beginResponse() {
-		sc.transport.end(ua, sedgevale.Cancelled)
+		sc.transport.end(ua, dispatcher.Cancelled)
 		return false
 	}
 	part.head = &h
 	// To the module the head is the response: how long a body takes depends on the client.
-	sc.transport.report(ua, sedgevale.Served)
+	sc.transport.report(ua, dispatcher.Served)
 	return true
 }
 
@@ -235,7 +235,7 @@
 		return
 	}
 	begun := ua.reported
-	sc.transport.end(ua, sedgevale.Errored)
+	sc.transport.end(ua, dispatcher.Errored)
 	if begun && ua.request.finish() {
 		ua.request.responder.abort()
 	}
--- a/internal/reverseproxy/transfer.go
+++ b/internal/reverseproxy/transfer.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/dispatch"
 	"sedgevale/internal/http1"
 	"sedgevale/internal/httpd"
@@ -148,7 +148,7 @@
 	addr, connect, wait := t.target()
 	if !r.proxy.opt.Budget.Acquire() {
 		r.proxy.opt.Budget.Release()
-		t.ended(attempt, sedgevale.NotSent)
+		t.ended(attempt, dispatcher.NotSent)
 		return true
 	}
 	defer r.proxy.opt.Budget.Release()
@@ -156,15 +156,15 @@
 	server, err := dialer.DialContext(t.ctx, "tcp", addr)
 	switch {
 	case err != nil && t.ctx.Err() != nil: // stopped meanwhile
-		t.ended(attempt, sedgevale.NotSent)
+		t.ended(attempt, dispatcher.NotSent)
 		return true
 	case err != nil:
-		t.ended(attempt, sedgevale.ConnectFailed)
+		t.ended(attempt, dispatcher.ConnectFailed)
 		return true
 	}
 	defer func() { _ = server.Close() }()
 	if !r.proxy.transport.isReady(attempt.Worker) { // it was cordoned or became unhealthy meanwhile
-		t.ended(attempt, sedgevale.NotSent)
+		t.ended(attempt, dispatcher.NotSent)
 		return true
 	}
 	t.connected(server)
@@ -172,17 +172,17 @@
 	go func() { up <- t.upload(server, wait) == nil }()
 	in, head, err := t.awaitHead(server)
 	if err != nil {
-		t.ended(attempt, sedgevale.ConnectionLost)
+		t.ended(attempt, dispatcher.ConnectionLost)
 		_ = server.Close()
 		_ = t.client.SetReadDeadline(time.Unix(1, 0))
 		<-up
 		return true // the module ends the attempt, and a reply or another attempt follows
 	}
 	if !r.beginResponse() {
-		t.ended(attempt, sedgevale.Cancelled)
+		t.ended(attempt, dispatcher.Cancelled)
 		return false
 	}
-	t.ended(attempt, sedgevale.Served)
+	t.ended(attempt, dispatcher.Served)
 	complete := t.download(in, head)
 	r.finish()
 	uploaded := t.awaitUpload(up)
@@ -193,7 +193,7 @@
 }
 
 // ended reports the outcome of an attempt to the planner.
-func (t *transfer) ended(attempt *dispatch.Attempt, o sedgevale.Outcome) {
+func (t *transfer) ended(attempt *dispatch.Attempt, o dispatcher.Outcome) {
 	if cause := retryCauses[o]; cause != "" {
 		t.request.noteCause(cause)
 	}
--- a/internal/reverseproxy/transport.go
+++ b/internal/reverseproxy/transport.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/dispatch"
 	"sedgevale/internal/evloop"
 	"sedgevale/internal/http1"
@@ -107,7 +107,7 @@
 // closeUnsent ends attempts that have not been sent to a server, and its idle connections.
 func (tr *transport) closeUnsent(srv *server) {
 	for ua := range srv.dialing {
-		tr.end(ua, sedgevale.NotSent)
+		tr.end(ua, dispatcher.NotSent)
 	}
 	tr.closeIdle(srv)
 }
@@ -121,7 +121,7 @@
 		tr.byRequest[r] = ua
 		switch {
 		case ua.server == nil || !ua.server.ready:
-			tr.end(ua, sedgevale.NotSent)
+			tr.end(ua, dispatcher.NotSent)
 		case r.transfer != nil:
 			ua.done = true // from here on the transfer carries it
 			delete(tr.byRequest, r)
@@ -142,7 +142,7 @@
 				return
 			}
 			ua.request.noteCause("response-timeout")
-			tr.end(ua, sedgevale.Cancelled)
+			tr.end(ua, dispatcher.Cancelled)
 		}
 	})
 }
@@ -151,7 +151,7 @@
 func (tr *transport) CancelUnsent(attempt *dispatch.Attempt) {
 	tr.loop.Do(func() {
 		if ua := tr.attempts[attempt]; ua != nil && ua.conn == nil && ua.request.transfer == nil {
-			tr.end(ua, sedgevale.NotSent)
+			tr.end(ua, dispatcher.NotSent)
 		}
 	})
 }
@@ -178,7 +178,7 @@
 func (tr *transport) cancelRequest(r *proxyRequest) {
 	tr.loop.Do(func() {
 		if ua := tr.byRequest[r]; ua != nil {
-			tr.end(ua, sedgevale.Cancelled)
+			tr.end(ua, dispatcher.Cancelled)
 		}
 	})
 	if r.transfer != nil {
@@ -200,7 +200,7 @@
 	}
 	if !tr.proxy.opt.Budget.Acquire() {
 		tr.proxy.opt.Budget.Release()
-		tr.end(ua, sedgevale.NotSent)
+		tr.end(ua, dispatcher.NotSent)
 		return
 	}
 	srv.dialing[ua] = struct{}{}
@@ -209,12 +209,12 @@
 	sc := &serverConn{transport: tr, attempt: ua, server: srv, parser: p}
 	tr.loop.Dial(srv.addr, srv.connectTimeout, sc, func(error) {
 		tr.proxy.opt.Budget.Release()
-		tr.end(ua, sedgevale.ConnectFailed)
+		tr.end(ua, dispatcher.ConnectFailed)
 	})
 }
 
 // end ends an attempt. Unless its response is complete, its connection ends too.
-func (tr *transport) end(ua *upstreamAttempt, o sedgevale.Outcome) {
+func (tr *transport) end(ua *upstreamAttempt, o dispatcher.Outcome) {
 	if ua.done {
 		return
 	}
@@ -232,7 +232,7 @@
 }
 
 // report reports the outcome of an attempt to the planner, once.
-func (tr *transport) report(ua *upstreamAttempt, o sedgevale.Outcome) {
+func (tr *transport) report(ua *upstreamAttempt, o dispatcher.Outcome) {
 	if ua.reported {
 		return
 	}
--- a/internal/reverseproxy/tunnel.go
+++ b/internal/reverseproxy/tunnel.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/http1"
 	"sedgevale/internal/httpd"
 )
@@ -20,7 +20,7 @@
 		sc.failMalformed(errUnsolicited)
 		return
 	}
-	sc.transport.report(ua, sedgevale.Served)
+	sc.transport.report(ua, dispatcher.Served)
 	sc.detached = true
 	server, rest, err := sc.transport.loop.Detach(sc.loopConn)
 	if err != nil {
--- a/internal/sse/golden_test.go
+++ b/internal/sse/golden_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/dispatch"
 	"sedgevale/internal/fdlimit"
 	"sedgevale/internal/httpd"
@@ -80,8 +80,8 @@
 func TestStreamBytes(t *testing.T) {
 	var ready atomic.Bool
 	ready.Store(true)
-	rules := jobrequest.New(dispatch.NewClock(), &jobrequest.Settings{Classes: []sedgevale.Class{
-		{Name: "free", ClientTimeout: 9 * time.Second}, {Name: "once", Idempotency: sedgevale.NotIdempotent, ClientTimeout: 9 * time.Second},
+	rules := jobrequest.New(dispatch.NewClock(), &jobrequest.Settings{Classes: []dispatcher.Class{
+		{Name: "free", ClientTimeout: 9 * time.Second}, {Name: "once", Idempotency: dispatcher.NotIdempotent, ClientTimeout: 9 * time.Second},
 	}})
 	handler := sse.New(sse.Options{Parser: rules, Planners: goldenPlanners{}, Ready: ready.Load, Log: slog.New(slog.DiscardHandler)})
 	addr := testkit.FreeAddr(t)
--- a/internal/sse/job.go
+++ b/internal/sse/job.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/dispatch"
 	"sedgevale/internal/httpd"
 )
@@ -22,9 +22,9 @@
 type job struct {
 	handler    *Handler
 	id         string
-	epoch      string           // of the process that accepted it
-	sibling    int              // the process that runs it, in an upgrade; 0: this one
-	class      *sedgevale.Class // as it was when the job came
+	epoch      string            // of the process that accepted it
+	sibling    int               // the process that runs it, in an upgrade; 0: this one
+	class      *dispatcher.Class // as it was when the job came
 	events     []event
 	seq        int
 	bytes      int
--- a/internal/sse/job_test.go
+++ b/internal/sse/job_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/dispatch"
 	"sedgevale/internal/jobrequest"
 )
@@ -16,7 +16,7 @@
 }
 
 func (h *Handler) add(id string) *job {
-	j := &job{handler: h, id: id, epoch: h.epoch, class: &sedgevale.Class{Name: "free"}}
+	j := &job{handler: h, id: id, epoch: h.epoch, class: &dispatcher.Class{Name: "free"}}
 	h.jobs[id] = j
 	return j
 }
@@ -68,13 +68,13 @@
 // Only a job that may run twice, or never ran, is marked as safe to post again.
 func TestRepeatSafe(t *testing.T) {
 	for _, c := range []struct {
-		class *sedgevale.Class
+		class *dispatcher.Class
 		want  bool
 	}{
-		{&sedgevale.Class{Name: "free"}, true},
-		{&sedgevale.Class{Name: "once", Idempotency: sedgevale.NotIdempotent}, false},
-		{&sedgevale.Class{Name: "all", Idempotency: sedgevale.IdempotentByKey}, true},
-		{&sedgevale.Class{Name: "cell", Idempotency: sedgevale.IdempotentByKey, DedupScope: sedgevale.DedupCell}, false},
+		{&dispatcher.Class{Name: "free"}, true},
+		{&dispatcher.Class{Name: "once", Idempotency: dispatcher.NotIdempotent}, false},
+		{&dispatcher.Class{Name: "all", Idempotency: dispatcher.IdempotentByKey}, true},
+		{&dispatcher.Class{Name: "cell", Idempotency: dispatcher.IdempotentByKey, DedupScope: dispatcher.DedupCell}, false},
 		{nil, false}, // the class is gone
 	} {
 		if got := newFailure(c.class, "", true); got.RepeatSafe != c.want || got.Outcome != "unknown" {
--- a/internal/sse/mirror.go
+++ b/internal/sse/mirror.go
@@ -3,17 +3,17 @@
 import (
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 )
 
 // Stream is a job's events, or the new ones, as one process of an upgrade sends them to the
 // other.
 type Stream struct {
-	ID     string          `json:"id"`
-	Epoch  string          `json:"epoch"`
-	Class  sedgevale.Class `json:"class"`
-	Events []StreamEvent   `json:"events"`
-	Final  bool            `json:"final,omitempty"` // the last event ends the stream
+	ID     string           `json:"id"`
+	Epoch  string           `json:"epoch"`
+	Class  dispatcher.Class `json:"class"`
+	Events []StreamEvent    `json:"events"`
+	Final  bool             `json:"final,omitempty"` // the last event ends the stream
 }
 
 // StreamEvent is one event as it is sent.
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -14,7 +14,7 @@
 	"sync"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/dispatch"
 	"sedgevale/internal/http1"
 	"sedgevale/internal/httpd"
@@ -172,7 +172,7 @@
 }
 
 // post accepts a job and makes the client its subscriber.
-func (h *Handler) post(c *httpd.Conn, q *httpd.Request, class *sedgevale.Class) error {
+func (h *Handler) post(c *httpd.Conn, q *httpd.Request, class *dispatcher.Class) error {
 	limit := class.ClientTimeout
 	parsed, deadline, err := h.parser.Parse(q, randomID(), limit)
 	if err != nil {
@@ -215,7 +215,7 @@
 var errNothingToResume = errors.New("nothing to resume: send Last-Event-ID, or the Request-Id of a job")
 
 // resume goes on with a stream after the last event that the client has received.
-func (h *Handler) resume(c *httpd.Conn, q *httpd.Request, name string, class *sedgevale.Class) error {
+func (h *Handler) resume(c *httpd.Conn, q *httpd.Request, name string, class *dispatcher.Class) error {
 	id := eventID{class: name, request: q.Get("Request-Id")} // of whichever epoch
 	if last := q.Get("Last-Event-ID"); last != "" {
 		var ok bool
@@ -258,11 +258,11 @@
 
 // newFailure returns the data of the event of a job that failed. A class that is gone is taken
 // for one whose jobs must not run twice.
-func newFailure(c *sedgevale.Class, reason string, ran bool) failure {
+func newFailure(c *dispatcher.Class, reason string, ran bool) failure {
 	out := failure{reason, "not run", true}
 	if ran {
 		out.Outcome = "unknown"
-		out.RepeatSafe = c != nil && (c.Idempotency == sedgevale.Idempotent || c.Idempotency == sedgevale.IdempotentByKey && c.DedupScope == sedgevale.DedupAll)
+		out.RepeatSafe = c != nil && (c.Idempotency == dispatcher.Idempotent || c.Idempotency == dispatcher.IdempotentByKey && c.DedupScope == dispatcher.DedupAll)
 	}
 	return out
 }
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/dispatch"
 	"sedgevale/internal/http1"
 )
@@ -33,7 +33,7 @@
 func (p *Pool) Cancel(a *dispatch.Attempt) {
 	p.loop.Do(func() {
 		if cl := p.calls[a]; cl != nil {
-			p.finish(cl, sedgevale.Cancelled, nil, nil)
+			p.finish(cl, dispatcher.Cancelled, nil, nil)
 		}
 	})
 }
@@ -42,7 +42,7 @@
 func (p *Pool) CancelUnsent(a *dispatch.Attempt) {
 	p.loop.Do(func() {
 		if cl := p.calls[a]; cl != nil && cl.conn == nil {
-			p.finish(cl, sedgevale.NotSent, nil, nil)
+			p.finish(cl, dispatcher.NotSent, nil, nil)
 		}
 	})
 }
@@ -57,7 +57,7 @@
 		}
 		p.start(cl)
 		time.AfterFunc(probeTimeout, func() {
-			p.loop.Do(func() { p.finish(cl, sedgevale.TimedOut, nil, nil) })
+			p.loop.Do(func() { p.finish(cl, dispatcher.TimedOut, nil, nil) })
 		})
 	})
 }
@@ -66,7 +66,7 @@
 func (p *Pool) start(cl *call) {
 	w := cl.worker
 	if w == nil || !p.accepts(w) {
-		p.finish(cl, sedgevale.NotSent, nil, nil)
+		p.finish(cl, dispatcher.NotSent, nil, nil)
 		return
 	}
 	// A request that is not idempotent has a single attempt. It is not risked on a reused connection while those break.
@@ -82,19 +82,19 @@
 	// The descriptor counts from the dial on: while workers do not respond, pending dials hold most of them.
 	if !p.opt.Descriptors.Acquire() {
 		p.opt.Descriptors.Release()
-		p.finish(cl, sedgevale.NotSent, nil, nil)
+		p.finish(cl, dispatcher.NotSent, nil, nil)
 		return
 	}
 	w.dialling[cl] = struct{}{}
 	c := &conn{pool: p, call: cl, parser: http1.NewParser(http1.Response)}
 	p.loop.Dial(w.addr, p.opt.DialTimeout, c, func(error) {
 		p.opt.Descriptors.Release()
-		p.finish(cl, sedgevale.ConnectFailed, nil, nil)
+		p.finish(cl, dispatcher.ConnectFailed, nil, nil)
 	})
 }
 
 // finish ends a call and reports its outcome. The connection is closed unless the answer is complete.
-func (p *Pool) finish(cl *call, o sedgevale.Outcome, result []byte, report *sedgevale.LoadReport) {
+func (p *Pool) finish(cl *call, o dispatcher.Outcome, result []byte, report *dispatcher.LoadReport) {
 	if cl.done {
 		return
 	}
@@ -102,7 +102,7 @@
 	if cl.worker != nil {
 		delete(cl.worker.dialling, cl)
 	}
-	if c := cl.conn; c != nil && !c.closed && o != sedgevale.Served && !c.answered {
+	if c := cl.conn; c != nil && !c.closed && o != dispatcher.Served && !c.answered {
 		p.closeConn(c)
 	}
 	if cl.attempt == nil {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -7,7 +7,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/evloop"
 	"sedgevale/internal/http1"
 )
@@ -58,10 +58,10 @@
 		if c.parser.Idle() {
 			c.stats().broken++
 		}
-		p.finish(cl, sedgevale.ConnectionLost, nil, nil)
+		p.finish(cl, dispatcher.ConnectionLost, nil, nil)
 	} else {
 		c.shutdownWrite()
-		p.finish(cl, sedgevale.ConnectFailed, nil, nil)
+		p.finish(cl, dispatcher.ConnectFailed, nil, nil)
 	}
 }
 
@@ -92,7 +92,7 @@
 func (c *conn) send(cl *call) {
 	if cl.attempt != nil && cl.attempt.Expired(c.pool.opt.Clock.Now()) { // while the connection was being made
 		c.putIdle()
-		c.pool.finish(cl, sedgevale.NotSent, nil, nil)
+		c.pool.finish(cl, dispatcher.NotSent, nil, nil)
 		return
 	}
 	c.call, cl.conn = cl, c
@@ -103,7 +103,7 @@
 	c.buffer = c.appendRequest(c.buffer[:0], cl)
 	c.writeFailed = true // a failing Write calls OnClose
 	if _, err := c.raw.Write(c.buffer); err != nil {
-		c.pool.finish(cl, sedgevale.ConnectFailed, nil, nil)
+		c.pool.finish(cl, dispatcher.ConnectFailed, nil, nil)
 		return
 	}
 	c.writeFailed = false
@@ -175,7 +175,7 @@
 func (c *conn) malformed(err error) {
 	if cl := c.call; cl != nil && !cl.done {
 		c.pool.opt.Log.Warn("malformed answer from worker", "worker", c.worker.id, "err", err)
-		c.pool.finish(cl, sedgevale.ConnectionLost, nil, nil)
+		c.pool.finish(cl, dispatcher.ConnectionLost, nil, nil)
 	}
 	c.pool.closeConn(c)
 }
@@ -235,9 +235,9 @@
 func (c *conn) headOnly(h *http1.Head) {
 	cl := c.call
 	report := parseLoadHeader(h.Get("Server-Load"))
-	o := sedgevale.Errored
+	o := dispatcher.Errored
 	if (h.Status == 503 || h.Status == 504) && h.Get("Not-Started") == "1" {
-		o = sedgevale.Rejected
+		o = dispatcher.Rejected
 		h.Close = true // it names no request: a duplicate would be taken for the answer to the next one
 	}
 	c.awaitEnd()
@@ -266,19 +266,19 @@
 		if l.Result == nil {
 			return errNoResult
 		}
-		c.handleOutcome(sedgevale.Served, []byte(*l.Result), l)
+		c.handleOutcome(dispatcher.Served, []byte(*l.Result), l)
 	case "failed":
-		c.handleOutcome(sedgevale.Errored, nil, l)
+		c.handleOutcome(dispatcher.Errored, nil, l)
 	case "returned":
-		c.handleOutcome(sedgevale.Rejected, nil, l)
+		c.handleOutcome(dispatcher.Rejected, nil, l)
 	case "lost":
-		c.handleOutcome(sedgevale.ConnectionLost, nil, l)
+		c.handleOutcome(dispatcher.ConnectionLost, nil, l)
 	}
 	return nil
 }
 
 // handleOutcome ends the attempt by its last line. The connection is not reused before the answer has ended.
-func (c *conn) handleOutcome(o sedgevale.Outcome, result []byte, l answerLine) {
+func (c *conn) handleOutcome(o dispatcher.Outcome, result []byte, l answerLine) {
 	c.awaitEnd()
 	c.pool.finish(c.call, o, result, loadReport(l.Load))
 }
@@ -293,7 +293,7 @@
 func (c *conn) handleEnd() bool {
 	delete(c.pool.awaitingEnd, c)
 	if cl := c.call; cl != nil && !cl.done { // there was no last line with an outcome
-		c.pool.finish(cl, sedgevale.ConnectionLost, nil, nil)
+		c.pool.finish(cl, dispatcher.ConnectionLost, nil, nil)
 	}
 	if c.closed {
 		return false
