--- a/internal/upstream/endings_test.go
+++ b/internal/upstream/endings_test.go
@@ -16,7 +16,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/dispatch"
 	"sedgevale/internal/evloop"
 	"sedgevale/internal/testkit"
@@ -130,10 +130,10 @@
 	t.Fatal("no connection is being made")
 }
 
-func request(p *dispatch.Planner, clock dispatch.Clock, id string, class *sedgevale.Class, body []byte) (*dispatch.Exchange, client) {
+func request(p *dispatch.Planner, clock dispatch.Clock, id string, class *dispatcher.Class, body []byte) (*dispatch.Exchange, client) {
 	answers := make(client, 1)
 	once := ""
-	if class.Idempotency == sedgevale.IdempotentByKey {
+	if class.Idempotency == dispatcher.IdempotentByKey {
 		once = "key-" + id
 	}
 	x := dispatch.NewExchange(dispatch.Job{ID: id, Class: class, Tenant: -1, Method: "POST", Target: "/x", IdempotencyKey: once, Body: body},
@@ -148,7 +148,7 @@
 	for _, mayCancel := range []bool{true, false} {
 		t.Run(fmt.Sprint("may cancel ", mayCancel), func(t *testing.T) {
 			addr, accept := late(t)
-			pool, planner, clock := beginWith(t, addr, 0, func(s *sedgevale.Settings) { s.AllowCancel = mayCancel })
+			pool, planner, clock := beginWith(t, addr, 0, func(s *dispatcher.Settings) { s.AllowCancel = mayCancel })
 			x, _ := request(planner, clock, "a", &classes[0], nil)
 			dialling(t, pool, "w")
 			planner.ClientDisconnected(x)
@@ -170,7 +170,7 @@
 // Guards against a retry after the window in which workers recognise an idempotency key: it was decided within the window,
 // but its connection was established after it. The client gets an error.
 func TestWindowEndsWhileDialling(t *testing.T) {
-	keyed := sedgevale.Class{Name: "keyed", Idempotency: sedgevale.IdempotentByKey, DedupWindow: 500 * time.Millisecond, LatencyTarget: 3 * time.Second, ClientTimeout: 3 * time.Second}
+	keyed := dispatcher.Class{Name: "keyed", Idempotency: dispatcher.IdempotentByKey, DedupWindow: 500 * time.Millisecond, LatencyTarget: 3 * time.Second, ClientTimeout: 3 * time.Second}
 	addr, accept := late(t)
 	come, breakOff := make(chan struct{}, 4), make(chan struct{})
 	first := testkit.Accept(t, func(c net.Conn) { // receives the request and resets the connection
@@ -180,11 +180,11 @@
 		_ = c.(*net.TCPConn).SetLinger(0)
 		closeOne(t, c)
 	})
-	pool, planner, clock := beginWith(t, first, 0, func(s *sedgevale.Settings) { s.Classes = []sedgevale.Class{keyed} })
+	pool, planner, clock := beginWith(t, first, 0, func(s *dispatcher.Settings) { s.Classes = []dispatcher.Class{keyed} })
 	pool.UpdateMembers(false, []Member{{ID: "v", Addr: addr, Ready: true}})
 	_, answers := request(planner, clock, "a", &keyed, nil)
 	testkit.Await(t, "the first attempt", come)
-	planner.WorkersUpdated(sedgevale.UpdateDelta, []sedgevale.WorkerInfo{{Worker: "v"}})
+	planner.WorkersUpdated(dispatcher.UpdateDelta, []dispatcher.WorkerInfo{{Worker: "v"}})
 	close(breakOff)
 	dialling(t, pool, "v")
 	got := accept()
@@ -338,7 +338,7 @@
 		t.Fatal(err)
 	}
 	defer closeOne(t, l)
-	pool, planner, clock := beginWith(t, l.Addr().String(), 0, func(s *sedgevale.Settings) { s.MaxAttempts = 1 })
+	pool, planner, clock := beginWith(t, l.Addr().String(), 0, func(s *dispatcher.Settings) { s.MaxAttempts = 1 })
 	_, answers := request(planner, clock, "a", &classes[1], nil)
 	c, err := l.Accept()
 	if err != nil {
--- a/internal/upstream/line.go
+++ b/internal/upstream/line.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"strings"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 )
 
 // answerLine is the part of one JSON object of a worker's answer that is used.
@@ -56,8 +56,8 @@
 }
 
 // loadReport returns the values that decisions use, or nil if there are none.
-func loadReport(values map[string]float64) *sedgevale.LoadReport {
-	var r sedgevale.LoadReport
+func loadReport(values map[string]float64) *dispatcher.LoadReport {
+	var r dispatcher.LoadReport
 	r.FreeSlots, r.HasFreeSlots = values["x0"]
 	if r.InFlight, r.HasInFlight = values["rif"]; !r.HasInFlight {
 		r.InFlight, r.HasInFlight = values["inflight"]
@@ -70,7 +70,7 @@
 
 // parseLoadHeader parses a Server-Load field, name=value,name=value. Malformed pairs are ignored: a report is a hint, and
 // the answer with it is still valid.
-func parseLoadHeader(s string) *sedgevale.LoadReport {
+func parseLoadHeader(s string) *dispatcher.LoadReport {
 	values := map[string]float64{}
 	for pair := range strings.SplitSeq(s, ",") {
 		name, value, ok := strings.Cut(strings.TrimSpace(pair), "=")
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -7,7 +7,7 @@
 	"log/slog"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/dispatch"
 	"sedgevale/internal/evloop"
 	"sedgevale/internal/fdlimit"
@@ -159,7 +159,7 @@
 // cancelUnsent ends the attempts whose connection is being made, and closes idle connections.
 func (p *Pool) cancelUnsent(w *worker) {
 	for c := range w.dialling {
-		p.finish(c, sedgevale.NotSent, nil, nil)
+		p.finish(c, dispatcher.NotSent, nil, nil)
 	}
 	p.closeIdleOf(w)
 }
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/dispatch"
 	"sedgevale/internal/evloop"
 	"sedgevale/internal/fdlimit"
@@ -26,8 +26,8 @@
 func (client) Progress(float64)           {}
 func (c client) Answer(a dispatch.Answer) { c <- a }
 
-var classes = []sedgevale.Class{
-	{Name: "once", Idempotency: sedgevale.NotIdempotent, LatencyTarget: 3 * time.Second, ClientTimeout: 3 * time.Second},
+var classes = []dispatcher.Class{
+	{Name: "once", Idempotency: dispatcher.NotIdempotent, LatencyTarget: 3 * time.Second, ClientTimeout: 3 * time.Second},
 	{Name: "free", LatencyTarget: 3 * time.Second, ClientTimeout: 3 * time.Second},
 }
 
@@ -51,13 +51,13 @@
 // begin runs a pool and a planner with one worker, w.
 func begin(t *testing.T, addr string, idle time.Duration) (*Pool, *dispatch.Planner, dispatch.Clock) {
 	t.Helper()
-	return beginWith(t, addr, idle, func(*sedgevale.Settings) {})
+	return beginWith(t, addr, idle, func(*dispatcher.Settings) {})
 }
 
 // beginWith is like begin, with settings that set changes.
-func beginWith(t *testing.T, addr string, idle time.Duration, set func(*sedgevale.Settings)) (*Pool, *dispatch.Planner, dispatch.Clock) {
+func beginWith(t *testing.T, addr string, idle time.Duration, set func(*dispatcher.Settings)) (*Pool, *dispatch.Planner, dispatch.Clock) {
 	t.Helper()
-	settings := sedgevale.Settings{MaxAttempts: 3, AllowCancel: true, Classes: classes}
+	settings := dispatcher.Settings{MaxAttempts: 3, AllowCancel: true, Classes: classes}
 	set(&settings)
 	log := slog.New(slog.DiscardHandler)
 	loop, err := evloop.New(log)
@@ -81,7 +81,7 @@
 		}
 	})
 	pool.UpdateMembers(true, []Member{{ID: "w", Addr: addr, Ready: true}})
-	planner.WorkersUpdated(sedgevale.UpdateFull, []sedgevale.WorkerInfo{{Worker: "w"}})
+	planner.WorkersUpdated(dispatcher.UpdateFull, []dispatcher.WorkerInfo{{Worker: "w"}})
 	return pool, planner, clock
 }
 
@@ -91,7 +91,7 @@
 	t.Run("drain", func(t *testing.T) {
 		checkCancelsDials(t, func(pool *Pool, planner *dispatch.Planner, addr string) {
 			pool.UpdateMembers(false, []Member{{ID: "w", Addr: addr}})
-			planner.WorkersUpdated(sedgevale.UpdateDelta, []sedgevale.WorkerInfo{{Worker: "w", State: sedgevale.Draining}})
+			planner.WorkersUpdated(dispatcher.UpdateDelta, []dispatcher.WorkerInfo{{Worker: "w", State: dispatcher.Draining}})
 		})
 	})
 	t.Run("cordon", func(t *testing.T) {
--- a/internal/wire/reader.go
+++ b/internal/wire/reader.go
@@ -12,7 +12,7 @@
 	"strconv"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 )
 
 // Kind says what an Event is.
@@ -40,16 +40,16 @@
 	Instance string
 	Now      time.Duration
 
-	Seed     uint64                  // InstanceStarted
-	Settings sedgevale.Settings      // InstanceStarted
-	ListKind sedgevale.UpdateKind    // WorkersUpdated
-	Entries  []sedgevale.WorkerInfo  // WorkersUpdated
-	Request  sedgevale.Request       // RequestArrived
-	Result   sedgevale.AttemptResult // AttemptEnded; ID and Attempt of all events of an attempt; Report of ProbeResult
-	Worker   string                  // ProbeResult
-	Started  bool                    // AttemptNotice: the attempt has started, else it has progressed
-	Progress float64                 // AttemptNotice: share done, 0 to 1
-	Token    uint64                  // TimerFired
+	Seed     uint64                   // InstanceStarted
+	Settings dispatcher.Settings      // InstanceStarted
+	ListKind dispatcher.UpdateKind    // WorkersUpdated
+	Entries  []dispatcher.WorkerInfo  // WorkersUpdated
+	Request  dispatcher.Request       // RequestArrived
+	Result   dispatcher.AttemptResult // AttemptEnded; ID and Attempt of all events of an attempt; Report of ProbeResult
+	Worker   string                   // ProbeResult
+	Started  bool                     // AttemptNotice: the attempt has started, else it has progressed
+	Progress float64                  // AttemptNotice: share done, 0 to 1
+	Token    uint64                   // TimerFired
 }
 
 // SyntaxError is a line that does not follow the protocol.
@@ -78,10 +78,10 @@
 	now      time.Duration
 	instance string
 	names    map[string]string // instances and workers, interned
-	lists    [maxLists][]sedgevale.WorkerInfo
+	lists    [maxLists][]dispatcher.WorkerInfo
 	known    [maxLists]bool // lists that were sent
 	event    Event          // the last one, reused
-	report   sedgevale.LoadReport
+	report   dispatcher.LoadReport
 }
 
 // NewReader returns a Reader on in.
@@ -208,7 +208,7 @@
 	return r.endOfLine()
 }
 
-func (r *Reader) readRequest(q *sedgevale.Request) (err error) {
+func (r *Reader) readRequest(q *dispatcher.Request) (err error) {
 	if q.ID, err = r.requestID(); err != nil {
 		return err
 	}
@@ -248,7 +248,7 @@
 	return nil
 }
 
-func (r *Reader) readResult(a *sedgevale.AttemptResult) (err error) {
+func (r *Reader) readResult(a *dispatcher.AttemptResult) (err error) {
 	if a.ID, err = r.requestID(); err != nil {
 		return err
 	}
@@ -272,18 +272,18 @@
 	return r.readReport(a)
 }
 
-var outcomes = map[string]sedgevale.Outcome{
-	"pass": sedgevale.Served, "fault": sedgevale.Errored, "no_room": sedgevale.Rejected,
-	"too_slow": sedgevale.TimedOut, "no_route": sedgevale.ConnectFailed, "cut": sedgevale.ConnectionLost,
-	"undone": sedgevale.Cancelled, "stale_send": sedgevale.NotSent,
+var outcomes = map[string]dispatcher.Outcome{
+	"pass": dispatcher.Served, "fault": dispatcher.Errored, "no_room": dispatcher.Rejected,
+	"too_slow": dispatcher.TimedOut, "no_route": dispatcher.ConnectFailed, "cut": dispatcher.ConnectionLost,
+	"undone": dispatcher.Cancelled, "stale_send": dispatcher.NotSent,
 }
 
-func (r *Reader) readReport(a *sedgevale.AttemptResult) error {
+func (r *Reader) readReport(a *dispatcher.AttemptResult) error {
 	rest := r.nextField()
 	if absent(rest) {
 		return nil
 	}
-	r.report = sedgevale.LoadReport{}
+	r.report = dispatcher.LoadReport{}
 	for len(rest) > 0 {
 		pair := rest
 		if i := bytes.IndexByte(rest, ','); i >= 0 {
@@ -361,13 +361,13 @@
 	slot := r.nextField()
 	switch mode := r.nextField(); string(mode) {
 	case "patch":
-		e.ListKind = sedgevale.UpdateDelta
+		e.ListKind = dispatcher.UpdateDelta
 	case "whole":
-		e.ListKind = sedgevale.UpdateFull
+		e.ListKind = dispatcher.UpdateFull
 	case "stale_copy":
-		e.ListKind = sedgevale.UpdateStale
+		e.ListKind = dispatcher.UpdateStale
 	case "broken":
-		e.ListKind = sedgevale.UpdateFailed
+		e.ListKind = dispatcher.UpdateFailed
 		return nil
 	default:
 		return r.syntaxError("unknown list mode")
@@ -399,7 +399,7 @@
 	if n >= maxLists {
 		return r.syntaxError("list number over 15")
 	}
-	rows := make([]sedgevale.WorkerInfo, 0, min(count, 4096))
+	rows := make([]dispatcher.WorkerInfo, 0, min(count, 4096))
 	for range count {
 		if err := r.readLine(); err != nil {
 			return err
@@ -407,7 +407,7 @@
 		if keyword := r.nextField(); string(keyword) != "ITEM" {
 			return &SyntaxError{head, fmt.Sprintf("%d entries announced, %d found", count, len(rows))}
 		}
-		var w sedgevale.WorkerInfo
+		var w dispatcher.WorkerInfo
 		if err := r.readWorker(&w); err != nil {
 			return err
 		}
@@ -417,7 +417,7 @@
 	return nil
 }
 
-func (r *Reader) readWorker(w *sedgevale.WorkerInfo) (err error) {
+func (r *Reader) readWorker(w *dispatcher.WorkerInfo) (err error) {
 	name, err := r.text("worker")
 	if err != nil {
 		return err
@@ -434,11 +434,11 @@
 	}
 	switch state := r.nextField(); string(state) {
 	case "active":
-		w.State = sedgevale.Active
+		w.State = dispatcher.Active
 	case "leaving":
-		w.State = sedgevale.Draining
+		w.State = dispatcher.Draining
 	case "left":
-		w.State = sedgevale.Removed
+		w.State = dispatcher.Removed
 	default:
 		return r.syntaxError("unknown state")
 	}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -8,21 +8,21 @@
 	"strings"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 )
 
 // ParseSettings reads the path=value pairs of BEGIN. Unknown keys are skipped. The
 // error names the first setting that is wrong.
-func ParseSettings(info string) (sedgevale.Settings, error) {
+func ParseSettings(info string) (dispatcher.Settings, error) {
 	p := settingsReader{values: map[string]string{}}
 	for _, pair := range strings.Fields(info) {
 		path, value, ok := strings.Cut(pair, "=")
 		if !ok {
-			return sedgevale.Settings{}, fmt.Errorf("setting %q has no value", pair)
+			return dispatcher.Settings{}, fmt.Errorf("setting %q has no value", pair)
 		}
 		p.values[path] = value
 	}
-	s := sedgevale.Settings{
+	s := dispatcher.Settings{
 		Zone:              p.int("zone"),
 		Dispatchers:       p.int("peers_total"),
 		MaxAttempts:       p.int("bounds.max_attempts"),
@@ -48,16 +48,16 @@
 	}
 	switch p.values["weights"] {
 	case "nominal", "rough":
-		s.Weights = sedgevale.WeightSize
+		s.Weights = dispatcher.WeightSize
 	case "live":
-		s.Weights = sedgevale.WeightLive
+		s.Weights = dispatcher.WeightLive
 	}
 	if err := p.classes(&s); err != nil {
 		return s, err
 	}
 	for i := range min(p.int("realms.count"), maxEntries) {
 		at := fmt.Sprintf("realms.%d.", i)
-		s.Tenants = append(s.Tenants, sedgevale.Tenant{
+		s.Tenants = append(s.Tenants, dispatcher.Tenant{
 			Name: p.values[at+"name"], Share: p.float(at + "share"), Quota: p.float(at + "quota_rps")})
 	}
 	return s, p.err
@@ -66,12 +66,12 @@
 // maxEntries bounds the classes and the tenants of a message.
 const maxEntries = 1 << 16
 
-func (p *settingsReader) classes(s *sedgevale.Settings) error {
+func (p *settingsReader) classes(s *dispatcher.Settings) error {
 	kinds := p.list("family_info.class_kind")
 	stretch := p.list("family_info.class_stretch")
 	for i := range min(p.int("classes.count"), maxEntries) {
 		at := fmt.Sprintf("classes.%d.", i)
-		c := sedgevale.Class{
+		c := dispatcher.Class{
 			Name:          p.values[at+"name"],
 			Idempotency:   effects[p.values[at+"effect"]],
 			DedupScope:    scopes[p.values[at+"dedup_scope"]],
@@ -100,12 +100,12 @@
 	return nil
 }
 
-var effects = map[string]sedgevale.Idempotency{
-	"free": sedgevale.Idempotent, "guarded": sedgevale.IdempotentByKey, "single_shot": sedgevale.NotIdempotent,
+var effects = map[string]dispatcher.Idempotency{
+	"free": dispatcher.Idempotent, "guarded": dispatcher.IdempotentByKey, "single_shot": dispatcher.NotIdempotent,
 }
 
-var scopes = map[string]sedgevale.DedupScope{
-	"all": sedgevale.DedupAll, "zone": sedgevale.DedupZone, "cell": sedgevale.DedupCell,
+var scopes = map[string]dispatcher.DedupScope{
+	"all": dispatcher.DedupAll, "zone": dispatcher.DedupZone, "cell": dispatcher.DedupCell,
 }
 
 // settingsReader looks settings up by their paths. It keeps the error of the first that
@@ -158,7 +158,7 @@
 
 // retryBudget reads the budget of retries. It binds where any of its keys is present,
 // and then needs a window.
-func (p *settingsReader) retryBudget(b *sedgevale.RetryBudget) error {
+func (p *settingsReader) retryBudget(b *dispatcher.RetryBudget) error {
 	_, free := p.values["rules.extra_free"]
 	_, ratio := p.values["rules.repeat_ratio"]
 	_, span := p.values["rules.ratio_span"]
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 )
 
 const ms = time.Millisecond
@@ -29,7 +29,7 @@
 			return all, err
 		}
 		c := *e
-		c.Entries = append([]sedgevale.WorkerInfo(nil), e.Entries...)
+		c.Entries = append([]dispatcher.WorkerInfo(nil), e.Entries...)
 		if e.Result.Report != nil {
 			report := *e.Result.Report
 			c.Result.Report = &report
@@ -43,28 +43,28 @@
 		line string
 		want Event
 	}{
-		{"KNOCK rq_b 1 2 data/k 0.24 0.012 2 0.5 3", Event{Kind: RequestArrived, Request: sedgevale.Request{
+		{"KNOCK rq_b 1 2 data/k 0.24 0.012 2 0.5 3", Event{Kind: RequestArrived, Request: dispatcher.Request{
 			ID: "rq_b", Class: 1, Tenant: 2, AffinityKey: "data/k", TimeLeft: 240 * ms, RuntimeHint: 12 * ms, Slots: 2,
 			ClientRetry: true}}},
-		{"KNOCK rq_b 0 - - 0.24 0.012 - - 0", Event{Kind: RequestArrived, Request: sedgevale.Request{
+		{"KNOCK rq_b 0 - - 0.24 0.012 - - 0", Event{Kind: RequestArrived, Request: dispatcher.Request{
 			ID: "rq_b", Tenant: -1, TimeLeft: 240 * ms}}},
-		{"ANSWER rq_b 1 10.0.0.1:5 no_room 0.0185 0 - -", Event{Kind: AttemptEnded, Result: sedgevale.AttemptResult{
-			ID: "rq_b", Attempt: 1, Outcome: sedgevale.Rejected}}},
-		{"ANSWER rq_b 0 10.0.0.1:5 pass 0.0185 1 - busy:0.62,x0:0.4,rif:3,new:7", Event{Kind: AttemptEnded, Result: sedgevale.AttemptResult{
-			ID: "rq_b", Answered: true, Report: &sedgevale.LoadReport{HasFreeSlots: true, FreeSlots: 0.4, HasInFlight: true, InFlight: 3}}}},
+		{"ANSWER rq_b 1 10.0.0.1:5 no_room 0.0185 0 - -", Event{Kind: AttemptEnded, Result: dispatcher.AttemptResult{
+			ID: "rq_b", Attempt: 1, Outcome: dispatcher.Rejected}}},
+		{"ANSWER rq_b 0 10.0.0.1:5 pass 0.0185 1 - busy:0.62,x0:0.4,rif:3,new:7", Event{Kind: AttemptEnded, Result: dispatcher.AttemptResult{
+			ID: "rq_b", Answered: true, Report: &dispatcher.LoadReport{HasFreeSlots: true, FreeSlots: 0.4, HasInFlight: true, InFlight: 3}}}},
 		{"STATUS_NOTE rq_b 0 10.0.0.1:5 1 0.5", Event{Kind: AttemptNotice, Started: true, Progress: 0.5,
-			Result: sedgevale.AttemptResult{ID: "rq_b"}}},
+			Result: dispatcher.AttemptResult{ID: "rq_b"}}},
 		{"STATUS_NOTE rq_b 2 10.0.0.1:5 2 0.25", Event{Kind: AttemptNotice, Progress: 0.25,
-			Result: sedgevale.AttemptResult{ID: "rq_b", Attempt: 2}}},
-		{"HEADERS rq_b 10.0.0.1:5 3 0.009", Event{Kind: StreamStarted, Result: sedgevale.AttemptResult{ID: "rq_b", Attempt: 3}}},
-		{"CLIENT_GONE rq_b", Event{Kind: ClientDisconnected, Result: sedgevale.AttemptResult{ID: "rq_b"}}},
+			Result: dispatcher.AttemptResult{ID: "rq_b", Attempt: 2}}},
+		{"HEADERS rq_b 10.0.0.1:5 3 0.009", Event{Kind: StreamStarted, Result: dispatcher.AttemptResult{ID: "rq_b", Attempt: 3}}},
+		{"CLIENT_GONE rq_b", Event{Kind: ClientDisconnected, Result: dispatcher.AttemptResult{ID: "rq_b"}}},
 		{"WAKE 9223372036854775808", Event{Kind: TimerFired, Token: 1 << 63}},
 		{"KILL", Event{Kind: InstanceKilled}},
-		{"ECHO 10.0.0.1:5 pass 0.001 x0:1.5,rif:2", Event{Kind: ProbeResult, Worker: "10.0.0.1:5", Result: sedgevale.AttemptResult{
-			Report: &sedgevale.LoadReport{HasFreeSlots: true, FreeSlots: 1.5, HasInFlight: true, InFlight: 2}}}},
+		{"ECHO 10.0.0.1:5 pass 0.001 x0:1.5,rif:2", Event{Kind: ProbeResult, Worker: "10.0.0.1:5", Result: dispatcher.AttemptResult{
+			Report: &dispatcher.LoadReport{HasFreeSlots: true, FreeSlots: 1.5, HasInFlight: true, InFlight: 2}}}},
 		{"ECHO 10.0.0.1:5 too_slow 0.5 -", Event{Kind: ProbeResult, Worker: "10.0.0.1:5"}},
 		{"MESSAGE 2 68692037", Event{Kind: PeerMessage}},
-		{"MEMBERS 4 - broken", Event{Kind: WorkersUpdated, ListKind: sedgevale.UpdateFailed}},
+		{"MEMBERS 4 - broken", Event{Kind: WorkersUpdated, ListKind: dispatcher.UpdateFailed}},
 	} {
 		got, err := read(t, "MARK 8.41225 1", "ABOUT d/1", c.line, "GO")
 		if err != nil || len(got) != 1 {
@@ -89,15 +89,15 @@
 	if err != nil || len(got) != 3 {
 		t.Fatalf("%d events, error %v", len(got), err)
 	}
-	want := []sedgevale.WorkerInfo{{Worker: "a:1", Kind: 1, Cell: 2, Weight: 1.5},
-		{Worker: "b:1", Zone: 1, State: sedgevale.Draining, Weight: 1, StartedAt: 6100 * ms}}
-	if !reflect.DeepEqual(got[0].Entries, want) || got[0].ListKind != sedgevale.UpdateStale {
+	want := []dispatcher.WorkerInfo{{Worker: "a:1", Kind: 1, Cell: 2, Weight: 1.5},
+		{Worker: "b:1", Zone: 1, State: dispatcher.Draining, Weight: 1, StartedAt: 6100 * ms}}
+	if !reflect.DeepEqual(got[0].Entries, want) || got[0].ListKind != dispatcher.UpdateStale {
 		t.Errorf("first list: %+v", got[0])
 	}
-	if len(got[1].Entries) != 0 || got[1].ListKind != sedgevale.UpdateFull {
+	if len(got[1].Entries) != 0 || got[1].ListKind != dispatcher.UpdateFull {
 		t.Errorf("second list: %+v", got[1])
 	}
-	if len(got[2].Entries) != 1 || got[2].Entries[0].State != sedgevale.Removed {
+	if len(got[2].Entries) != 1 || got[2].Entries[0].State != dispatcher.Removed {
 		t.Errorf("third list: %+v", got[2])
 	}
 }
@@ -167,13 +167,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := sedgevale.Settings{Zone: 1, Dispatchers: 2, Weights: sedgevale.WeightLive, MaxAttempts: 6, AllowHedging: true,
+	want := dispatcher.Settings{Zone: 1, Dispatchers: 2, Weights: dispatcher.WeightLive, MaxAttempts: 6, AllowHedging: true,
 		AllowCancel: true, WatchOnDemand: true, StartNotified: true, FIFOWorkers: true, MaxRetryAfter: 2 * time.Second, SlowStartCapacity: 0.3,
 		SlowStartDuration: 8700 * ms, OverloadMultiple: 2.5, OverloadWindow: 1500 * ms,
-		Tenants: []sedgevale.Tenant{{Name: "t", Share: 0.4, Quota: 14}},
-		Classes: []sedgevale.Class{
+		Tenants: []dispatcher.Tenant{{Name: "t", Share: 0.4, Quota: 14}},
+		Classes: []dispatcher.Class{
 			{Name: "a", DedupWindow: 5 * time.Second, LatencyTarget: 80 * ms, TargetStretch: 2.5, ClientTimeout: 5 * time.Second, LateValue: 0.5},
-			{Name: "b", Idempotency: sedgevale.IdempotentByKey, DedupScope: sedgevale.DedupZone, DedupWindow: 7500 * ms, LatencyTarget: 100 * ms,
+			{Name: "b", Idempotency: dispatcher.IdempotentByKey, DedupScope: dispatcher.DedupZone, DedupWindow: 7500 * ms, LatencyTarget: 100 * ms,
 				TargetStretch: 2, ClientTimeout: 5 * time.Second, Kinds: []int{1}, Streaming: true}}}
 	if !reflect.DeepEqual(s, want) {
 		t.Errorf("\n got %+v\nwant %+v", s, want)
@@ -188,13 +188,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := sedgevale.Settings{LoadByProbe: true, RejectedMayHaveRun: true, DrainCloseTimeout: 1500 * ms,
-		RetryBudget: sedgevale.RetryBudget{FreeRetries: 3, RetryRatio: 0.03, Window: 5 * time.Second},
-		Classes:     []sedgevale.Class{{Kinds: []int{1}}, {Zones: []int{0, 1}}, {Kinds: []int{}}}}
+	want := dispatcher.Settings{LoadByProbe: true, RejectedMayHaveRun: true, DrainCloseTimeout: 1500 * ms,
+		RetryBudget: dispatcher.RetryBudget{FreeRetries: 3, RetryRatio: 0.03, Window: 5 * time.Second},
+		Classes:     []dispatcher.Class{{Kinds: []int{1}}, {Zones: []int{0, 1}}, {Kinds: []int{}}}}
 	if !reflect.DeepEqual(s, want) {
 		t.Errorf("\n got %+v\nwant %+v", s, want)
 	}
-	if s, err := ParseSettings("classes.count=0"); err != nil || s.RetryBudget != (sedgevale.RetryBudget{}) {
+	if s, err := ParseSettings("classes.count=0"); err != nil || s.RetryBudget != (dispatcher.RetryBudget{}) {
 		t.Errorf("no budget set: %+v, %v", s.RetryBudget, err)
 	}
 }
--- a/scheduler/build.go
+++ b/scheduler/build.go
@@ -6,7 +6,7 @@
 	"log/slog"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/discovery"
 	"sedgevale/internal/dispatch"
 	"sedgevale/internal/dispatchconfig"
@@ -67,7 +67,7 @@
 }
 
 // build makes the parts of a scheduler in the order in which they depend on each other.
-func (s *Scheduler) build(settings *sedgevale.Settings) error {
+func (s *Scheduler) build(settings *dispatcher.Settings) error {
 	c := s.config
 	s.pool = upstream.New(upstream.Options{Loop: s.workerLoop, DialTimeout: dispatchconfig.Seconds(c.Settings.Bounds.DialTimeout),
 		IdleTimeout: dispatchconfig.Seconds(c.Settings.Bounds.IdleClose), Host: workerHost, Clock: s.clock, Descriptors: s.descriptors,
@@ -86,7 +86,7 @@
 	if err := s.buildPeerLink(planners); err != nil {
 		return err
 	}
-	s.updateWorkers(sedgevale.UpdateStale, *c.Known)
+	s.updateWorkers(dispatcher.UpdateStale, *c.Known)
 	s.requestParser = jobrequest.New(s.clock, &jobrequest.Settings{Classes: settings.Classes, Tenants: settings.Tenants})
 	if err := s.buildServers(settings); err != nil {
 		return err
@@ -96,7 +96,7 @@
 }
 
 // buildPlanners makes the set of planners and returns its members.
-func (s *Scheduler) buildPlanners(settings *sedgevale.Settings) ([]*dispatch.Planner, error) {
+func (s *Scheduler) buildPlanners(settings *dispatcher.Settings) ([]*dispatch.Planner, error) {
 	var planners []*dispatch.Planner
 	for i := range max(1, s.config.Planners) {
 		p, err := dispatch.NewPlanner(*settings, s.config.SeedNumber()+uint64(i), s.clock, s.pool, s.watcher.Watch, s.options.Log)
@@ -128,7 +128,7 @@
 // buildServers makes the servers for clients: the platform's protocol, the reverse proxy
 // and the event streams, each where the configuration has it. The admission queue, if any,
 // stands between them and the planners.
-func (s *Scheduler) buildServers(settings *sedgevale.Settings) error {
+func (s *Scheduler) buildServers(settings *dispatcher.Settings) error {
 	c, log := s.config, s.options.Log
 	var planners platformapi.Planners = s.planners
 	if c.Admission != nil {
@@ -176,7 +176,7 @@
 }
 
 // tenantShares returns the tenants as the admission queue takes them.
-func tenantShares(tenants []sedgevale.Tenant) (all []fairqueue.Tenant) {
+func tenantShares(tenants []dispatcher.Tenant) (all []fairqueue.Tenant) {
 	for _, t := range tenants {
 		all = append(all, fairqueue.Tenant{Name: t.Name, Share: t.Share})
 	}
--- a/scheduler/drain_test.go
+++ b/scheduler/drain_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 )
 
 // Guards against answers that are lost by SIGKILL: it comes a fixed time after the longest
@@ -14,7 +14,7 @@
 	for _, limit := range []time.Duration{300 * time.Millisecond, 600 * time.Millisecond, time.Second, 2 * time.Second,
 		3 * time.Second, 5 * time.Second, 25 * time.Second} {
 		s := &Scheduler{}
-		s.settings.Store(&sedgevale.Settings{Classes: []sedgevale.Class{{ClientTimeout: limit / 2}, {ClientTimeout: limit}}})
+		s.settings.Store(&dispatcher.Settings{Classes: []dispatcher.Class{{ClientTimeout: limit / 2}, {ClientTimeout: limit}}})
 		longest := s.maxDeadline()
 		idle, end := drainDeadlines(longest)
 		kill := min(limit, maxDrainWait) + killedAfter
--- a/scheduler/reload.go
+++ b/scheduler/reload.go
@@ -4,7 +4,7 @@
 	"reflect"
 	"strings"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/dispatchconfig"
 	"sedgevale/internal/jobrequest"
 )
@@ -44,7 +44,7 @@
 	s.limitDescriptors(c)
 	s.watcher.SetAddr(c.Discovery)
 	if c.Discovery == "" {
-		s.workerLoop.Do(func() { s.updateWorkers(sedgevale.UpdateFull, *c.Known) })
+		s.workerLoop.Do(func() { s.updateWorkers(dispatcher.UpdateFull, *c.Known) })
 	}
 	if s.peerLink != nil {
 		s.peerLink.SetRevision(c.PeerRevision())
@@ -54,7 +54,7 @@
 }
 
 // logReload logs what a Reload has changed, and what it could not.
-func (s *Scheduler) logReload(c *dispatchconfig.Config, before, now *sedgevale.Settings, needRestart []string) {
+func (s *Scheduler) logReload(c *dispatchconfig.Config, before, now *dispatcher.Settings, needRestart []string) {
 	s.options.Log.Info("configuration reloaded", "revision", c.Revision, "discovery", c.Discovery, "classes", len(now.Classes),
 		"max_attempts", now.MaxAttempts, "tenants", len(now.Tenants))
 	if added, gone, changed := tenantChanges(before.Tenants, now.Tenants); added+gone+changed > 0 {
@@ -66,8 +66,8 @@
 }
 
 // tenantChanges counts the tenants that come, go, and have another share or quota.
-func tenantChanges(before, now []sedgevale.Tenant) (added, gone, changed int) {
-	byName := make(map[string]sedgevale.Tenant, len(before))
+func tenantChanges(before, now []dispatcher.Tenant) (added, gone, changed int) {
+	byName := make(map[string]dispatcher.Tenant, len(before))
 	for _, t := range before {
 		byName[t.Name] = t
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -10,7 +10,7 @@
 //     returns its job and deadline.
 //   - The handler submits a dispatch.Exchange, to the admission queue (driver.Driver) if there is
 //     one, else to the planners (dispatch.Set), of which one takes it, by its ID.
-//   - Planner.submit passes it to sedgevale.Dispatcher.SubmitRequest, on the goroutine of
+//   - Planner.submit passes it to dispatcher.Dispatcher.SubmitRequest, on the goroutine of
 //     Planner.Run. The Dispatcher answers by calls of the Planner as its Host: Send, Cancel, Reject,
 //     Fail.
 //   - Planner.Send gives an attempt to the upstream.Pool, which sends it on the event loop of the
@@ -30,7 +30,7 @@
 	"sync"
 	"sync/atomic"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/discovery"
 	"sedgevale/internal/dispatch"
 	"sedgevale/internal/dispatchconfig"
@@ -62,7 +62,7 @@
 	options         Options
 	config          *dispatchconfig.Config                // at the start; not changed
 	current         atomic.Pointer[dispatchconfig.Config] // of the last successful Reload
-	settings        atomic.Pointer[sedgevale.Settings]    // in force; not changed, only replaced
+	settings        atomic.Pointer[dispatcher.Settings]   // in force; not changed, only replaced
 	requestParser   *jobrequest.Parser
 	clock           dispatch.Clock
 	descriptors     *fdlimit.Limiter
--- a/scheduler/upgrade.go
+++ b/scheduler/upgrade.go
@@ -7,7 +7,7 @@
 	"os"
 	"time"
 
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/dispatchconfig"
 	"sedgevale/internal/handover"
 	"sedgevale/internal/sse"
@@ -37,7 +37,7 @@
 		return nil, nil
 	}
 	s.watcher.StartAfter(state.List.Revision, state.Discovery)
-	s.updateWorkers(sedgevale.UpdateFull, state.List)
+	s.updateWorkers(dispatcher.UpdateFull, state.List)
 	for _, host := range state.Cordons {
 		if err := s.cordons.Set(host, true); err != nil {
 			s.options.Log.Warn("cannot save a cordon", "worker", host, "err", err)
--- a/scheduler/workers.go
+++ b/scheduler/workers.go
@@ -1,35 +1,35 @@
 package scheduler
 
 import (
-	"sedgevale"
+	"sedgevale/dispatcher"
 	"sedgevale/internal/discovery"
 	"sedgevale/internal/upstream"
 )
 
 // onWorkerList takes over an answer of discovery.
 func (s *Scheduler) onWorkerList(l discovery.List) {
-	kind := sedgevale.UpdateDelta
+	kind := dispatcher.UpdateDelta
 	if l.Complete {
-		kind = sedgevale.UpdateFull
+		kind = dispatcher.UpdateFull
 	}
 	s.updateWorkers(kind, l)
 }
 
 // onDiscoveryFailure is called when the watch on discovery breaks.
-func (s *Scheduler) onDiscoveryFailure() { s.planners.WorkersUpdated(sedgevale.UpdateFailed, nil) }
+func (s *Scheduler) onDiscoveryFailure() { s.planners.WorkersUpdated(dispatcher.UpdateFailed, nil) }
 
 // updateWorkers passes an update of the list of workers on, to the connection pool first:
 // it must know each worker that a planner may choose.
-func (s *Scheduler) updateWorkers(kind sedgevale.UpdateKind, l discovery.List) {
+func (s *Scheduler) updateWorkers(kind dispatcher.UpdateKind, l discovery.List) {
 	s.workersMu.Lock()
-	s.workers = s.workers.Apply(l, kind != sedgevale.UpdateDelta)
+	s.workers = s.workers.Apply(l, kind != dispatcher.UpdateDelta)
 	complete := s.workers
 	s.workersMu.Unlock()
 	pooled := make([]upstream.Member, 0, len(l.Members))
 	for _, m := range l.Members {
 		pooled = append(pooled, upstream.Member{ID: m.ID, Addr: m.HostPort, Ready: m.Ready()})
 	}
-	s.pool.UpdateMembers(kind != sedgevale.UpdateDelta, pooled)
+	s.pool.UpdateMembers(kind != dispatcher.UpdateDelta, pooled)
 	names := discovery.Names{Zones: s.config.Settings.Zones, Kinds: s.config.Settings.Kinds}
 	s.planners.WorkersUpdated(kind, names.WorkerInfos(l, s.clock.FromUnixMilli))
 	if s.peerLink != nil {
