--- a/cmd/sedgevale/journal.go
+++ b/cmd/sedgevale/journal.go
@@ -109,9 +109,9 @@
 	if r.Answer != nil {
 		event(r.Answer.At, "the client was told: %s %s", r.Answer.Kind, r.Answer.Reason)
 	}
-	event(r.ClientGoneAt, "the client left")
-	if r.Settled != nil {
-		event(r.Settled.At, "settled as %s by %s: %s", r.Settled.Verdict, r.Settled.By, r.Settled.Why)
+	event(r.ClientDisconnectedAt, "the client left")
+	if r.Decided != nil {
+		event(r.Decided.At, "settled as %s by %s: %s", r.Decided.Verdict, r.Decided.By, r.Decided.Why)
 	}
 	return t.flush()
 }
--- a/cmd/sedgevale/settle.go
+++ b/cmd/sedgevale/settle.go
@@ -40,14 +40,14 @@
 	if err != nil {
 		return err
 	}
-	n, err := store.SettleUnowned(store.Options{Dir: c.Dir, Secret: secret, Owner: store.Owner{PID: os.Getpid()}},
+	n, err := store.DecideUnowned(store.Options{Dir: c.Dir, Secret: secret, Owner: store.Owner{PID: os.Getpid()}},
 		c.ID, verdict, c.By, c.Why)
 	var busy *store.BusyError
 	if errors.As(err, &busy) {
 		if busy.Owner.Ops == "" {
 			return fmt.Errorf("%w, which has no operators' address to ask: set ops in its file, or settle when it has ended", err)
 		}
-		return c.settleAt(busy.Owner.Ops)
+		return c.decideAt(busy.Owner.Ops)
 	}
 	if err != nil {
 		return fmt.Errorf("%w: %q", err, c.ID)
@@ -56,9 +56,9 @@
 	return nil
 }
 
-// settleAt has the scheduler record it that writes the journal.
-func (c settleCmd) settleAt(address string) error {
-	body, err := json.Marshal(ops.Settlement{Job: c.ID, Verdict: c.Verdict, By: c.By, Why: c.Why})
+// decideAt has the scheduler record it that writes the journal.
+func (c settleCmd) decideAt(address string) error {
+	body, err := json.Marshal(ops.Decision{Job: c.ID, Verdict: c.Verdict, By: c.By, Why: c.Why})
 	if err != nil {
 		return err
 	}
--- a/dispatcher/connections.go
+++ b/dispatcher/connections.go
@@ -5,10 +5,10 @@
 // Connections that fall silent, and starts that come late.
 
 const (
-	promptStartGain        = 1.0 / 32 // EWMA weight of one start
-	minPromptStartRate     = 0.35     // share of attempts that start at once, for a reschedule to be worth it
-	minSilentConnections   = 1.0      // decayed count, for running attempts to be hedged
-	silentConnectionsDecay = 0.01     // of that count, a round
+	promptStartGain              = 1.0 / 32 // EWMA weight of one start
+	minPromptStartRate           = 0.35     // share of attempts that start at once, for a reschedule to be worth it
+	minUnresponsiveConnections   = 1.0      // decayed count, for running attempts to be hedged
+	unresponsiveConnectionsDecay = 0.01     // of that count, a round
 )
 
 // connectionHealth is what attempts tell of connections and of queues at workers.
@@ -24,10 +24,10 @@
 }
 
 // endRound decays the count.
-func (c *connectionHealth) endRound() { c.silent *= 1 - silentConnectionsDecay }
+func (c *connectionHealth) endRound() { c.silent *= 1 - unresponsiveConnectionsDecay }
 
-// fallSilent reports whether connections are known to fall silent now.
-func (c *connectionHealth) fallSilent() bool { return c.silent > minSilentConnections }
+// becomeUnresponsive reports whether connections are known to fall silent now.
+func (c *connectionHealth) becomeUnresponsive() bool { return c.silent > minUnresponsiveConnections }
 
 // mayReschedule reports whether to cancel an attempt can be worth it: most attempts start
 // at once, and no worker has rejected any lately.
--- a/dispatcher/learned.go
+++ b/dispatcher/learned.go
@@ -14,19 +14,19 @@
 // Times are in seconds, before or after now; work is in slot seconds. Workers,
 // classes and tenants go by their names. A limit below 0 stands for none.
 type LearnedState struct {
-	Classes           []LearnedClass  `json:"classes"`
-	Tenants           []LearnedTenant `json:"tenants"`
-	Workers           []LearnedWorker `json:"workers"`
-	MaxWeights        []float64       `json:"size"`    // by kind
-	MaxFreeSlots      []float64       `json:"room"`    // by kind
-	Capacity          float64         `json:"jobs"`    // slots in flight that found capacity, at most
-	MeanWork          float64         `json:"work"`    // of a request
-	WorkRate          float64         `json:"carry"`   // work a second, for each unit of weight
-	Arrivals          float64         `json:"arrived"` // decayed count of requests
-	PromptStartRate   float64         `json:"prompt"`  // share of attempts that started at once
-	SilentConnections float64         `json:"silent"`  // decayed count
-	MeteredSeconds    float64         `json:"metered"` // between probes of one worker, decayed
-	ReportChanges     float64         `json:"changes"` // in that time
+	Classes                 []LearnedClass  `json:"classes"`
+	Tenants                 []LearnedTenant `json:"tenants"`
+	Workers                 []LearnedWorker `json:"workers"`
+	MaxWeights              []float64       `json:"size"`    // by kind
+	MaxFreeSlots            []float64       `json:"room"`    // by kind
+	Capacity                float64         `json:"jobs"`    // slots in flight that found capacity, at most
+	MeanWork                float64         `json:"work"`    // of a request
+	WorkRate                float64         `json:"carry"`   // work a second, for each unit of weight
+	Arrivals                float64         `json:"arrived"` // decayed count of requests
+	PromptStartRate         float64         `json:"prompt"`  // share of attempts that started at once
+	UnresponsiveConnections float64         `json:"silent"`  // decayed count
+	MeteredSeconds          float64         `json:"metered"` // between probes of one worker, decayed
+	ReportChanges           float64         `json:"changes"` // in that time
 }
 
 // LearnedClass is what was learned of a class.
@@ -83,16 +83,16 @@
 // LearnedState returns what this dispatcher has learned.
 func (d *Dispatcher) LearnedState(now time.Duration) LearnedState {
 	l := LearnedState{
-		MaxWeights:        slices.Clone(d.workers.maxWeightByKind),
-		MaxFreeSlots:      slices.Clone(d.workers.maxFreeByKind),
-		Capacity:          d.capacity.slots,
-		MeanWork:          d.estimates.meanWork,
-		WorkRate:          d.estimates.workRate,
-		Arrivals:          d.tenants.arrivals,
-		PromptStartRate:   d.connections.promptStartRate,
-		SilentConnections: d.connections.silent,
-		MeteredSeconds:    d.meter.seconds,
-		ReportChanges:     d.meter.changes,
+		MaxWeights:              slices.Clone(d.workers.maxWeightByKind),
+		MaxFreeSlots:            slices.Clone(d.workers.maxFreeByKind),
+		Capacity:                d.capacity.slots,
+		MeanWork:                d.estimates.meanWork,
+		WorkRate:                d.estimates.workRate,
+		Arrivals:                d.tenants.arrivals,
+		PromptStartRate:         d.connections.promptStartRate,
+		UnresponsiveConnections: d.connections.silent,
+		MeteredSeconds:          d.meter.seconds,
+		ReportChanges:           d.meter.changes,
 	}
 	for _, c := range d.classes.current {
 		l.Classes = append(l.Classes, LearnedClass{
@@ -172,7 +172,7 @@
 		d.workers.maxFreeByKind[kind] = max(d.workers.maxFreeByKind[kind], free)
 	}
 	d.capacity.slots, d.estimates.meanWork, d.estimates.workRate, d.tenants.arrivals = l.Capacity, l.MeanWork, l.WorkRate, l.Arrivals
-	d.connections.promptStartRate, d.connections.silent = l.PromptStartRate, l.SilentConnections
+	d.connections.promptStartRate, d.connections.silent = l.PromptStartRate, l.UnresponsiveConnections
 	d.meter.seconds, d.meter.changes = l.MeteredSeconds, l.ReportChanges
 	d.requests.lastSerial = max(d.requests.lastSerial, handoverSamples)
 	if l.MeanWork > 0 {
--- a/dispatcher/learning.go
+++ b/dispatcher/learning.go
@@ -71,7 +71,7 @@
 	maxWait := maxWaitTargets * c.LatencyTarget.Seconds() // one bad worker must not have all rejected
 	c.meanCompletion += gain * (min(completion, c.meanRuntime+maxWait) - c.meanCompletion)
 	d.estimates.roundWork += r.Slots * run
-	d.limits.noteClean(w)
+	d.limits.addClean(w)
 	if now < r.targetAt {
 		r.tenant.rememberWorker(w)
 	}
--- a/dispatcher/limits.go
+++ b/dispatcher/limits.go
@@ -70,8 +70,8 @@
 	return admission.Quantile(l.buffer, limitQuantileQ)
 }
 
-// noteClean notes that the worker had a clean outcome in this round.
-func (l *limitLearning) noteClean(w *worker) {
+// addClean notes that the worker had a clean outcome in this round.
+func (l *limitLearning) addClean(w *worker) {
 	if !w.cleanRound {
 		w.cleanRound = true
 		l.clean = append(l.clean, w)
--- a/dispatcher/queue.go
+++ b/dispatcher/queue.go
@@ -117,7 +117,7 @@
 	d.host.Send(r.ID, w.Worker, 0)
 	if d.settings.StartNotified {
 		wait := (min(r.deadline, r.targetAt) - now - seconds(r.class.meanRuntime)) / 2
-		if w.inFlight <= d.workers.maxFreeByKind[w.Kind] && d.settings.FIFOWorkers && d.overdueStartImpliesSilentConn() {
+		if w.inFlight <= d.workers.maxFreeByKind[w.Kind] && d.settings.FIFOWorkers && d.overdueStartImpliesUnresponsiveConn() {
 			wait = min(wait, promptStartTimeout) // a slot should be free
 		}
 		d.setTimer(min(max(wait, minStartTimeout), maxStartTimeout), tokenStartDue, r, n)
--- a/dispatcher/retry.go
+++ b/dispatcher/retry.go
@@ -79,7 +79,7 @@
 	if a.worker.lastSeen < a.sentAt {
 		a.worker.markUnhealthy(now, d.rng)
 	}
-	slotWasFree := a.worker.inFlight <= d.workers.maxFreeByKind[a.worker.Kind] && d.overdueStartImpliesSilentConn()
+	slotWasFree := a.worker.inFlight <= d.workers.maxFreeByKind[a.worker.Kind] && d.overdueStartImpliesUnresponsiveConn()
 	if slotWasFree {
 		d.writeOff(r, a) // the next attempt there shows whether the worker is full or this connection silent
 	}
@@ -131,15 +131,15 @@
 		if since > maxRuntimeMultiple*expected+maxStartTimeout/4 {
 			d.writeOff(ref.request, a)
 		}
-		if d.connections.fallSilent() && since > 2*expected {
+		if d.connections.becomeUnresponsive() && since > 2*expected {
 			d.hedge(now, ref.request)
 		}
 	}
 }
 
-// overdueStartImpliesSilentConn reports whether an overdue start means a silent connection:
+// overdueStartImpliesUnresponsiveConn reports whether an overdue start means a silent connection:
 // no other dispatcher fills the worker's slots, or connections are known to fall
 // silent now.
-func (d *Dispatcher) overdueStartImpliesSilentConn() bool {
-	return d.settings.Dispatchers == 1 || d.connections.fallSilent()
+func (d *Dispatcher) overdueStartImpliesUnresponsiveConn() bool {
+	return d.settings.Dispatchers == 1 || d.connections.becomeUnresponsive()
 }
--- a/internal/crashtest/kill_test.go
+++ b/internal/crashtest/kill_test.go
@@ -56,7 +56,7 @@
 	log     *bytes.Buffer
 	cycle   int
 
-	jobs, recorded, unknownByKill, unknownByFault, settled int
+	jobs, recorded, unknownByKill, unknownByFault, decided int
 	verdicts                                               [journal.Unknown + 1]int
 }
 
@@ -156,7 +156,7 @@
 	a.check(prefix+"-", answers, killed)
 	a.runLog.Forget()
 	if a.cycle%20 == 0 {
-		a.settle()
+		a.decide()
 	}
 }
 
@@ -216,25 +216,25 @@
 }
 
 // settle settles some jobs whose outcome is unknown, as operators do.
-func (a *harness) settle() {
+func (a *harness) decide() {
 	secret, err := store.ReadKey(store.KeyPath(a.dir, ""))
 	if err != nil {
 		a.t.Fatal(err)
 	}
 	left := 5
 	for _, j := range a.read().Jobs {
-		if v, _, _ := j.Verdict(); v != journal.Unknown || j.SettledAs != 0 {
+		if v, _, _ := j.Verdict(); v != journal.Unknown || j.DecidedAs != 0 {
 			continue
 		}
 		if left--; left < 0 { // the others wait
 			break
 		}
-		n, err := store.SettleUnowned(store.Options{Dir: a.dir, Secret: secret, Owner: store.Owner{PID: os.Getpid()}}, j.ID,
+		n, err := store.DecideUnowned(store.Options{Dir: a.dir, Secret: secret, Owner: store.Owner{PID: os.Getpid()}}, j.ID,
 			journal.Ran, "the test", "found out")
 		if err != nil {
 			a.t.Fatalf("cycle %d: settling %s: %v", a.cycle, j.ID, err)
 		}
-		a.settled += n
+		a.decided += n
 	}
 }
 
@@ -255,5 +255,5 @@
 	}
 	t.Logf("%d kills, seed %d: %d jobs sent, %d on record: %d ran, %d did not run, %d unknown (%d by the kill, %.2f%%; %d since their worker failed); %d settled; 0 violations",
 		*kills, *seed, a.jobs, a.recorded, a.verdicts[journal.Ran], a.verdicts[journal.DidNotRun], a.verdicts[journal.Unknown],
-		a.unknownByKill, 100*float64(a.unknownByKill)/float64(max(1, a.recorded)), a.unknownByFault, a.settled)
+		a.unknownByKill, 100*float64(a.unknownByKill)/float64(max(1, a.recorded)), a.unknownByFault, a.decided)
 }
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -100,13 +100,13 @@
 	Planner    *Planner      // what becomes of the attempt is reported to it
 	AtMostOnce bool          // it must not run twice, so there is no retry after a broken connection
 
-	timer        *timer
-	attemptTally               //lint:ignore U1000 it is empty in builds without the tally tag
-	dispatchedAt time.Duration // on the Clock: when the Dispatcher sent it
-	expiry       time.Duration // on the Clock: not to be sent from then on; 0: its Deadline alone
-	awaitsIntent bool          // not given to the carrier yet: its intent is not durable
-	ended        bool
-	neverRan     bool // ended, and no worker began it
+	timer           *timer
+	attemptCounters               //lint:ignore U1000 it is empty in builds without the counters tag
+	dispatchedAt    time.Duration // on the Clock: when the Dispatcher sent it
+	expiry          time.Duration // on the Clock: not to be sent from then on; 0: its Deadline alone
+	awaitsIntent    bool          // not given to the carrier yet: its intent is not durable
+	ended           bool
+	neverRan        bool // ended, and no worker began it
 }
 
 // Expired reports whether the attempt must not be sent any more, because workers may
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -37,7 +37,7 @@
 	workers    map[string]dispatcher.WorkerInfo // the list, for a fresh Dispatcher
 	cordoned   map[string]bool                  // workers by name, for the same
 	journal    Journal                          // nil: none
-	tally      tally                            // counts for a log line, with -tags tally
+	counters   counters                         // counts for a log line, with -tags tally
 	sharing
 	peerSignals
 }
@@ -206,7 +206,7 @@
 		}
 		p.recoverPanics(p.runTimers)
 		p.publishLoadChanges()
-		p.tally.out(p.log, p.now)
+		p.counters.out(p.log, p.now)
 		wait := p.notifySiblings()
 		if len(p.timers) > 0 {
 			wait = min(wait, max(0, p.timers[0].due-p.clock.Now()))
@@ -294,7 +294,7 @@
 	case eventSent:
 		p.journal.AttemptSent(a.recordNumber, a.Number)
 	case eventStarted:
-		p.tally.started(a, p.now)
+		p.counters.started(a, p.now)
 		if a.recordNumber != 0 {
 			p.journal.AttemptStarted(a.recordNumber, a.Number)
 		}
@@ -392,7 +392,7 @@
 		return
 	}
 	a.ended = true
-	p.tally.ended(o)
+	p.counters.ended(o)
 	if a.timer.index >= 0 { // it would keep the request's body in memory until the deadline
 		heap.Remove(&p.timers, a.timer.index)
 	}
--- a/internal/dispatch/planner_host.go
+++ b/internal/dispatch/planner_host.go
@@ -18,7 +18,7 @@
 		a.Deadline = min(a.Deadline, p.now+timeout)
 	}
 	a.dispatchedAt, a.expiry = p.now, x.retryExpiry()
-	p.tally.sent(a, p.now)
+	p.counters.sent(a, p.now)
 	x.attempts = append(x.attempts, a)
 	x.inFlight++
 	p.loadChanged = true
@@ -30,7 +30,7 @@
 // Reject implements [dispatcher.Host].
 func (p *Planner) Reject(id string, after time.Duration) {
 	if x := p.exchanges[id]; x != nil {
-		p.tally.reject()
+		p.counters.reject()
 		x.answer(Answer{Kind: Rejected, RetryAfter: after, Reason: "cannot be in time"})
 		p.withdrawUnsent(x)
 		p.forgetIfDone(x)
@@ -40,7 +40,7 @@
 // Fail implements [dispatcher.Host].
 func (p *Planner) Fail(id string) {
 	if x := p.exchanges[id]; x != nil {
-		p.tally.fail()
+		p.counters.fail()
 		x.answer(Answer{Kind: Failed, Reason: x.failureReason(), MayHaveRun: x.mayHaveRun()})
 		p.withdrawUnsent(x)
 		p.forgetIfDone(x)
@@ -68,7 +68,7 @@
 	if x == nil || attempt >= len(x.attempts) || x.attempts[attempt].ended {
 		return
 	}
-	p.tally.cancel()
+	p.counters.cancel()
 	if a := x.attempts[attempt]; a.awaitsIntent { // the carrier does not have it
 		p.AttemptEnded(a, dispatcher.NotSent, nil, nil)
 	} else {
--- a/internal/dispatch/tally.go
+++ b/internal/dispatch/tally.go
@@ -9,10 +9,10 @@
 	"sedgevale/dispatcher"
 )
 
-// tally counts what a planner did, for one log line every tallyInterval, so that
+// counters counts what a planner did, for one log line every counterInterval, so that
 // a day's logs can be summed across a fleet. It is built only with -tags
 // tally: without the tag these methods are empty and cost nothing.
-type tally struct {
+type counters struct {
 	since                   time.Duration
 	sends, retries, cancels int
 	outcomes                [dispatcher.NotSent + 1]int
@@ -21,13 +21,13 @@
 	startSum                time.Duration
 }
 
-// tallyInterval is how often the line is written, on the planner's clock.
-const tallyInterval = 5 * time.Second
+// counterInterval is how often the line is written, on the planner's clock.
+const counterInterval = 5 * time.Second
 
 // lateStartThreshold is the delay from send to start notice that counts as late.
 const lateStartThreshold = 100 * time.Millisecond
 
-func (t *tally) sent(a *Attempt, now time.Duration) {
+func (t *counters) sent(a *Attempt, now time.Duration) {
 	a.sentAt = now
 	t.sends++
 	if a.Number > 0 {
@@ -35,11 +35,11 @@
 	}
 }
 
-func (t *tally) cancel()                    { t.cancels++ }
-func (t *tally) reject()                    { t.rejected++ }
-func (t *tally) fail()                      { t.failed++ }
-func (t *tally) ended(o dispatcher.Outcome) { t.outcomes[o]++ }
-func (t *tally) started(a *Attempt, now time.Duration) {
+func (t *counters) cancel()                    { t.cancels++ }
+func (t *counters) reject()                    { t.rejected++ }
+func (t *counters) fail()                      { t.failed++ }
+func (t *counters) ended(o dispatcher.Outcome) { t.outcomes[o]++ }
+func (t *counters) started(a *Attempt, now time.Duration) {
 	t.starts++
 	delay := now - a.sentAt
 	t.startSum += delay
@@ -48,10 +48,10 @@
 	}
 }
 
-// out writes the line once tallyInterval has passed since the last, if anything
+// out writes the line once counterInterval has passed since the last, if anything
 // was counted, and begins the next.
-func (t *tally) out(log *slog.Logger, now time.Duration) {
-	if now-t.since < tallyInterval {
+func (t *counters) out(log *slog.Logger, now time.Duration) {
+	if now-t.since < counterInterval {
 		return
 	}
 	if t.sends+t.rejected+t.failed > 0 {
@@ -67,8 +67,8 @@
 			"cancelled", o[dispatcher.Cancelled], "not_sent", o[dispatcher.NotSent],
 			"starts", t.starts, "starts_late", t.startLate, "start_mean_ms", mean.Milliseconds())
 	}
-	*t = tally{since: now}
+	*t = counters{since: now}
 }
 
-// attemptTally is what an attempt carries for the tally.
-type attemptTally struct{ sentAt time.Duration }
+// attemptCounters is what an attempt carries for the counters.
+type attemptCounters struct{ sentAt time.Duration }
--- a/internal/dispatch/tally_off.go
+++ b/internal/dispatch/tally_off.go
@@ -10,14 +10,14 @@
 )
 
 // tally is empty without -tags tally; see tally.go.
-type tally struct{}
+type counters struct{}
 
-func (*tally) sent(*Attempt, time.Duration)    {}
-func (*tally) cancel()                         {}
-func (*tally) reject()                         {}
-func (*tally) fail()                           {}
-func (*tally) ended(dispatcher.Outcome)        {}
-func (*tally) started(*Attempt, time.Duration) {}
-func (*tally) out(*slog.Logger, time.Duration) {}
+func (*counters) sent(*Attempt, time.Duration)    {}
+func (*counters) cancel()                         {}
+func (*counters) reject()                         {}
+func (*counters) fail()                           {}
+func (*counters) ended(dispatcher.Outcome)        {}
+func (*counters) started(*Attempt, time.Duration) {}
+func (*counters) out(*slog.Logger, time.Duration) {}
 
-type attemptTally struct{}
+type attemptCounters struct{}
--- a/internal/dispatch/tally_off_test.go
+++ b/internal/dispatch/tally_off_test.go
@@ -7,10 +7,10 @@
 	"unsafe"
 )
 
-// Without the tag the tally must cost the platform's path nothing, not even a byte
+// Without the tag the counters must cost the platform's path nothing, not even a byte
 // of an attempt.
 func TestTallyIsEmpty(t *testing.T) {
-	if n := unsafe.Sizeof(tally{}) + unsafe.Sizeof(attemptTally{}); n != 0 {
+	if n := unsafe.Sizeof(counters{}) + unsafe.Sizeof(attemptCounters{}); n != 0 {
 		t.Fatalf("the tally takes %d bytes without -tags tally", n)
 	}
 }
--- a/internal/dispatch/tally_test.go
+++ b/internal/dispatch/tally_test.go
@@ -12,11 +12,11 @@
 	"sedgevale/dispatcher"
 )
 
-// The line sums what happened since the last and comes no sooner than tallyInterval.
+// The line sums what happened since the last and comes no sooner than counterInterval.
 func TestTallyLine(t *testing.T) {
 	var buf bytes.Buffer
 	log := slog.New(slog.NewTextHandler(&buf, nil))
-	var tl tally
+	var tl counters
 	first, second := &Attempt{Number: 0}, &Attempt{Number: 1}
 	tl.sent(first, 0)
 	tl.sent(second, 10*time.Millisecond)
@@ -26,11 +26,11 @@
 	tl.ended(dispatcher.Cancelled)
 	tl.cancel()
 	tl.fail()
-	tl.out(log, tallyInterval-time.Millisecond)
+	tl.out(log, counterInterval-time.Millisecond)
 	if buf.Len() != 0 {
-		t.Fatalf("a line before %v: %s", tallyInterval, buf.String())
+		t.Fatalf("a line before %v: %s", counterInterval, buf.String())
 	}
-	tl.out(log, tallyInterval)
+	tl.out(log, counterInterval)
 	line := buf.String()
 	for _, want := range []string{"sends=2 ", "further=1 ", "cancels=1 ", "failed=1 ", "served=1 ", "cancelled=1 ",
 		"starts=2 ", "starts_late=1 ", "start_mean_ms=115"} {
@@ -39,7 +39,7 @@
 		}
 	}
 	buf.Reset()
-	tl.out(log, 2*tallyInterval)
+	tl.out(log, 2*counterInterval)
 	if buf.Len() != 0 {
 		t.Fatalf("a line with nothing counted: %s", buf.String())
 	}
--- a/internal/fleetsim/faults.go
+++ b/internal/fleetsim/faults.go
@@ -12,46 +12,46 @@
 	duration := dispatchconfig.Seconds(f.ForSeconds)
 	switch f.Kind {
 	case "kill":
-		for _, s := range sim.drawSchedulers(f.Share) {
+		for _, s := range sim.sampleSchedulers(f.Share) {
 			s.kill()
 			sim.after(duration, s.start)
 		}
 	case "freeze":
-		for _, s := range sim.drawSchedulers(f.Share) {
+		for _, s := range sim.sampleSchedulers(f.Share) {
 			s.frozenUntil = sim.now + duration
 		}
 	case "split":
 		sim.partitioned = true
 		sim.after(duration, func() { sim.partitioned = false })
 	case "replace":
-		some := sim.drawWorkers(f.Share)
+		some := sim.sampleWorkersOf(f.Share)
 		for i, at := range some {
 			sim.after(duration*time.Duration(i)/time.Duration(len(some)), func() { sim.replaceWorker(at) })
 		}
 	case "slow":
-		for _, at := range sim.drawWorkers(f.Share) {
+		for _, at := range sim.sampleWorkersOf(f.Share) {
 			sim.workers[at].speedFactor = f.Factor
 			sim.after(duration, func() { sim.workers[at].speedFactor = 1 })
 		}
 	case "fail":
-		for _, at := range sim.drawWorkers(f.Share) {
+		for _, at := range sim.sampleWorkersOf(f.Share) {
 			sim.workers[at].errorShare = f.Factor
 			sim.after(duration, func() { sim.workers[at].errorShare = 0 })
 		}
 	}
 }
 
-// drawSchedulers draws a share of the schedulers, one at least.
-func (sim *simulation) drawSchedulers(share float64) (some []*scheduler) {
+// sampleSchedulers draws a share of the schedulers, one at least.
+func (sim *simulation) sampleSchedulers(share float64) (some []*scheduler) {
 	for _, i := range sim.rand.Perm(len(sim.schedulers))[:max(1, int(share*float64(len(sim.schedulers))))] {
 		some = append(some, sim.schedulers[i])
 	}
 	return some
 }
 
-// drawWorkers draws a share of the active workers, one at least, and returns their
+// sampleWorkersOf draws a share of the active workers, one at least, and returns their
 // indexes.
-func (sim *simulation) drawWorkers(share float64) (some []int) {
+func (sim *simulation) sampleWorkersOf(share float64) (some []int) {
 	for _, i := range sim.rand.Perm(len(sim.workers)) {
 		if sim.workerList[i].State == dispatcher.Active {
 			some = append(some, i)
--- a/internal/fleetsim/simulation.go
+++ b/internal/fleetsim/simulation.go
@@ -71,7 +71,7 @@
 		sim.addWorker(cores, uniform(sim.rand, e.Worker.Speed), 0)
 		capacity += float64(cores) * sim.workers[len(sim.workers)-1].speed
 	}
-	sim.arrivalRate, sim.tenantQuota = e.Load*capacity/meanWorkSeconds(), promisedShare*capacity/meanWorkSeconds()
+	sim.arrivalRate, sim.tenantQuota = e.Load*capacity/meanWorkSeconds(), quotaShare*capacity/meanWorkSeconds()
 	sum := 0.0
 	for range sim.result.Schedulers {
 		p := math.Exp(e.Skew * sim.rand.NormFloat64())
@@ -116,7 +116,7 @@
 		if sim.now >= length {
 			return
 		}
-		j, to := sim.drawJob()
+		j, to := sim.sampleJob()
 		value := classes[j.class].value
 		sim.result.Submitted++
 		sim.result.submittedValue += value
@@ -127,8 +127,8 @@
 	})
 }
 
-// drawJob draws a job and the scheduler that it comes to.
-func (sim *simulation) drawJob() (j *job, to int) {
+// sampleJob draws a job and the scheduler that it comes to.
+func (sim *simulation) sampleJob() (j *job, to int) {
 	x, at, c := sim.rand.Float64(), sim.rand.Float64(), 0
 	for c < len(classes)-1 && x >= classes[c].fraction {
 		x -= classes[c].fraction
--- a/internal/fleetsim/workload.go
+++ b/internal/fleetsim/workload.go
@@ -42,8 +42,8 @@
 	{Name: "f", Share: 0.09},
 }
 
-// promisedShare is the share of all capacity that the tenants' quotas add up to.
-const promisedShare = 0.79
+// quotaShare is the share of all capacity that the tenants' quotas add up to.
+const quotaShare = 0.79
 
 // Prices, as shares of the value of all submitted jobs.
 const (
--- a/internal/handover/golden_test.go
+++ b/internal/handover/golden_test.go
@@ -22,7 +22,7 @@
 			UnhealthyBackoff: 18.5, EjectedFor: 19.5, EjectionBackoff: 20.5,
 		}},
 		MaxWeights: []float64{21.5}, MaxFreeSlots: []float64{22.5}, Capacity: 23.5, MeanWork: 24.5, WorkRate: 25.5, Arrivals: 26.5, PromptStartRate: 27.5,
-		SilentConnections: 28.5, MeteredSeconds: 29.5, ReportChanges: 30.5,
+		UnresponsiveConnections: 28.5, MeteredSeconds: 29.5, ReportChanges: 30.5,
 	}
 }
 
--- a/internal/haproxy/backend.go
+++ b/internal/haproxy/backend.go
@@ -32,7 +32,7 @@
 	"option spop-check":    (*builder).connectCheck,
 	"option allbackups":    (*builder).allBackups,
 	"option forwardfor":    (*builder).forwardFor,
-	"option redispatch":    noteOnly(Differently, "always so: each further try goes to another server"),
+	"option redispatch":    reportOnly(Differently, "always so: each further try goes to another server"),
 	"retries":              (*builder).retries,
 	"retry-on":             (*builder).retryOn,
 	"timeout connect":      func(b *builder, w []string) { b.timeout(w, &b.backend.ConnectTimeout, "") },
@@ -41,7 +41,7 @@
 	},
 	"timeout queue": func(b *builder, w []string) { b.timeout(w, &b.backend.QueueTimeout, "") },
 	"timeout check": (*builder).checkTimeout,
-	"fullconn":      noteOnly(NotNeeded, "only for minconn, which is not carried over"),
+	"fullconn":      reportOnly(NotNeeded, "only for minconn, which is not carried over"),
 }
 
 func (b *builder) defaultServer(w []string) {
@@ -49,7 +49,7 @@
 	if without, err := (&options{}).read(w[1:]); err != nil {
 		b.fail("%v", err)
 	} else {
-		b.noteOptions(without, "for the servers that follow")
+		b.reportOptions(without, "for the servers that follow")
 	}
 }
 
@@ -163,7 +163,7 @@
 		return
 	}
 	if _, err := route.ParseFormat("%["+w[0]+"]", b.importer.opt.Files); err != nil {
-		b.noteOutcome(err, "")
+		b.reportOutcome(err, "")
 		return
 	}
 	b.hash(w[0], "")
@@ -209,7 +209,7 @@
 		return
 	}
 	b.backend.Cookie = c
-	b.noteOptions(without, "")
+	b.reportOptions(without, "")
 }
 
 func (b *builder) retryOn(w []string) {
--- a/internal/haproxy/proxy.go
+++ b/internal/haproxy/proxy.go
@@ -28,8 +28,8 @@
 // handler handles one directive of a section.
 type handler func(b *builder, words []string)
 
-// noteOnly returns a handler that only notes a verdict.
-func noteOnly(v Verdict, reason string) handler {
+// reportOnly returns a handler that only notes a verdict.
+func reportOnly(v Verdict, reason string) handler {
 	return func(b *builder, _ []string) { b.note(v, "%s", reason) }
 }
 
@@ -131,9 +131,9 @@
 	return &b.backend.Spec
 }
 
-// noteOutcome notes how reading a rule ended: carried over, not supported, or malformed. It reports
+// reportOutcome notes how reading a rule ended: carried over, not supported, or malformed. It reports
 // whether it is carried over.
-func (b *builder) noteOutcome(err error, how string) bool {
+func (b *builder) reportOutcome(err error, how string) bool {
 	var unsupported *route.UnsupportedError
 	switch {
 	case err == nil:
@@ -154,7 +154,7 @@
 		b.fail("acl takes a name and a condition")
 		return
 	}
-	if b.noteOutcome(b.lists.Add(words[1], words[2:]), "") {
+	if b.reportOutcome(b.lists.Add(words[1], words[2:]), "") {
 		spec := b.spec()
 		spec.ACL = append(spec.ACL, route.JoinWords(words[1:]))
 	} else {
@@ -194,7 +194,7 @@
 		b.note(NotCarried, "it asks acl %s, which is not carried over", name)
 		return
 	}
-	if _, err := parse(words); b.noteOutcome(err, how) {
+	if _, err := parse(words); b.reportOutcome(err, how) {
 		*to = append(*to, route.JoinWords(words))
 	}
 }
@@ -269,7 +269,7 @@
 	"timeout http-keep-alive": func(b *builder, w []string) { b.timeout(w, &b.frontend.IdleTimeout, "idle_timeout") },
 	"timeout client":          (*builder).clientTimeout,
 	"monitor-uri":             (*builder).monitorURI,
-	"maxconn":                 noteOnly(Differently, "connections are bounded for all frontends together, by limits.sockets"),
+	"maxconn":                 reportOnly(Differently, "connections are bounded for all frontends together, by limits.sockets"),
 }
 
 func (b *builder) requestRule(w []string) {
@@ -357,7 +357,7 @@
 	if !strings.Contains(w[0], "%") && !b.isCarried(w[0]) {
 		return
 	}
-	if _, err := b.lists.ParseUse(w); b.noteOutcome(err, "") {
+	if _, err := b.lists.ParseUse(w); b.reportOutcome(err, "") {
 		b.frontend.Use = append(b.frontend.Use, route.JoinWords(w))
 	}
 }
--- a/internal/haproxy/server.go
+++ b/internal/haproxy/server.go
@@ -111,8 +111,8 @@
 	return nil
 }
 
-// noteOptions notes a line that is carried over but for some of its options.
-func (b *builder) noteOptions(without []string, how string) {
+// reportOptions notes a line that is carried over but for some of its options.
+func (b *builder) reportOptions(without []string, how string) {
 	if len(without) > 0 {
 		b.note(Differently, "without %s", strings.Join(without, ", "))
 	} else {
@@ -174,7 +174,7 @@
 		b.backend.SlowStart = max(b.backend.SlowStart, o.slowStart)
 	}
 	b.backend.Servers = append(b.backend.Servers, s)
-	b.noteOptions(without, "")
+	b.reportOptions(without, "")
 }
 
 // unsupportedTransport returns why a server with such options cannot be spoken to, "" if it can.
@@ -352,7 +352,7 @@
 			b.frontend.Listen = append(b.frontend.Listen, a)
 		}
 	}
-	b.noteOptions(without, "")
+	b.reportOptions(without, "")
 }
 
 // readBindOptions returns the options of a bind that are not carried over. It reports whether the
--- a/internal/journal/golden_test.go
+++ b/internal/journal/golden_test.go
@@ -20,14 +20,14 @@
 	{Record{Kind: Ended, Serial: 7, At: 5, Attempt: 3, Code: uint8(OutcomeConnectionLost), NeverRan: true}, "dc0011050705a003a0a0a0a000c006c3a0a000c0"},
 	{Record{Kind: Answered, Serial: 7, At: 6, Code: uint8(Rejected), Text: "why"}, "dc0011060706a000a0a0a0a000c002c2a3776879a000c0"},
 	{Record{Kind: ClientGone, Serial: 7, At: 7}, "dc0011070707a000a0a0a0a000c000c2a0a000c0"},
-	{Record{Kind: Settled, Serial: 7, At: 8, JobID: "job", Code: uint8(DidNotRun), Text: "why", Operator: "ann"}, "dc0011080708a36a6f6200a0a0a0a000c002c2a3776879a3616e6e00c0"},
+	{Record{Kind: Decided, Serial: 7, At: 8, JobID: "job", Code: uint8(DidNotRun), Text: "why", Operator: "ann"}, "dc0011080708a36a6f6200a0a0a0a000c002c2a3776879a3616e6e00c0"},
 	{Record{Kind: CarriedOver, Serial: 7, At: 9, CarriedJob: &Job{
 		Serial: 7, ID: "job", Class: "once", Tenant: "team", Target: "/t", Size: 4, Digest: []byte{9}, AcceptedAt: 10,
 		Attempts: []Attempt{{
 			Number: 1, Worker: "box", IntentAt: 11, SentAt: 12, StartedAt: 13, EndedAt: 14, Outcome: OutcomeTimedOut, NeverRan: true,
 		}},
-		Answer: Failed, AnswerAt: 15, Reason: "because", ClientGoneAt: 16, Orphaned: true, RecordsMissing: false,
-		SettledAs: Unknown, SettledAt: 17, SettledBy: "ann", SettledWhy: "seen",
+		Answer: Failed, AnswerAt: 15, Reason: "because", ClientDisconnectedAt: 16, Orphaned: true, RecordsMissing: false,
+		DecidedAs: Unknown, DecidedAt: 17, DecidedBy: "ann", DecisionReason: "seen",
 	}}, "dc0011090709a000a0a0a0a000c000c2a0a000dc001307a36a6f62a46f6e6365a47465616da22f7404c401090a919801a3626f780b0c0d0e04c3030fa76265636175736510c3c20311a3616e6ea47365656e"},
 	{Record{Kind: Pruned, At: 10, Count: 70000}, "dc00110a000aa000a0a0a0a000c000c2a0a0ce00011170c0"},
 	{Record{Kind: RecordsLost, At: 11, Count: 3}, "dc00110b000ba000a0a0a0a000c000c2a0a003c0"},
@@ -69,7 +69,7 @@
 		}
 	}
 	for i, kind := range []Kind{
-		Accepted, Intent, Sent, Started, Ended, Answered, ClientGone, Settled, CarriedOver, Pruned, RecordsLost, CleanShutdown,
+		Accepted, Intent, Sent, Started, Ended, Answered, ClientGone, Decided, CarriedOver, Pruned, RecordsLost, CleanShutdown,
 	} {
 		if int(kind) != i+1 {
 			t.Errorf("kind %d of records has the number %d", i+1, kind)
--- a/internal/journal/job.go
+++ b/internal/journal/job.go
@@ -30,26 +30,26 @@
 type Job struct {
 	_msgpack struct{} `msgpack:",as_array"` //lint:ignore U1000 an option of the encoder
 
-	Serial         uint64
-	ID             string
-	Class          string
-	Tenant         string
-	Target         string
-	Size           int
-	Digest         []byte
-	AcceptedAt     int64
-	Attempts       []Attempt
-	Answer         AnswerKind // 0: none on record
-	AnswerAt       int64
-	Reason         string // of the answer
-	ClientGoneAt   int64
-	Orphaned       bool // the process that had it died
-	RecordsMissing bool // records about it may be missing
+	Serial               uint64
+	ID                   string
+	Class                string
+	Tenant               string
+	Target               string
+	Size                 int
+	Digest               []byte
+	AcceptedAt           int64
+	Attempts             []Attempt
+	Answer               AnswerKind // 0: none on record
+	AnswerAt             int64
+	Reason               string // of the answer
+	ClientDisconnectedAt int64
+	Orphaned             bool // the process that had it died
+	RecordsMissing       bool // records about it may be missing
 
-	SettledAs  Verdict // 0: not settled
-	SettledAt  int64
-	SettledBy  string
-	SettledWhy string
+	DecidedAs      Verdict // 0: not settled
+	DecidedAt      int64
+	DecidedBy      string
+	DecisionReason string
 }
 
 // Why a record contradicts the ones before it.
@@ -76,9 +76,9 @@
 		if j.concluded() {
 			return errAlreadyEnded
 		}
-		j.ClientGoneAt = r.At
-	case Settled:
-		j.SettledAs, j.SettledAt, j.SettledBy, j.SettledWhy = Verdict(r.Code), r.At, r.Operator, r.Text
+		j.ClientDisconnectedAt = r.At
+	case Decided:
+		j.DecidedAs, j.DecidedAt, j.DecidedBy, j.DecisionReason = Verdict(r.Code), r.At, r.Operator, r.Text
 	default:
 		return fmt.Errorf("a record of kind %d is not about a job in progress", r.Kind)
 	}
@@ -145,7 +145,7 @@
 	if j.Orphaned {
 		return false
 	}
-	if j.Answer == 0 && j.ClientGoneAt == 0 {
+	if j.Answer == 0 && j.ClientDisconnectedAt == 0 {
 		return true
 	}
 	for i := range j.Attempts {
@@ -212,8 +212,8 @@
 // judge makes the verdict of the workers that ran the job and of those that may have; why is the doubt about the last of these.
 func (j *Job) judge(ran, mayHaveRun []string, why string) (v Verdict, reason string) {
 	switch {
-	case j.SettledAs != 0:
-		return j.SettledAs, fmt.Sprintf("settled by %s: %s", j.SettledBy, j.SettledWhy)
+	case j.DecidedAs != 0:
+		return j.DecidedAs, fmt.Sprintf("settled by %s: %s", j.DecidedBy, j.DecisionReason)
 	case len(ran) > 0:
 		reason = "finished by " + strings.Join(ran, ", ")
 		if len(mayHaveRun) > 0 {
--- a/internal/journal/jobtable.go
+++ b/internal/journal/jobtable.go
@@ -30,7 +30,7 @@
 	switch r.Kind {
 	case Accepted:
 		if known := t.Jobs[r.Serial]; known != nil {
-			return t.noteInconsistency(known, errAcceptedTwice)
+			return t.recordInconsistency(known, errAcceptedTwice)
 		}
 		j := &Job{Serial: r.Serial, ID: r.JobID, Class: r.Class, Tenant: r.Tenant, Target: r.Target, Size: r.Size,
 			Digest: r.Digest, AcceptedAt: r.At}
@@ -65,7 +65,7 @@
 		return t.beginWithIntent(r)
 	}
 	if err := j.Apply(r); err != nil {
-		return t.noteInconsistency(j, err)
+		return t.recordInconsistency(j, err)
 	}
 	return j, nil
 }
@@ -78,15 +78,15 @@
 	j := &Job{Serial: r.Serial, ID: r.JobID, RecordsMissing: attemptsMissing || !t.incomplete}
 	t.Jobs[r.Serial] = j
 	if err := j.Apply(r); err != nil {
-		return t.noteInconsistency(j, err)
+		return t.recordInconsistency(j, err)
 	}
 	if attemptsMissing && !t.incomplete {
-		return t.noteInconsistency(j, intentOutOfOrder(r.Attempt, 0))
+		return t.recordInconsistency(j, intentOutOfOrder(r.Attempt, 0))
 	}
 	return j, nil
 }
 
-func (t *JobTable) noteInconsistency(j *Job, err error) (*Job, error) {
+func (t *JobTable) recordInconsistency(j *Job, err error) (*Job, error) {
 	t.Inconsistent++
 	j.RecordsMissing = true
 	return j, fmt.Errorf("job %s: %w", j.ID, err)
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -138,7 +138,7 @@
 	if v, _, _ := j.Verdict(); v != Unknown {
 		t.Errorf("with records missing it is %v", v)
 	}
-	if _, err := b.Apply(&Record{Kind: Settled, Serial: 7, Code: uint8(DidNotRun), Operator: "ann", Text: "the box has no trace"}); err != nil {
+	if _, err := b.Apply(&Record{Kind: Decided, Serial: 7, Code: uint8(DidNotRun), Operator: "ann", Text: "the box has no trace"}); err != nil {
 		t.Fatal(err)
 	}
 	if v, reason, _ := j.Verdict(); v != DidNotRun || reason != "settled by ann: the box has no trace" {
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -25,7 +25,7 @@
 	Ended                         // the attempt ended with Outcome
 	Answered                      // the client was given the final answer
 	ClientGone                    // the client left before its answer
-	Settled                       // an operator has decided what became of the job
+	Decided                       // an operator has decided what became of the job
 	CarriedOver                   // a job's complete history, copied from a segment that is dropped
 	Pruned                        // the records up to the Count-th were dropped by retention
 	RecordsLost                   // Count records could not be written before this one
@@ -49,7 +49,7 @@
 	Kind       Kind
 	Serial     uint64 // of the job: unique in a journal, where an id may come again
 	At         int64  // Unix time in microseconds, by the clock of the scheduler's machine
-	JobID      string // the Request-Id; Accepted, Intent, Settled
+	JobID      string // the Request-Id; Accepted, Intent, Decided
 	Attempt    int    // counted from 0; Intent, Sent, Started, Ended
 	Worker     string // Intent
 	Class      string // Accepted
@@ -57,10 +57,10 @@
 	Target     string // Accepted: path and query
 	Size       int    // Accepted: bytes of the body
 	Digest     []byte // Accepted: the first 16 bytes of the body's SHA-256
-	Code       uint8  // Ended: Outcome, Answered: AnswerKind, Settled: Verdict
+	Code       uint8  // Ended: Outcome, Answered: AnswerKind, Decided: Verdict
 	NeverRan   bool   // Ended: the attempt certainly never ran
-	Text       string // Answered: the reason, Settled: why
-	Operator   string // Settled: by whom
+	Text       string // Answered: the reason, Decided: why
+	Operator   string // Decided: by whom
 	Count      uint64 // Pruned, RecordsLost
 	CarriedJob *Job   // CarriedOver
 }
@@ -195,7 +195,7 @@
 		return r.Code > 0 && r.Code <= uint8(OutcomeNotSent)
 	case Answered:
 		return r.Code > 0 && r.Code <= uint8(Failed)
-	case Settled:
+	case Decided:
 		return r.Code > 0 && r.Code <= uint8(Unknown)
 	}
 	return r.Code == 0
--- a/internal/journal/recorder/recorder.go
+++ b/internal/journal/recorder/recorder.go
@@ -167,13 +167,13 @@
 	return b.Bytes(), nil
 }
 
-// Settle records an operator's verdict on the unresolved jobs of an id and returns their number; see store.Store.Settle.
-func (r *Recorder) Settle(_ context.Context, id, verdict, by, why string) (int, error) {
+// Decide records an operator's verdict on the unresolved jobs of an id and returns their number; see store.Store.Decide.
+func (r *Recorder) Decide(_ context.Context, id, verdict, by, why string) (int, error) {
 	v, err := journal.ParseVerdict(verdict)
 	if err != nil {
 		return 0, err
 	}
-	return r.store.Settle(id, v, by, why)
+	return r.store.Decide(id, v, by, why)
 }
 
 // Stats returns the journal's counts as a line of JSON.
--- a/internal/journal/report.go
+++ b/internal/journal/report.go
@@ -7,20 +7,20 @@
 
 // Report describes a job to operators, as JSON. Times are formatted by FormatTime; empty where not known.
 type Report struct {
-	Job          string          `json:"job"`
-	Class        string          `json:"class,omitempty"`
-	Tenant       string          `json:"tenant,omitempty"`
-	Verdict      string          `json:"verdict"`
-	Reason       string          `json:"reason"`
-	Workers      []string        `json:"workers,omitempty"` // at which it ran or may have run
-	Target       string          `json:"target,omitempty"`
-	Bytes        int             `json:"bytes,omitempty"`
-	Digest       string          `json:"sha256_128,omitempty"` // the first 128 bits of the body's SHA-256
-	TakenAt      string          `json:"taken_at,omitempty"`
-	Attempts     []AttemptReport `json:"attempts"`
-	Answer       *AnswerReport   `json:"answer,omitempty"`
-	ClientGoneAt string          `json:"client_gone_at,omitempty"`
-	Settled      *SettledReport  `json:"settled,omitempty"`
+	Job                  string          `json:"job"`
+	Class                string          `json:"class,omitempty"`
+	Tenant               string          `json:"tenant,omitempty"`
+	Verdict              string          `json:"verdict"`
+	Reason               string          `json:"reason"`
+	Workers              []string        `json:"workers,omitempty"` // at which it ran or may have run
+	Target               string          `json:"target,omitempty"`
+	Bytes                int             `json:"bytes,omitempty"`
+	Digest               string          `json:"sha256_128,omitempty"` // the first 128 bits of the body's SHA-256
+	TakenAt              string          `json:"taken_at,omitempty"`
+	Attempts             []AttemptReport `json:"attempts"`
+	Answer               *AnswerReport   `json:"answer,omitempty"`
+	ClientDisconnectedAt string          `json:"client_gone_at,omitempty"`
+	Decided              *DecisionReport `json:"settled,omitempty"`
 }
 
 // AttemptReport is one attempt in a Report.
@@ -41,8 +41,8 @@
 	Reason string `json:"reason,omitempty"`
 }
 
-// SettledReport is an operator's verdict.
-type SettledReport struct {
+// DecisionReport is an operator's verdict.
+type DecisionReport struct {
 	Verdict string `json:"verdict"`
 	By      string `json:"by"`
 	Why     string `json:"why"`
@@ -62,7 +62,7 @@
 	verdict, reason, workers := j.Verdict()
 	r := Report{Job: j.ID, Class: j.Class, Tenant: j.Tenant, Verdict: verdict.String(), Reason: reason, Workers: workers,
 		Target: j.Target, Bytes: j.Size, Digest: hex.EncodeToString(j.Digest), TakenAt: FormatTime(j.AcceptedAt),
-		Attempts: []AttemptReport{}, ClientGoneAt: FormatTime(j.ClientGoneAt)}
+		Attempts: []AttemptReport{}, ClientDisconnectedAt: FormatTime(j.ClientDisconnectedAt)}
 	for _, a := range j.Attempts {
 		out := AttemptReport{Number: a.Number, Worker: a.Worker, IntentAt: FormatTime(a.IntentAt), SentAt: FormatTime(a.SentAt),
 			StartedAt: FormatTime(a.StartedAt), EndedAt: FormatTime(a.EndedAt)}
@@ -74,8 +74,8 @@
 	if j.Answer != 0 {
 		r.Answer = &AnswerReport{j.Answer.String(), FormatTime(j.AnswerAt), j.Reason}
 	}
-	if j.SettledAs != 0 {
-		r.Settled = &SettledReport{j.SettledAs.String(), j.SettledBy, j.SettledWhy, FormatTime(j.SettledAt)}
+	if j.DecidedAs != 0 {
+		r.Decided = &DecisionReport{j.DecidedAs.String(), j.DecidedBy, j.DecisionReason, FormatTime(j.DecidedAt)}
 	}
 	return r
 }
--- a/internal/journal/report_golden_test.go
+++ b/internal/journal/report_golden_test.go
@@ -25,8 +25,8 @@
 			Number: 0, Worker: "box-1", IntentAt: 1_700_000_000_000_011, SentAt: 1_700_000_000_000_012, StartedAt: 1_700_000_000_000_013,
 			EndedAt: 1_700_000_000_000_014, Outcome: journal.OutcomeTimedOut,
 		}, {Number: 1, Worker: "box-2", IntentAt: 1_700_000_000_000_015}},
-		Answer: journal.Failed, AnswerAt: 1_700_000_000_000_016, Reason: "because", ClientGoneAt: 1_700_000_000_000_017, Orphaned: true,
-		SettledAs: journal.DidNotRun, SettledAt: 1_700_000_000_000_018, SettledBy: "ann", SettledWhy: "seen",
+		Answer: journal.Failed, AnswerAt: 1_700_000_000_000_016, Reason: "because", ClientDisconnectedAt: 1_700_000_000_000_017, Orphaned: true,
+		DecidedAs: journal.DidNotRun, DecidedAt: 1_700_000_000_000_018, DecidedBy: "ann", DecisionReason: "seen",
 	}
 	if text, err = json.Marshal(job.Report()); err != nil {
 		t.Fatal(err)
--- a/internal/journal/store/diskcall.go
+++ b/internal/journal/store/diskcall.go
@@ -52,11 +52,11 @@
 			s.waiters = append(waiters, s.waiters...)
 			s.unsyncedSince = since
 			if !errors.Is(err, errAbandoned) { // the write that failed meanwhile was noted
-				s.noteFailure(err)
+				s.recordFailure(err)
 			}
 			return
 		}
-		s.noteSuccess()
+		s.recordSuccess()
 		s.mu.Lock()
 		s.stats.Syncs++
 		s.mu.Unlock()
--- a/internal/journal/store/loop.go
+++ b/internal/journal/store/loop.go
@@ -102,14 +102,14 @@
 		err = s.log.write(records)
 	}
 	if err != nil {
-		s.noteFailure(err)
+		s.recordFailure(err)
 		s.buffer(records)
 		for _, done := range waiters {
 			done(fmt.Errorf("%w: %w", ErrWriteFailed, err))
 		}
 		return
 	}
-	s.noteSuccess()
+	s.recordSuccess()
 	s.dropped = 0
 	s.waiters = append(s.waiters, waiters...)
 	if s.unsyncedSince.IsZero() {
@@ -134,8 +134,8 @@
 	}
 }
 
-// noteFailure notes that a write or sync failed. Only the first one after a success is logged.
-func (s *Store) noteFailure(err error) {
+// recordFailure notes that a write or sync failed. Only the first one after a success is logged.
+func (s *Store) recordFailure(err error) {
 	s.mu.Lock()
 	s.stats.Failures++
 	s.mu.Unlock()
@@ -147,8 +147,8 @@
 	s.updateFull()
 }
 
-// noteSuccess notes that a write or sync succeeded.
-func (s *Store) noteSuccess() {
+// recordSuccess notes that a write or sync succeeded.
+func (s *Store) recordSuccess() {
 	if s.failing {
 		s.failing = false
 		s.options.Log.Info("the journal is written again", "dir", s.log.dir, "missing", s.dropped)
@@ -181,7 +181,7 @@
 	s.writeBatch(s.queue.TakeAll())
 	if len(s.buffered) == 0 && s.dropped == 0 {
 		if err := s.log.close(s.options.Now()); err != nil {
-			s.noteFailure(err)
+			s.recordFailure(err)
 		} else {
 			for _, done := range s.waiters {
 				done(nil)
--- a/internal/journal/store/maintenance.go
+++ b/internal/journal/store/maintenance.go
@@ -17,7 +17,7 @@
 	}
 	s.startDiskCall(s.writeReserve, func(err error) {
 		if err != nil {
-			s.noteFailure(fmt.Errorf("reserve file: %w", err))
+			s.recordFailure(fmt.Errorf("reserve file: %w", err))
 			return
 		}
 		s.reserved = true
@@ -53,7 +53,7 @@
 		s.unsyncedSince = now
 	}
 	if err := l.beginPrune(now, n); err != nil {
-		s.noteFailure(err)
+		s.recordFailure(err)
 		return
 	}
 	s.syncInBackground(func() {
--- a/internal/journal/store/query.go
+++ b/internal/journal/store/query.go
@@ -93,7 +93,7 @@
 			}
 		},
 		gap:  table.MarkMissingRecords,
-		skip: skipOthers(id),
+		skip: skipOtherJobs(id),
 	})
 	if err != nil {
 		return err
@@ -125,9 +125,9 @@
 	return true // the table ignores one of a job that it does not know
 }
 
-// skipOthers returns a visitor's skip function that avoids decoding acceptances, intents and copies of other jobs, which are most of a
+// skipOtherJobs returns a visitor's skip function that avoids decoding acceptances, intents and copies of other jobs, which are most of a
 // journal's bytes.
-func skipOthers(id string) func([]byte) bool {
+func skipOtherJobs(id string) func([]byte) bool {
 	if id == "" {
 		return nil
 	}
@@ -144,21 +144,21 @@
 var (
 	// ErrNotFound is returned for an id that no job in the journal has.
 	ErrNotFound = errors.New("no such job in the journal")
-	// ErrNothingToSettle is returned where each job of an id is open or resolved.
-	ErrNothingToSettle = errors.New("no job of that id waits for a verdict")
+	// ErrNothingToDecide is returned where each job of an id is open or resolved.
+	ErrNothingToDecide = errors.New("no job of that id waits for a verdict")
 )
 
-// Settle records an operator's verdict on each unresolved job of an id, in this log and in those without an owner, and returns
-// the number of those jobs. The error is ErrNothingToSettle where there are none, and ErrClosed after Close. It waits for the
+// Decide records an operator's verdict on each unresolved job of an id, in this log and in those without an owner, and returns
+// the number of those jobs. The error is ErrNothingToDecide where there are none, and ErrClosed after Close. It waits for the
 // disk.
-func (s *Store) Settle(id string, v journal.Verdict, by, why string) (int, error) {
+func (s *Store) Decide(id string, v journal.Verdict, by, why string) (int, error) {
 	type result struct {
-		settled int
+		decided int
 		err     error
 	}
 	results := make(chan result, 1)
 	s.queue.Put(request{call: func() {
-		n, err := s.log.settle(s.options.Now(), id, v, by, why)
+		n, err := s.log.decide(s.options.Now(), id, v, by, why)
 		results <- result{n, err}
 	}})
 	var r result
@@ -168,21 +168,21 @@
 		return 0, ErrClosed
 	}
 	if r.err != nil {
-		return r.settled, r.err
+		return r.decided, r.err
 	}
-	n, err := SettleUnowned(s.options, id, v, by, why)
-	if errors.Is(err, ErrNothingToSettle) && r.settled > 0 {
+	n, err := DecideUnowned(s.options, id, v, by, why)
+	if errors.Is(err, ErrNothingToDecide) && r.decided > 0 {
 		err = nil
 	}
-	return r.settled + n, err
+	return r.decided + n, err
 }
 
-// settle records a verdict on each unresolved job of an id.
-func (l *segmentLog) settle(now time.Time, id string, v journal.Verdict, by, why string) (int, error) {
+// decide records a verdict on each unresolved job of an id.
+func (l *segmentLog) decide(now time.Time, id string, v journal.Verdict, by, why string) (int, error) {
 	var records []journal.Record
 	for serial, j := range l.table.Jobs {
 		if j.ID == id && !j.Open() {
-			r := journal.Record{Kind: journal.Settled, Serial: serial, At: now.UnixMicro(), JobID: id, Code: uint8(v), Text: why, Operator: by}
+			r := journal.Record{Kind: journal.Decided, Serial: serial, At: now.UnixMicro(), JobID: id, Code: uint8(v), Text: why, Operator: by}
 			r.Truncate()
 			records = append(records, r)
 		}
@@ -196,9 +196,9 @@
 	return len(records), l.sync()
 }
 
-// SettleUnowned records an operator's verdict on each unresolved job of an id in the logs without an owner. Where there are none in
+// DecideUnowned records an operator's verdict on each unresolved job of an id in the logs without an owner. Where there are none in
 // those, but a scheduler has another log, the error is a *BusyError.
-func SettleUnowned(o Options, id string, v journal.Verdict, by, why string) (n int, err error) {
+func DecideUnowned(o Options, id string, v journal.Verdict, by, why string) (n int, err error) {
 	if o.FS == nil {
 		o.FS = OS{}
 	}
@@ -212,7 +212,7 @@
 	}
 	var busy *BusyError
 	for _, dir := range all {
-		k, err := settleLog(o, dir, key, id, v, by, why)
+		k, err := decideInLog(o, dir, key, id, v, by, why)
 		if n += k; err != nil && !errors.As(err, &busy) {
 			return n, fmt.Errorf("journal %s: %w", dir, err)
 		}
@@ -223,10 +223,10 @@
 	case busy != nil && busy.Owner.PID != o.Owner.PID:
 		return 0, busy
 	}
-	return 0, ErrNothingToSettle
+	return 0, ErrNothingToDecide
 }
 
-func settleLog(o Options, dir string, key *journal.Key, id string, v journal.Verdict, by, why string) (n int, err error) {
+func decideInLog(o Options, dir string, key *journal.Key, id string, v journal.Verdict, by, why string) (n int, err error) {
 	lock, text, err := o.FS.Lock(join(dir, lockName), fmt.Sprintf(`{"pid":%d,"name":"journal settle"}`, o.Owner.PID))
 	if err != nil {
 		if errors.Is(err, ErrLocked) {
@@ -239,7 +239,7 @@
 	if err != nil {
 		return 0, err
 	}
-	n, err = l.settle(time.Now(), id, v, by, why)
+	n, err = l.decide(time.Now(), id, v, by, why)
 	if n == 0 || err != nil {
 		return n, err
 	}
--- a/internal/journal/store/segmentlog.go
+++ b/internal/journal/store/segmentlog.go
@@ -36,8 +36,8 @@
 	durableMac         journal.Mac // of the last record that is certainly durable
 	durableSequence    uint64      // of the same
 	unsynced           []journal.Record
-	syncing            *syncMark // what the sync in flight makes durable; nil: none
-	unsyncedOfPriorRun bool      // unsynced was written by the process before, whose id was priorRun
+	syncing            *syncPoint // what the sync in flight makes durable; nil: none
+	unsyncedOfPriorRun bool       // unsynced was written by the process before, whose id was priorRun
 	priorRun           [16]byte
 
 	table     *journal.JobTable // jobs that are open or wait for an operator
@@ -230,8 +230,8 @@
 	return nil
 }
 
-// syncMark is the state of a file when its sync began.
-type syncMark struct {
+// syncPoint is the state of a file when its sync began.
+type syncPoint struct {
 	file         File
 	written      int64
 	lastSequence uint64
@@ -240,14 +240,14 @@
 	abandoned    bool // the file was abandoned meanwhile
 }
 
-func (l *segmentLog) currentMark() *syncMark {
-	return &syncMark{file: l.file, written: l.written, lastSequence: l.lastSequence, lastMac: l.lastMac, records: len(l.unsynced)}
+func (l *segmentLog) currentSyncPoint() *syncPoint {
+	return &syncPoint{file: l.file, written: l.written, lastSequence: l.lastSequence, lastMac: l.lastMac, records: len(l.unsynced)}
 }
 
 // markSynced notes that all records are durable.
-func (l *segmentLog) markSynced() { l.markSyncedTo(l.currentMark()) }
+func (l *segmentLog) markSynced() { l.markSyncedTo(l.currentSyncPoint()) }
 
-func (l *segmentLog) markSyncedTo(m *syncMark) {
+func (l *segmentLog) markSyncedTo(m *syncPoint) {
 	l.durableBytes, l.durableSequence, l.durableMac = m.written, m.lastSequence, m.lastMac
 	left := copy(l.unsynced, l.unsynced[m.records:])
 	clear(l.unsynced[left:])
@@ -261,7 +261,7 @@
 		err := l.sync()
 		return func() error { return err }
 	}
-	l.syncing = l.currentMark()
+	l.syncing = l.currentSyncPoint()
 	return l.syncing.file.Sync
 }
 
--- a/internal/journal/store/store_test.go
+++ b/internal/journal/store/store_test.go
@@ -224,14 +224,14 @@
 		t.Errorf("carried on and ended: %s", got)
 	}
 	d.s.ShutDown()
-	n, err := store.SettleUnowned(d.opt, "doubt", journal.Ran, "ann", "seen on the box")
+	n, err := store.DecideUnowned(d.opt, "doubt", journal.Ran, "ann", "seen on the box")
 	if n != 1 || err != nil {
 		t.Fatalf("settled %d, %v", n, err)
 	}
 	if got := d.verdict("doubt"); got != "ran" {
 		t.Errorf("settled as ran: %s", got)
 	}
-	if _, err := store.SettleUnowned(d.opt, "doubt", journal.Ran, "ann", "again"); !errors.Is(err, store.ErrNothingToSettle) {
+	if _, err := store.DecideUnowned(d.opt, "doubt", journal.Ran, "ann", "again"); !errors.Is(err, store.ErrNothingToDecide) {
 		t.Errorf("settled twice: %v", err)
 	}
 	d.open()
@@ -425,7 +425,7 @@
 	if err != nil || len(v.Jobs) != 1 || v.Jobs[0].ID != "job-77" || !v.Jobs[0].Live || len(v.Jobs[0].Attempts) != 1 {
 		t.Fatalf("%+v, %v", v, err)
 	}
-	if n, err := s.Settle("job-77", journal.Ran, "ann", "why"); n != 0 || !errors.Is(err, store.ErrNothingToSettle) {
+	if n, err := s.Decide("job-77", journal.Ran, "ann", "why"); n != 0 || !errors.Is(err, store.ErrNothingToDecide) {
 		t.Errorf("an open job was settled: %d, %v", n, err)
 	}
 	s.Close()
--- a/internal/journal/store/stored_data_test.go
+++ b/internal/journal/store/stored_data_test.go
@@ -92,12 +92,12 @@
 	}
 	w.now = w.now.Add(2 * time.Hour)
 	finish(w.begin("finished"))
-	settled := w.begin("settled")
+	decided := w.begin("settled")
 	w.put(
-		journal.Record{Kind: journal.Ended, Serial: settled, Code: uint8(journal.OutcomeTimedOut)},
-		journal.Record{Kind: journal.ClientGone, Serial: settled},
+		journal.Record{Kind: journal.Ended, Serial: decided, Code: uint8(journal.OutcomeTimedOut)},
+		journal.Record{Kind: journal.ClientGone, Serial: decided},
 	)
-	w.put(journal.Record{Kind: journal.Settled, Serial: settled, JobID: "settled", Code: uint8(journal.Ran), Text: "seen in the box's log", Operator: "ann"})
+	w.put(journal.Record{Kind: journal.Decided, Serial: decided, JobID: "settled", Code: uint8(journal.Ran), Text: "seen in the box's log", Operator: "ann"})
 	retried := w.begin("retried")
 	w.put(
 		journal.Record{Kind: journal.Ended, Serial: retried, Code: uint8(journal.OutcomeRejected), NeverRan: true},
@@ -129,8 +129,8 @@
 		fmt.Fprintf(&text, " attempt %d at %s: intent %d, sent %d, started %d, ended %d %s, unseen %t\n", a.Number, a.Worker, a.IntentAt, a.SentAt,
 			a.StartedAt, a.EndedAt, a.Outcome, a.NeverRan)
 	}
-	fmt.Fprintf(&text, " answer %s at %d %q, client gone %d, broken %t, gap %t, settled %s at %d by %q: %q\n", j.Answer, j.AnswerAt, j.Reason, j.ClientGoneAt,
-		j.Orphaned, j.RecordsMissing, j.SettledAs, j.SettledAt, j.SettledBy, j.SettledWhy)
+	fmt.Fprintf(&text, " answer %s at %d %q, client gone %d, broken %t, gap %t, settled %s at %d by %q: %q\n", j.Answer, j.AnswerAt, j.Reason, j.ClientDisconnectedAt,
+		j.Orphaned, j.RecordsMissing, j.DecidedAs, j.DecidedAt, j.DecidedBy, j.DecisionReason)
 	return text.String()
 }
 
@@ -227,7 +227,7 @@
 		t.Errorf("the next serial is %d, want 13", got)
 	}
 	w.s.ShutDown()
-	if n, err := store.SettleUnowned(storedOptions(dir, 4, time.Now), "lost", journal.DidNotRun, "bob", "asked"); n != 1 || err != nil {
+	if n, err := store.DecideUnowned(storedOptions(dir, 4, time.Now), "lost", journal.DidNotRun, "bob", "asked"); n != 1 || err != nil {
 		t.Errorf("%d jobs settled, error %v", n, err)
 	}
 	view, err := store.Read(store.OS{}, dir, secret, "")
@@ -235,7 +235,7 @@
 		t.Fatalf("damaged: %v, error %v", view, err)
 	}
 	i := slices.IndexFunc(view.Jobs, func(j store.Found) bool { return j.ID == "lost" })
-	if i < 0 || view.Jobs[i].SettledAs != journal.DidNotRun || view.Jobs[i].SettledBy != "bob" {
+	if i < 0 || view.Jobs[i].DecidedAs != journal.DidNotRun || view.Jobs[i].DecidedBy != "bob" {
 		t.Errorf("the verdict is not there: %s", describeView(view))
 	}
 }
--- a/internal/ops/golden_test.go
+++ b/internal/ops/golden_test.go
@@ -30,10 +30,10 @@
 	return []byte("{\"job\":\"a b\"}\n"), nil
 }
 
-func (g *goldenJournal) Settle(_ context.Context, id, verdict, by, why string) (int, error) {
+func (g *goldenJournal) Decide(_ context.Context, id, verdict, by, why string) (int, error) {
 	g.asked <- fmt.Sprintf("settle %s %s %s %s", id, verdict, by, why)
 	if id == "absent" {
-		return 0, store.ErrNothingToSettle
+		return 0, store.ErrNothingToDecide
 	}
 	return 1, nil
 }
--- a/internal/ops/journal.go
+++ b/internal/ops/journal.go
@@ -18,14 +18,14 @@
 // how many records it has settled, Stats returns counts as JSON.
 type Journal interface {
 	JobReports(ctx context.Context, id string) (lines []byte, err error)
-	Settle(ctx context.Context, id, verdict, by, why string) (int, error)
+	Decide(ctx context.Context, id, verdict, by, why string) (int, error)
 	Stats() []byte
 }
 
 const journalPath = "/admin/journal"
 
-// Settlement is the body of a call that settles a job.
-type Settlement struct {
+// Decision is the body of a call that records an operator's verdict on a job.
+type Decision struct {
 	Job     string `json:"job"`
 	Verdict string `json:"verdict"`
 	By      string `json:"by"`
@@ -33,7 +33,7 @@
 }
 
 // Check returns an error for a settlement that is incomplete or has no known verdict.
-func (s *Settlement) Check() error {
+func (s *Decision) Check() error {
 	if s.Job == "" || s.By == "" || s.Why == "" {
 		return errors.New(`the body must be {"job":"ID","verdict":"ran|did_not_run|unknown","by":"NAME","why":"TEXT"}`)
 	}
@@ -43,15 +43,15 @@
 
 // journalCall is a parsed call to the journal.
 type journalCall struct {
-	settle     bool
-	settlement Settlement
+	decide     bool
+	settlement Decision
 	job        string // that is asked for; empty: statistics
 }
 
 // parse reads a call's query and body.
 func (j *journalCall) parse(query string, body []byte) error {
 	values, err := url.ParseQuery(query)
-	if j.settle {
+	if j.decide {
 		if err = json.Unmarshal(body, &j.settlement); err == nil || j.settlement.Job == "" {
 			err = j.settlement.Check()
 		}
@@ -62,9 +62,9 @@
 
 // run carries the call out and returns the body of the response.
 func (j *journalCall) run(ctx context.Context, journal Journal) ([]byte, error) {
-	if j.settle {
+	if j.decide {
 		s := &j.settlement
-		_, err := journal.Settle(ctx, s.Job, s.Verdict, s.By, s.Why)
+		_, err := journal.Decide(ctx, s.Job, s.Verdict, s.By, s.Why)
 		return []byte("yes\n"), err
 	}
 	if j.job == "" {
@@ -76,12 +76,12 @@
 // serveJournal answers a call to the journal, and reports whether it was one.
 func (h *Handler) serveJournal(c *httpd.Conn, q *httpd.Request) bool {
 	path, query, _ := strings.Cut(q.Target, "?")
-	call := &journalCall{settle: path == journalPath+"/settle"}
-	if path != journalPath && !call.settle {
+	call := &journalCall{decide: path == journalPath+"/settle"}
+	if path != journalPath && !call.decide {
 		return false
 	}
 	method := "GET"
-	if call.settle {
+	if call.decide {
 		method = "POST"
 	}
 	switch {
@@ -111,7 +111,7 @@
 			return
 		}
 		var fields []http1.Field
-		if !call.settle {
+		if !call.decide {
 			fields = []http1.Field{{Name: "Content-Type", Value: "application/x-ndjson"}}
 		}
 		c.RespondLast(200, fields, body)
@@ -120,5 +120,5 @@
 
 // isNotFound reports whether an error says that what a call names does not exist.
 func isNotFound(err error) bool {
-	return errors.Is(err, ErrUnknownWorker) || errors.Is(err, store.ErrNotFound) || errors.Is(err, store.ErrNothingToSettle)
+	return errors.Is(err, ErrUnknownWorker) || errors.Is(err, store.ErrNotFound) || errors.Is(err, store.ErrNothingToDecide)
 }
--- a/internal/peers/failuredetector.go
+++ b/internal/peers/failuredetector.go
@@ -190,8 +190,8 @@
 	d.views[m].transmitsLeft = d.gossipTransmits()
 }
 
-// noteAlive handles a datagram of a member as evidence that it is alive. Incarnation counts only where stated is set.
-func (n *Node) noteAlive(now time.Duration, from int, generation uint16, incarnation uint8, stated bool) {
+// observeAlive handles a datagram of a member as evidence that it is alive. Incarnation counts only where stated is set.
+func (n *Node) observeAlive(now time.Duration, from int, generation uint16, incarnation uint8, stated bool) {
 	d := &n.detector
 	if d.rand == nil {
 		return
@@ -231,7 +231,7 @@
 	if d.rand == nil {
 		return
 	}
-	n.noteAlive(now, from, h.generation, body[0], true)
+	n.observeAlive(now, from, h.generation, body[0], true)
 	body = body[1:]
 	if h.kind == kindPingRequest {
 		target := binary.BigEndian.Uint16(body)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -24,9 +24,9 @@
 	LoadTTL = 2 * time.Second
 	// TickInterval is the interval at which Tick should be called.
 	TickInterval = 50 * time.Millisecond
-	// minGenerationSilence is how long a run of a process must have sent nothing before datagrams of an earlier generation are
+	// minGenerationTimeout is how long a run of a process must have sent nothing before datagrams of an earlier generation are
 	// accepted: a machine's clock may be set back.
-	minGenerationSilence = 3 * time.Second
+	minGenerationTimeout = 3 * time.Second
 	// sequenceWindow is the time within which datagrams may arrive out of order.
 	sequenceWindow = time.Second
 	// waitingGracePeriod is how long an attempt must have been waiting before it is sent as waiting.
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -276,7 +276,7 @@
 	if err := b.Receive(6*time.Second, 0, datagrams[5]); !errors.Is(err, ErrStale) {
 		t.Errorf("a datagram of the generation before: %v", err)
 	}
-	if err := b.Receive(6*time.Second+minGenerationSilence, 0, datagrams[5]); err != nil {
+	if err := b.Receive(6*time.Second+minGenerationTimeout, 0, datagrams[5]); err != nil {
 		t.Errorf("an earlier generation, after minGenerationSilence: %v", err)
 	}
 }
--- a/internal/peers/receive.go
+++ b/internal/peers/receive.go
@@ -36,13 +36,13 @@
 			lossRate: m.lossRate, lastSentSequence: m.lastSentSequence,
 		}
 	}
-	n.members[from].noteReceived(now, h.sequence)
+	n.members[from].recordReceived(now, h.sequence)
 	switch h.kind {
 	case kindPing, kindAck, kindPingRequest, kindIndirectAck:
 		n.receiveDetectorMessage(now, from, h, body)
 		return nil
 	}
-	n.noteAlive(now, from, h.generation, 0, false)
+	n.observeAlive(now, from, h.generation, 0, false)
 	if h.kind == kindEntries || h.kind == kindDigests {
 		n.receiveRevisionMessage(now, from, h, body)
 		return nil
@@ -62,11 +62,11 @@
 	case h.generation == m.generation:
 		return newer(h.sequence, m.lowestSequence)
 	}
-	return newer(h.generation, m.generation) || now-m.lastReceivedAt >= minGenerationSilence
+	return newer(h.generation, m.generation) || now-m.lastReceivedAt >= minGenerationTimeout
 }
 
-// noteReceived updates the sequence numbers and the loss rate.
-func (m *member) noteReceived(now time.Duration, sequence uint16) {
+// recordReceived updates the sequence numbers and the loss rate.
+func (m *member) recordReceived(now time.Duration, sequence uint16) {
 	if now-m.windowStart >= sequenceWindow {
 		if sent := m.highestSequence - m.windowStartSequence; sent > 0 && now-m.windowStart < 4*sequenceWindow {
 			m.lossRate += lossGain * (max(0, 1-float64(m.receivedInWindow)/float64(sent)) - m.lossRate)
--- a/internal/peers/revisions_test.go
+++ b/internal/peers/revisions_test.go
@@ -318,7 +318,7 @@
 	if s := b.Status(time.Second); s.Newest != 99 || s.Members[2].Revision != 99 || s.Members[1].BehindMS < 0 {
 		t.Fatalf("before: newest %d, %+v", s.Newest, s.Members[1:3])
 	}
-	b.noteAlive(time.Second, 2, 4, 0, true)
+	b.observeAlive(time.Second, 2, 4, 0, true)
 	if s := b.Status(time.Second); s.Newest != 40 || s.Members[2].Digest != "" || s.Members[1].BehindMS >= 0 {
 		t.Errorf("after the restart: newest %d, %+v", s.Newest, s.Members[1:3])
 	}
--- a/internal/peers/revisions_wire_test.go
+++ b/internal/peers/revisions_wire_test.go
@@ -79,7 +79,7 @@
 func revisionDatagrams(t testing.TB) (entries, digests []byte) {
 	t.Helper()
 	a := New(Options{Self: 0, Members: 40, Site: 7, Generation: 1, DetectorRand: rand.New(rand.NewPCG(1, 1)), Revision: Revision{41, 0xa1}})
-	a.noteAlive(0, 1, 1, 0, true)
+	a.observeAlive(0, 1, 1, 0, true)
 	for m := range 30 {
 		a.detector.views[m+2].claim = claim{uint16(m + 2), Alive, 3, 0}
 		a.revisionTable.entries[m+2] = revisionEntry{generation: 3, serial: 9, Revision: Revision{41, 0xa1}, known: true}
--- a/internal/reverseproxy/backend.go
+++ b/internal/reverseproxy/backend.go
@@ -61,8 +61,8 @@
 	}
 }
 
-// noteConnectFailure notes that a connection to a server has failed.
-func (b *backend) noteConnectFailure(server string) {
+// recordConnectFailure notes that a connection to a server has failed.
+func (b *backend) recordConnectFailure(server string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if i := b.index(server); i >= 0 {
--- a/internal/reverseproxy/request.go
+++ b/internal/reverseproxy/request.go
@@ -85,7 +85,7 @@
 // Disconnected is called when the client has disconnected.
 func (h *frontendHandler) Disconnected(c *httpd.Conn) {
 	if r, ok := c.State.(*proxyRequest); ok {
-		r.clientGone()
+		r.clientDisconnected()
 	}
 }
 
@@ -218,8 +218,8 @@
 	return r.finished
 }
 
-// clientGone ends the request, whose client has disconnected.
-func (r *proxyRequest) clientGone() {
+// clientDisconnected ends the request, whose client has disconnected.
+func (r *proxyRequest) clientDisconnected() {
 	r.mu.Lock()
 	x, waits := r.exchange, r.server == "" && !r.finished
 	r.mu.Unlock()
@@ -332,7 +332,7 @@
 	}
 	again := a.Kind == dispatch.Rejected && r.mayRetry(cause)
 	if cause == "conn-failure" && server != "" {
-		r.backend.noteConnectFailure(server)
+		r.backend.recordConnectFailure(server)
 	}
 	if again {
 		r.mu.Lock()
@@ -373,15 +373,15 @@
 	dispatcher.Rejected: "conn-failure", dispatcher.ConnectionLost: "empty-response", dispatcher.TimedOut: "response-timeout",
 	dispatcher.Errored: "junk-response"}
 
-// noteCause notes why an attempt ends. It is called before that is reported to the planner.
-func (r *proxyRequest) noteCause(cause string) {
+// recordCause notes why an attempt ends. It is called before that is reported to the planner.
+func (r *proxyRequest) recordCause(cause string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.cause = cause
 }
 
-// noteSent notes that the request is written to a server.
-func (r *proxyRequest) noteSent() {
+// recordSent notes that the request is written to a server.
+func (r *proxyRequest) recordSent() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sent = true
--- a/internal/reverseproxy/server_conn.go
+++ b/internal/reverseproxy/server_conn.go
@@ -79,7 +79,7 @@
 	sc.attempt, ua.conn = ua, sc
 	sc.complete = false
 	sc.parser.NoBody = ua.request.head.Method == "HEAD"
-	ua.request.noteSent()
+	ua.request.recordSent()
 	sc.out = ua.request.appendWire(sc.out[:0], ua.request.bodyLength())
 	sc.writing = true
 	if _, err := sc.loopConn.Write(sc.out); err != nil {
@@ -157,7 +157,7 @@
 		return false
 	}
 	if ua.request.mayRetryStatus(h.Status) {
-		ua.request.noteCause(statusText(h.Status))
+		ua.request.recordCause(statusText(h.Status))
 		ua.done, ua.reported = true, true
 		delete(sc.transport.attempts, ua.attempt)
 		delete(sc.transport.byRequest, ua.request)
--- a/internal/reverseproxy/transfer.go
+++ b/internal/reverseproxy/transfer.go
@@ -195,7 +195,7 @@
 // ended reports the outcome of an attempt to the planner.
 func (t *transfer) ended(attempt *dispatch.Attempt, o dispatcher.Outcome) {
 	if cause := retryCauses[o]; cause != "" {
-		t.request.noteCause(cause)
+		t.request.recordCause(cause)
 	}
 	tr := t.request.proxy.transport
 	tr.loop.Do(func() { delete(tr.attempts, attempt) })
--- a/internal/reverseproxy/transport.go
+++ b/internal/reverseproxy/transport.go
@@ -141,7 +141,7 @@
 				ua.request.transfer.stop()
 				return
 			}
-			ua.request.noteCause("response-timeout")
+			ua.request.recordCause("response-timeout")
 			tr.end(ua, dispatcher.Cancelled)
 		}
 	})
@@ -239,7 +239,7 @@
 	ua.reported = true
 	delete(tr.attempts, ua.attempt)
 	if cause := retryCauses[o]; cause != "" {
-		ua.request.noteCause(cause)
+		ua.request.recordCause(cause)
 	}
 	ua.attempt.Planner.AttemptEnded(ua.attempt, o, nil, nil)
 }
--- a/scheduler/journal_test.go
+++ b/scheduler/journal_test.go
@@ -31,7 +31,7 @@
 }
 
 // settle has an operator settle a job, with that body, and returns the status.
-func (c *child) settle(body string) int {
+func (c *child) decide(body string) int {
 	c.t.Helper()
 	q, err := http.NewRequestWithContext(c.t.Context(), "POST", "http://"+c.config.Ops+"/admin/journal/settle", strings.NewReader(body))
 	if err != nil {
@@ -79,17 +79,17 @@
 	c.start()
 	checkAfterKill(t, c, out.worker)
 	for _, bad := range []string{"", "{}", `{"job":"out"}`, `{"job":"out","verdict":"maybe","by":"a","why":"b"}`} {
-		if got := c.settle(bad); got != 400 {
+		if got := c.decide(bad); got != 400 {
 			t.Errorf("settled by %q: %d", bad, got)
 		}
 	}
-	if got := c.settle(`{"job":"nobody","verdict":"ran","by":"ann","why":"saw it"}`); got != 404 {
+	if got := c.decide(`{"job":"nobody","verdict":"ran","by":"ann","why":"saw it"}`); got != 404 {
 		t.Errorf("an unknown job was settled: %d", got)
 	}
-	if got := c.settle(`{"job":"out","verdict":"ran","by":"ann","why":"saw it"}`); got != 200 {
+	if got := c.decide(`{"job":"out","verdict":"ran","by":"ann","why":"saw it"}`); got != 200 {
 		t.Errorf("settled: %d", got)
 	}
-	if _, r := c.askJournal("?job=out"); r.Verdict != "ran" || r.Settled == nil || r.Settled.By != "ann" {
+	if _, r := c.askJournal("?job=out"); r.Verdict != "ran" || r.Decided == nil || r.Decided.By != "ann" {
 		t.Errorf("after it was settled: %+v", r)
 	}
 }
