--- a/internal/fairqueue/fairqueue_test.go
+++ b/internal/fairqueue/fairqueue_test.go
@@ -228,52 +228,58 @@
 	}
 }
 
-// Guards the Retry-After of rejections: of the clients that follow it most are admitted, more
-// than of those that wait a constant time, and coming back at once gains nothing.
-func TestRetryAfter(t *testing.T) {
-	type result struct{ back, in int }
-	run := func(how string) (r result) {
-		w := newSimulation(t, 40, 11)
-		returned := map[string]bool{}
-		w.onAdmitted = func(a Request) {
-			if returned[a.Client] {
-				r.in++
-				delete(returned, a.Client)
-			}
+// returns counts the rejected clients that came back, and those of them that were admitted then.
+type returns struct{ back, in int }
+
+// runReturns has clients at one and a half times the capacity, and those that are rejected come back once: after the time that they
+// are advised, a constant one, or at once.
+func runReturns(t *testing.T, how string) (r returns) {
+	t.Helper()
+	w := newSimulation(t, 40, 11)
+	returned := map[string]bool{}
+	w.onAdmitted = func(a Request) {
+		if returned[a.Client] {
+			r.in++
+			delete(returned, a.Client)
 		}
-		w.onRejected = func(a Request, after time.Duration) {
-			if returned[a.Client] { // it came back in vain
-				delete(returned, a.Client)
-				return
-			}
-			switch how {
-			case "constant":
-				after = time.Second
-			case "at once":
-				after = 20 * time.Millisecond
-			}
-			w.after(after, func() {
-				r.back++
-				returned[a.Client] = true
-				a.Token = new(int)
-				w.submit(a)
-			})
+	}
+	w.onRejected = func(a Request, after time.Duration) {
+		if returned[a.Client] { // it came back in vain
+			delete(returned, a.Client)
+			return
 		}
-		n := 0
-		var next func()
-		next = func() { // one and a half times the capacity, each client new
-			n++
-			w.submit(Request{Token: new(int), Tenant: n % len(testTenants), Client: fmt.Sprint("c", n), Cost: 0.1, MaxWait: 500 * time.Millisecond})
-			w.after(seconds(w.r.ExpFloat64()*0.1/60), next)
+		switch how {
+		case "constant":
+			after = time.Second
+		case "at once":
+			after = 20 * time.Millisecond
 		}
-		w.after(0, next)
-		w.run(30 * time.Second)
-		return r
+		w.after(after, func() {
+			r.back++
+			returned[a.Client] = true
+			a.Token = new(int)
+			w.submit(a)
+		})
 	}
-	share := func(r result) float64 { return float64(r.in) / float64(max(1, r.back)) }
-	advised := run("advised")
-	constant := run("constant")
-	once := run("at once")
+	n := 0
+	var next func()
+	next = func() { // one and a half times the capacity, each client new
+		n++
+		w.submit(Request{Token: new(int), Tenant: n % len(testTenants), Client: fmt.Sprint("c", n), Cost: 0.1, MaxWait: 500 * time.Millisecond})
+		w.after(seconds(w.r.ExpFloat64()*0.1/60), next)
+	}
+	w.after(0, next)
+	w.run(30 * time.Second)
+	return r
+}
+
+// Guards the Retry-After of rejections: of the clients that follow it most are admitted, more
+// than of those that wait a constant time, and coming back at once gains nothing.
+func TestRetryAfter(t *testing.T) {
+	share := func(r returns) float64 { return float64(r.in) / float64(max(1, r.back)) }
+	advised := runReturns(t, "advised")
+	constant := runReturns(t, "constant")
+	once := runReturns(t, "at once")
 	t.Logf("admitted of those that came back: after Retry-After %.3f (%d), after a constant 1 s %.3f (%d), at once %.3f (%d)",
 		share(advised), advised.back, share(constant), constant.back, share(once), once.back)
 	if share(advised) < 0.9 {
--- a/internal/faultinjection/cluster_test.go
+++ b/internal/faultinjection/cluster_test.go
@@ -138,6 +138,13 @@
 	return worst
 }
 
+// slowStartBudget returns how many attempts a worker of a capacity, in attempts a second, may get in a window, with slack for
+// randomness.
+func slowStartBudget(capacity, multiple float64, window time.Duration) float64 {
+	mean := multiple * capacity * window.Seconds()
+	return mean + 2*math.Sqrt(mean) + 2
+}
+
 // Guards against cold workers that are overloaded by the sum of twenty schedulers: six of those have just restarted and learned
 // nothing yet, and half of them receive no datagrams of the other half.
 func TestColdWorkersUnderTwentySchedulers(t *testing.T) {
@@ -177,11 +184,8 @@
 	stop()
 	r.checkRules(t, <-answers)
 	came := r.arrivals(began)
-	// budget is how many attempts a worker may get in the window that begins at a time after its start, with slack for randomness.
 	budget := func(at time.Duration) float64 {
-		capacity := slots / work.Seconds() * (start + (1-start)*at.Seconds()/warmUp.Seconds())
-		mean := multiple * capacity * fall.Seconds()
-		return mean + 2*math.Sqrt(mean) + 2
+		return slowStartBudget(slots/work.Seconds()*(start+(1-start)*at.Seconds()/warmUp.Seconds()), multiple, fall)
 	}
 	for i := range cold {
 		all := came[workerName(i)]
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -57,16 +57,35 @@
 	return l
 }
 
+// checkPassedOn checks that the session has a listening socket, which accepts once the first process has closed its own.
+func checkPassedOn(t *testing.T, s *Session, l *net.TCPListener) {
+	t.Helper()
+	passed := s.Sockets[l.Addr().String()]
+	if passed == nil {
+		t.Fatalf("passed on: %v", s.Sockets)
+	}
+	if err := l.Close(); err != nil {
+		t.Error(err)
+	}
+	checkAccepts(t, passed)
+}
+
+// longSocketPath returns the path of a socket that is longer than a socket's address may be.
+func longSocketPath(t *testing.T) string {
+	t.Helper()
+	folder := filepath.Join(t.TempDir(), strings.Repeat("long", 30))
+	if err := os.Mkdir(folder, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	return filepath.Join(folder, "sock")
+}
+
 // From the first line to the end of the old process: its socket is passed on and
 // accepts, its state comes before all else, both can send, and its end is noticed.
 func TestTakeOver(t *testing.T) {
 	log := slog.New(slog.DiscardHandler)
 	loop := newLoop(t, log)
-	folder := filepath.Join(t.TempDir(), strings.Repeat("long", 30)) // longer than a socket's address may be
-	if err := os.Mkdir(folder, 0o700); err != nil {
-		t.Fatal(err)
-	}
-	path := filepath.Join(folder, "sock")
+	path := longSocketPath(t)
 	hello := NewHello("n0", "127.0.0.1:3000")
 	host, err := Listen(path)
 	if err != nil {
@@ -99,14 +118,7 @@
 	if m := testkit.Await(t, "a message of the new one", old.messages); !m.Serving {
 		t.Errorf("came %+v", m)
 	}
-	passed := s.Sockets[l.Addr().String()]
-	if passed == nil {
-		t.Fatalf("passed on: %v", s.Sockets)
-	}
-	if err := l.Close(); err != nil {
-		t.Error(err)
-	}
-	checkAccepts(t, passed)
+	checkPassedOn(t, s, l)
 	testkit.Await(t, "the link", links).Drop(errors.New("test"))
 	testkit.Await(t, "the end", next.lost)
 	testkit.Await(t, "the end", old.lost)
--- a/internal/httpd/endings_test.go
+++ b/internal/httpd/endings_test.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -34,7 +33,7 @@
 func awaitUnread(t *testing.T, fd, n int) {
 	t.Helper()
 	buf := make([]byte, n)
-	until(t, "the bytes to arrive", func() bool {
+	testkit.Eventually(t, "the bytes to arrive", func() bool {
 		got, _, err := unix.Recvfrom(fd, buf, unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		return err == nil && got == n
 	})
@@ -113,16 +112,7 @@
 		t.Error("a request after the shutdown was served")
 	}
 	// Who does not end his side is not waited for.
-	until(t, "the connection to be closed", func() bool { return s.Clients() == 0 })
-}
-
-func until(t *testing.T, what string, is func() bool) {
-	t.Helper()
-	for end := time.Now().Add(10 * time.Second); !is(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("waited in vain for %s", what)
-		}
-	}
+	testkit.Eventually(t, "the connection to be closed", func() bool { return s.Clients() == 0 })
 }
 
 // Guards against new connections that are accepted and then reset as the server stops, and
@@ -152,7 +142,7 @@
 	for _, c := range []net.Conn{half, silent, busy} {
 		shut(t, c)
 	}
-	until(t, "the connections' ends", func() bool { return s.Clients() == 0 })
+	testkit.Eventually(t, "the connections' ends", func() bool { return s.Clients() == 0 })
 }
 
 // Guards against a request without an answer since its client sends much more behind it, as
@@ -166,7 +156,7 @@
 	if _, err := c.Write(flood); err != nil {
 		t.Fatal(err)
 	}
-	until(t, "the flood to be read", func() bool {
+	testkit.Eventually(t, "the flood to be read", func() bool {
 		dropped := make(chan bool, 1)
 		conn.Post(func(c *Conn) { dropped <- c.discarded > 0 && !c.hasUnread() })
 		return testkit.Await(t, "the event loop", dropped)
@@ -211,7 +201,7 @@
 	for range 2 * descriptors {
 		testkit.Dial(t, s.addr)
 	}
-	until(t, "silent connections to be closed", func() bool { return s.Clients() <= descriptors-fdlimit.Reserve/2 })
+	testkit.Eventually(t, "silent connections to be closed", func() bool { return s.Clients() <= descriptors-fdlimit.Reserve/2 })
 	if !b.Acquire() {
 		t.Error("no descriptor is left for a worker")
 	}
--- a/internal/httpd/httpd_test.go
+++ b/internal/httpd/httpd_test.go
@@ -91,6 +91,36 @@
 	stop(t, s)
 }
 
+// serveSome makes connections, each with a request that must be served.
+func serveSome(t *testing.T, addr string) {
+	t.Helper()
+	for range 20 {
+		c, r := dial(t, addr)
+		if _, err := io.WriteString(c, post); err != nil {
+			t.Fatal(err)
+		}
+		if status, _, _ := answer(t, r); status != 200 {
+			t.Errorf("answered %d", status)
+		}
+		shut(t, c)
+	}
+}
+
+// passListener returns a server's listening socket as another process gets it.
+func passListener(t *testing.T, s *Server) *net.TCPListener {
+	t.Helper()
+	passed, err := s.Listener().File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.FileListener(passed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	shut(t, passed)
+	return l.(*net.TCPListener)
+}
+
 // Guards against connections that are reset, refused or left unread while one
 // server takes over from another: the listening socket is passed on, the first
 // leaves new connections to the second, and its end resets none of them.
@@ -102,19 +132,6 @@
 		t.Fatal(err)
 	}
 	answer(t, keptReader)
-	serve := func(n int) {
-		t.Helper()
-		for range n {
-			c, r := dial(t, addr)
-			if _, err := io.WriteString(c, post); err != nil {
-				t.Fatal(err)
-			}
-			if status, _, _ := answer(t, r); status != 200 {
-				t.Errorf("answered %d", status)
-			}
-			shut(t, c)
-		}
-	}
 	first.PauseAccepting()
 	waiting, waitingReader := dial(t, addr) // in the queue, nobody accepts
 	if _, err := io.WriteString(waiting, post); err != nil {
@@ -127,21 +144,13 @@
 	if _, err := io.WriteString(waiting, post); err != nil {
 		t.Fatal(err)
 	}
-	passed, err := first.Listener().File()
-	if err != nil {
-		t.Fatal(err)
-	}
-	l, err := net.FileListener(passed)
-	if err != nil {
-		t.Fatal(err)
-	}
-	shut(t, passed)
+	l := passListener(t, first)
 	second := New(addr, 1, echo{make(chan struct{}, 8)}, fdlimit.New(0), slog.New(slog.DiscardHandler))
-	if err := second.Start(t.Context(), l.(*net.TCPListener)); err != nil {
+	if err := second.Start(t.Context(), l); err != nil {
 		t.Fatal(err)
 	}
 	answer(t, waitingReader)
-	serve(20)
+	serveSome(t, addr)
 	if n := first.Clients(); n > 2 { // kept, and the one that waited first
 		t.Errorf("the first server has taken %d connections", n)
 	}
@@ -150,7 +159,7 @@
 	}
 	answer(t, keptReader)
 	stop(t, first)
-	serve(20)
+	serveSome(t, addr)
 	stop(t, second)
 }
 
@@ -348,7 +357,7 @@
 		}
 	}
 	// They have read the end and stay: they are closed all the same.
-	until(t, "the idle ones to be bounded", func() bool { return s.Clients() <= maxIdle })
+	testkit.Eventually(t, "the idle ones to be bounded", func() bool { return s.Clients() <= maxIdle })
 	if n := s.Clients(); n != maxIdle {
 		t.Errorf("%d connections kept, want %d", n, maxIdle)
 	}
--- a/internal/journal/store/powerfailure_test.go
+++ b/internal/journal/store/powerfailure_test.go
@@ -176,24 +176,28 @@
 	sim.send(&attempt{id: f.id, worker: fmt.Sprintf("box-%d", sim.rand.IntN(3)), serial: f.serial, number: f.number + 1})
 }
 
+// changeFaults sometimes draws another fault of the disk, or ends all.
+func (sim *simulation) changeFaults() {
+	faults := []fake.Op{fake.OpWrite, fake.OpShort, fake.OpSync, fake.OpCreate, fake.OpSyncDir, fake.OpRename, fake.OpRemove}
+	if sim.rand.IntN(30) == 0 { // another fault, or none
+		sim.disk.Fail(faults[sim.rand.IntN(len(faults))], []float64{0, 0.3, 1}[sim.rand.IntN(3)])
+	}
+	if sim.rand.IntN(60) == 0 {
+		for _, op := range faults {
+			sim.disk.Fail(op, 0)
+		}
+	}
+}
+
 // simulate runs a simulation through some kills and power failures, and returns the violations of its journal.
 func simulate(t *testing.T, seed uint64, early bool) (breaches []string, jobs, unknown int) {
 	sim := &simulation{rand: rand.New(rand.NewPCG(seed, 1)), runLog: fake.NewRunLog(), now: time.UnixMicro(1e15), sendEarly: early,
 		answered: map[string]bool{}}
 	sim.disk = fake.NewDisk(seed, []int64{1 << 20, 24 << 10, 10 << 10}[sim.rand.IntN(3)])
-	faults := []fake.Op{fake.OpWrite, fake.OpShort, fake.OpSync, fake.OpCreate,
-		fake.OpSyncDir, fake.OpRename, fake.OpRemove}
 	sim.open(t)
 	for range 3 {
 		for range 40 + sim.rand.IntN(120) {
-			if sim.rand.IntN(30) == 0 { // another fault, or none
-				sim.disk.Fail(faults[sim.rand.IntN(len(faults))], []float64{0, 0.3, 1}[sim.rand.IntN(3)])
-			}
-			if sim.rand.IntN(60) == 0 {
-				for _, op := range faults {
-					sim.disk.Fail(op, 0)
-				}
-			}
+			sim.changeFaults()
 			sim.step()
 		}
 		if sim.rand.IntN(4) == 0 {
--- a/internal/peerlink/peerlink_test.go
+++ b/internal/peerlink/peerlink_test.go
@@ -84,15 +84,6 @@
 	return out
 }
 
-func until(t *testing.T, what string, is func() bool) {
-	t.Helper()
-	for end := time.Now().Add(20 * time.Second); !is(); time.Sleep(5 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("waited in vain until %s", what)
-		}
-	}
-}
-
 // Guards against schedulers that all use the same worker because none knows the load of the others.
 func TestJobsSpreadOverSchedulers(t *testing.T) {
 	addrs := addresses(t, 3)
@@ -105,7 +96,7 @@
 			if j <= i {
 				tellers = i
 			}
-			until(t, "all others have received its load", func() bool { return other.activeMembers() == tellers })
+			testkit.Eventually(t, "all others have received its load", func() bool { return other.activeMembers() == tellers })
 		}
 	}
 	if len(seen) != 3 {
@@ -118,7 +109,7 @@
 func TestLinkSurvivesGarbageAndTakeover(t *testing.T) {
 	addrs := addresses(t, 2)
 	a, b := startScheduler(t, 0, addrs), startScheduler(t, 1, addrs)
-	until(t, "both are bound", func() bool { return a.bound() && b.bound() })
+	testkit.Eventually(t, "both are bound", func() bool { return a.bound() && b.bound() })
 	c, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(addrs[1]))
 	if err != nil {
 		t.Fatal(err)
@@ -130,7 +121,7 @@
 		}
 	}
 	a.submit(t, "job-1")
-	until(t, "b has received of a", func() bool { return b.activeMembers() == 1 })
+	testkit.Eventually(t, "b has received of a", func() bool { return b.activeMembers() == 1 })
 	a.link.Pause()
 	taken, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addrs[0]))
 	if err != nil {
@@ -140,9 +131,9 @@
 	if err := taken.Close(); err != nil {
 		t.Error(err)
 	}
-	until(t, "it is bound again", a.bound)
+	testkit.Eventually(t, "it is bound again", a.bound)
 	b.submit(t, "job-2")
-	until(t, "a has received of b", func() bool { return a.activeMembers() == 1 })
+	testkit.Eventually(t, "a has received of b", func() bool { return a.activeMembers() == 1 })
 }
 
 func (s *testScheduler) bound() bool {
--- a/internal/peerlink/revision_test.go
+++ b/internal/peerlink/revision_test.go
@@ -11,6 +11,7 @@
 
 	"sedgevale/internal/dispatch"
 	"sedgevale/internal/peers"
+	"sedgevale/internal/testkit"
 )
 
 // startLink starts a link without planners.
@@ -41,14 +42,14 @@
 			return true
 		}
 	}
-	until(t, "all know what 1 had in force at its start", shown(41, "000000a1"))
+	testkit.Eventually(t, "all know what 1 had in force at its start", shown(41, "000000a1"))
 	links[1].SetRevision(peers.Revision{Number: 42, Digest: 0xb2})
-	until(t, "all know what came in force at 1", shown(42, "000000b2"))
+	testkit.Eventually(t, "all know what came in force at 1", shown(42, "000000b2"))
 	if s := links[0].Status(); s.Members[0].BehindMS < 0 || s.Members[1].BehindMS >= 0 {
 		t.Errorf("0 and 1 are %d and %d ms behind; want 0 behind, 1 not", s.Members[0].BehindMS, s.Members[1].BehindMS)
 	}
 	links[1].SetRevision(old)
-	until(t, "all know that 1 reverted it", shown(41, "000000a1"))
+	testkit.Eventually(t, "all know that 1 reverted it", shown(41, "000000a1"))
 }
 
 // Guards schedulers without failure detection, as with the platform's configuration: a new revision sends nothing.
--- a/internal/reverseproxy/bench_test.go
+++ b/internal/reverseproxy/bench_test.go
@@ -132,7 +132,7 @@
 		b.Fatal(err)
 	}
 	b.Cleanup(func() { _ = c.Process.Kill(); _ = c.Wait() })
-	until(b, "the proxy", func() bool {
+	testkit.Eventually(b, "the proxy", func() bool {
 		var dialer net.Dialer
 		x, err := dialer.DialContext(b.Context(), "tcp", addr)
 		if err == nil {
--- a/internal/reverseproxy/failure_test.go
+++ b/internal/reverseproxy/failure_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"sedgevale/internal/dispatchconfig"
+	"sedgevale/internal/testkit"
 )
 
 // faultyServer is a server that can be made to fail, and notes what it began.
@@ -132,7 +133,7 @@
 	if lost.Load() > 0 {
 		t.Errorf("%d requests got no answer", lost.Load())
 	}
-	until(t, "all capacity released", func() bool {
+	testkit.Eventually(t, "all capacity released", func() bool {
 		for _, x := range s.Status() {
 			if x.Busy != 0 {
 				return false
@@ -238,7 +239,7 @@
 func awaitState(t *testing.T, s *Proxy, i int, want string) time.Duration {
 	t.Helper()
 	began := time.Now()
-	until(t, fmt.Sprintf("server %d %s", i, want), func() bool { return s.Status()[i].State == want })
+	testkit.Eventually(t, fmt.Sprintf("server %d %s", i, want), func() bool { return s.Status()[i].State == want })
 	return time.Since(began)
 }
 
--- a/internal/reverseproxy/helpers_test.go
+++ b/internal/reverseproxy/helpers_test.go
@@ -161,15 +161,6 @@
 	return client.Do(q)
 }
 
-func until(t testing.TB, what string, f func() bool) {
-	t.Helper()
-	for end := time.Now().Add(10 * time.Second); !f(); time.Sleep(2 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("waited in vain for %s", what)
-		}
-	}
-}
-
 type zeros struct{}
 
 func (zeros) Read(b []byte) (int, error) { return len(b), nil }
--- a/internal/reverseproxy/proxy_test.go
+++ b/internal/reverseproxy/proxy_test.go
@@ -10,6 +10,7 @@
 
 	"sedgevale/internal/dispatchconfig"
 	"sedgevale/internal/route"
+	"sedgevale/internal/testkit"
 )
 
 // Guards rules, shares by weight, persistence cookies, and backups that serve once all other servers
@@ -61,7 +62,7 @@
 // awaitStates waits until the servers' states begin with these letters.
 func (u *proxyUnderTest) awaitStates(want string) {
 	u.t.Helper()
-	until(u.t, want, func() bool {
+	testkit.Eventually(u.t, want, func() bool {
 		got := ""
 		for _, x := range u.proxy.Status() {
 			got += x.State[:1]
@@ -151,6 +152,18 @@
 	}
 }
 
+// reloadedConfigs returns a configuration with another server and backend, and one whose frontend has no backend.
+func reloadedConfigs(c *dispatchconfig.Web, a, b string) (next, bad dispatchconfig.Web) {
+	next = *c
+	next.Backends = []dispatchconfig.WebBackend{{Name: "app", Servers: []dispatchconfig.WebServer{{Name: "s0", Addr: a, MaxConn: 5}, {Name: "new", Addr: b}}},
+		{Name: "other", Servers: []dispatchconfig.WebServer{{Name: "x", Addr: b}}}}
+	next.Frontends = []dispatchconfig.WebFrontend{{Name: "in", Listen: c.Frontends[0].Listen, Spec: route.Spec{Default: "app",
+		Use: []string{"other if { path /other }"}}}}
+	bad = next
+	bad.Frontends = []dispatchconfig.WebFrontend{{Name: "in", Listen: c.Frontends[0].Listen, Spec: route.Spec{Default: "nowhere"}}}
+	return next, bad
+}
+
 // Guards a reload: requests in flight continue by the old configuration, and new ones follow the new rules.
 func TestReload(t *testing.T) {
 	hold := make(chan struct{})
@@ -165,14 +178,8 @@
 	s, front := serve(t, c)
 	w := dial(t, front)
 	w.send("GET /hold HTTP/1.1\nHost: h\n\n")
-	until(t, "the request at the server", func() bool { return s.Status()[0].Busy == 1 })
-	next := *c
-	next.Backends = []dispatchconfig.WebBackend{{Name: "app", Servers: []dispatchconfig.WebServer{{Name: "s0", Addr: a, MaxConn: 5}, {Name: "new", Addr: b}}},
-		{Name: "other", Servers: []dispatchconfig.WebServer{{Name: "x", Addr: b}}}}
-	next.Frontends = []dispatchconfig.WebFrontend{{Name: "in", Listen: c.Frontends[0].Listen, Spec: route.Spec{Default: "app",
-		Use: []string{"other if { path /other }"}}}}
-	bad := next
-	bad.Frontends = []dispatchconfig.WebFrontend{{Name: "in", Listen: c.Frontends[0].Listen, Spec: route.Spec{Default: "nowhere"}}}
+	testkit.Eventually(t, "the request at the server", func() bool { return s.Status()[0].Busy == 1 })
+	next, bad := reloadedConfigs(c, a, b)
 	if _, err := s.Reload(&bad); err == nil {
 		t.Error("a bad configuration was taken")
 	}
@@ -201,5 +208,5 @@
 	if _, body := w.answer("GET"); body != "a" {
 		t.Errorf("the request in flight: %q", body)
 	}
-	until(t, "its capacity", func() bool { return s.Status()[0].Busy == 0 })
+	testkit.Eventually(t, "its capacity", func() bool { return s.Status()[0].Busy == 0 })
 }
--- a/internal/reverseproxy/retry_test.go
+++ b/internal/reverseproxy/retry_test.go
@@ -55,15 +55,21 @@
 		t.Errorf("a POST with retry_on: %d, sent %d times in all", got, cut.Load())
 	}
 	testRetryStatus(t, ok)
+	testNoResponse(t, dead)
+}
+
+// testNoResponse asks a backend whose only server is not there, and one whose only server does not respond.
+func testNoResponse(t *testing.T, dead string) {
+	t.Helper()
 	none := oneBackend(t, dispatchconfig.WebServer{Addr: dead})
 	none.Backends[0].RetryAfter = 3
-	if got := statusOf(none, "GET"); got != 503 {
+	if got := askOnce(t, none, "GET"); got != 503 {
 		t.Errorf("nobody there: %d", got)
 	}
 	slow := testkit.Accept(t, func(c net.Conn) { _, _ = io.Copy(io.Discard, c) })
 	late := oneBackend(t, dispatchconfig.WebServer{Addr: slow})
 	late.Backends[0].ServerTimeout, late.Backends[0].ConnectTimeout = 0.3, 0.2
-	if got := statusOf(late, "POST"); got != 504 {
+	if got := askOnce(t, late, "POST"); got != 504 {
 		t.Errorf("a server that does not respond: %d", got)
 	}
 }
@@ -158,7 +164,7 @@
 	_, front = serve(t, c)
 	w, late := dial(t, front), dial(t, front)
 	w.send("GET /slow HTTP/1.1\nHost: h\n\n")
-	until(t, "the first at the server", func() bool { return busy.Load() == 1 })
+	testkit.Eventually(t, "the first at the server", func() bool { return busy.Load() == 1 })
 	late.send("GET / HTTP/1.1\nHost: h\n\n")
 	if a, _ := late.answer("GET"); a.StatusCode != 503 || a.Header.Get("Retry-After") != "2" {
 		t.Errorf("one that waited too long: %d %v", a.StatusCode, a.Header)
--- a/internal/reverseproxy/reverseproxy_test.go
+++ b/internal/reverseproxy/reverseproxy_test.go
@@ -276,7 +276,7 @@
 		t.Errorf("an open tunnel counts as %d", st[0].Busy)
 	}
 	w.close()
-	until(t, "the tunnel's end", func() bool { return s.Status()[0].Busy == 0 })
+	testkit.Eventually(t, "the tunnel's end", func() bool { return s.Status()[0].Busy == 0 })
 }
 
 // Guards against a truncated response that counts as complete, and capacity that is never released.
@@ -301,7 +301,7 @@
 			t.Errorf("%s: %q counts as complete", path, body)
 		}
 		_ = a.Body.Close()
-		until(t, "its capacity", func() bool { return s.Status()[0].Busy == 0 })
+		testkit.Eventually(t, "its capacity", func() bool { return s.Status()[0].Busy == 0 })
 	}
 }
 
@@ -328,9 +328,9 @@
 	} {
 		w := dial(t, front)
 		w.send("%s", text)
-		until(t, "the request at the server", func() bool { return s.Status()[0].Busy == 1 })
+		testkit.Eventually(t, "the request at the server", func() bool { return s.Status()[0].Busy == 1 })
 		w.close()
-		until(t, "its capacity", func() bool { return s.Status()[0].Busy == 0 })
+		testkit.Eventually(t, "its capacity", func() bool { return s.Status()[0].Busy == 0 })
 	}
 	if completeBodies.Load() != 0 {
 		t.Errorf("%d truncated bodies counted as complete", completeBodies.Load())
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -213,6 +213,10 @@
 			t.Errorf("%s goes to %q, not %q", line, got, want)
 		}
 	}
+}
+
+// Rules that are malformed are not taken.
+func TestBadRules(t *testing.T) {
 	for _, bad := range []Spec{
 		{Request: []string{"deny deny_status 999"}}, {Request: []string{"redirect code 301"}}, {Request: []string{"set-header X"}},
 		{Request: []string{"no-such-thing"}}, {Request: []string{"set-header Content-Length 5"}}, {Request: []string{"set-header 'X Y' 5"}},
--- a/scheduler/ops_test.go
+++ b/scheduler/ops_test.go
@@ -29,18 +29,22 @@
 	return a.Status
 }
 
+// serveOne has a job served, and returns the worker.
+func serveOne(t *testing.T, f *fleet, c *child, id string) (worker string) {
+	t.Helper()
+	got := post(c.addr, "/usage-view", job(id)...)
+	r := f.next()
+	r.finish("")
+	testkit.Await(t, "the answer", got)
+	return r.worker
+}
+
 // Guards against a cordon that is confirmed and not in force: nothing more goes to the
 // worker, also not in the next run, and one uncordon ends it.
 func TestCordon(t *testing.T) {
 	f := newFleet(t, "v", "w")
 	c := startChild(t, f)
-	serve := func(id string) (worker string) {
-		got := post(c.addr, "/usage-view", job(id)...)
-		r := f.next()
-		r.finish("")
-		testkit.Await(t, "the answer", got)
-		return r.worker
-	}
+	serve := func(id string) (worker string) { return serveOne(t, f, c, id) }
 	if got := c.callOps("GET", "health", ""); got != 200 {
 		t.Errorf("health is %d", got)
 	}
--- a/scheduler/reload_test.go
+++ b/scheduler/reload_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"syscall"
@@ -13,6 +14,20 @@
 	"sedgevale/scheduler"
 )
 
+// serveOnKept has a job served on a connection that is kept, and returns the worker.
+func serveOnKept(t *testing.T, f *fleet, conn net.Conn, kept *bufio.Reader, id string) (worker string) {
+	t.Helper()
+	if err := send(conn, "usage-view", id, 9*time.Second); err != nil {
+		t.Errorf("%s: %v", id, err)
+	}
+	r := f.next()
+	r.finish("")
+	if a, err := testkit.ReadResponse(kept); err != nil || a.Status != 200 {
+		t.Errorf("%s: %+v, error %v", id, a, err)
+	}
+	return r.worker
+}
+
 // Guards against a process that SIGHUP ends; against a watch that stays at the discovery
 // of the former file; and against an invalid file that is applied.
 func TestReload(t *testing.T) {
@@ -20,21 +35,7 @@
 	c := startChild(t, f)
 	conn := testkit.Dial(t, c.addr)
 	kept := bufio.NewReader(conn)
-	onKept := func(id string) {
-		t.Helper()
-		if err := send(conn, "usage-view", id, 9*time.Second); err != nil {
-			t.Errorf("%s: %v", id, err)
-		}
-		r := f.next()
-		if id != "kept-0" && r.worker != "w" {
-			t.Errorf("%s went to %s, which drains", id, r.worker)
-		}
-		r.finish("")
-		if a, err := testkit.ReadResponse(kept); err != nil || a.Status != 200 {
-			t.Errorf("%s: %+v, error %v", id, a, err)
-		}
-	}
-	onKept("kept-0")
+	serveOnKept(t, f, conn, kept, "kept-0")
 	before := post(c.addr, "/plan-change", job("before")...)
 	first := f.next()
 
@@ -59,7 +60,9 @@
 	testkit.Await(t, "the watch at the new address", asked)
 	f.setPhase("v", "draining")
 	for i := range 6 {
-		onKept(fmt.Sprint("kept-", i+1))
+		if worker := serveOnKept(t, f, conn, kept, fmt.Sprint("kept-", i+1)); worker != "w" {
+			t.Errorf("job %d went to %s, which drains", i+1, worker)
+		}
 	}
 
 	if err := conn.Close(); err != nil {
--- a/scheduler/tenants_test.go
+++ b/scheduler/tenants_test.go
@@ -398,6 +398,22 @@
 	}
 }
 
+// servedUntilAllOf serves so many jobs, and returns how many of other were served until all of first were, and the order of all.
+func servedUntilAllOf(f *fleet, first string, all int, other string, jobs int) (others int, order []string) {
+	served := 0
+	for range jobs {
+		name, _, _ := strings.Cut(f.serveNext(), "-")
+		order = append(order, name)
+		if name == first {
+			served++
+		}
+		if name == other && served < all {
+			others++
+		}
+	}
+	return others, order
+}
+
 // Guards the admission queue through a change of tenants' shares: queued jobs stay, also of a tenant that goes, and from
 // then on tenants are admitted by their new shares.
 func TestAdmissionSharesChange(t *testing.T) {
@@ -425,18 +441,7 @@
 		t.Errorf("%d jobs are in flight, and one is allowed", n)
 	}
 	inside.finish("right-0")
-	var order []string
-	left, right := 0, 0 // right: until all of left are in
-	for range len(streams) - 1 {
-		name, _, _ := strings.Cut(f.serveNext(), "-")
-		order = append(order, name)
-		if name == "left" {
-			left++
-		}
-		if name == "right" && left < each {
-			right++
-		}
-	}
+	right, order := servedUntilAllOf(f, "left", each, "right", len(streams)-1)
 	if right < 1 || right > 4 { // a third of left; it would be as many without the change
 		t.Errorf("until all %d of left were in, %d of right were: %v", each, right, order)
 	}
--- a/scheduler/upgrade_test.go
+++ b/scheduler/upgrade_test.go
@@ -84,6 +84,16 @@
 	}
 }
 
+// checkContinuesAlone checks that the new process takes orders once the old one has ended.
+func checkContinuesAlone(t *testing.T, next *child, ran <-chan string) {
+	t.Helper()
+	next.awaitLog("continuing alone")
+	if got := next.callOps("POST", "uncordon", "u"); got != 200 {
+		t.Errorf("uncordon at the new process: %d", got)
+	}
+	awaitWorker(t, ran, "u")
+}
+
 // Guards against all that an upgrade can break: connections that are refused or
 // reset, a new process that fails or ends with the old one, a cordon that is lost,
 // an id that is taken twice, and an open job without its answer.
@@ -129,16 +139,18 @@
 		t.Errorf("open since before: %+v", a)
 	}
 	c.awaitExit()
-	next.awaitLog("continuing alone")
-	if got := next.callOps("POST", "uncordon", "u"); got != 200 {
-		t.Errorf("uncordon at the new process: %d", got)
-	}
-	awaitWorker(t, ran, "u")
+	checkContinuesAlone(t, next, ran)
 	if sent, failed := stop(); failed > 0 || sent < 10 {
 		t.Errorf("%d of %d jobs failed of those sent meanwhile", failed, sent)
 	}
+	checkRuns(t, next)
+}
+
+// checkRuns checks that a process has not ended.
+func checkRuns(t *testing.T, c *child) {
+	t.Helper()
 	select {
-	case err := <-next.exited:
+	case err := <-c.exited:
 		t.Errorf("the new process ended with the old one: %v", err)
 	default:
 	}
