--- a/internal/taskgroup/taskgroup_test.go
+++ b/internal/taskgroup/taskgroup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,12 +13,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		group := New(t.Context())
 		derived := group.Derive()
-		ended := 0
+		var ended atomic.Int64
 		for range 3 {
 			derived.Go(func(ctx context.Context) {
 				<-ctx.Done()
 				time.Sleep(time.Second)
-				ended++
+				ended.Add(1)
 			})
 		}
 		derived.Cancel()
@@ -26,8 +27,8 @@
 		}
 		began := time.Now()
 		group.Shutdown()
-		if ended != 3 || time.Since(began) != time.Second {
-			t.Errorf("%d of 3 goroutines ended after %v", ended, time.Since(began))
+		if ended.Load() != 3 || time.Since(began) != time.Second {
+			t.Errorf("%d of 3 goroutines ended after %v", ended.Load(), time.Since(began))
 		}
 		if group.Go(func(context.Context) {}) || derived.Go(func(context.Context) {}) {
 			t.Error("a group that was shut down started a goroutine")
