--- a/review/rig/cases_test.go
+++ b/review/rig/cases_test.go
@@ -25,7 +25,7 @@
 	}
 }
 
-func TestReviewStateAbove64MiBSurvivesRestart(t *testing.T) { runScript(t, "1") }
+func TestReviewConfigurationAbove1MiBSurvivesRestart(t *testing.T) { runScript(t, "1") }
 
 func TestReviewShardAbove32MiBIsTakenOver(t *testing.T) { runScript(t, "2") }
 
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -49,10 +49,11 @@
 }
 
 var cases = map[string]caseFunc{
-	"moved-route":   movedRoute,
-	"large-shard":   largeShard,
-	"removed-route": removedRoute,
-	"large-state":   largeState,
+	"grown-configuration": grownConfiguration, // case 1
+	"large-shard":         largeShard,         // case 2
+	"moved-route":         movedRoute,         // case 3
+	"large-state":         largeState,         // beyond the three cases
+	"removed-route":       removedRoute,       // beyond the three cases
 }
 
 func main() { os.Exit(run()) }
