--- a/review/rig/cluster.go
+++ b/review/rig/cluster.go
@@ -277,6 +277,16 @@
 	return owner
 }
 
+// waitOwner waits until some core machine has taken over a shard, and returns it.
+func (r *rig) waitOwner(service string) (*machine, error) {
+	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
+		if owner := r.ownerOf(service); owner != nil {
+			return owner, nil
+		}
+	}
+	return nil, fmt.Errorf("no core scheduler owns the shard")
+}
+
 // peakMemory returns the peak resident memory of a machine's process in MB.
 func (m *machine) peakMemory() string {
 	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", m.process.Process.Pid))
