review: a job whose state exceeds 1 MiB takes its whole shard down (LOST)

Cause: a job's state is one byte field of a record; avrocodec encodes any size but decodes at most 1 MiB. Once the record of an accepted job is larger, no replica can read the owner's writes, and the owner has no quorum for the shard any more.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -64,6 +64,7 @@
 	"large-state":         largeState,         // beyond the three cases
 	"removed-route":       removedRoute,       // beyond the three cases
 	"config-at-takeover":  configAtTakeover,
+	"many-tasks":          manyTasks,
 	"returned-replica":    returnedReplica,
 }
 
