--- a/review/rig/cluster.go
+++ b/review/rig/cluster.go
@@ -60,7 +60,8 @@
 	log     *recorder
 	started time.Time
 	site    site
-	net     int // second byte of all addresses
+	net     int          // second byte of all addresses
+	guard   net.Listener // held while this rig uses the network, so that no other rig does
 	cores   []*machine
 	edges   []*machine
 	sides   []*machine
@@ -89,6 +90,11 @@
 func (r *rig) chooseAddresses(cores, edges, sides int) error {
 	for try := range networks {
 		network := 71 + (os.Getpid()+try)%networks
+		guard, err := net.Listen("tcp4", fmt.Sprintf("127.%d.9.9:%d", network, lastPort))
+		if err != nil {
+			continue
+		}
+		r.guard = guard
 		r.net = network
 		r.cores = machines("core", network, 1, cores)
 		r.edges = machines("edge", network, 2, edges)
@@ -96,6 +102,7 @@
 		if r.portsFree() {
 			return nil
 		}
+		_ = guard.Close()
 	}
 	return fmt.Errorf("no free ports on loopback")
 }
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -59,13 +59,14 @@
 
 var cases = map[string]caseFunc{
 	"grown-configuration": grownConfiguration, // case 1
-	"large-shard":         largeShard,         // case 2
-	"moved-route":         movedRoute,         // case 3
-	"large-state":         largeState,         // beyond the three cases
-	"removed-route":       removedRoute,       // beyond the three cases
-	"config-at-takeover":  configAtTakeover,
-	"many-tasks":          manyTasks,
-	"returned-replica":    returnedReplica,
+	"many-tasks":          manyTasks,          // case 2
+	"returned-replica":    returnedReplica,    // case 3
+	// Beyond the three cases.
+	"config-at-takeover": configAtTakeover,
+	"large-shard":        largeShard,
+	"large-state":        largeState,
+	"moved-route":        movedRoute,
+	"removed-route":      removedRoute,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig/removed_route.go
+++ b/review/rig/removed_route.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// removedRoute is beyond the three cases and only named in the report. It removes two routes while jobs of theirs are at work on a worker that fails its tasks, and kills the owner of
+// removedRoute is beyond the three cases. It removes two routes while jobs of theirs are at work on a worker that fails its tasks, and kills the owner of
 // their shard, which is started again. Without trouble the routes stay, and nothing is killed. Then it counts the failed runs
 // of each task against the retries of its route.
 func removedRoute(r *rig, trouble bool) error {
