--- a/review/rig/cases_test.go
+++ b/review/rig/cases_test.go
@@ -52,3 +52,5 @@
 func TestReviewMovedRouteKeepsItsJobs(t *testing.T) { playCase(t, "moved-route") }
 
 func TestReviewRemovedRouteKeepsItsRetries(t *testing.T) { playCase(t, "removed-route") }
+
+func TestReviewShardAbove64MiBSurvivesRestart(t *testing.T) { playCase(t, "large-state") }
