core: log why a replica falls out of sync, and what a takeover merges

Change: one line when a replica in sync is lost, with the error, and one for each replica that a takeover merges, with the records it adds.

--- a/internal/system/core/replication.go
+++ b/internal/system/core/replication.go
@@ -128,6 +128,10 @@
 func (o *owner) onReplicationFailure(r *replicator, err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if r.inSync && !o.deposed {
+		o.core.logger.Info("replica out of sync; repairing it", "shard", o.name, "token", o.token, "seat", r.seat,
+			"address", r.member.Address, "error", err.Error())
+	}
 	o.primary.MarkOutOfSync(r.seat)
 	r.inSync = false
 	if result.CodeOf(err) != result.Fenced || o.deposed {
--- a/internal/system/core/takeover.go
+++ b/internal/system/core/takeover.go
@@ -133,11 +133,16 @@
 		if err != nil {
 			return nil, err
 		}
+		added := 0
 		for _, bucket := range response.Ranges {
 			for _, record := range bucket.Records {
-				set.Apply(record)
+				if set.Apply(record) {
+					added++
+				}
 			}
 		}
+		c.logger.Info("replica merged for the takeover", "shard", name, "seat", seat, "address", member.Address,
+			"in_sync_token", responses[seat].InSyncToken, "newer_records", added)
 	}
 	return set, nil
 }
