jobs: store the state of a large job in parts that every replica can read

Cause: the state of a job was one record, written whole at each change, and nothing bounded it. avrocodec reads byte fields up to 1 MiB and writes any: above that no other replica could read the owner's writes or repairs. Timeouts under load and the message limit of 32 MiB, the other hypotheses, did not occur. Change: a job whose record would exceed 1 MiB is stored as a manifest and parts of 64 tasks each; only parts with a changed task are written. What can grow a record besides is bounded where it enters: the body (960 KiB, 413 at the edge), a checkpoint (8 KiB) and a job's checkpoints together (4 MiB), above which the previous one stays, and the tasks of a job's unfinished occurrences (50,000), above which a due occurrence waits. Why it works: the longest part has 0.55 MiB and the longest manifest 50 KB, whatever is accepted; a test checks both.

--- a/internal/system/edge/handler.go
+++ b/internal/system/edge/handler.go
@@ -86,6 +86,7 @@
 	if maxBytes <= 0 {
 		maxBytes = defaultMaxBodyBytes
 	}
+	maxBytes = min(maxBytes, jobs.MaxBodyBytes)
 	body, err := io.ReadAll(http.MaxBytesReader(w, requestBody, maxBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/jobs/changes.go
+++ b/jobs/changes.go
@@ -12,7 +12,7 @@
 	run      func()
 }
 
-// markDirty marks a job's record to be written by the next Flush.
+// markDirty marks a job's records to be written by the next Flush.
 func (s *Scheduler) markDirty(job *Job) {
 	if !job.dirty {
 		job.dirty = true
@@ -32,11 +32,13 @@
 	s.newSpecs = s.newSpecs[:0]
 	for _, job := range s.dirtyJobs {
 		job.dirty = false
-		value, err := job.encode()
+		changes, err := job.changedRecords()
 		if err != nil {
 			return last, err
 		}
-		last = put(Change{Key: jobPrefix + job.ID, Value: value})
+		for _, change := range changes {
+			last = put(change)
+		}
 	}
 	s.dirtyJobs = s.dirtyJobs[:0]
 	for _, key := range s.deletedKeys {
--- a/jobs/completion.go
+++ b/jobs/completion.go
@@ -158,6 +158,7 @@
 	if counter.LastFailure != attempt {
 		counter.LastFailure = attempt
 		counter.Failures++
+		counter.changed = true
 	}
 	return counter.Failures >= max(1, s.queue(job.Queue).Retries)
 }
@@ -179,8 +180,7 @@
 		return
 	}
 	if occurrence.allStagesCompleted() {
-		occurrence.Done = true
-		occurrence.Stages = nil
+		job.finishOccurrence(occurrence)
 		s.completeJobIfDone(now, job)
 		return
 	}
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -36,6 +36,7 @@
 	LastFailure int64  // latest attempt that is counted in Failures
 	Worker      string // Ref of the worker of the latest run
 	Checkpoint  string // latest checkpoint
+	changed     bool   // differs from its stored partRecord; meaningless while the job is stored whole
 }
 
 // StageProgress is the state of one stage in one occurrence of a job.
@@ -47,6 +48,15 @@
 // isCompleted reports whether all tasks of the stage have succeeded.
 func (p *StageProgress) isCompleted() bool { return p.completed >= len(p.Tasks) }
 
+// members returns the tasks of the stage.
+func (p *StageProgress) members() []*Task {
+	tasks := make([]*Task, len(p.Tasks))
+	for i := range p.Tasks {
+		tasks[i] = &p.Tasks[i]
+	}
+	return tasks
+}
+
 // Occurrence is one execution of all stages of a job. A job that does not repeat has only occurrence 0.
 type Occurrence struct {
 	Number int
@@ -65,6 +75,26 @@
 	return true
 }
 
+// taskCount returns the number of tasks of all stages; 0 once Done.
+func (o *Occurrence) taskCount() int {
+	count := 0
+	for i := range o.Stages {
+		count += len(o.Stages[i].Tasks)
+	}
+	return count
+}
+
+// tasks returns the tasks of all stages in order; none once Done.
+func (o *Occurrence) tasks() []*Task {
+	tasks := make([]*Task, 0, o.taskCount())
+	for i := range o.Stages {
+		for n := range o.Stages[i].Tasks {
+			tasks = append(tasks, &o.Stages[i].Tasks[n])
+		}
+	}
+	return tasks
+}
+
 // Job is a submitted job with its progress.
 type Job struct {
 	ID             string
@@ -81,7 +111,10 @@
 	durableState State // committed value of State
 	durable      bool  // the job record is committed
 	endedAt      time.Duration
-	dirty        bool // the job record must be written by the next Flush
+	dirty        bool       // the records of the job must be written by the next Flush
+	parts        *partition // nil while the job is stored whole
+
+	checkpointBytes int // total length of the checkpoints in unfinished occurrences
 }
 
 // addOccurrence adds an occurrence with all tasks pending.
@@ -104,6 +137,39 @@
 	return nil
 }
 
+// unfinishedTasks returns the number of tasks in occurrences that are not done.
+func (j *Job) unfinishedTasks() int {
+	total := 0
+	for _, occurrence := range j.Occurrences {
+		if !occurrence.Done {
+			total += occurrence.taskCount()
+		}
+	}
+	return total
+}
+
+// hasRoomForOccurrence reports whether another occurrence may become due under maxUnfinishedTasks. The first one always may.
+func (j *Job) hasRoomForOccurrence() bool {
+	unfinished := j.unfinishedTasks()
+	return unfinished == 0 || unfinished+j.Spec.taskCount() <= maxUnfinishedTasks
+}
+
+// finishOccurrence marks an occurrence as done and discards the state of its tasks.
+func (j *Job) finishOccurrence(occurrence *Occurrence) {
+	for _, task := range occurrence.tasks() {
+		j.checkpointBytes -= len(task.Checkpoint)
+	}
+	occurrence.Done = true
+	occurrence.Stages = nil
+}
+
+// setCheckpoint replaces the checkpoint of a task, which must be that of an unfinished occurrence.
+func (j *Job) setCheckpoint(task *Task, checkpoint string) {
+	j.checkpointBytes += len(checkpoint) - len(task.Checkpoint)
+	task.Checkpoint = checkpoint
+	task.changed = true
+}
+
 // occurrenceCount returns the total number of occurrences, past and future.
 func (j *Job) occurrenceCount() int { return max(1, j.Spec.Repeat) }
 
@@ -116,6 +182,7 @@
 		j.assigned++
 	}
 	task.State = state
+	task.changed = true
 }
 
 // hasEnded reports whether the job is completed, failed or cancelled.
--- a/jobs/lifecycle.go
+++ b/jobs/lifecycle.go
@@ -40,6 +40,9 @@
 
 // parseJob parses and validates the body of a submitted job.
 func parseJob(id, queue string, body []byte) (*Job, error) {
+	if len(body) > MaxBodyBytes {
+		return nil, fmt.Errorf("%d bytes, %d at most", len(body), MaxBodyBytes)
+	}
 	spec := &Spec{}
 	if err := spec.UnmarshalJSON(body); err != nil {
 		return nil, fmt.Errorf("cannot be read: %w", err)
@@ -51,11 +54,12 @@
 }
 
 // startDueOccurrences enqueues the due occurrences of a job. Only the schedule that starts at StartAtMS is compared with the
-// wall clock.
+// wall clock. A due occurrence that would exceed maxUnfinishedTasks waits until earlier ones are done.
 func (s *Scheduler) startDueOccurrences(now time.Duration, wallMS int64, job *Job) {
 	for job.NextOccurrence < job.occurrenceCount() && !job.hasEnded() {
 		due := job.Spec.StartAtMS + int64(job.NextOccurrence)*job.Spec.IntervalMS
-		if job.Spec.StartAtMS > 0 && wallMS < due {
+		notDue := job.Spec.StartAtMS > 0 && wallMS < due
+		if notDue || !job.hasRoomForOccurrence() {
 			s.delayed[job.ID] = job
 			return
 		}
@@ -145,6 +149,7 @@
 		job := s.ended[n]
 		delete(s.jobs, job.ID)
 		s.deletedKeys = append(s.deletedKeys, specPrefix+job.ID, jobPrefix+job.ID)
+		s.deletedKeys = append(s.deletedKeys, job.parts.recordKeys(job.ID)...)
 		n++
 	}
 	s.ended = s.ended[n:]
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -6,12 +6,16 @@
 	"sedgevale/internal/avrocodec"
 )
 
-// The key prefixes of the two records of a job. The job ID follows the prefix.
+// The key prefixes of the records of a job. The job ID follows the prefix.
 const (
 	specPrefix = "s/" // key prefix of a specRecord, which is written once
-	jobPrefix  = "d/" // key prefix of a jobRecord, which is written on every change
+	jobPrefix  = "d/" // key prefix of a jobRecord or a manifest, which is written on every change
+	partPrefix = "p/" // key prefix of a partRecord; see partition
 )
 
+// maxRecordBytes is the maximum length of a record's value. Earlier releases cannot read a longer one.
+const maxRecordBytes = 1 << 20
+
 // specRecord is the stored form of a submitted job. Like all records it is encoded as Avro and read by field order: no field
 // may be moved, added, removed or given another type.
 type specRecord struct {
@@ -49,7 +53,10 @@
 }
 
 // encode returns the encoded jobRecord of the job.
-func (j *Job) encode() ([]byte, error) {
+func (j *Job) encode() ([]byte, error) { return j.encodeRecord(encodeStages) }
+
+// encodeRecord returns the encoded jobRecord of the job with the given form of the stages of its unfinished occurrences.
+func (j *Job) encodeRecord(encodeStages func([]StageProgress) []stageRecord) ([]byte, error) {
 	record := jobRecord{State: string(j.State), NextOccurrence: j.NextOccurrence}
 	for _, occurrence := range j.Occurrences {
 		stored := occurrenceRecord{Number: occurrence.Number, Done: occurrence.Done}
@@ -68,24 +75,38 @@
 func encodeStages(stages []StageProgress) []stageRecord {
 	records := make([]stageRecord, len(stages))
 	for i := range stages {
-		records[i].Tasks = make([]taskRecord, len(stages[i].Tasks))
-		for n, task := range stages[i].Tasks {
-			records[i].Tasks[n] = taskRecord{
-				State: int(task.State), Attempt: task.Attempt, Failures: task.Failures, LastFailure: task.LastFailure,
-				Worker: task.Worker, Checkpoint: task.Checkpoint,
-			}
+		records[i].Tasks = encodeTasks(stages[i].members())
+	}
+	return records
+}
+
+func encodeTasks(tasks []*Task) []taskRecord {
+	records := make([]taskRecord, len(tasks))
+	for i, task := range tasks {
+		records[i] = taskRecord{
+			State: int(task.State), Attempt: task.Attempt, Failures: task.Failures, LastFailure: task.LastFailure,
+			Worker: task.Worker, Checkpoint: task.Checkpoint,
 		}
 	}
 	return records
 }
 
-// decode restores the job's state from an encoded jobRecord and derives the fields that are not stored: whether a task of the
-// job was ever assigned or has run, and the numbers of assigned and completed tasks.
-func (j *Job) decode(value []byte) error {
+// decode restores the job's state from its jobRecord, or from its manifest and its parts. It derives the fields that are not
+// stored: whether a task of the job was ever assigned or has run, and the numbers of assigned and completed tasks.
+func (j *Job) decode(value []byte, parts map[partNumber][]byte) error {
+	partitioned := isManifest(value)
+	if partitioned {
+		value = value[1:]
+	}
 	var record jobRecord
 	if err := avrocodec.Decode(value, &record); err != nil {
 		return fmt.Errorf("cannot decode the record of job %s: %w", j.ID, err)
 	}
+	if partitioned {
+		if err := j.readParts(&record, parts); err != nil {
+			return fmt.Errorf("cannot decode the parts of job %s: %w", j.ID, err)
+		}
+	}
 	j.State = State(record.State)
 	j.NextOccurrence = record.NextOccurrence
 	for _, stored := range record.Occurrences {
@@ -112,6 +133,7 @@
 		case TaskAssigned:
 			j.assigned++
 		}
+		j.checkpointBytes += len(task.Checkpoint)
 		j.everAssigned = j.everAssigned || task.Attempt > 0
 		j.everRan = j.everRan || state == TaskCompleted || task.Failures > 0 || task.Checkpoint != ""
 		progress.Tasks = append(progress.Tasks, Task{
--- a/jobs/recovery.go
+++ b/jobs/recovery.go
@@ -13,6 +13,7 @@
 // record that cannot be decoded.
 func (s *Scheduler) Restore(now time.Duration, records []Change) error {
 	specs := map[string]specRecord{}
+	parts := map[string]map[partNumber][]byte{} // keyed by job ID
 	for _, r := range records {
 		if id, ok := strings.CutPrefix(r.Key, specPrefix); ok {
 			var spec specRecord
@@ -21,6 +22,12 @@
 			}
 			specs[id] = spec
 		}
+		if id, number, ok := parsePartKey(r.Key); ok {
+			if parts[id] == nil {
+				parts[id] = map[partNumber][]byte{}
+			}
+			parts[id][number] = r.Value
+		}
 	}
 	for _, r := range records {
 		id, ok := strings.CutPrefix(r.Key, jobPrefix)
@@ -28,20 +35,34 @@
 		if !ok || !hasSpec {
 			continue
 		}
-		if err := s.restoreJob(now, id, spec, r.Value); err != nil {
+		if err := s.restoreJob(now, id, spec, r.Value, parts[id]); err != nil {
 			return err
 		}
 	}
+	s.deleteUnusedParts(parts)
 	return nil
 }
 
-// restoreJob restores a job from its two records.
-func (s *Scheduler) restoreJob(now time.Duration, id string, spec specRecord, value []byte) error {
+// deleteUnusedParts deletes the stored parts that no restored job refers to. A previous owner may have been deposed before the
+// change that they belong to was complete.
+func (s *Scheduler) deleteUnusedParts(parts map[string]map[partNumber][]byte) {
+	for id, numbers := range parts {
+		job := s.jobs[id]
+		for number := range numbers {
+			if job == nil || job.parts == nil || !job.parts.stored[number] {
+				s.deletedKeys = append(s.deletedKeys, number.recordKey(id))
+			}
+		}
+	}
+}
+
+// restoreJob restores a job from its records.
+func (s *Scheduler) restoreJob(now time.Duration, id string, spec specRecord, value []byte, parts map[partNumber][]byte) error {
 	job, err := parseJob(id, spec.Queue, spec.Body)
 	if err != nil {
 		return fmt.Errorf("cannot restore the specification of job %s: %w", id, err)
 	}
-	if err := job.decode(value); err != nil {
+	if err := job.decode(value, parts); err != nil {
 		return err
 	}
 	job.durable = true
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -60,20 +60,28 @@
 	return task != nil && task.State == TaskAssigned && task.Attempt == r.Key.Attempt
 }
 
-// saveCheckpoint stores the latest checkpoint of the run's task. All members of a gang share one checkpoint.
+// saveCheckpoint stores the latest checkpoint of the run's task. All members of a gang share one checkpoint. A checkpoint that
+// exceeds a limit is ignored, so that the task resumes from the previous one.
 func (r *Run) saveCheckpoint(checkpoint string) {
-	if checkpoint == "" {
+	if checkpoint == "" || len(checkpoint) > maxCheckpointBytes {
 		return
 	}
 	_, progress, task := r.task()
 	if task == nil || task.Attempt != r.Key.Attempt {
 		return
 	}
-	if !r.spec().Gang {
-		task.Checkpoint = checkpoint
+	members := []*Task{task}
+	if r.spec().Gang {
+		members = progress.members()
+	}
+	added := 0
+	for _, member := range members {
+		added += len(checkpoint) - len(member.Checkpoint)
+	}
+	if added > 0 && r.job.checkpointBytes+added > maxJobCheckpointBytes {
 		return
 	}
-	for i := range progress.Tasks {
-		progress.Tasks[i].Checkpoint = checkpoint
+	for _, member := range members {
+		r.job.setCheckpoint(member, checkpoint)
 	}
 }
--- a/jobs/spec.go
+++ b/jobs/spec.go
@@ -22,6 +22,15 @@
 	LongRunning bool    `json:"long_running,omitempty"` // all tasks run until the job is cancelled
 }
 
+// taskCount returns the number of tasks of one occurrence.
+func (s *Spec) taskCount() int {
+	count := 0
+	for i := range s.Stages {
+		count += s.Stages[i].Count
+	}
+	return count
+}
+
 // Stage is one stage of a job: Count identical tasks.
 type Stage struct {
 	Count        int    `json:"count"`
--- a/jobs/validate.go
+++ b/jobs/validate.go
@@ -2,14 +2,6 @@
 
 import "fmt"
 
-// Limits on a job, which bound its memory and the size of its records.
-const (
-	maxSpecBytes = 4000  // maximum length of Spec.Text
-	maxStages    = 64    // maximum stages of a job
-	maxTasks     = 5000  // maximum tasks per occurrence, over all stages
-	maxRepeats   = 10000 // maximum occurrences of a job
-)
-
 // Validate validates the specification and returns an error that names the first invalid field, or nil.
 func (s *Spec) Validate() error {
 	if len(s.Text) > maxSpecBytes {
