shard: take over the most current replica, so that no deleted record returns

Cause: deletions leave no tombstone, only the owner knew that a replica had fallen behind, and the replica's InSyncToken still claimed the owner's newest state, on its disk too. A takeover merged the records of all that claimed it. A new owner reads the positions and takes over the records of the most current replica alone. A replica refuses a write or repair after which it would hold other records than the owner, so a delayed message can neither revive a record nor leave a wrong position; the owner then repairs it anew. Why it works: a position is stored with the message that makes it true, an acknowledged change is at or below the position of a quorum, and each quorum has one of those replicas. What is missing there was deleted. No clock and no retention time is involved.

--- a/coord/shard/primary.go
+++ b/coord/shard/primary.go
@@ -58,9 +58,11 @@
 func (p *Primary) InSync(replica int) bool { return p.replicas[replica].inSync }
 
 // BeginRepair returns the content of the buckets in which a replica with the given digests differs from the owner, and the
-// sequence number of the last change that it includes. Later changes become pending for the replica.
+// sequence number of the last change that it includes, which becomes the replica's position. The content includes
+// PositionBucket in any case. Later changes become pending for the replica.
 func (p *Primary) BeginRepair(replica int, digests []int64) ([]BucketContent, int64) {
-	ranges := DifferingBucketContents(p.Records, digests)
+	p.Records.Apply(p.positionRecord())
+	ranges := DifferingBucketContents(p.Records, withoutDigest(digests, int(PositionBucket)))
 	p.replicas[replica].inSync = true
 	clear(p.replicas[replica].pending)
 	return ranges, p.sequence
@@ -73,6 +75,21 @@
 	clear(p.replicas[replica].pending)
 }
 
+// NextWrite removes and returns the records to write to a replica, which include its position unless there are none, and the
+// sequence number up to which the replica is complete once it stores them.
+func (p *Primary) NextWrite(replica int) ([]Record, int64) {
+	records, upTo := p.TakePending(replica)
+	if len(records) > 0 {
+		records = append(records, p.positionRecord())
+	}
+	return records, upTo
+}
+
+// positionRecord returns the position of a replica that holds all changes so far.
+func (p *Primary) positionRecord() Record {
+	return positionRecord(Version{Token: p.Token, Sequence: p.sequence}, p.Records.stateDigest())
+}
+
 // TakePending removes and returns the records that are pending for a replica, and the sequence number up to which the
 // replica is complete once it stores them.
 func (p *Primary) TakePending(replica int) ([]Record, int64) {
@@ -123,9 +140,9 @@
 	Digests     []int64 // RecordSet.Digests of its records
 }
 
-// NewestInSync returns, in ascending order, the replicas whose InSyncToken is the highest among all responses. A new owner
-// merges only their records: at least one of them has each committed change, and other replicas may have records that were
-// never committed.
+// NewestInSync returns, in ascending order, the replicas whose InSyncToken is the highest among all responses. At least one of
+// them has each committed change, and other replicas may have records that were never committed. A replica keeps its
+// InSyncToken when the owner can no longer reach it, so it may lack changes of that owner; see MostCurrent.
 func NewestInSync(responses map[int]FenceResponse) []int {
 	newest := int64(0)
 	for _, r := range responses {
--- a/coord/shard/record.go
+++ b/coord/shard/record.go
@@ -134,6 +134,15 @@
 	return ranges
 }
 
+// withoutDigest returns digests whose value in one bucket matches no content that has the given one.
+func withoutDigest(digests []int64, bucket int) []int64 {
+	changed := slices.Clone(digests)
+	if bucket < len(changed) {
+		changed[bucket] = ^changed[bucket]
+	}
+	return changed
+}
+
 // DifferingBuckets returns the buckets in which two lists of digests differ. A missing digest counts as different.
 func DifferingBuckets(a, b []int64) []int {
 	var buckets []int
--- a/coord/shard/replica.go
+++ b/coord/shard/replica.go
@@ -5,10 +5,15 @@
 // owner's fencing token replaces the ballot. A new owner
 //
 //  1. fences a quorum of replicas with its token, so that no earlier owner can commit further changes,
-//  2. merges the records of those replicas among them that were in sync with the newest previous owner (NewestInSync),
+//  2. takes over the records of one replica among them: of those that were in sync with the newest previous owner
+//     (NewestInSync), the one that holds the most of its changes (MostCurrent),
 //  3. repairs a quorum of replicas, which are then in sync with it, and
 //  4. writes records, each with a version; a change is committed once a quorum of voters has acknowledged it.
 //
+// Deletions leave no tombstone. Instead each replica stores its position, up to which it holds all changes of its owner: a
+// record that is missing there was deleted, and an older replica that still has it is never merged. With each message the owner
+// sends a digest of its records, and the replica refuses a message after which it would hold other ones.
+//
 // There is no log. A replica that has fallen behind is repaired by comparing digests of hash buckets (anti-entropy repair,
 // as in G. DeCandia et al., "Dynamo" (2007), section 4.7, with a single level instead of a Merkle tree).
 //
--- a/internal/system/core/replication.go
+++ b/internal/system/core/replication.go
@@ -174,7 +174,7 @@
 	c := o.core
 	to := target{Membership: m, Member: r.member.ID}
 	o.mu.Lock()
-	records, upTo := o.primary.TakePending(r.seat)
+	records, upTo := o.primary.NextWrite(r.seat)
 	o.mu.Unlock()
 	sentAt := time.Now()
 	request := &writeRequest{To: to, Shard: o.name, Token: o.token, Records: records}
--- a/internal/system/core/store_shards.go
+++ b/internal/system/core/store_shards.go
@@ -93,11 +93,15 @@
 	return replica.Records.Digests()
 }
 
-// repair handles a repairRequest. Its error has the code result.Fenced if a higher fencing token or a later repair is known.
+// repair handles a repairRequest. Its error has the code result.Fenced if a higher fencing token or a later repair is known, and
+// result.NotRecovered if the owner must begin anew with the replica's current digests.
 func (s *store) repair(ctx context.Context, r *repairRequest) (*ackResponse, error) {
 	response := &ackResponse{}
 	err := s.applyDurably(ctx, s.admitSeated, r.To, func(from origin) (*entry, error) {
 		response.From = from
+		if !s.replica(r.Shard).AcceptsRepair(r.Token, r.Ranges, r.Last) {
+			return nil, result.Errorf(result.NotRecovered, "shard %s: the replica has changed since it sent its digests", r.Shard)
+		}
 		if !s.replica(r.Shard).Repair(r.Token, r.RepairNumber, r.Ranges, r.Last) {
 			return nil, result.Errorf(result.Fenced, "shard %s: a token above %d or a later repair is known", r.Shard, r.Token)
 		}
@@ -113,7 +117,7 @@
 	err := s.applyDurably(ctx, s.admitSeated, r.To, func(from origin) (*entry, error) {
 		response.From = from
 		replica := s.replica(r.Shard)
-		written := replica.Write(r.Token, r.Records)
+		written := replica.AcceptsWrite(r.Token, r.Records) && replica.Write(r.Token, r.Records)
 		switch {
 		case !written && replica.FencingToken > r.Token:
 			return nil, result.Errorf(result.Fenced, "shard %s: token %d is known, %d came", r.Shard, replica.FencingToken, r.Token)
--- a/internal/system/core/takeover.go
+++ b/internal/system/core/takeover.go
@@ -47,8 +47,8 @@
 	c.goroutines.Go(c.pingAll)
 }
 
-// acquireShard fences all earlier owners of a shard, merges the records of a quorum of the replicas and returns an owner
-// with which a quorum of the replicas is in sync.
+// acquireShard fences all earlier owners of a shard, takes over the records of the most current replica of a quorum and
+// returns an owner with which a quorum of the replicas is in sync.
 func (c *Core) acquireShard(ctx context.Context, name string) (*owner, error) {
 	token, err := c.nextToken(ctx, name)
 	if err != nil {
@@ -59,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	set, err := c.mergeRecords(ctx, m, name, fenced)
+	set, err := c.fetchRecords(ctx, m, name, fenced)
 	if err != nil {
 		return nil, err
 	}
@@ -115,34 +115,77 @@
 	return fenced, nil
 }
 
-// mergeRecords merges the records of those fenced replicas that were in sync with the most recent of the earlier owners.
-func (c *Core) mergeRecords(ctx context.Context, m membership.Membership, name string, fenced map[int]*sealResponse) (*shard.RecordSet, error) {
+// fetchRecords returns the records of the most current replica among the fenced ones. If the most recent of the earlier owners
+// was of a release without positions, it merges the records of all replicas that were in sync with it.
+func (c *Core) fetchRecords(ctx context.Context, m membership.Membership, name string, fenced map[int]*sealResponse) (*shard.RecordSet, error) {
 	responses := map[int]shard.FenceResponse{}
 	for seat, response := range fenced {
 		responses[seat] = shard.FenceResponse{InSyncToken: response.InSyncToken, Digests: response.Digests}
 	}
+	seats := shard.NewestInSync(responses)
+	positions, err := c.fetchPositions(ctx, m, name, seats, responses)
+	if err != nil {
+		return nil, err
+	}
+	if seat, ok := shard.MostCurrent(positions); ok {
+		seats = []int{seat}
+	}
 	set := shard.NewRecordSet()
-	for _, seat := range shard.NewestInSync(responses) {
-		member := m.Seats[seat]
-		to := target{Membership: m, Member: member.ID}
-		request := &fetchRequest{To: to, Shard: name}
-		for _, bucket := range shard.DifferingBuckets(set.Digests(), responses[seat].Digests) {
-			request.Buckets = append(request.Buckets, int64(bucket))
-		}
-		response, err := replicaCall(ctx, c, to, member.Address, methodFetch, c.store.fetch, request)
+	for _, seat := range seats {
+		buckets := shard.DifferingBuckets(set.Digests(), responses[seat].Digests)
+		records, err := c.fetchBuckets(ctx, m, name, seat, buckets)
 		if err != nil {
 			return nil, err
 		}
 		added := 0
-		for _, bucket := range response.Ranges {
-			for _, record := range bucket.Records {
-				if set.Apply(record) {
-					added++
-				}
+		for _, record := range records {
+			if set.Apply(record) {
+				added++
 			}
 		}
-		c.logger.Info("replica merged for the takeover", "shard", name, "seat", seat, "address", member.Address,
-			"in_sync_token", responses[seat].InSyncToken, "newer_records", added)
+		c.logger.Info("replica merged for the takeover", "shard", name, "seat", seat, "address", m.Seats[seat].Address,
+			"in_sync_token", responses[seat].InSyncToken, "position", positions[seat].Sequence, "newer_records", added)
 	}
 	return set, nil
 }
+
+// fetchPositions returns the positions of the replicas in the given seats, keyed by seat. Replicas without a position are left
+// out.
+func (c *Core) fetchPositions(ctx context.Context, m membership.Membership, name string, seats []int,
+	responses map[int]shard.FenceResponse,
+) (map[int]shard.Version, error) {
+	positions := map[int]shard.Version{}
+	for _, seat := range seats {
+		inSyncToken := responses[seat].InSyncToken
+		if inSyncToken == 0 {
+			continue
+		}
+		records, err := c.fetchBuckets(ctx, m, name, seat, []int{int(shard.PositionBucket)})
+		if err != nil {
+			return nil, err
+		}
+		if position, ok := shard.PositionOf(records, inSyncToken); ok {
+			positions[seat] = position
+		}
+	}
+	return positions, nil
+}
+
+// fetchBuckets returns the records in the given buckets of the replica in a seat.
+func (c *Core) fetchBuckets(ctx context.Context, m membership.Membership, name string, seat int, buckets []int) ([]shard.Record, error) {
+	member := m.Seats[seat]
+	to := target{Membership: m, Member: member.ID}
+	request := &fetchRequest{To: to, Shard: name}
+	for _, bucket := range buckets {
+		request.Buckets = append(request.Buckets, int64(bucket))
+	}
+	response, err := replicaCall(ctx, c, to, member.Address, methodFetch, c.store.fetch, request)
+	if err != nil {
+		return nil, err
+	}
+	var records []shard.Record
+	for _, content := range response.Ranges {
+		records = append(records, content.Records...)
+	}
+	return records, nil
+}
