avrocodec: decode whatever was encoded; bound the configuration by 4 MiB

Cause: Decode refused byte strings above the library's default of 1 MiB, Encode wrote any, and nothing bounded a value where it entered. Change: Encode and Decode share one limit of 64 MiB, that of the longest stored frame, and a byte string may be as long as its message. The text of a configuration is bounded by 4 MiB, also as the result of a patch: 413 or 400 before anything is proposed (16 MiB of a body were taken before, of which nothing above 1 MiB could be kept).

--- a/internal/avrocodec/codec.go
+++ b/internal/avrocodec/codec.go
@@ -17,6 +17,16 @@
 	"github.com/hamba/avro/v2"
 )
 
+// MaxBytes is the maximum length of an encoded struct. Encode and Decode have the same limit, so that all that was encoded can be
+// decoded. Callers bound what they accept such that it is never reached.
+const MaxBytes = 64 << 20
+
+// ErrTooLong is returned for a struct whose encoding exceeds MaxBytes.
+var ErrTooLong = fmt.Errorf("avrocodec: more than %d bytes", MaxBytes)
+
+// readerConfig lets a byte string be as long as the whole encoding. The library's default is 1 MiB.
+var readerConfig = avro.Config{MaxByteSliceSize: MaxBytes}.Freeze()
+
 var schemas sync.Map // cache of avro.Schema by reflect.Type
 
 // SchemaOf returns the Avro schema of a struct type. It panics if a field has an unsupported kind.
@@ -72,26 +82,33 @@
 	return `{"type":"record","name":"` + name + `","fields":[` + strings.Join(fields, ",") + `]}`
 }
 
-// Encode encodes the struct to which message points.
+// Encode encodes the struct to which message points. The error wraps ErrTooLong if it is longer than MaxBytes.
 func Encode(message any) ([]byte, error) {
 	schema, err := SchemaOf(reflect.TypeOf(message).Elem())
 	if err != nil {
 		return nil, err
 	}
-	return avro.Marshal(schema, message)
+	body, err := avro.Marshal(schema, message)
+	if err == nil && len(body) > MaxBytes {
+		return nil, fmt.Errorf("%w: %v of %d bytes", ErrTooLong, reflect.TypeOf(message).Elem(), len(body))
+	}
+	return body, err
 }
 
 // ErrTruncated is returned for a body that ends before all fields are decoded.
 var ErrTruncated = errors.New("avrocodec: the body is truncated")
 
 // Decode decodes body into the struct to which message points. If the body ends before the last field, it returns an error
-// that wraps ErrTruncated, and message is partially set.
+// that wraps ErrTruncated, and message is partially set. The error wraps ErrTooLong if body is longer than MaxBytes.
 func Decode(body []byte, message any) error {
 	schema, err := SchemaOf(reflect.TypeOf(message).Elem())
 	if err != nil {
 		return err
 	}
-	reader := avro.NewReader(nil, 0).Reset(body)
+	if len(body) > MaxBytes {
+		return fmt.Errorf("%w: %v of %d bytes", ErrTooLong, reflect.TypeOf(message).Elem(), len(body))
+	}
+	reader := avro.NewReader(nil, 0, avro.WithReaderConfig(readerConfig)).Reset(body)
 	reader.ReadVal(schema, message)
 	if errors.Is(reader.Error, io.EOF) || errors.Is(reader.Error, io.ErrUnexpectedEOF) { // avro.Unmarshal would ignore the former
 		return fmt.Errorf("%w: %d bytes are no %v", ErrTruncated, len(body), reflect.TypeOf(message).Elem())
--- a/internal/avrocodec/codec_test.go
+++ b/internal/avrocodec/codec_test.go
@@ -70,3 +70,48 @@
 		t.Errorf("encoded %x and %x, error %v; want equal bytes", body, again, err)
 	}
 }
+
+// TestLongByteStringIsDecoded guards against the failure of review/1 and review/2: a byte string above 1 MiB was encoded, but could
+// not be decoded.
+func TestLongByteStringIsDecoded(t *testing.T) {
+	for _, size := range []int{1<<20 - 1, 1 << 20, 1<<20 + 1} {
+		want := record{Items: []inner{}, ByKey: map[string]float64{}, Raw: bytes.Repeat([]byte("r"), size)}
+		body, err := Encode(&want)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got record
+		if err := Decode(body, &got); err != nil || !bytes.Equal(got.Raw, want.Raw) {
+			t.Errorf("byte string of %d bytes: decoded %d, error %v", size, len(got.Raw), err)
+		}
+	}
+}
+
+// TestLimitOfEncodeAndDecode checks an encoding just below, at and just above MaxBytes: what Encode returns, Decode accepts.
+func TestLimitOfEncodeAndDecode(t *testing.T) {
+	empty, err := Encode(&record{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	const lengthBytes = 3 // of the length of the long byte string, beyond that of the empty one
+	for _, excess := range []int{-1, 0, 1} {
+		raw := make([]byte, MaxBytes+excess-len(empty)-lengthBytes)
+		body, err := Encode(&record{Raw: raw})
+		if excess > 0 {
+			if !errors.Is(err, ErrTooLong) {
+				t.Errorf("%d bytes beyond the limit: Encode returned error %v, want %v", excess, err, ErrTooLong)
+			}
+			continue
+		}
+		if err != nil || len(body) != MaxBytes+excess {
+			t.Errorf("Encode returned %d bytes, error %v, want %d", len(body), err, MaxBytes+excess)
+		}
+		var got record
+		if err := Decode(body, &got); err != nil || len(got.Raw) != len(raw) {
+			t.Errorf("Decode of %d bytes: error %v", len(body), err)
+		}
+	}
+	if err := Decode(make([]byte, MaxBytes+1), &record{}); !errors.Is(err, ErrTooLong) {
+		t.Errorf("Decode beyond the limit returned error %v, want %v", err, ErrTooLong)
+	}
+}
--- a/internal/system/clusterconfig/clusterconfig.go
+++ b/internal/system/clusterconfig/clusterconfig.go
@@ -4,6 +4,10 @@
 
 //go:generate go run github.com/mailru/easyjson/easyjson -all clusterconfig.go
 
+// MaxBytes is the maximum length of a configuration's text, also as the result of a patch. Each core machine holds several
+// versions in memory and sends and stores each as one message and one log entry.
+const MaxBytes = 4 << 20
+
 // Config is a complete configuration. Keys without a field here are preserved in the JSON text only.
 type Config struct {
 	Version  int64     `json:"version"`
--- a/internal/system/core/config.go
+++ b/internal/system/core/config.go
@@ -92,6 +92,9 @@
 		}
 		text = patched
 	}
+	if len(text) > clusterconfig.MaxBytes {
+		return nil, result.Errorf(result.Invalid, "configuration: %d bytes, %d at most", len(text), clusterconfig.MaxBytes)
+	}
 	config, err := clusterconfig.Parse(text)
 	if err == nil {
 		err = config.Validate()
--- a/internal/system/core/config_test.go
+++ b/internal/system/core/config_test.go
@@ -5,7 +5,9 @@
 	"strings"
 	"testing"
 
+	"sedgevale/coord/register"
 	"sedgevale/internal/avrocodec"
+	"sedgevale/internal/system/clusterconfig"
 	"sedgevale/internal/system/result"
 )
 
@@ -156,3 +158,75 @@
 		t.Errorf("register value of %d bytes, want at most %d", len(current), 12<<10)
 	}
 }
+
+// longConfig returns a valid configuration of the given length.
+func longConfig(version, length int) string {
+	text := configText(version, route("a", "/a/"))
+	return text + strings.Repeat(" ", length-len(text))
+}
+
+// TestConfigurationLimit checks configurations just below, at and just above clusterconfig.MaxBytes, as a whole and as the result of
+// a patch. The longest one is accepted by replicas, sent by them and read back after a restart; one above the limit is refused and
+// changes nothing. It guards against the failure of review/1, where one above 1 MiB was acknowledged and could not be read back.
+func TestConfigurationLimit(t *testing.T) {
+	for _, excess := range []int{-1, 0, 1} {
+		text := longConfig(1, clusterconfig.MaxBytes+excess)
+		value, err := newConfigChange(false, 0, []byte(text)).apply(nil)
+		if excess > 0 {
+			if result.CodeOf(err) != result.Invalid {
+				t.Errorf("%d bytes beyond the limit: error %v, want code %d", excess, err, result.Invalid)
+			}
+			continue
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		checkStored(t, value)
+	}
+}
+
+// checkStored checks that replicas accept a value of the configuration register as it is sent, and have it after a restart.
+func checkStored(t *testing.T, value []byte) {
+	t.Helper()
+	s := newStoreCluster(t)
+	request := &acceptRequest{To: s.to("a", "a"), Name: configRegister, Ballot: register.Ballot{Counter: 5, Proposer: "p"}, Value: value}
+	message, err := avrocodec.Encode(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var received acceptRequest
+	if err := avrocodec.Decode(message, &received); err != nil {
+		t.Fatal(err)
+	}
+	response, err := s.stores["a"].accept(s.ctx(), &received)
+	if err != nil || !response.Accepted {
+		t.Fatalf("response %+v, error %v", response, err)
+	}
+	s.start("a", false)
+	read, err := s.stores["a"].readAccepted(s.ctx(), &readAcceptedRequest{To: s.to("a", "a"), Name: configRegister})
+	if err != nil || string(read.Value) != string(value) {
+		t.Errorf("%d bytes after the restart, error %v, want %d", len(read.Value), err, len(value))
+	}
+}
+
+// TestPatchIsRefusedAboveConfigurationLimit checks that a patch whose result would exceed the limit is refused.
+func TestPatchIsRefusedAboveConfigurationLimit(t *testing.T) {
+	var routes []string
+	size := 0
+	for i := 0; size < clusterconfig.MaxBytes-1000; i++ {
+		routes = append(routes, route(fmt.Sprint("r", i), fmt.Sprintf("/r%d/", i)))
+		size += len(routes[i]) + 1
+	}
+	patch := func(base int, name string, padding int) string {
+		added := strings.Replace(route(name, "/"+name+"/"), `"extra":1`, `"extra":"`+strings.Repeat("x", padding)+`"`, 1)
+		return fmt.Sprintf(`{"version":%d,"upsert":{"routes":[%s]}}`, base+1, added)
+	}
+	record := applySteps(t, []changeStep{
+		{false, 0, configText(1, strings.Join(routes, ",")), result.OK},
+		{true, 1, patch(1, "p", 2000), result.Invalid},
+		{true, 1, patch(1, "p", 10), result.OK},
+	})
+	if len(record.Text) > clusterconfig.MaxBytes || !strings.Contains(string(record.Text), `"/p/"`) {
+		t.Errorf("the configuration in force has %d bytes", len(record.Text))
+	}
+}
--- a/internal/system/core/controlplane/controlplane.go
+++ b/internal/system/core/controlplane/controlplane.go
@@ -12,12 +12,13 @@
 
 	"github.com/go-logr/logr"
 
+	"sedgevale/internal/system/clusterconfig"
 	"sedgevale/internal/system/result"
 )
 
 const (
 	configPath     = "/sedgevale/config"
-	maxConfigBytes = 16 << 20
+	maxConfigBytes = clusterconfig.MaxBytes
 	readTimeout    = 800 * time.Millisecond
 
 	// ChangeTimeout limits the wait until a quorum has chosen a change.
