jobs: log checkpoints beyond the limit; skip occurrences without a changed task

Cause: a checkpoint that exceeds a limit left no trace for operators, and each flush of a partitioned job listed all of its tasks anew. Change: the owner logs once a second how many reported checkpoints it did not keep; occurrences without a changed task are passed over.

--- a/internal/system/core/owner.go
+++ b/internal/system/core/owner.go
@@ -31,18 +31,19 @@
 
 	// mu guards the fields below and those of each replicator. It may be acquired while Core.mu is held; Core.mu must not
 	// be acquired while it is held.
-	mu            sync.Mutex
-	primary       *shard.Primary
-	scheduler     *jobs.Scheduler
-	replicators   []*replicator           // indexed by seat; the slice itself never changes
-	orderSenders  map[string]*orderSender // keyed by worker reference
-	sessions      sessions
-	committed     int64 // sequence number of the last committed change; never decreases
-	commitWaiters []commitWaiter
-	deposed       bool // set when the owner is closed or a newer fencing token is seen; never reset
-	started       bool // set once the jobs are restored and scheduling has begun
-	config        *configState
-	inSyncChanged chan struct{} // closed and replaced when a replica acknowledges a call or the owner is deposed
+	mu                sync.Mutex
+	primary           *shard.Primary
+	scheduler         *jobs.Scheduler
+	replicators       []*replicator           // indexed by seat; the slice itself never changes
+	orderSenders      map[string]*orderSender // keyed by worker reference
+	sessions          sessions
+	committed         int64 // sequence number of the last committed change; never decreases
+	commitWaiters     []commitWaiter
+	deposed           bool // set when the owner is closed or a newer fencing token is seen; never reset
+	started           bool // set once the jobs are restored and scheduling has begun
+	config            *configState
+	loggedCheckpoints int           // value of RejectedCheckpoints at the last log line
+	inSyncChanged     chan struct{} // closed and replaced when a replica acknowledges a call or the owner is deposed
 }
 
 // newOwner returns the owner of a shard with the merged records of a quorum. Its goroutines belong to a group derived from
@@ -194,6 +195,7 @@
 		if round%ticksPerSummary == 0 {
 			o.logUnschedulable()
 			o.logSummary()
+			o.logRejectedCheckpoints()
 		}
 		for _, sender := range o.orderSenders {
 			sender.wake.notify()
@@ -213,6 +215,15 @@
 	}
 }
 
+// logRejectedCheckpoints logs how many reported checkpoints exceeded a limit since the last call. o.mu is held.
+func (o *owner) logRejectedCheckpoints() {
+	rejected := o.scheduler.RejectedCheckpoints()
+	if rejected > o.loggedCheckpoints {
+		o.core.logger.Info("checkpoints exceed a limit; keeping the previous ones", "shard", o.name, "checkpoints", rejected-o.loggedCheckpoints)
+	}
+	o.loggedCheckpoints = rejected
+}
+
 // logSummary logs the state of the queues and workers at verbosity 1. o.mu is held.
 func (o *owner) logSummary() {
 	logger := o.core.logger.V(1)
--- a/jobs/completion.go
+++ b/jobs/completion.go
@@ -37,7 +37,7 @@
 		s.applyLateSuccess(now, w, key, outcome)
 		return
 	}
-	run.saveCheckpoint(checkpoint)
+	s.saveCheckpoint(run, checkpoint)
 	if hasRun(outcome) {
 		s.markRan(run.job)
 	}
@@ -50,6 +50,17 @@
 	s.advanceTask(now, run.job, occurrence, run.position, outcome)
 }
 
+// saveCheckpoint stores the latest checkpoint of a run, or counts it as rejected if it exceeds a limit.
+func (s *Scheduler) saveCheckpoint(run *Run, checkpoint string) {
+	if !run.saveCheckpoint(checkpoint) {
+		s.rejectedCheckpoints++
+	}
+}
+
+// RejectedCheckpoints returns the number of reported checkpoints so far that were not stored because of their length. The same
+// checkpoint counts in each report.
+func (s *Scheduler) RejectedCheckpoints() int { return s.rejectedCheckpoints }
+
 // applyLateSuccess applies the success of a run that the scheduler had already ended, for example because its lease expired,
 // unless its task has been assigned again. It ignores members of gangs and long-running tasks.
 func (s *Scheduler) applyLateSuccess(now time.Duration, w *Worker, key RunRef, outcome string) {
--- a/jobs/limits_test.go
+++ b/jobs/limits_test.go
@@ -40,6 +40,9 @@
 		if excess <= 0 {
 			want = long
 		}
+		if rejected := h.scheduler.RejectedCheckpoints(); (rejected > 0) != (excess > 0) {
+			t.Errorf("%d bytes beyond the limit: %d checkpoints count as rejected", excess, rejected)
+		}
 		if got := h.scheduler.jobs["j"].Occurrences[0].Stages[0].Tasks[0].Checkpoint; got != want {
 			t.Errorf("%d bytes beyond the limit: the task keeps a checkpoint of %d bytes, want %d", excess, len(got), len(want))
 		}
--- a/jobs/partition.go
+++ b/jobs/partition.go
@@ -107,14 +107,15 @@
 func (j *Job) changedParts() ([]Change, error) {
 	var changes []Change
 	for _, occurrence := range j.Occurrences {
-		if occurrence.Done {
+		written := j.parts.stored[partNumber{occurrence.Number, 0}] // all parts are written together at first
+		if occurrence.Done || written && !occurrence.hasChangedTask() {
 			continue
 		}
 		tasks := occurrence.tasks()
 		for index := range partCount(len(tasks)) {
 			number := partNumber{occurrence.Number, index}
 			part := tasks[index*tasksPerPart : min((index+1)*tasksPerPart, len(tasks))]
-			if changed := clearChanged(part); !changed && j.parts.stored[number] {
+			if changed := clearChanged(part); !changed && written {
 				continue
 			}
 			value, err := avrocodec.Encode(&partRecord{encodeTasks(part)})
@@ -141,6 +142,18 @@
 	return changed
 }
 
+// hasChangedTask reports whether the changed flag of a task is set.
+func (o *Occurrence) hasChangedTask() bool {
+	for i := range o.Stages {
+		for n := range o.Stages[i].Tasks {
+			if o.Stages[i].Tasks[n].changed {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // obsoleteParts returns the deletions of the parts of occurrences that are done.
 func (j *Job) obsoleteParts() []Change {
 	unfinished := map[int]bool{}
--- a/jobs/partition_test.go
+++ b/jobs/partition_test.go
@@ -253,6 +253,19 @@
 	}
 }
 
+// TestLongestManifestIsReadable checks that the manifest of a job with the most occurrences is below maxRecordBytes.
+func TestLongestManifestIsReadable(t *testing.T) {
+	job := &Job{ID: "j", Spec: &Spec{}, State: Cancelled, NextOccurrence: maxRepeats}
+	for number := range maxRepeats {
+		job.Occurrences = append(job.Occurrences, &Occurrence{Number: number, Done: number%2 == 0})
+	}
+	manifest, err := job.encodeManifest()
+	if err != nil || len(manifest) > maxRecordBytes {
+		t.Errorf("the longest manifest has %d bytes, error %v, want at most %d", len(manifest), err, maxRecordBytes)
+	}
+	t.Logf("%d bytes", len(manifest))
+}
+
 // TestManifestIsNoJobRecord checks that a release without partitions, which decodes each record of a job as a jobRecord, gets an
 // error: it must not take over a shard without the tasks of a partitioned job.
 func TestManifestIsNoJobRecord(t *testing.T) {
--- a/jobs/report.go
+++ b/jobs/report.go
@@ -137,7 +137,7 @@
 			s.markRan(run.job)
 		}
 		run.percent = max(run.percent, active.Percent)
-		run.saveCheckpoint(active.Checkpoint)
+		s.saveCheckpoint(run, active.Checkpoint)
 	}
 }
 
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -61,14 +61,17 @@
 }
 
 // saveCheckpoint stores the latest checkpoint of the run's task. All members of a gang share one checkpoint. A checkpoint that
-// exceeds a limit is ignored, so that the task resumes from the previous one.
-func (r *Run) saveCheckpoint(checkpoint string) {
-	if checkpoint == "" || len(checkpoint) > maxCheckpointBytes {
-		return
+// exceeds a limit is ignored, so that the task resumes from the previous one, and saveCheckpoint reports false.
+func (r *Run) saveCheckpoint(checkpoint string) (withinLimits bool) {
+	if checkpoint == "" {
+		return true
+	}
+	if len(checkpoint) > maxCheckpointBytes {
+		return false
 	}
 	_, progress, task := r.task()
 	if task == nil || task.Attempt != r.Key.Attempt {
-		return
+		return true
 	}
 	members := []*Task{task}
 	if r.spec().Gang {
@@ -79,9 +82,10 @@
 		added += len(checkpoint) - len(member.Checkpoint)
 	}
 	if added > 0 && r.job.checkpointBytes+added > maxJobCheckpointBytes {
-		return
+		return false
 	}
 	for _, member := range members {
 		r.job.setCheckpoint(member, checkpoint)
 	}
+	return true
 }
--- a/jobs/scheduler.go
+++ b/jobs/scheduler.go
@@ -40,6 +40,8 @@
 	newCallbacks         []func()
 	uncommittedCallbacks []commitCallback // sorted by sequence
 
+	rejectedCheckpoints int // number of reported checkpoints that exceeded a limit
+
 	groupSequence  uint64                        // sequence of the latest task group
 	workersByAgent map[string]map[string]*Worker // keyed by AgentAddress, then Ref
 
