--- a/jobs/limits_test.go
+++ b/jobs/limits_test.go
@@ -30,11 +30,11 @@
 func TestCheckpointLimit(t *testing.T) {
 	for _, excess := range []int{-1, 0, 1} {
 		h := newPartitionHarness(t)
-		h.report("a", nil, RunRef{}, "", "")
+		h.report("a", nil, RunRef{}, "")
 		h.submit("j", `{"spec":"s","stages":[{"count":1,"cpu":10,"checkpoints":true}]}`)
 		long := strings.Repeat("c", maxCheckpointBytes+excess)
 		for _, checkpoint := range []string{"previous", long} {
-			h.report("a", []ActiveRun{{Task: "j.0.0.0", Attempt: 1, Checkpoint: checkpoint}}, RunRef{}, "", "")
+			h.report("a", []ActiveRun{{Task: "j.0.0.0", Attempt: 1, Checkpoint: checkpoint}}, RunRef{}, "")
 		}
 		want := "previous"
 		if excess <= 0 {
@@ -53,14 +53,14 @@
 // kept even at the limit, and that the checkpoints of completed occurrences do not count.
 func TestJobCheckpointLimit(t *testing.T) {
 	h := newPartitionHarness(t)
-	h.report("a", nil, RunRef{}, "", "")
+	h.report("a", nil, RunRef{}, "")
 	h.submit("j", `{"spec":"s","stages":[{"count":513,"cpu":10,"checkpoints":true}],"repeat":2}`)
 	for range 10 {
 		h.commit()
 	}
 	full := strings.Repeat("c", maxCheckpointBytes)
 	for index := range 513 {
-		h.report("a", []ActiveRun{{Task: TaskName("j", 0, 0, index), Attempt: 1, Checkpoint: full}}, RunRef{}, "", "")
+		h.report("a", []ActiveRun{{Task: TaskName("j", 0, 0, index), Attempt: 1, Checkpoint: full}}, RunRef{}, "")
 	}
 	job := h.scheduler.jobs["j"]
 	tasks := job.Occurrences[0].tasks()
@@ -68,8 +68,8 @@
 		t.Errorf("lengths %d and %d of the last two checkpoints, %d in all; want %d, 0 and %d", len(tasks[511].Checkpoint),
 			len(tasks[512].Checkpoint), job.checkpointBytes, maxCheckpointBytes, maxJobCheckpointBytes)
 	}
-	h.report("a", []ActiveRun{{Task: "j.0.0.0", Attempt: 1, Checkpoint: "short"}}, RunRef{}, "", "")
-	h.report("a", []ActiveRun{{Task: "j.0.0.512", Attempt: 1, Checkpoint: "fits"}}, RunRef{}, "", "")
+	h.report("a", []ActiveRun{{Task: "j.0.0.0", Attempt: 1, Checkpoint: "short"}}, RunRef{}, "")
+	h.report("a", []ActiveRun{{Task: "j.0.0.512", Attempt: 1, Checkpoint: "fits"}}, RunRef{}, "")
 	if tasks[0].Checkpoint != "short" || tasks[512].Checkpoint != "fits" {
 		t.Errorf("checkpoints %.9q and %.9q after one became shorter", tasks[0].Checkpoint, tasks[512].Checkpoint)
 	}
@@ -79,7 +79,7 @@
 		t.Errorf("a new owner counts %d bytes of checkpoints, want %d", restored.checkpointBytes, job.checkpointBytes)
 	}
 	for index := range 513 {
-		h.report("a", nil, RunRef{TaskName("j", 0, 0, index), 1}, outcomeSucceeded, "")
+		h.report("a", nil, RunRef{TaskName("j", 0, 0, index), 1}, outcomeSucceeded)
 	}
 	if !job.Occurrences[0].Done || job.checkpointBytes != 0 {
 		t.Errorf("occurrence done: %t, %d bytes of checkpoints after it", job.Occurrences[0].Done, job.checkpointBytes)
--- a/jobs/partition_test.go
+++ b/jobs/partition_test.go
@@ -53,16 +53,14 @@
 }
 
 // report applies a report of a worker that has the given runs active, and the given one finished if outcome is not empty.
-func (h *partitionHarness) report(instance string, active []ActiveRun, ref RunRef, outcome, checkpoint string) {
+func (h *partitionHarness) report(instance string, active []ActiveRun, ref RunRef, outcome string) {
 	report := &Report{
 		AgentAddress: "10.0.2.1:7000" + instance, AgentIncarnation: "1", Service: "svc", Instance: instance, State: string(Ready),
 		Capacity: Resources{CPU: 1_000_000, MemMB: 1 << 30}, Labels: []string{"k", "r1"}, Active: active,
 	}
 	if outcome != "" {
 		h.finished[instance]++
-		end := finished(h.finished[instance], ref, outcome)
-		end.Checkpoint = checkpoint
-		report.Finished = []FinishedRun{end}
+		report.Finished = []FinishedRun{finished(h.finished[instance], ref, outcome)}
 	}
 	h.scheduler.HandleReport(h.now, report)
 }
@@ -97,8 +95,8 @@
 	h := newPartitionHarness(t)
 	h.submit("00000000abcdef05", `{"spec":"s","stages":[{"count":4900,"cpu":10},{"count":1,"cpu":10,"depends_on":[0]}],"repeat":8}`)
 	for range 20 {
-		h.report("a-worker-with-a-name-of-usual-length", nil, RunRef{}, "", "")
-		h.report("b-worker-with-a-name-of-usual-length", nil, RunRef{}, "", "")
+		h.report("a-worker-with-a-name-of-usual-length", nil, RunRef{}, "")
+		h.report("b-worker-with-a-name-of-usual-length", nil, RunRef{}, "")
 		h.scheduler.Tick(h.now, 1000)
 		h.commit()
 	}
@@ -176,13 +174,13 @@
 	if ended.Task != "" {
 		outcome = []string{outcomeSucceeded, outcomeSucceeded, outcomeSucceeded, outcomeFailed, outcomeStopped, outcomeDropped}[random.IntN(6)]
 	}
-	h.report(instance, active, ended, outcome, "")
+	h.report(instance, active, ended, outcome)
 }
 
 // TestUnchangedPartsAreNotWritten checks that the end of one task of a partitioned job writes only the part of that task.
 func TestUnchangedPartsAreNotWritten(t *testing.T) {
 	h := newPartitionHarness(t)
-	h.report("a", nil, RunRef{}, "", "")
+	h.report("a", nil, RunRef{}, "")
 	h.submit("wide", `{"spec":"s","stages":[{"count":640,"cpu":10}]}`)
 	job := h.scheduler.jobs["wide"]
 	job.parts = &partition{stored: map[partNumber]bool{}}
@@ -190,7 +188,7 @@
 	for range 5 {
 		h.commit()
 	}
-	h.report("a", nil, RunRef{TaskName("wide", 0, 0, 300), 1}, outcomeSucceeded, "")
+	h.report("a", nil, RunRef{TaskName("wide", 0, 0, 300), 1}, outcomeSucceeded)
 	h.records.flush(t, h.scheduler)
 	if len(h.records.pending) != 1 || h.records.pending[0].Key != (partNumber{0, 300 / tasksPerPart}).recordKey("wide") {
 		t.Errorf("the end of one task wrote %d records, want that of its part: %+v", len(h.records.pending), h.records.pending)
