mutations: eleven ways to break records, positions and parts; a gap in the tests closed

Cause: the mutations knew nothing of the new code, and one of them, a failure counted in another part than the failed member's, was not caught. Change: eleven mutations under 'records: '; TestFailureOfGangMemberIsStored.

--- a/jobs/partition_test.go
+++ b/jobs/partition_test.go
@@ -195,6 +195,23 @@
 	}
 }
 
+// TestFailureOfGangMemberIsStored checks that the failures of a gang, which its first task counts, are stored although that task
+// is in another part than the failed member: a new owner must not grant more retries.
+func TestFailureOfGangMemberIsStored(t *testing.T) {
+	h := newPartitionHarness(t)
+	h.report("a", nil, RunRef{}, "")
+	h.submit("gang", `{"spec":"s","stages":[{"count":70,"cpu":10,"gang":true}]}`)
+	job := h.scheduler.jobs["gang"]
+	job.parts = &partition{stored: map[partNumber]bool{}}
+	h.scheduler.markDirty(job)
+	h.commit()
+	h.report("a", nil, RunRef{TaskName("gang", 0, 0, 69), 1}, outcomeFailed)
+	h.commit()
+	if restored := h.checkRestored("gang").jobs["gang"]; restored.Occurrences[0].Stages[0].Tasks[0].Failures != 1 {
+		t.Error("a new owner does not count the failed run of a gang's member")
+	}
+}
+
 // TestJobIsPartitionedAboveRecordLimit checks a jobRecord just below, at and just above maxRecordBytes.
 func TestJobIsPartitionedAboveRecordLimit(t *testing.T) {
 	for _, excess := range []int{-1, 0, 1} {
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -57,4 +57,15 @@
 mutate "no triage" jobs/queuelimit.go 's/\t\ts\.triage\(now, q, capacity\)\n//' ./jobs
 mutate "shards are taken over before all peers have answered" internal/system/core/liveness.go 's/p\.known && !p\.alive\(\)/p.known \&\& false/' ./internal/system/core
 mutate "an infeasible worker is reserved" jobs/reservation.go 's/!w\.isFeasible\(group, 0\)/!w.Capacity.Holds(group.spec().demand())/' ./jobs
+mutate "records: a takeover merges all replicas in sync" internal/system/core/takeover.go 's/if seat, ok := shard\.MostCurrent\(positions\); ok/if seat, ok := shard.MostCurrent(positions); ok \&\& false/' "./internal/system/core ./internal/system/simulation"
+mutate "records: a delayed write is stored" internal/system/core/store_shards.go 's/replica\.AcceptsWrite\(r\.Token, r\.Records\) && //' ./internal/system/core
+mutate "records: a repair by outdated digests is stored" internal/system/core/store_shards.go 's/if !s\.replica\(r\.Shard\)\.AcceptsRepair\(r\.Token, r\.Ranges, r\.Last\)/if false/' ./internal/system/core
+mutate "records: a write carries no position" coord/shard/primary.go 's/if len\(records\) > 0 \{\n\t\trecords = append\(records, p\.positionRecord\(\)\)/if false {\n\t\trecords = append(records, p.positionRecord())/' "./coord/shard ./internal/system/core"
+mutate "records: a job of any size is stored whole" jobs/partition.go 's/if len\(value\) <= maxRecordBytes/if true/' ./jobs
+mutate "records: a missing part counts as pending tasks" jobs/partition.go 's/if err := avrocodec\.Decode\(parts\[number\], &part\); err != nil \{/if err := avrocodec.Decode(parts[number], \&part); err != nil \&\& parts[number] != nil {/' ./jobs
+mutate "records: a checkpoint changes no part" jobs/job.go 's/task\.Checkpoint = checkpoint\n\ttask\.changed = true/task.Checkpoint = checkpoint/' ./jobs
+mutate "records: a failure changes no part" jobs/completion.go 's/\t\tcounter\.changed = true\n//' ./jobs
+mutate "records: parts of deleted jobs remain" jobs/lifecycle.go 's/s\.deletedKeys = append\(s\.deletedKeys, job\.parts\.recordKeys\(job\.ID\)\.\.\.\)//' ./jobs
+mutate "records: byte strings above 1 MiB are not decoded" internal/avrocodec/codec.go 's/MaxByteSliceSize: MaxBytes/MaxByteSliceSize: 1 << 20/' "./internal/avrocodec ./internal/system/core"
+mutate "records: a patch makes a configuration of any size" internal/system/core/config.go 's/if len\(text\) > clusterconfig\.MaxBytes/if false/' ./internal/system/core
 exit $missed
