--- a/coord/shard/model_test.go
+++ b/coord/shard/model_test.go
@@ -382,3 +382,18 @@
 		t.Error("the position of an earlier owner counts")
 	}
 }
+
+// TestPositionIsPinned pins the stored form of a position: the bytes of its record, and the digest of a record.
+func TestPositionIsPinned(t *testing.T) {
+	p := NewPrimary(3, NewRecordSet(), 3, 2)
+	p.BeginRepair(0, nil)
+	p.Put("a", []byte("x"))
+	records, _ := p.NextWrite(0)
+	position := records[len(records)-1]
+	if position.Key != "position" || position.Version != (Version{3, 1}) || position.Deleted || fmt.Sprintf("%x", position.Value) != "eb669b7230784420" {
+		t.Errorf("position %+v, value %x", position, position.Value)
+	}
+	if PositionBucket != 48 {
+		t.Errorf("the position is in bucket %d", PositionBucket)
+	}
+}
--- a/jobs/partition_test.go
+++ b/jobs/partition_test.go
@@ -333,3 +333,33 @@
 		t.Errorf("changes of the new owner: %+v, want the deletion of the part", h.records.pending)
 	}
 }
+
+// TestPartitionedFormIsPinned pins the stored bytes of a manifest and a part, which later releases must read.
+func TestPartitionedFormIsPinned(t *testing.T) {
+	job, err := parseJob("j", "q", []byte(`{"spec":"s","stages":[{"count":1},{"count":1}],"repeat":2}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	job.addOccurrence(0, 0)
+	occurrence := job.addOccurrence(1, 0)
+	job.NextOccurrence = 2
+	job.finishOccurrence(job.Occurrences[0])
+	occurrence.Stages[0].Tasks[0] = Task{State: TaskCompleted, Attempt: 3, Failures: 2, LastFailure: 2, Worker: "w@a", Checkpoint: "c"}
+	job.parts = &partition{stored: map[partNumber]bool{}}
+	changes, err := job.changedRecords()
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := map[string]string{
+		"p/j/1/0": "03200406040406774061026300000000000000",
+		"d/j":     "010c71756575656404030c00010002000000",
+	}
+	for _, change := range changes {
+		if got := fmt.Sprintf("%x", change.Value); got != want[change.Key] {
+			t.Errorf("record %s is stored as %s, want %s", change.Key, got, want[change.Key])
+		}
+	}
+	if len(changes) != len(want) {
+		t.Errorf("%d records, want %d", len(changes), len(want))
+	}
+}
