edge: bound what a process holds for its clients by one budget

Cause: callers saw an edge process end when many sent large bodies that stopped just short of their end. Each body was read into a buffer of its own, up to 960 KiB, with no bound over all of them, and connections were bounded by nothing; nor were unread requests and answers. Change: internal/intake. A budget a process, derived from memory_mb and file_descriptors: a body is counted before it is read, as often as it is held, and refused early (503, Retry-After); a quarter is left to small requests; requests that stall for 1 s are interrupted when others need their room. Connections are counted with their buffers; a full port closes idle and slow ones first. Socket buffers, heads, times for requests and answers are bounded on every port. Why it works: nothing is held that is not counted, and what is counted has one bound below the memory; room comes back from who stalls.

--- /dev/null
+++ b/internal/intake/main_test.go
@@ -0,0 +1,9 @@
+package intake
+
+import (
+	"testing"
+
+	"sedgevale/internal/testkit"
+)
+
+func TestMain(m *testing.M) { testkit.VerifyNoLeaks(m) }
--- /dev/null
+++ b/internal/intake/server.go
@@ -0,0 +1,134 @@
+package intake
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// unsentBytes is how much of an answer the kernel takes before the peer reads, in bytes.
+	unsentBytes = 16 << 10
+	// backlogShare is the divisor of a port's connections that may wait until they are accepted.
+	backlogShare = 2
+	// refusalTimeout limits the time for writing a refusal to a new connection.
+	refusalTimeout = 10 * time.Millisecond
+)
+
+// refusalText is the answer on a connection for which there is no room.
+const refusalText = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// Serve makes an HTTP server count its connections and requests against the budget, and returns the listener that the server must
+// serve. It replaces the server's ConnContext, ConnState and Handler.
+func (b *Budget) Serve(server *http.Server, listener net.Listener, port *Port) net.Listener {
+	limitSocket(listener, port, b.portLimit(port)/backlogShare)
+	server.ConnContext = withConnection
+	server.ConnState = trackState
+	server.Handler = trackRequests(server.Handler)
+	return &budgetListener{Listener: listener, budget: b, port: port}
+}
+
+// limitSocket sets the size of the buffers that accepted connections inherit, and the number of connections that the kernel keeps
+// until they are accepted. It does nothing for listeners that are not sockets. A system that does not know an option keeps its
+// default.
+func limitSocket(listener net.Listener, port *Port, backlog int) {
+	socket, ok := listener.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(descriptor uintptr) {
+		_ = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_RCVBUF, port.Receive)
+		_ = unix.Listen(int(descriptor), backlog) // changes the backlog of a socket that listens already
+	})
+}
+
+// LimitUnsent makes the kernel take little of an answer before the peer reads, whatever the size of its send buffer: unlike a small
+// buffer, this does not limit what is on its way to a peer that reads.
+func LimitUnsent(conn net.Conn) {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(descriptor uintptr) {
+		_ = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, unsentBytes)
+	})
+}
+
+// budgetListener accepts connections that count against a Budget.
+type budgetListener struct {
+	net.Listener
+	budget *Budget
+	port   *Port
+}
+
+// Accept returns the next connection for which there is room. It answers and closes the others.
+func (l *budgetListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.budget.accept(conn, l.port); c != nil {
+			LimitUnsent(conn)
+			return c, nil
+		}
+		_ = conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
+		_, _ = conn.Write([]byte(refusalText)) // a peer that has sent much already sees a reset instead
+		_ = conn.Close()
+	}
+}
+
+// connectionKey is the key of a request's *connection in its context.
+type connectionKey struct{}
+
+func withConnection(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, conn)
+}
+
+// connectionOf returns the connection of a request, or nil if its server has no budget.
+func connectionOf(ctx context.Context) *connection {
+	c, _ := ctx.Value(connectionKey{}).(*connection)
+	return c
+}
+
+// trackState moves a connection into the phase that corresponds to its state.
+func trackState(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*connection)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		c.setPhase(phaseReading)
+	case http.StateIdle:
+		c.setPhase(phaseIdle)
+	case http.StateNew, http.StateHijacked, http.StateClosed:
+	}
+}
+
+// trackRequests returns a handler that marks a connection as served while a request without a body is handled. ReadBody does so
+// for requests with a body.
+func trackRequests(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := connectionOf(r.Context())
+		if c != nil && r.ContentLength == 0 {
+			c.setPhase(phaseServing)
+		}
+		handler.ServeHTTP(w, r)
+		if c != nil {
+			c.setPhase(phaseReading) // until the peer has read the answer
+		}
+	})
+}
--- a/internal/system/edge/edge.go
+++ b/internal/system/edge/edge.go
@@ -22,6 +22,7 @@
 	maxDrainDelay      = 2600 * time.Millisecond // in which the platform notices that the scheduler is not ready
 	minShutdownTimeout = 600 * time.Millisecond
 	headerTimeout      = 3 * time.Second
+	writeTimeout       = 10 * time.Second // from the end of a request's head to the end of its answer
 	idleTimeout        = 15 * time.Second
 	maxHeaderBytes     = 16 << 10
 )
@@ -54,7 +55,7 @@
 	}
 	server, err := p.ListenServer(ctx, p.Settings.BindAddrs.Frontend, &http.Server{
 		Handler: s.countResponses(s), ReadHeaderTimeout: headerTimeout, ReadTimeout: 2 * headerTimeout,
-		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	})
 	if err != nil {
 		return err
--- a/internal/system/edge/handler.go
+++ b/internal/system/edge/handler.go
@@ -3,12 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"sedgevale/internal/intake"
 	"sedgevale/internal/system/api"
 	"sedgevale/internal/system/clusterconfig"
 	"sedgevale/jobs"
@@ -19,6 +18,7 @@
 	jobIDLength         = 16                      // hexadecimal digits
 	defaultMaxBodyBytes = 262144
 	deadlineHeader      = "Deadline-Ms"
+	bodyCopies          = 3 // a body as it was sent, parsed, and in the message to the owner
 )
 
 // ServeHTTP serves a client request: it submits, shows or cancels a job, or counts the pending jobs of a queue.
@@ -49,7 +49,7 @@
 	case !validJobID(id):
 		http.Error(w, "path: an ID of 16 hex digits is wanted behind the prefix", http.StatusBadRequest)
 	case r.Method == http.MethodPost:
-		req.handleSubmit(ctx, w, r.Body, table.Config.Limits.MaxBodyBytes)
+		req.handleSubmit(ctx, w, r, table.Config.Limits.MaxBodyBytes)
 	case r.Method == http.MethodGet:
 		req.handleStatus(ctx, w)
 	case r.Method == http.MethodDelete:
@@ -82,19 +82,15 @@
 }
 
 // handleSubmit validates a job and submits it to the owner of the route's shard.
-func (r *request) handleSubmit(ctx context.Context, w http.ResponseWriter, requestBody io.ReadCloser, maxBytes int64) {
+func (r *request) handleSubmit(ctx context.Context, w http.ResponseWriter, httpRequest *http.Request, maxBytes int64) {
 	if maxBytes <= 0 {
 		maxBytes = defaultMaxBodyBytes
 	}
-	maxBytes = min(maxBytes, jobs.MaxBodyBytes)
-	body, err := io.ReadAll(http.MaxBytesReader(w, requestBody, maxBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		http.Error(w, "body: more than "+strconv.FormatInt(maxBytes, 10)+" bytes", http.StatusRequestEntityTooLarge)
-		return
-	}
+	limits := intake.BodyLimits{MaxBytes: min(maxBytes, jobs.MaxBodyBytes), Copies: bodyCopies}
+	body, hold, err := intake.ReadBody(httpRequest, limits)
+	defer hold.Release()
 	if err != nil {
-		http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
+		intake.WriteRefusal(w, err)
 		return
 	}
 	if err := validateJob(body); err != nil {
--- a/internal/system/node/metrics.go
+++ b/internal/system/node/metrics.go
@@ -11,15 +11,18 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
+// maxScrapes is the number of answers of the metrics endpoint that are made at the same time; others get 503.
+const maxScrapes = 4
+
 // serveMetrics serves Prometheus metrics on a port. Port 0 selects the last port of port_range.
 func (p *Process) serveMetrics(ctx context.Context, port int) error {
 	if port == 0 {
 		port = p.Settings.PortRange[1]
 	}
 	p.metrics = prometheus.NewRegistry()
-	p.RegisterMetrics(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	p.RegisterMetrics(p.budget, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", promhttp.HandlerFor(p.metrics, promhttp.HandlerOpts{}))
+	mux.Handle("GET /metrics", promhttp.HandlerFor(p.metrics, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes}))
 	return p.Listen(ctx, net.JoinHostPort(p.Settings.IP, strconv.Itoa(port)), mux)
 }
 
--- a/internal/system/node/node.go
+++ b/internal/system/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"sedgevale/internal/intake"
 	"sedgevale/internal/system/rpc"
 	"sedgevale/internal/system/settings"
 	"sedgevale/workeragent"
@@ -34,9 +35,15 @@
 
 	idleTimeout       = 30 * time.Second
 	headerTimeout     = 5 * time.Second
+	readTimeout       = 60 * time.Second // for a whole request, also a large one over a slow link
+	writeTimeout      = 60 * time.Second // from the end of a request's head to the end of its answer
+	maxHeaderBytes    = 16 << 10
 	maxBindAttempts   = 40
 	bindRetryInterval = 50 * time.Millisecond
 
+	clientReceiveBytes   = 32 << 10 // socket buffer of the ports for clients, operators, workers and the platform
+	internalReceiveBytes = 64 << 10 // socket buffer of the port for other schedulers, whose messages are larger
+
 	maxWorkerLease = 4 * time.Second
 	agentLease     = 8 * time.Second
 )
@@ -46,6 +53,7 @@
 	Settings *settings.Settings
 	Logger   logr.Logger
 	Client   *rpc.Client
+	budget   *intake.Budget // shared by all servers of the process
 	current  atomic.Pointer[settings.Settings]
 	metrics  *prometheus.Registry // nil if metrics are not served
 	listen   func(address string) (net.Listener, error)
@@ -57,11 +65,29 @@
 
 // NewProcess returns a process that uses dial and listen for all connections. Run uses TCP; tests use a simulated network.
 func NewProcess(s *settings.Settings, logger logr.Logger, dial rpc.Dial, listen func(string) (net.Listener, error)) *Process {
-	p := &Process{Settings: s, Logger: logger, Client: rpc.NewClient(dial), listen: listen}
+	p := &Process{
+		Settings: s, Logger: logger, Client: rpc.NewClient(dial), budget: intake.NewBudget(intakeLimits(s)), listen: listen,
+	}
 	p.current.Store(s)
 	return p
 }
 
+// intakeLimits returns the limits of what the process holds for its peers: those of the settings, or else those that follow from
+// the memory and the descriptors of its machine.
+func intakeLimits(s *settings.Settings) intake.Limits {
+	limits := intake.LimitsFor(s.Limits.MemoryMB<<20, s.Limits.FileDescriptors)
+	if s.Intake.RequestMB > 0 {
+		limits.SetRequestBytes(s.Intake.RequestMB << 20)
+	}
+	if s.Intake.ConnectionMB > 0 {
+		limits.ConnectionBytes = s.Intake.ConnectionMB << 20
+	}
+	if s.Intake.Connections > 0 {
+		limits.Connections = s.Intake.Connections
+	}
+	return limits
+}
+
 // Close closes all listeners and connections and waits for the goroutines that serve them.
 func (p *Process) Close() {
 	p.mu.Lock()
@@ -151,6 +177,17 @@
 
 // ListenServer is like Listen, but serves with the given server, which may set timeouts and limits.
 func (p *Process) ListenServer(ctx context.Context, address string, server *http.Server) (*http.Server, error) {
+	return p.listenServer(ctx, address, server, clientReceiveBytes)
+}
+
+// ListenInternal is like Listen, but serves other schedulers at the address for them.
+func (p *Process) ListenInternal(ctx context.Context, handler http.Handler) error {
+	_, err := p.listenServer(ctx, p.Settings.InternalAddress(), &http.Server{Handler: handler}, internalReceiveBytes)
+	return err
+}
+
+// listenServer serves on an address whose connections have a socket buffer of the given size.
+func (p *Process) listenServer(ctx context.Context, address string, server *http.Server, receive int) (*http.Server, error) {
 	if address == "" {
 		return nil, errors.New("bind_addrs: the address that this role listens on is missing")
 	}
@@ -158,12 +195,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	if server.IdleTimeout == 0 {
-		server.IdleTimeout = idleTimeout
-	}
-	if server.ReadHeaderTimeout == 0 {
-		server.ReadHeaderTimeout = headerTimeout
-	}
+	setServerDefaults(server)
+	listener = p.budget.Serve(server, listener, &intake.Port{Receive: receive})
 	server.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)
 	p.mu.Lock()
 	p.servers = append(p.servers, server)
@@ -172,6 +205,24 @@
 	return server, nil
 }
 
+// setServerDefaults sets the timeouts and limits of a server that are 0.
+func setServerDefaults(server *http.Server) {
+	for _, timeout := range []struct {
+		value        *time.Duration
+		defaultValue time.Duration
+	}{
+		{&server.IdleTimeout, idleTimeout}, {&server.ReadHeaderTimeout, headerTimeout}, {&server.ReadTimeout, readTimeout},
+		{&server.WriteTimeout, writeTimeout},
+	} {
+		if *timeout.value == 0 {
+			*timeout.value = timeout.defaultValue
+		}
+	}
+	if server.MaxHeaderBytes == 0 {
+		server.MaxHeaderBytes = maxHeaderBytes
+	}
+}
+
 // bind opens a listener. It retries until it has made maxBindAttempts or ctx is cancelled.
 func (p *Process) bind(ctx context.Context, address string) (listener net.Listener, err error) {
 	retry := time.NewTicker(bindRetryInterval)
--- a/internal/system/node/node_test.go
+++ b/internal/system/node/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
 	"testing"
@@ -10,7 +11,9 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
 
+	"sedgevale/internal/intake"
 	"sedgevale/internal/system/rpc"
 	"sedgevale/internal/system/settings"
 )
@@ -69,3 +72,42 @@
 		t.Errorf("worker lease is %v, want %v", got, maxWorkerLease)
 	}
 }
+
+// The settings replace single limits of those that follow from the memory and the descriptors.
+func TestIntakeLimits(t *testing.T) {
+	s := &settings.Settings{Limits: settings.Limits{MemoryMB: 96, FileDescriptors: 1024}}
+	derived := intake.LimitsFor(96<<20, 1024)
+	if got := intakeLimits(s); got != derived {
+		t.Errorf("limits %+v, want those derived from the machine, %+v", got, derived)
+	}
+	s.Intake = settings.Intake{RequestMB: 8, ConnectionMB: 3, Connections: 7}
+	if got, want := intakeLimits(s), (intake.Limits{RequestBytes: 8 << 20, SmallBytes: 2 << 20, ConnectionBytes: 3 << 20, Connections: 7}); got != want {
+		t.Errorf("limits %+v, want %+v", got, want)
+	}
+}
+
+// The metrics of the budget have their names and values in what the endpoint serves.
+func TestIntakeMetrics(t *testing.T) {
+	registry := prometheus.NewRegistry()
+	budget := intake.NewBudget(intake.Limits{RequestBytes: 5, Connections: 6})
+	if err := registry.Register(budget); err != nil {
+		t.Fatal(err)
+	}
+	families, err := registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	values := map[string]float64{}
+	for _, family := range families {
+		for _, metric := range family.GetMetric() {
+			values[family.GetName()] += metric.GetGauge().GetValue() + metric.GetCounter().GetValue()
+		}
+	}
+	want := map[string]float64{
+		"sedgevale_intake_bytes": 0, "sedgevale_intake_bytes_limit": 5, "sedgevale_intake_connections": 0,
+		"sedgevale_intake_connections_limit": 6, "sedgevale_intake_refusals_total": 0,
+	}
+	if !maps.Equal(values, want) {
+		t.Errorf("metrics %v, want %v", values, want)
+	}
+}
--- a/internal/system/settings/settings.go
+++ b/internal/system/settings/settings.go
@@ -38,6 +38,7 @@
 	HeartbeatMS     int               `json:"heartbeat_ms"`
 	FaultTolerance  FaultTolerance    `json:"fault_tolerance"` // determines the number of seats of the core
 	Bounds          Bounds            `json:"bounds"`          // time limits, most of which have no effect
+	Intake          Intake            `json:"intake,omitzero"` // limits of what the process holds for its peers
 	Commands        string            `json:"commands"`
 	App             string            `json:"app"`
 	Service         string            `json:"service"`
@@ -50,14 +51,21 @@
 	ControlPlane string `json:"control_plane"` // serves operators (core schedulers) or the worker (side schedulers)
 }
 
-// Limits are the resource limits of the process. Only MemoryMB has an effect.
+// Limits are the resource limits of the process. CPUShares and DiskMB have no effect.
 type Limits struct {
 	CPUShares       float64 `json:"cpu_shares"`
-	MemoryMB        int64   `json:"memory_mb"` // MiB; 0 means no limit
-	FileDescriptors int     `json:"file_descriptors"`
+	MemoryMB        int64   `json:"memory_mb"`        // MiB; 0 means that of the machine
+	FileDescriptors int     `json:"file_descriptors"` // 0 means the process's own limit
 	DiskMB          int64   `json:"disk_mb"`
 }
 
+// Intake bounds what the process holds for its peers. A value of 0 means the default, which follows from Limits.
+type Intake struct {
+	RequestMB    int64 `json:"request_mb"`    // memory of requests and large answers in MiB; by default a quarter of the memory
+	ConnectionMB int64 `json:"connection_mb"` // memory of connections in MiB; by default a quarter of the memory
+	Connections  int   `json:"connections"`   // open connections; by default three quarters of the descriptors beyond 200
+}
+
 // FaultTolerance is the number of simultaneous failures that the system must tolerate. Zones or Regions above 0 require a
 // tolerance of at least one machine.
 type FaultTolerance struct {
@@ -183,6 +191,9 @@
 	if s.Limits.MemoryMB < 0 {
 		return errors.New("limits.memory_mb: must not be negative")
 	}
+	if s.Intake.RequestMB < 0 || s.Intake.ConnectionMB < 0 || s.Intake.Connections < 0 {
+		return errors.New("intake: its limits must not be negative")
+	}
 	if s.FaultTolerance.Machines < 0 || s.FaultTolerance.Machines > 4 {
 		return fmt.Errorf("fault_tolerance.machines: %d is not between 0 and 4", s.FaultTolerance.Machines)
 	}
