core: count messages, changes and answers against the process's budget

Cause: callers saw a core process end on many configurations or messages that stopped short (each up to 4 or 32 MiB, read without a bound over all), and on answers that nobody read, which filled the kernel's buffers. A body of unknown length grew by doubling. Change: calls and changes are read under the budget of intake; a call without room gets code 1015 (not applied), a change 503 with Retry-After. Schedulers send lengths, so a call without Content-Length is refused. An answer above 64 KiB is counted until it is written. At most 8 changes are in progress, since each holds several texts; others wait. A core machine keeps its limit of 32 MiB for a message.

--- a/internal/system/core/controlplane/controlplane.go
+++ b/internal/system/core/controlplane/controlplane.go
@@ -3,8 +3,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,6 +10,7 @@
 
 	"github.com/go-logr/logr"
 
+	"sedgevale/internal/intake"
 	"sedgevale/internal/system/clusterconfig"
 	"sedgevale/internal/system/result"
 )
@@ -21,10 +20,17 @@
 	maxConfigBytes = clusterconfig.MaxBytes
 	readTimeout    = 800 * time.Millisecond
 
+	// maxChanges limits the changes in progress, each of which holds several texts of the configuration. Others wait.
+	maxChanges = 8
+
 	// ChangeTimeout limits the wait until a quorum has chosen a change.
 	ChangeTimeout = 1800 * time.Millisecond
 )
 
+// changeLimits bound the body of a change. It is held as it is sent and parsed, and as the texts of the old and the new
+// configuration.
+var changeLimits = intake.BodyLimits{MaxBytes: maxConfigBytes, Copies: 4}
+
 // ConfigStore gives access to the replicated configuration. Its errors have codes of package result.
 type ConfigStore interface {
 	// ReadConfig returns the text of the newest configuration, confirmed by a quorum.
@@ -38,11 +44,12 @@
 type server struct {
 	configs ConfigStore
 	logger  logr.Logger
+	changes chan struct{} // holds a token for each change in progress
 }
 
 // Handler returns a handler of GET, PUT and PATCH requests for the configuration.
 func Handler(configs ConfigStore, logger logr.Logger) http.Handler {
-	s := &server{configs: configs, logger: logger}
+	s := &server{configs: configs, logger: logger, changes: make(chan struct{}, maxChanges)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+configPath, s.getConfig)
 	mux.HandleFunc("PUT "+configPath, func(w http.ResponseWriter, r *http.Request) { s.changeConfig(w, r, false) })
@@ -64,14 +71,10 @@
 
 // changeConfig applies a change. The change continues if the operator closes the connection.
 func (s *server) changeConfig(w http.ResponseWriter, r *http.Request, patch bool) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxConfigBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		http.Error(w, "body: more than "+strconv.Itoa(maxConfigBytes)+" bytes", http.StatusRequestEntityTooLarge)
-		return
-	}
+	body, hold, err := intake.ReadBody(r, changeLimits)
+	defer hold.Release()
 	if err != nil {
-		writeError(w, result.Errorf(result.Invalid, "body: %w", err))
+		intake.WriteRefusal(w, err)
 		return
 	}
 	baseVersion, err := parseIfMatch(r.Header.Get("If-Match"))
@@ -81,6 +84,14 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), ChangeTimeout)
 	defer cancel()
+	select {
+	case s.changes <- struct{}{}:
+		defer func() { <-s.changes }()
+	case <-ctx.Done():
+		w.Header().Set("Retry-After", intake.RetryAfterSeconds)
+		writeError(w, result.Errorf(result.NotReady, "%d changes are in progress", maxChanges))
+		return
+	}
 	if err := s.configs.ChangeConfig(ctx, patch, baseVersion, body); err != nil {
 		s.logger.V(1).Info("configuration change failed; returning the error to the operator", "error", err.Error())
 		writeError(w, err)
--- a/internal/system/core/controlplane/controlplane_test.go
+++ b/internal/system/core/controlplane/controlplane_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 
 	"github.com/go-logr/logr"
 
@@ -112,3 +113,42 @@
 		t.Errorf("DELETE: status %d, want %d", response.Code, http.StatusMethodNotAllowed)
 	}
 }
+
+// blockedConfigs is a ConfigStore whose changes wait until the test ends them.
+type blockedConfigs struct {
+	fakeConfigs
+	started chan struct{}
+	release chan struct{}
+}
+
+func (b *blockedConfigs) ChangeConfig(context.Context, bool, int64, []byte) error {
+	b.started <- struct{}{}
+	<-b.release
+	return nil
+}
+
+// A change beyond maxChanges waits, and is refused with Retry-After at the end of its time.
+func TestChangesInProgressAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		configs := &blockedConfigs{started: make(chan struct{}), release: make(chan struct{})}
+		handler := Handler(configs, logr.Discard())
+		change := func() *httptest.ResponseRecorder {
+			recorder := httptest.NewRecorder()
+			handler.ServeHTTP(recorder, httptest.NewRequestWithContext(t.Context(), http.MethodPut, "/sedgevale/config", strings.NewReader("{}")))
+			return recorder
+		}
+		for range maxChanges {
+			go change()
+			<-configs.started
+		}
+		refused := change()
+		if refused.Code != http.StatusServiceUnavailable || refused.Header().Get("Retry-After") == "" {
+			t.Errorf("a change beyond the limit: status %d, header %v", refused.Code, refused.Header())
+		}
+		close(configs.release)
+		go func() { <-configs.started }()
+		if taken := change(); taken.Code != http.StatusOK {
+			t.Errorf("a change after the others: status %d", taken.Code)
+		}
+	})
+}
--- a/internal/system/core/core.go
+++ b/internal/system/core/core.go
@@ -74,7 +74,7 @@
 	defer c.closeLog(running)
 	defer c.goroutines.Shutdown()
 	process.RegisterMetrics(collector{c})
-	if err := process.Listen(ctx, c.address, c.internalHandler()); err != nil {
+	if err := process.ListenInternal(ctx, c.internalHandler()); err != nil {
 		return err
 	}
 	operators, err := process.ListenServer(ctx, s.BindAddrs.ControlPlane, &http.Server{Handler: controlplane.Handler(c, c.logger)})
--- a/internal/system/rpc/rpc.go
+++ b/internal/system/rpc/rpc.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sys/unix"
 
 	"sedgevale/internal/avrocodec"
+	"sedgevale/internal/intake"
 	"sedgevale/internal/system/result"
 )
 
@@ -129,11 +130,17 @@
 
 // Server dispatches calls to registered methods.
 type Server struct {
-	mux *http.ServeMux
+	mux    *http.ServeMux
+	limits intake.BodyLimits // of a call's body, which is held as it is sent and decoded
 }
 
 // NewServer returns a Server with no methods registered.
-func NewServer() *Server { return &Server{mux: http.NewServeMux()} }
+func NewServer() *Server { return NewServerWithLimit(maxMessageBytes) }
+
+// NewServerWithLimit returns a Server with no methods registered that refuses calls of more than the given number of bytes.
+func NewServerWithLimit(bytes int64) *Server {
+	return &Server{mux: http.NewServeMux(), limits: intake.BodyLimits{MaxBytes: bytes, Copies: 2, NeedsLength: true}}
+}
 
 // Handler returns the HTTP handler of all methods.
 func (s *Server) Handler() http.Handler { return s.mux }
@@ -141,9 +148,11 @@
 // Handle registers a method. An error that serve returns is sent to the caller with the code that result.CodeOf returns.
 func Handle[Request, Response any](s *Server, method string, serve func(context.Context, *Request) (*Response, error)) {
 	s.mux.HandleFunc("POST "+pathPrefix+method, func(w http.ResponseWriter, r *http.Request) {
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessageBytes))
+		body, hold, err := intake.ReadBody(r, s.limits)
+		defer hold.Release()
 		if err != nil {
-			writeError(w, result.Errorf(result.BadRequest, "%s: %w", method, err))
+			w.Header().Set("Connection", "close") // the rest of the body may still be on its way
+			writeError(w, result.Errorf(refusalCode(err), "%s: %w", method, err))
 			return
 		}
 		request := new(Request)
@@ -161,12 +170,26 @@
 			writeError(w, fmt.Errorf("%s: %w", method, err))
 			return
 		}
+		if len(text) > intake.SmallRequest {
+			if err := hold.Grow(int64(len(text))); err != nil {
+				writeError(w, result.Errorf(result.OutcomeUnknown, "%s: the answer: %w", method, err))
+				return
+			}
+		}
 		w.Header().Set("Content-Type", "avro/binary")
 		w.Header()["Date"] = nil
 		_, _ = w.Write(text)
 	})
 }
 
+// refusalCode returns the result code for a call whose body could not be read. The call has not been applied.
+func refusalCode(err error) result.Code {
+	if errors.Is(err, intake.ErrBusy) {
+		return result.Unavailable
+	}
+	return result.BadRequest
+}
+
 func writeError(w http.ResponseWriter, err error) {
 	w.Header().Set(resultHeader, strconv.Itoa(int(result.CodeOf(err))))
 	w.WriteHeader(http.StatusConflict)
