side: count heartbeats and orders against the budget; limit the incarnations

Cause: callers saw a side process end on many heartbeats of legal size (8 MiB each) or orders (32 MiB each) that stopped short; and whoever sends heartbeats under ever new names made the process keep an agent for each (found by reading). Change: heartbeats and orders are read under the budget of intake. Orders of more than 16 MiB are refused: a call has at most 1,000 starts with 4,000 bytes and a checkpoint of 8 KiB each. At most 64 incarnations of the worker are kept; a further one gets 503 with Retry-After.

--- a/internal/system/side/heartbeat.go
+++ b/internal/system/side/heartbeat.go
@@ -1,10 +1,10 @@
 package side
 
 import (
-	"io"
 	"net/http"
 	"time"
 
+	"sedgevale/internal/intake"
 	"sedgevale/workeragent"
 )
 
@@ -14,13 +14,17 @@
 	heartbeatDelayMS  = 25                     // milliseconds between a response and the worker's next heartbeat
 )
 
+// heartbeatLimits bound the body of a heartbeat. It is held as it is sent, parsed, and in the agent's state.
+var heartbeatLimits = intake.BodyLimits{MaxBytes: maxHeartbeatBytes, Copies: 3}
+
 // handleHeartbeat applies a worker's heartbeat and responds with the orders for the worker. The heartbeat of an idle
 // worker is a long poll: no task can end in the meantime, and the response is delayed until there are orders, for at most
 // orderWaitTimeout, so that tasks start without waiting for the next heartbeat.
 func (s *Scheduler) handleHeartbeat(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxHeartbeatBytes))
+	body, hold, err := intake.ReadBody(r, heartbeatLimits)
+	defer hold.Release()
 	if err != nil {
-		http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
+		intake.WriteRefusal(w, err)
 		return
 	}
 	heartbeat := workeragent.Heartbeat{}
@@ -33,6 +37,10 @@
 	case heartbeatOutdated:
 		http.Error(w, "sequence: a later heartbeat came before", http.StatusConflict)
 		return
+	case heartbeatRefused:
+		w.Header().Set("Retry-After", intake.RetryAfterSeconds)
+		http.Error(w, "too many incarnations of the worker", http.StatusServiceUnavailable)
+		return
 	case heartbeatReplaced:
 		w.WriteHeader(http.StatusOK) // a response without a lease, so that the worker runs no tasks
 		return
@@ -56,13 +64,17 @@
 	heartbeatIdle                      // applied; the worker runs no tasks and there are no orders for it
 	heartbeatOutdated                  // a later heartbeat was received before this one
 	heartbeatReplaced                  // a newer incarnation has replaced this one
+	heartbeatRefused                   // the state of too many incarnations is kept
 )
 
-// applyHeartbeat updates the state of an incarnation. If the state has changed, it triggers a report to the owner.
+// applyHeartbeat updates the state of an incarnation, which it returns unless the heartbeat was refused. If the state has changed, it triggers a report to the owner.
 func (s *Scheduler) applyHeartbeat(instance string, heartbeat workeragent.Heartbeat) (*worker, heartbeatOutcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w := s.workerFor(instance)
+	if w == nil {
+		return nil, heartbeatRefused
+	}
 	w.service = heartbeat.Service
 	if !w.agent.HandleHeartbeat(s.now(), heartbeat) {
 		return w, heartbeatOutdated
--- /dev/null
+++ b/internal/system/side/heartbeat_test.go
@@ -0,0 +1,49 @@
+package side
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"sedgevale/workeragent"
+)
+
+// Whoever sends heartbeats under ever new names does not fill the memory, and does not keep the worker out for good.
+func TestIncarnationsAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &Scheduler{
+			workers: map[string]*worker{}, started: time.Now(), ctx: t.Context(),
+			timing: workeragent.Timing{WorkerLease: 4 * time.Second, AgentLease: 8 * time.Second},
+		}
+		beat := func(instance string) *httptest.ResponseRecorder {
+			request := httptest.NewRequestWithContext(t.Context(), http.MethodPut, "/sedgevale/instances/"+instance,
+				strings.NewReader(`{"service":"s","state":"ready","sequence":1}`))
+			request.SetPathValue("id", instance)
+			recorder := httptest.NewRecorder()
+			s.handleHeartbeat(recorder, request)
+			return recorder
+		}
+		for i := range maxIncarnations {
+			if response := beat(fmt.Sprintf("i-%d", i)); response.Code != http.StatusOK {
+				t.Fatalf("incarnation %d: status %d", i, response.Code)
+			}
+		}
+		if response := beat("i-more"); response.Code != http.StatusServiceUnavailable || response.Header().Get("Retry-After") == "" {
+			t.Errorf("an incarnation too many: status %d, header %v", response.Code, response.Header())
+		}
+		if response := beat("i-0"); response.Code == http.StatusServiceUnavailable {
+			t.Error("an incarnation that is known is refused")
+		}
+		time.Sleep(expiredRetention + 10*time.Second)
+		s.expireLeases()
+		time.Sleep(expiredRetention + time.Second)
+		s.expireLeases()
+		if response := beat("i-more"); response.Code != http.StatusOK {
+			t.Errorf("after the others have expired: status %d", response.Code)
+		}
+	})
+}
--- a/internal/system/side/side.go
+++ b/internal/system/side/side.go
@@ -26,6 +26,13 @@
 	expiryCheckInterval = 50 * time.Millisecond
 	expiredRetention    = 20 * time.Second // how long the state of an incarnation is kept after its lease has expired
 
+	// maxOrdersBytes limits the orders of one call. A call has up to 1,000 starts, each with a specification of up to 4,000 bytes and
+	// a checkpoint of up to 8 KiB.
+	maxOrdersBytes = 16 << 20
+
+	// maxIncarnations limits the incarnations of the worker whose state is kept. A worker that restarts has a new one.
+	maxIncarnations = 64
+
 	// minConfirmingHeartbeats is the number of heartbeats that confirm an incarnation. One is not enough: it may be a
 	// delayed heartbeat of an incarnation that has crashed, which no other heartbeat follows.
 	minConfirmingHeartbeats = 2
@@ -78,9 +85,9 @@
 	s := newScheduler(ctx, p)
 	defer s.stop(cancel)
 	s.loops.Go(func() { s.directory.Run(ctx) })
-	server := rpc.NewServer()
+	server := rpc.NewServerWithLimit(maxOrdersBytes)
 	rpc.Handle(server, api.MethodOrders, s.handleOrders)
-	if err := p.Listen(ctx, p.Settings.InternalAddress(), server.Handler()); err != nil {
+	if err := p.ListenInternal(ctx, server.Handler()); err != nil {
 		return err
 	}
 	mux := http.NewServeMux()
@@ -116,11 +123,15 @@
 // now returns the time since the start of the process.
 func (s *Scheduler) now() time.Duration { return time.Since(s.started) }
 
-// workerFor returns the state of an incarnation, and creates it on the first heartbeat. The caller holds s.mu.
+// workerFor returns the state of an incarnation, and creates it on the first heartbeat. It returns nil if maxIncarnations are known
+// already. The caller holds s.mu.
 func (s *Scheduler) workerFor(instance string) *worker {
 	if known := s.workers[instance]; known != nil {
 		return known
 	}
+	if len(s.workers) >= maxIncarnations {
+		return nil
+	}
 	added := &worker{
 		agent:       workeragent.New(s.now(), instance, s.incarnation, s.timing),
 		ordersReady: make(chan struct{}, 1), reportDue: make(chan struct{}, 1),
