serve: bound the memory for clients of all fronts by one budget

Cause: callers saw no answer for 30 s and more beside streamed bodies that stopped short, which held all descriptors for 60 s each; and memory grew with each client: bodies up to 64 KiB and what is sent ahead, responses that nobody reads (event-loop buffers, kernel buffers, the answers of servers kept back), 64 KiB and more for a streamed body. Change: httpd counts bodies (at the head if the length is known), pipelined bytes, unread responses, streamed bodies and tunnels against one budget of intake over all servers of the process; without room 503 with Retry-After, or the unread response is broken off; who stalls for 1 s yields. Socket buffers, the backlog and what the kernel takes of a response are bounded; a budget-driven close discards what the kernel holds (SO_LINGER 0), since closed connections kept it else. The soft limit of the Go runtime is half of the memory (three quarters before): the kernel's part had no room. A streamed response is no longer copied once more. Why it works: every byte for a client counts until its response is read, and the room of the slow goes to others.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run torture powercut faults changes simulate model mutations system sites
+.PHONY: build test lint run torture powercut faults changes simulate model mutations system sites overload
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -65,3 +65,7 @@
 # Deployments of other shapes for the bench; WIRE is the bench's table of words.
 sites:
 	go run ./scripts/sitegen -wire $(WIRE)
+
+# Crowds of clients that misbehave at each port of real processes with low limits; alone on the machine, some minutes.
+overload:
+	go test -count=1 -timeout 0 -tags overload -v ./internal/overloadtest
--- a/internal/dispatchconfig/config.go
+++ b/internal/dispatchconfig/config.go
@@ -39,6 +39,7 @@
 	Journal    *Journal   `json:"-"`
 	Web        *Web       `json:"-"`
 	Admission  *Admission `json:"-"`
+	Intake     Intake     `json:"-"`
 	Planners   int        `json:"-"`
 	EventLoops int        `json:"-"`
 	// FailureDetection enables failure detection among the schedulers of the site.
--- a/internal/dispatchconfig/operator.go
+++ b/internal/dispatchconfig/operator.go
@@ -37,6 +37,12 @@
 	Admission *Admission         `toml:"door,omitempty"`
 	Settings  Settings           `toml:"settings"`
 	Workers   []discovery.Member `toml:"workers"`
+	Intake    Intake             `toml:"intake,omitempty"`
+}
+
+// Intake bounds what the process holds for clients.
+type Intake struct {
+	RequestMB int `toml:"request_mb,omitempty"` // memory for requests and responses in MiB; 0 means a quarter of limits.memory_mb
 }
 
 // SSE configures the frontend for server-sent events.
@@ -102,7 +108,7 @@
 	return &Config{Name: f.Name, Revision: f.Revision, Listen: f.Listen, Ops: f.Ops, Discovery: f.Discovery, Seed: f.Seed, Limits: f.Limits,
 		PeerListen: f.PeerListen, Peers: f.Peers, FailureDetection: true,
 		KnownWorkers: &discovery.List{Complete: true, Members: f.Workers}, Settings: f.Settings,
-		SSE: f.SSE, Journal: f.Journal, Web: f.Web, Admission: f.Admission, Planners: f.Planners, EventLoops: f.Loops}
+		SSE: f.SSE, Journal: f.Journal, Web: f.Web, Admission: f.Admission, Planners: f.Planners, EventLoops: f.Loops, Intake: f.Intake}
 }
 
 // Write writes the file as TOML.
--- a/internal/httpd/conn.go
+++ b/internal/httpd/conn.go
@@ -10,6 +10,7 @@
 
 	"sedgevale/internal/evloop"
 	"sedgevale/internal/http1"
+	"sedgevale/internal/intake"
 )
 
 // connState is the state of a connection. Every state except stateServing and stateClosed has a deadline
@@ -46,6 +47,13 @@
 	prev, next       *Conn     // neighbors in list
 	list             *connList // list of connections in the same state
 	out              []byte    // write buffer for heads and chunks
+
+	hold         *intake.Hold // the connection's part of the budget; nil while it holds less than chargeUnit
+	charged      int64        // bytes of hold
+	declared     int          // length of the body being read if it is known, which is counted before it has come
+	requestBytes int          // capacity of the body of the request that the handler is serving
+	unsent       int          // bytes of responses that the kernel had not taken when they were last counted
+	readAt       time.Time    // when the client last read some of them
 }
 
 // OnOpen implements gnet.EventHandler for a new connection.
@@ -78,6 +86,8 @@
 	}
 	s.descriptors.Release()
 	s.clients.Add(-1)
+	c.discharge()
+	delete(c.loop.unread, c)
 	previous := c.state
 	c.setState(stateClosed)
 	if previous == stateServing && !c.detached {
@@ -113,6 +123,7 @@
 		if c.received {
 			c.deadline = time.Now().Add(c.server.limits.Request)
 		}
+		c.hold.Await()
 		c.loop.reading.push(c)
 	case stateClosing:
 		c.deadline = time.Now().Add(lingerTimeout)
@@ -131,7 +142,7 @@
 			c.discard()
 			return
 		case stateServing:
-			if c.conn.InboundBuffered() > maxPipelined || c.pipelineOverflow {
+			if c.conn.InboundBuffered() > maxPipelined || c.pipelineOverflow || !c.charge() {
 				c.dropPipelined()
 			}
 			return
@@ -161,7 +172,7 @@
 			}
 			err = &http1.Error{Status: 413, Text: "body too large"}
 		} else {
-			c.body = append(c.body, part...)
+			c.appendBody(part)
 		}
 	}
 	evloop.Discard(c.conn, n)
@@ -174,10 +185,21 @@
 		return c.onHead(buf[n:])
 	case http1.Ended:
 		c.onRequest()
-	case http1.NeedMore:
+		return true
+	}
+	if !c.charge() {
+		c.refuse()
 		return false
 	}
-	return true
+	return event != http1.NeedMore
+}
+
+// appendBody appends a part of the body. A body of known length is allocated at once.
+func (c *Conn) appendBody(part []byte) {
+	if c.body == nil && c.declared > 0 {
+		c.body = make([]byte, 0, c.declared)
+	}
+	c.body = append(c.body, part...)
 }
 
 // onHead handles a request head and reports whether to read the body on the event loop. rest holds the bytes received
@@ -192,6 +214,11 @@
 		c.reject(413, "body too large")
 		return false
 	}
+	c.declared = int(max(0, c.parser.Head.Length))
+	if !c.charge() {
+		c.refuse()
+		return false
+	}
 	if len(c.parser.Head.Get("Expect")) > 0 && !c.parser.Head.HTTP10 {
 		_, _ = c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
@@ -205,7 +232,8 @@
 	head := c.parser.Head
 	c.closeAfter = head.Close
 	body := c.body
-	c.body = nil
+	c.body, c.declared, c.requestBytes = nil, 0, cap(body)
+	c.hold.Complete()
 	c.server.handler.Serve(c, &Request{Head: &head, Body: body, At: time.Now()})
 }
 
@@ -291,12 +319,14 @@
 	c.writeHead(200, fields)
 	c.out = append(c.out, "\r\n"...)
 	_, _ = c.conn.Write(c.out)
+	c.chargeResponse()
 }
 
 // Write sends a part of the body of a stream.
 func (c *Conn) Write(b []byte) {
 	if c.state != stateClosed {
 		_, _ = c.conn.Write(b)
+		c.chargeResponse()
 	}
 }
 
@@ -336,7 +366,8 @@
 // connection, because closing a socket with unread bytes would reset the connection before the client has read the
 // response.
 func (c *Conn) endResponse() {
-	if c.state == stateClosed {
+	c.requestBytes = 0
+	if !c.chargeResponse() {
 		return
 	}
 	if !c.closeAfter {
--- a/internal/httpd/eventloop.go
+++ b/internal/httpd/eventloop.go
@@ -16,6 +16,7 @@
 	tasks *unbounded.Queue[func()]
 	// The connections in each state, in the order in which they entered it.
 	newConns, idle, reading, closing connList
+	unread                           map[*Conn]struct{} // connections with unsent parts of responses
 }
 
 func (s *Server) eventLoopFor(loop gnet.EventLoop) *eventLoop {
@@ -23,7 +24,7 @@
 	defer s.mu.Unlock()
 	l := s.eventLoops[loop]
 	if l == nil {
-		l = &eventLoop{loop: loop, tasks: evloop.NewFunctionQueue(loop)}
+		l = &eventLoop{loop: loop, tasks: evloop.NewFunctionQueue(loop), unread: map[*Conn]struct{}{}}
 		s.eventLoops[loop] = l
 	}
 	return l
@@ -69,6 +70,7 @@
 // sweep closes the connections whose deadlines have passed.
 func (l *eventLoop) sweep() {
 	now := time.Now()
+	l.sweepUnread(now)
 	for c := l.newConns.first; c != nil && now.After(c.deadline); c = l.newConns.first {
 		c.closeGracefully()
 	}
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -18,6 +18,7 @@
 	"sedgevale/internal/evloop"
 	"sedgevale/internal/fdlimit"
 	"sedgevale/internal/http1"
+	"sedgevale/internal/intake"
 	"sedgevale/internal/taskgroup"
 )
 
@@ -66,6 +67,7 @@
 	handler     Handler
 	limits      Limits
 	descriptors *fdlimit.Limiter
+	intake      *Intake // nil if the memory for clients is not bounded
 	log         *slog.Logger
 	client      *gnet.Client
 	acceptor    *acceptor
@@ -99,6 +101,7 @@
 	Unparsed []byte        // bytes read but not yet parsed
 	server   *Server
 	opened   time.Time
+	hold     *intake.Hold // its part of the budget
 	once     sync.Once
 }
 
@@ -139,6 +142,9 @@
 			return err
 		}
 	}
+	if s.intake != nil {
+		intake.LimitSocket(inherited, s.intake.Receive, s.intake.Backlog)
+	}
 	client, err := gnet.NewClient(s, gnet.WithNumEventLoop(s.loops), gnet.WithReadBufferCap(readBufferSize),
 		gnet.WithWriteBufferCap(writeBufferSize), gnet.WithLogger(evloop.ErrorLogger(s.log)))
 	if err == nil {
@@ -156,6 +162,9 @@
 
 // register adds a new connection to an event loop.
 func (s *Server) register(c *net.TCPConn) {
+	if s.intake != nil {
+		intake.LimitUnsent(c)
+	}
 	if _, err := s.client.EnrollContext(c, nil); err != nil {
 		s.log.Warn("cannot register a new connection with an event loop; evicting idle connections", "err", err)
 		s.onEachLoop(func(l *eventLoop) { l.evict(evictBatchSize) }) // registering temporarily needs a second descriptor
--- a/internal/httpd/stream.go
+++ b/internal/httpd/stream.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"os"
 	"time"
 
 	"sedgevale/internal/http1"
+	"sedgevale/internal/intake"
 )
 
 // Framing is the way in which the end of a response body is marked.
@@ -33,6 +35,7 @@
 	}
 	c.out = append(c.out, "\r\n"...)
 	_, _ = c.conn.Write(c.out)
+	c.chargeResponse()
 }
 
 // WriteBody sends a part of a body.
@@ -48,6 +51,7 @@
 	if cap(c.out) > writeBufferSize {
 		c.out = nil
 	}
+	c.chargeResponse()
 }
 
 // EndBody ends a body. The trailer is sent with FramingChunked only.
@@ -74,10 +78,11 @@
 // closes the Conn without calling Handler.Disconnected. If Detach fails, the Conn is unchanged.
 func (c *Conn) Detach() (*Detached, error) {
 	buf, _ := c.conn.Peek(-1)
-	return c.detach(append([]byte(nil), buf...))
+	return c.detach(append([]byte(nil), buf...), tunnelBytes)
 }
 
-func (c *Conn) detach(unparsed []byte) (*Detached, error) {
+// detach is like Detach; memory is what counts for the connection from then on.
+func (c *Conn) detach(unparsed []byte, memory int64) (*Detached, error) {
 	fd, err := c.conn.Dup()
 	if err != nil {
 		return nil, err
@@ -88,7 +93,12 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Detached{Conn: conn, Parser: c.parser, Unparsed: unparsed, server: c.server, opened: c.opened}
+	hold, err := c.server.intake.Hold(memory, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	if err != nil {
+		_ = conn.Close() // the event loop still has its own descriptor
+		return nil, err
+	}
+	d := &Detached{Conn: conn, Parser: c.parser, Unparsed: unparsed, server: c.server, opened: c.opened, hold: hold}
 	c.server.clients.Add(1) // compensates for OnClose; Close or Reattach decrements it
 	c.server.descriptors.AcquireClient()
 	c.detached = true
@@ -101,7 +111,11 @@
 func (c *Conn) overflow(h BodyOverflowHandler, rest []byte) {
 	head, body := c.parser.Head, c.body
 	c.setState(stateServing)
-	d, err := c.detach(append([]byte(nil), rest...))
+	d, err := c.detach(append([]byte(nil), rest...), transferBytes)
+	if errors.Is(err, intake.ErrBusy) {
+		c.refuse()
+		return
+	}
 	if err != nil {
 		c.loop.close(c)
 		return
@@ -120,6 +134,7 @@
 	d.once.Do(func() {
 		d.server.clients.Add(-1)
 		d.server.descriptors.Release()
+		d.hold.Release()
 	})
 }
 
@@ -130,8 +145,8 @@
 // request may have been read, because it would be lost. If the server has stopped, Reattach closes the
 // connection.
 func (d *Detached) Reattach() {
-	_ = d.SetDeadline(time.Time{})
 	d.release()
+	_ = d.SetDeadline(time.Time{}) // after the last moment at which the budget may have interrupted the client
 	// EnrollContext waits for the event loop and would block forever after it has stopped, so Stop must wait for this
 	// goroutine.
 	reattached := make(chan struct{})
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -84,7 +84,7 @@
 	}
 }
 
-// TryGrow is like Grow but does not wait.
+// TryGrow is like Grow but does not wait. A negative number of bytes is returned to the budget.
 func (h *Hold) TryGrow(bytes int64) error {
 	if h == nil || h.tryGrow(bytes) == nil {
 		return nil
@@ -101,7 +101,7 @@
 	b := h.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.fits(h, bytes) {
+	if bytes <= 0 || b.fits(h, bytes) {
 		b.add(h, bytes)
 		return nil
 	}
@@ -135,7 +135,7 @@
 	return others+h.bytes+bytes <= b.limits.RequestBytes-b.limits.SmallBytes && b.used+bytes <= b.limits.RequestBytes
 }
 
-// add adds bytes to a Hold. b.mu is held.
+// add adds bytes to a Hold, or returns them if they are negative. b.mu is held.
 func (b *Budget) add(h *Hold, bytes int64) {
 	if h.bytes > SmallRequest {
 		b.large -= h.bytes
@@ -145,6 +145,10 @@
 	if h.bytes > SmallRequest {
 		b.large += h.bytes
 	}
+	if bytes < 0 {
+		close(b.freed)
+		b.freed = make(chan struct{})
+	}
 }
 
 // interruptStalled interrupts stalled requests other than h, the oldest first, until their bytes suffice for h. It reports
@@ -170,6 +174,18 @@
 	return pending
 }
 
+// Await begins the time in which a request may be interrupted anew: the peer has just made progress, and more is to come.
+func (h *Hold) Await() {
+	if h == nil {
+		return
+	}
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	h.leaveWaiting()
+	h.since, h.interrupted = time.Now(), false
+	h.element = h.budget.waiting.PushBack(h)
+}
+
 // Complete ends the time in which a request may be interrupted, and reports whether it was.
 func (h *Hold) Complete() (interrupted bool) {
 	if h == nil {
@@ -198,23 +214,25 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h.leaveWaiting()
-	if h.bytes == 0 {
-		return
-	}
 	b.add(h, -h.bytes)
-	close(b.freed)
-	b.freed = make(chan struct{})
+}
+
+// SetLimits changes the limits. It takes no room from those who have it.
+func (b *Budget) SetLimits(limits Limits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limits = limits
 }
 
 // Usage is the state of a Budget.
 type Usage struct {
-	Limits      Limits
-	Bytes       int64 // of requests and large answers
-	Connections int
-	Refused     uint64 // requests without room
-	Stalled     uint64 // requests interrupted to make room
-	Evicted     uint64 // connections closed to make room
-	TurnedAway  uint64 // new connections closed at once
+	Limits      Limits `json:"limits"`
+	Bytes       int64  `json:"bytes"`       // of requests and large answers
+	Connections int    `json:"connections"` // that the budget counts
+	Refused     uint64 `json:"busy"`        // requests without room
+	Stalled     uint64 `json:"stalled"`     // requests interrupted to make room
+	Evicted     uint64 `json:"evicted"`     // connections closed to make room
+	TurnedAway  uint64 `json:"turned_away"` // new connections closed at once
 }
 
 // Usage returns the present state of the Budget.
--- a/internal/intake/connections.go
+++ b/internal/intake/connections.go
@@ -103,6 +103,7 @@
 			}
 			b.connections.evicted++
 			c.leave()
+			discardOnClose(c.Conn)
 			_ = c.Conn.Close() // its server notices the error of the next read or write
 			return true
 		}
@@ -110,6 +111,13 @@
 	return false
 }
 
+// discardOnClose makes the kernel discard what the peer of a connection has not read when the connection is closed.
+func discardOnClose(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // portFull reports whether a port has used up its share of the connections. b.mu is held.
 func (b *Budget) portFull(port *Port) bool {
 	return b.connections.ofPort[port] >= b.portLimit(port)
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -10,10 +10,10 @@
 
 // Limits bound what a process holds for its peers. All sizes are in bytes.
 type Limits struct {
-	RequestBytes    int64 // memory for requests and large answers
-	SmallBytes      int64 // part of RequestBytes that requests of more than SmallRequest cannot use
-	ConnectionBytes int64 // memory for connections, each of which costs what its port's Receive says
-	Connections     int   // open connections
+	RequestBytes    int64 `json:"request_bytes"`    // memory for requests and large answers
+	SmallBytes      int64 `json:"small_bytes"`      // part of RequestBytes that requests of more than SmallRequest cannot use
+	ConnectionBytes int64 `json:"connection_bytes"` // memory for connections, each of which costs what its port's Receive says
+	Connections     int   `json:"connections"`      // open connections
 }
 
 // SmallRequest is the largest memory of a request, in bytes, that may use the part of the budget reserved for small requests.
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -25,17 +25,17 @@
 // Serve makes an HTTP server count its connections and requests against the budget, and returns the listener that the server must
 // serve. It replaces the server's ConnContext, ConnState and Handler.
 func (b *Budget) Serve(server *http.Server, listener net.Listener, port *Port) net.Listener {
-	limitSocket(listener, port, b.portLimit(port)/backlogShare)
+	LimitSocket(listener, port.Receive, b.portLimit(port)/backlogShare)
 	server.ConnContext = withConnection
 	server.ConnState = trackState
 	server.Handler = trackRequests(server.Handler)
 	return &budgetListener{Listener: listener, budget: b, port: port}
 }
 
-// limitSocket sets the size of the buffers that accepted connections inherit, and the number of connections that the kernel keeps
-// until they are accepted. It does nothing for listeners that are not sockets. A system that does not know an option keeps its
+// LimitSocket sets the size in bytes of the buffer for what a peer sends, which accepted connections inherit, and the number of
+// connections that the kernel keeps until they are accepted. It does nothing for listeners that are not sockets. A system that does not know an option keeps its
 // default.
-func limitSocket(listener net.Listener, port *Port, backlog int) {
+func LimitSocket(listener net.Listener, receive, backlog int) {
 	socket, ok := listener.(syscall.Conn)
 	if !ok {
 		return
@@ -45,11 +45,22 @@
 		return
 	}
 	_ = raw.Control(func(descriptor uintptr) {
-		_ = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_RCVBUF, port.Receive)
+		_ = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_RCVBUF, receive)
 		_ = unix.Listen(int(descriptor), backlog) // changes the backlog of a socket that listens already
 	})
 }
 
+// dialReceiveBytes is the size of the kernel's buffer for what a server sends before this process reads it, in bytes.
+const dialReceiveBytes = 32 << 10
+
+// LimitReceive is a Control of a net.Dialer that limits what the kernel holds of a server's answer while a slow client keeps this
+// process from reading it.
+func LimitReceive(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(descriptor uintptr) {
+		_ = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_RCVBUF, dialReceiveBytes)
+	})
+}
+
 // LimitUnsent makes the kernel take little of an answer before the peer reads, whatever the size of its send buffer: unlike a small
 // buffer, this does not limit what is on its way to a peer that reads.
 func LimitUnsent(conn net.Conn) {
--- a/internal/overloadtest/process_test.go
+++ b/internal/overloadtest/process_test.go
@@ -131,7 +131,8 @@
 			return
 		case <-ticker.C:
 		}
-		buffered, err := bufferedBytes(p.address)
+		sockets := p.sockets()
+		buffered, err := bufferedBytes(p.address, sockets)
 		if err != nil {
 			p.t.Errorf("bytes in socket buffers: %v", err)
 			return
@@ -139,10 +140,25 @@
 		resident := p.statusKB("VmRSS:") << 10
 		p.peakResident = max(p.peakResident, p.statusKB("VmHWM:")<<10)
 		p.peakBytes = max(p.peakBytes, resident+buffered, p.peakResident)
-		if descriptors, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.command.Process.Pid)); err == nil {
-			p.peakDescriptors = max(p.peakDescriptors, len(descriptors))
+	}
+}
+
+// sockets returns the inodes of the process's sockets. It records the number of open descriptors.
+func (p *process) sockets() map[string]bool {
+	dir := fmt.Sprintf("/proc/%d/fd", p.command.Process.Pid)
+	descriptors, err := os.ReadDir(dir)
+	if err != nil {
+		return nil // the process has ended
+	}
+	p.peakDescriptors = max(p.peakDescriptors, len(descriptors))
+	inodes := map[string]bool{}
+	for _, descriptor := range descriptors {
+		link, err := os.Readlink(filepath.Join(dir, descriptor.Name()))
+		if inode, isSocket := strings.CutPrefix(link, "socket:["); err == nil && isSocket {
+			inodes[strings.TrimSuffix(inode, "]")] = true
 		}
 	}
+	return inodes
 }
 
 // statusKB returns a value of /proc/PID/status in KiB, or 0 if the process has ended.
@@ -164,11 +180,13 @@
 const (
 	listenState = "0A" // state of a listening socket in /proc/net/tcp, whose queues count connections
 	tcpTable    = "/proc/net/tcp"
+	inodeField  = 9 // of a line of tcpTable
 )
 
-// bufferedBytes returns the bytes that the kernel holds for the connections at a local address: those that have arrived and
-// are not read, and those that are written and not acknowledged.
-func bufferedBytes(address netip.Addr) (total int64, err error) {
+// bufferedBytes returns the bytes that the kernel holds for the connections at a local address, also those that are not accepted
+// yet, and for other sockets of the process by their inodes: bytes that have arrived and are not read, and bytes that are written
+// and not acknowledged.
+func bufferedBytes(address netip.Addr, sockets map[string]bool) (total int64, err error) {
 	table, err := os.Open(tcpTable)
 	if err != nil {
 		return 0, err
@@ -179,7 +197,10 @@
 	lines := bufio.NewScanner(table)
 	for lines.Scan() {
 		fields := strings.Fields(lines.Text())
-		if len(fields) < 5 || !strings.HasPrefix(fields[1], local+":") || fields[3] == listenState {
+		if len(fields) <= inodeField || fields[3] == listenState {
+			continue
+		}
+		if !strings.HasPrefix(fields[1], local+":") && !sockets[fields[inodeField]] {
 			continue
 		}
 		written, unread, _ := strings.Cut(fields[4], ":")
--- a/internal/overloadtest/roles_test.go
+++ b/internal/overloadtest/roles_test.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"testing"
 	"time"
@@ -24,6 +26,30 @@
 // largeConfigurationRoutes make a configuration of about 1 MiB.
 const largeConfigurationRoutes = 6000
 
+var (
+	caseCount = flag.Int("cases", 0, "number of cases of each test, drawn at random; 0 for all")
+	caseSeed  = flag.Uint64("seed", 1, "seed of the draw")
+)
+
+// crowdCase is a crowd at one port.
+type crowdCase struct {
+	name string
+	run  func(*testing.T)
+}
+
+// runCases runs the cases that the flags select, one at a time.
+func runCases(t *testing.T, cases []crowdCase) {
+	t.Helper()
+	if *caseCount > 0 {
+		draw := rand.New(rand.NewPCG(*caseSeed, 0))
+		draw.Shuffle(len(cases), func(i, j int) { cases[i], cases[j] = cases[j], cases[i] })
+		cases = cases[:min(*caseCount, len(cases))]
+	}
+	for _, c := range cases {
+		t.Run(c.name, c.run)
+	}
+}
+
 // checkCrowd lets a crowd misbehave at a process, and sends an ordinary request while it does and another one afterwards.
 func checkCrowd(t *testing.T, p *process, b behavior, g target, ordinary func() (int, error)) {
 	t.Helper()
@@ -40,50 +66,54 @@
 
 func TestCrowdAtEdge(t *testing.T) {
 	startCore(t, 1)
+	var cases []crowdCase
 	for _, b := range all() {
-		t.Run("frontend/"+b.name, func(t *testing.T) {
+		cases = append(cases, crowdCase{"frontend/" + b.name, func(t *testing.T) {
 			edge := startRole(t, "edge", edgeIP)
 			request := "POST " + pathPrefix + "00000000000000aa"
 			checkCrowd(t, edge, b, target{at(edgeIP, clientPort), host, request, jobBodyBytes}, submitJob())
-		})
+		}})
 	}
 	for _, b := range headBehaviors {
-		t.Run("readiness/"+b.name, func(t *testing.T) {
+		cases = append(cases, crowdCase{"readiness/" + b.name, func(t *testing.T) {
 			edge := startRole(t, "edge", edgeIP)
 			g := target{address: at(edgeIP, readinessPort), host: host, request: "GET /sedgevale/readyz"}
 			checkCrowd(t, edge, b, g, submitJob())
-		})
+		}})
 	}
+	runCases(t, cases)
 }
 
 func TestCrowdAtCore(t *testing.T) {
+	var cases []crowdCase
 	for _, b := range all() {
-		t.Run("control plane/"+b.name, func(t *testing.T) {
+		cases = append(cases, crowdCase{"control plane/" + b.name, func(t *testing.T) {
 			core := startCore(t, 1)
 			g := target{at(coreIP, controlPort), host, "PUT /sedgevale/config", clusterconfig.MaxBytes}
 			checkCrowd(t, core, b, g, readConfiguration)
-		})
+		}})
 	}
-	t.Run("control plane/answers of 1 MiB without reading", func(t *testing.T) {
+	cases = append(cases, crowdCase{"control plane/answers of 1 MiB without reading", func(t *testing.T) {
 		core := startCore(t, largeConfigurationRoutes)
 		g := target{address: at(coreIP, controlPort), host: host, request: "GET /sedgevale/config", body: 1 << 20}
 		b := behavior{"answers", bySize, false, sendPipelined}
 		checkCrowd(t, core, b, g, readConfiguration)
-	})
+	}})
 	for _, b := range all() {
-		t.Run("internal/"+b.name, func(t *testing.T) {
+		cases = append(cases, crowdCase{"internal/" + b.name, func(t *testing.T) {
 			core := startCore(t, 1)
 			g := target{at(coreIP, portRangeStart), host, "POST /rpc/" + api.MethodSubmit, messageBytes}
 			checkCrowd(t, core, b, g, countPending)
-		})
+		}})
 	}
 	for _, b := range headBehaviors {
-		t.Run("metrics/"+b.name, func(t *testing.T) {
+		cases = append(cases, crowdCase{"metrics/" + b.name, func(t *testing.T) {
 			core := startCore(t, 1)
 			g := target{address: at(coreIP, portRangeEnd), host: host, request: "GET /metrics"}
 			checkCrowd(t, core, b, g, readConfiguration)
-		})
+		}})
 	}
+	runCases(t, cases)
 }
 
 // countPending calls a method of the internal protocol.
@@ -102,20 +132,29 @@
 
 func TestCrowdAtSide(t *testing.T) {
 	startCore(t, 1)
+	var cases []crowdCase
 	for _, b := range all() {
-		t.Run("control plane/"+b.name, func(t *testing.T) {
+		cases = append(cases, crowdCase{"control plane/" + b.name, func(t *testing.T) {
 			side := startRole(t, "side", sideIP)
 			g := target{at(sideIP, controlPort), host, "PUT /sedgevale/instances/i-2", heartbeatBytes}
 			checkCrowd(t, side, b, g, sendHeartbeat())
-		})
+		}})
 	}
 	for _, b := range all() {
-		t.Run("internal/"+b.name, func(t *testing.T) {
+		cases = append(cases, crowdCase{"internal/" + b.name, func(t *testing.T) {
 			side := startRole(t, "side", sideIP)
 			g := target{at(sideIP, portRangeStart), host, "POST /rpc/" + api.MethodOrders, messageBytes}
 			checkCrowd(t, side, b, g, sendOrders)
-		})
+		}})
 	}
+	// The largest message that the port takes since it has a limit of its own.
+	cases = append(cases, crowdCase{"internal/complete, 16 MiB", func(t *testing.T) {
+		side := startRole(t, "side", sideIP)
+		b := behavior{"complete", bySize, true, sendComplete}
+		g := target{at(sideIP, portRangeStart), host, "POST /rpc/" + api.MethodOrders, messageBytes / 2}
+		checkCrowd(t, side, b, g, sendOrders)
+	}})
+	runCases(t, cases)
 }
 
 // sendOrders calls a side scheduler, which rejects orders for a worker that it does not know.
--- a/internal/overloadtest/serve_test.go
+++ b/internal/overloadtest/serve_test.go
@@ -113,36 +113,25 @@
 func getPage() (int, error) { return do(http.MethodGet, at(serveIP, proxyPort), "/page", "") }
 
 func TestCrowdAtServe(t *testing.T) {
+	var cases []crowdCase
+	add := func(name string, b behavior, g target, ordinary func() (int, error)) {
+		cases = append(cases, crowdCase{name + "/" + b.name, func(t *testing.T) {
+			checkCrowd(t, startServe(t), b, g, ordinary)
+		}})
+	}
 	for _, b := range all() {
-		t.Run("platform/"+b.name, func(t *testing.T) {
-			p := startServe(t)
-			checkCrowd(t, p, b, target{at(serveIP, platformPort), host, "POST /usage-view", httpd.MaxBody}, sendRequest())
-		})
-		t.Run("event streams/"+b.name, func(t *testing.T) {
-			p := startServe(t)
-			checkCrowd(t, p, b, target{at(serveIP, streamPort), host, "POST /usage-view", httpd.MaxBody}, sendRequest())
-		})
-		t.Run("reverse proxy/"+b.name, func(t *testing.T) {
-			p := startServe(t)
-			checkCrowd(t, p, b, target{at(serveIP, proxyPort), host, "POST /page", httpd.MaxBody}, getPage)
-		})
+		add("platform", b, target{at(serveIP, platformPort), host, "POST /usage-view", httpd.MaxBody}, sendRequest())
+		add("event streams", b, target{at(serveIP, streamPort), host, "POST /usage-view", httpd.MaxBody}, sendRequest())
+		add("reverse proxy", b, target{at(serveIP, proxyPort), host, "POST /page", httpd.MaxBody}, getPage)
 	}
 	for _, b := range bodyBehaviors {
-		t.Run("reverse proxy, streamed/"+b.name, func(t *testing.T) {
-			p := startServe(t)
-			b.clients = byDescriptors
-			checkCrowd(t, p, b, target{at(serveIP, proxyPort), host, "POST /page", streamedBytes}, getPage)
-		})
+		b.clients = byDescriptors
+		add("reverse proxy, streamed", b, target{at(serveIP, proxyPort), host, "POST /page", streamedBytes}, getPage)
 	}
 	for _, b := range headBehaviors {
-		t.Run("operators/"+b.name, func(t *testing.T) {
-			p := startServe(t)
-			checkCrowd(t, p, b, target{address: at(serveIP, opsPort), host: host, request: "GET /"}, sendRequest())
-		})
+		add("operators", b, target{address: at(serveIP, opsPort), host: host, request: "GET /"}, sendRequest())
 	}
-	t.Run("reverse proxy/answers of 1 MiB without reading", func(t *testing.T) {
-		p := startServe(t)
-		b := behavior{"answers", byDescriptors, false, sendPipelined}
-		checkCrowd(t, p, b, target{address: at(serveIP, proxyPort), host: host, request: "GET /large"}, getPage)
-	})
+	answers := behavior{"answers of 1 MiB without reading", byDescriptors, false, sendPipelined}
+	add("reverse proxy", answers, target{address: at(serveIP, proxyPort), host: host, request: "GET /large"}, getPage)
+	runCases(t, cases)
 }
--- a/internal/reverseproxy/server_conn.go
+++ b/internal/reverseproxy/server_conn.go
@@ -92,6 +92,11 @@
 	}
 }
 
+const (
+	streamChunkSize = 64 << 10            // read buffer of a response that a goroutine forwards, in bytes
+	streamBytes     = 4 * streamChunkSize // memory of such a response: buffer, part on its way to the client, and what the kernel holds
+)
+
 // maxRetainedBuffer is the capacity in bytes up to which a write buffer is kept for the next request.
 const maxRetainedBuffer = 16 << 10
 
@@ -251,15 +256,23 @@
 	if !ok {
 		return
 	}
+	hold, err := sc.transport.proxy.opt.Intake.Hold(streamBytes, func() {})
+	if err != nil {
+		sc.failResponse(err)
+		return
+	}
+	hold.Complete() // what the client does not read counts at its own connection
 	sc.deliver(part)
 	sc.detached = true
 	nc, rest, err := sc.transport.loop.Detach(sc.loopConn)
 	if err != nil {
 		sc.detached = false
+		hold.Release()
 		sc.failResponse(err)
 		return
 	}
 	go func() {
+		defer hold.Release()
 		defer sc.transport.proxy.opt.Budget.Release()
 		defer func() { _ = nc.Close() }()
 		sc.streamRest(ua, lr, nc, rest)
@@ -274,7 +287,7 @@
 
 // streamRest forwards the rest of a response to the client.
 func (sc *serverConn) streamRest(ua *upstreamAttempt, lr *loopResponder, nc net.Conn, buf []byte) {
-	r := &bodyReader{conn: nc, parser: sc.parser, buf: buf, chunk: make([]byte, 64<<10)}
+	r := &bodyReader{conn: nc, parser: sc.parser, buf: buf, chunk: make([]byte, streamChunkSize)}
 	for {
 		if !lr.awaitDrained() {
 			return
@@ -288,7 +301,7 @@
 		}
 		part := &responsePart{size: len(body), end: end}
 		if len(body) > 0 {
-			part.parts = [][]byte{append([]byte(nil), body...)}
+			part.parts = [][]byte{body} // the buffer is used again only after awaitDrained, which comes after it on the client's loop
 		}
 		if end {
 			part.trailer = sc.parser.Head.Trailer
--- a/internal/reverseproxy/transfer.go
+++ b/internal/reverseproxy/transfer.go
@@ -11,6 +11,7 @@
 	"sedgevale/internal/dispatchdriver"
 	"sedgevale/internal/http1"
 	"sedgevale/internal/httpd"
+	"sedgevale/internal/intake"
 )
 
 const (
@@ -153,7 +154,7 @@
 		return true
 	}
 	defer r.proxy.opt.Budget.Release()
-	dialer := net.Dialer{Timeout: connect}
+	dialer := net.Dialer{Timeout: connect, Control: intake.LimitReceive}
 	server, err := dialer.DialContext(t.ctx, "tcp", addr)
 	switch {
 	case err != nil && t.ctx.Err() != nil: // stopped while connecting
@@ -306,8 +307,10 @@
 		}
 		if end {
 			t.client.Unparsed = in.buf
+			t.client.Complete()
 			return t.finishUpload(server, wait)
 		}
+		t.client.Progressed()
 		_ = server.SetWriteDeadline(time.Now().Add(bodyIdleTimeout))
 		sent += int64(len(part))
 		if !chunked && sent >= length {
@@ -379,9 +382,11 @@
 	b = append(b, "\r\n"...)
 	for {
 		_ = t.client.SetWriteDeadline(time.Now().Add(bodyIdleTimeout))
+		t.client.Progressed()
 		if _, err := t.client.Write(b); err != nil {
 			return false
 		}
+		t.client.Complete()
 		part, end, err := in.next()
 		if err != nil {
 			return false
--- a/internal/reverseproxy/tunnel.go
+++ b/internal/reverseproxy/tunnel.go
@@ -49,6 +49,7 @@
 			defer ua.request.finish()
 			defer release()
 			defer func() { _ = client.Close() }()
+			client.Complete() // a tunnel may be silent for long
 			relay(client, server, upgradeHead(h), rest)
 		}()
 	})
--- a/scheduler/build.go
+++ b/scheduler/build.go
@@ -53,7 +53,7 @@
 		return nil, err
 	}
 	settings.WatchOnDemand = c.Discovery != "" // the scheduler requests the list from discovery even where the platform pushes lists
-	s := &Scheduler{options: opt, config: c, clock: dispatchdriver.NewClock(), descriptors: fdlimit.New(0),
+	s := &Scheduler{options: opt, config: c, clock: dispatchdriver.NewClock(), descriptors: fdlimit.New(0), intake: newIntake(c),
 		cordonSemaphore: make(chan struct{}, 1), siblings: siblingSet{all: map[*sibling]struct{}{}, added: make(chan struct{}, 1)}}
 	s.settings.Store(&settings)
 	s.current.Store(c)
@@ -143,12 +143,12 @@
 		planners = s.admission
 	}
 	if c.Listen != "" {
-		s.servers = append(s.servers, httpd.New(c.Listen, c.EventLoops, platformapi.New(s.requestParser, planners, s.ready.Load), s.descriptors, log))
+		s.addServer(httpd.New(c.Listen, c.EventLoops, platformapi.New(s.requestParser, planners, s.ready.Load), s.descriptors, log))
 	}
 	if c.Web != nil {
 		var err error
 		if s.reverseProxy, err = reverseproxy.New(reverseproxy.Options{Config: c.Web, Loops: c.EventLoops, Loop: s.workerLoop, Clock: s.clock,
-			Seed: c.SeedNumber() + uint64(max(1, c.Planners)), Budget: s.descriptors, Log: log}); err != nil {
+			Seed: c.SeedNumber() + uint64(max(1, c.Planners)), Budget: s.descriptors, Intake: s.intake, Log: log}); err != nil {
 			return err
 		}
 		s.servers = append(s.servers, s.reverseProxy.Servers()...)
@@ -156,11 +156,17 @@
 	if c.SSE != nil {
 		s.eventStreams = sse.New(sse.Options{Parser: s.requestParser.WithMargin(streamDeadlineMargin), Planners: planners, Ready: s.ready.Load,
 			Heartbeat: dispatchconfig.Seconds(c.SSE.Heartbeat), Retain: dispatchconfig.Seconds(c.SSE.Retain), Log: log})
-		s.servers = append(s.servers, httpd.New(c.SSE.Listen, c.EventLoops, s.eventStreams, s.descriptors, log))
+		s.addServer(httpd.New(c.SSE.Listen, c.EventLoops, s.eventStreams, s.descriptors, log))
 	}
 	return nil
 }
 
+// addServer adds a server for clients, whose memory counts against that of the process.
+func (s *Scheduler) addServer(server *httpd.Server) {
+	server.SetIntake(s.intake)
+	s.servers = append(s.servers, server)
+}
+
 // buildOps restores the saved cordons and creates the server for operators.
 func (s *Scheduler) buildOps() {
 	c, log := s.config, s.options.Log
@@ -174,6 +180,7 @@
 	if c.Ops != "" {
 		s.opsServer = httpd.New(c.Ops, 1, ops.New(s, s.journalReader(), s.opsPages()),
 			fdlimit.New(fdlimit.Reserve+reservedOpsDescriptors/2), log)
+		s.opsServer.SetIntake(s.intake)
 	}
 }
 
--- a/scheduler/resources.go
+++ b/scheduler/resources.go
@@ -5,6 +5,8 @@
 	"runtime/debug"
 
 	"sedgevale/internal/dispatchconfig"
+	"sedgevale/internal/httpd"
+	"sedgevale/internal/intake"
 )
 
 const (
@@ -13,8 +15,8 @@
 	// processor performs nearly as well; see NOTES.md.
 	minProcessors = 8
 	// memoryFraction is the Go runtime's soft memory limit as a fraction of the configured
-	// memory.
-	memoryFraction = 0.75
+	// memory. The rest is for the program itself and for what the kernel holds of connections.
+	memoryFraction = 0.5
 	// reservedOpsDescriptors is the number of file descriptors reserved for operators' requests.
 	reservedOpsDescriptors = 32
 	// fixedDescriptors is the number of a process's descriptors that are not connections: event
@@ -39,6 +41,22 @@
 	}
 }
 
+// newIntake returns the bounds of the memory for clients.
+func newIntake(c *dispatchconfig.Config) *httpd.Intake {
+	bounds := httpd.NewIntake(int64(c.Limits.MemoryMB)<<20, c.Limits.Sockets)
+	bounds.Budget.SetLimits(intakeLimits(c, 1))
+	return bounds
+}
+
+// intakeLimits returns the limits of the memory for clients of one of several processes that share the configured memory equally.
+func intakeLimits(c *dispatchconfig.Config, processes int) intake.Limits {
+	limits := intake.LimitsFor(int64(c.Limits.MemoryMB)<<20/int64(processes), c.Limits.Sockets)
+	if c.Intake.RequestMB > 0 {
+		limits.SetRequestBytes(int64(c.Intake.RequestMB) << 20 / int64(processes))
+	}
+	return limits
+}
+
 // limitDescriptors applies a configuration's limit of file descriptors, less those reserved for
 // operators' requests.
 func (s *Scheduler) limitDescriptors(c *dispatchconfig.Config) {
@@ -60,6 +78,7 @@
 		used += sib.descriptorsInUse()
 	}
 	s.descriptors.SetOtherProcesses(used)
+	s.intake.Budget.SetLimits(intakeLimits(s.current.Load(), 1+len(siblings)))
 	if s.options.OnProcessCount != nil {
 		s.options.OnProcessCount(1 + len(siblings))
 	}
