core, side: bound reads in progress, retained heartbeats and opened connections

Each read of the configuration calls every replica, so that a crowd of small reads opened several connections each; the descriptors for connections that the process opens were a quarter, while an edge opens one for each request it serves; a side scheduler kept the lists of the last heartbeat (up to 8 MiB) of each of 64 incarnations. Change: at most 32 reads of the configuration are in progress, others wait, then 503 with Retry-After; half of the descriptors beyond 200 are for accepted connections; the last heartbeats of all incarnations together have at most 8 MiB. A single request inside the limits is served.

--- a/internal/intake/budget_test.go
+++ b/internal/intake/budget_test.go
@@ -34,8 +34,8 @@
 		descriptors int
 		want        Limits
 	}{
-		{280 * mib, 4096, Limits{70 * mib, 35 * mib / 2, 70 * mib, 2922}},
-		{96 * mib, 1024, Limits{24 * mib, 6 * mib, 24 * mib, 618}},
+		{280 * mib, 4096, Limits{70 * mib, 35 * mib / 2, 70 * mib, 1948}},
+		{96 * mib, 1024, Limits{24 * mib, 6 * mib, 24 * mib, 412}},
 		{96 * mib, 100, Limits{24 * mib, 6 * mib, 24 * mib, 16}},
 	}
 	for _, test := range tests {
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -28,7 +28,7 @@
 	portShare       = 4 // one port leaves a quarter of the connections to the others
 
 	reservedDescriptors = 200 // for files and for what is not a connection
-	dialShare           = 4   // divisor of the other descriptors: those for connections that the process opens
+	dialShare           = 2   // divisor of the other descriptors: those for connections that the process opens to serve requests
 	minConnections      = 16
 )
 
--- a/internal/overloadtest/process_test.go
+++ b/internal/overloadtest/process_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/binary"
 	"encoding/hex"
 	"fmt"
@@ -47,7 +48,7 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	program = filepath.Join(dir, "sedgevale")
-	build := exec.Command("go", "build", "-o", program, "sedgevale/cmd/sedgevale")
+	build := exec.CommandContext(context.Background(), "go", "build", "-o", program, "sedgevale/cmd/sedgevale")
 	if output, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "go build: %v\n%s", err, output)
 		return 1
@@ -81,8 +82,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = log.Close() }() // the process has its own descriptor
-	p.command = exec.Command(program, arguments...)
+	defer func() { _ = log.Close() }()                                           // the process has its own descriptor
+	p.command = exec.CommandContext(context.Background(), program, arguments...) // stop ends it
 	p.command.Env = append(os.Environ(), environment...)
 	p.command.Stdout, p.command.Stderr = log, log
 	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/internal/overloadtest/roles_test.go
+++ b/internal/overloadtest/roles_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -164,8 +165,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), ordinaryTimeout)
 	defer cancel()
 	err := client.Call(ctx, at(sideIP, portRangeStart), api.MethodOrders, &api.OrdersRequest{Token: 1}, &api.Empty{})
+	if err == nil {
+		return 0, errors.New("orders for an unknown worker were taken")
+	}
 	if result.CodeOf(err) != result.WrongInstance {
-		return 0, fmt.Errorf("%v, want the rejection of an unknown worker", err)
+		return 0, fmt.Errorf("%w, want the rejection of an unknown worker", err)
 	}
 	return http.StatusOK, nil
 }
--- a/internal/system/core/controlplane/controlplane.go
+++ b/internal/system/core/controlplane/controlplane.go
@@ -22,6 +22,8 @@
 
 	// maxChanges limits the changes in progress, each of which holds several texts of the configuration. Others wait.
 	maxChanges = 8
+	// maxReads limits the reads in progress, each of which calls a quorum. Others wait.
+	maxReads = 32
 
 	// ChangeTimeout limits the wait until a quorum has chosen a change.
 	ChangeTimeout = 1800 * time.Millisecond
@@ -45,11 +47,12 @@
 	configs ConfigStore
 	logger  logr.Logger
 	changes chan struct{} // holds a token for each change in progress
+	reads   chan struct{} // holds a token for each read in progress
 }
 
 // Handler returns a handler of GET, PUT and PATCH requests for the configuration.
 func Handler(configs ConfigStore, logger logr.Logger) http.Handler {
-	s := &server{configs: configs, logger: logger, changes: make(chan struct{}, maxChanges)}
+	s := &server{configs: configs, logger: logger, changes: make(chan struct{}, maxChanges), reads: make(chan struct{}, maxReads)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+configPath, s.getConfig)
 	mux.HandleFunc("PUT "+configPath, func(w http.ResponseWriter, r *http.Request) { s.changeConfig(w, r, false) })
@@ -60,7 +63,11 @@
 func (s *server) getConfig(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), readTimeout)
 	defer cancel()
+	if !acquire(ctx, w, s.reads) {
+		return
+	}
 	text, err := s.configs.ReadConfig(ctx)
+	<-s.reads
 	if err != nil {
 		writeError(w, err)
 		return
@@ -84,14 +91,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), ChangeTimeout)
 	defer cancel()
-	select {
-	case s.changes <- struct{}{}:
-		defer func() { <-s.changes }()
-	case <-ctx.Done():
-		w.Header().Set("Retry-After", intake.RetryAfterSeconds)
-		writeError(w, result.Errorf(result.NotReady, "%d changes are in progress", maxChanges))
+	if !acquire(ctx, w, s.changes) {
 		return
 	}
+	defer func() { <-s.changes }()
 	if err := s.configs.ChangeConfig(ctx, patch, baseVersion, body); err != nil {
 		s.logger.V(1).Info("configuration change failed; returning the error to the operator", "error", err.Error())
 		writeError(w, err)
@@ -100,6 +103,23 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// acquire adds a token to a semaphore. If there is no room until ctx ends, it writes a refusal and returns false.
+func acquire(ctx context.Context, w http.ResponseWriter, semaphore chan struct{}) bool {
+	select {
+	case semaphore <- struct{}{}:
+		return true
+	default:
+	}
+	select {
+	case semaphore <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		w.Header().Set("Retry-After", intake.RetryAfterSeconds)
+		writeError(w, result.Errorf(result.NotReady, "%d requests of this kind are in progress", cap(semaphore)))
+		return false
+	}
+}
+
 // parseIfMatch returns the version in an If-Match header, or 0 if the header is empty.
 func parseIfMatch(text string) (int64, error) {
 	text = strings.Trim(strings.TrimSpace(text), `"`)
--- a/internal/system/settings/settings.go
+++ b/internal/system/settings/settings.go
@@ -63,7 +63,7 @@
 type Intake struct {
 	RequestMB    int64 `json:"request_mb"`    // memory of requests and large answers in MiB; by default a quarter of the memory
 	ConnectionMB int64 `json:"connection_mb"` // memory of connections in MiB; by default a quarter of the memory
-	Connections  int   `json:"connections"`   // open connections; by default three quarters of the descriptors beyond 200
+	Connections  int   `json:"connections"`   // open connections; by default half of the descriptors beyond 200
 }
 
 // FaultTolerance is the number of simultaneous failures that the system must tolerate. Zones or Regions above 0 require a
--- a/internal/system/side/heartbeat.go
+++ b/internal/system/side/heartbeat.go
@@ -32,14 +32,14 @@
 		http.Error(w, "heartbeat: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	sender, outcome := s.applyHeartbeat(r.PathValue("id"), heartbeat)
+	sender, outcome := s.applyHeartbeat(r.PathValue("id"), heartbeat, len(body))
 	switch outcome {
 	case heartbeatOutdated:
 		http.Error(w, "sequence: a later heartbeat came before", http.StatusConflict)
 		return
 	case heartbeatRefused:
 		w.Header().Set("Retry-After", intake.RetryAfterSeconds)
-		http.Error(w, "too many incarnations of the worker", http.StatusServiceUnavailable)
+		http.Error(w, "too many or too large incarnations of the worker", http.StatusServiceUnavailable)
 		return
 	case heartbeatReplaced:
 		w.WriteHeader(http.StatusOK) // a response without a lease, so that the worker runs no tasks
@@ -64,17 +64,18 @@
 	heartbeatIdle                      // applied; the worker runs no tasks and there are no orders for it
 	heartbeatOutdated                  // a later heartbeat was received before this one
 	heartbeatReplaced                  // a newer incarnation has replaced this one
-	heartbeatRefused                   // the state of too many incarnations is kept
+	heartbeatRefused                   // the state of too many or too large incarnations is kept
 )
 
-// applyHeartbeat updates the state of an incarnation, which it returns unless the heartbeat was refused. If the state has changed, it triggers a report to the owner.
-func (s *Scheduler) applyHeartbeat(instance string, heartbeat workeragent.Heartbeat) (*worker, heartbeatOutcome) {
+// applyHeartbeat updates the state of an incarnation, which it returns unless the heartbeat, of the given number of bytes, was refused. If the state has changed, it triggers a report to the owner.
+func (s *Scheduler) applyHeartbeat(instance string, heartbeat workeragent.Heartbeat, bytes int) (*worker, heartbeatOutcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w := s.workerFor(instance)
-	if w == nil {
+	if w == nil || !s.hasRoom(w, bytes) {
 		return nil, heartbeatRefused
 	}
+	w.received = bytes
 	w.service = heartbeat.Service
 	if !w.agent.HandleHeartbeat(s.now(), heartbeat) {
 		return w, heartbeatOutdated
--- a/internal/system/side/heartbeat_test.go
+++ b/internal/system/side/heartbeat_test.go
@@ -47,3 +47,20 @@
 		}
 	})
 }
+
+// The heartbeats of all incarnations together are bounded; a single one of the largest size is taken.
+func TestHeartbeatsOfIncarnationsAreLimited(t *testing.T) {
+	s := &Scheduler{workers: map[string]*worker{}}
+	first := s.workerFor("i-1")
+	if !s.hasRoom(first, maxHeartbeatBytes) {
+		t.Error("a single heartbeat of the largest size is refused")
+	}
+	first.received = maxHeartbeatBytes / 2
+	second := s.workerFor("i-2")
+	if !s.hasRoom(second, maxHeartbeatBytes/2) || s.hasRoom(second, maxHeartbeatBytes/2+1) {
+		t.Error("the heartbeats of two incarnations are not bounded by the largest size of one")
+	}
+	if !s.hasRoom(first, maxHeartbeatBytes) {
+		t.Error("a heartbeat counts beside the one that it replaces")
+	}
+}
--- a/internal/system/side/side.go
+++ b/internal/system/side/side.go
@@ -63,6 +63,7 @@
 type worker struct {
 	agent       *workeragent.Agent
 	service     string
+	received    int           // bytes of the last heartbeat, whose lists the agent keeps
 	ordersReady chan struct{} // signalled when there are orders for the worker
 	reportDue   chan struct{} // signalled when a report must be sent immediately
 	reported    uint64        // digest of the agent's state when reportDue was last signalled
@@ -140,6 +141,17 @@
 	return added
 }
 
+// hasRoom reports whether the heartbeats of all incarnations together stay within maxHeartbeatBytes with a heartbeat of the given
+// size from one of them. The caller holds s.mu.
+func (s *Scheduler) hasRoom(from *worker, bytes int) bool {
+	for _, other := range s.workers {
+		if other != from {
+			bytes += other.received
+		}
+	}
+	return bytes <= maxHeartbeatBytes
+}
+
 // confirm makes an incarnation the current one once it has sent minConfirmingHeartbeats. A worker that restarts after a
 // crash has a new instance name, so the new incarnation replaces all others except those that are draining, which may
 // still run tasks. The caller holds s.mu.
