--- a/internal/dispatchconfig/config.go
+++ b/internal/dispatchconfig/config.go
@@ -34,14 +34,14 @@
 	Settings Settings `json:"settings"`
 
 	// The fields from Revision to FailureDetection are set only from an operator's file.
-	Revision   uint32     `json:"-"` // the operator's revision number of the configuration; 0 if there is none
-	SSE        *SSE       `json:"-"`
-	Journal    *Journal   `json:"-"`
-	Web        *Web       `json:"-"`
-	Admission  *Admission `json:"-"`
-	Intake     Intake     `json:"-"`
-	Planners   int        `json:"-"`
-	EventLoops int        `json:"-"`
+	Revision      uint32        `json:"-"` // the operator's revision number of the configuration; 0 if there is none
+	SSE           *SSE          `json:"-"`
+	Journal       *Journal      `json:"-"`
+	Web           *Web          `json:"-"`
+	Admission     *Admission    `json:"-"`
+	ResourceQuota ResourceQuota `json:"-"`
+	Planners      int           `json:"-"`
+	EventLoops    int           `json:"-"`
 	// FailureDetection enables failure detection among the schedulers of the site.
 	FailureDetection bool `json:"-"`
 
--- a/internal/dispatchconfig/operator.go
+++ b/internal/dispatchconfig/operator.go
@@ -27,21 +27,21 @@
 	PeerListen string   `toml:"peer_listen,omitempty"`
 	Peers      []string `toml:"peers,omitempty"`
 
-	Seed      string             `toml:"seed,omitempty"`
-	Planners  int                `toml:"planners,omitempty"`
-	Loops     int                `toml:"loops,omitempty"`
-	Limits    Limits             `toml:"limits"`
-	SSE       *SSE               `toml:"sse,omitempty"`
-	Journal   *Journal           `toml:"journal,omitempty"`
-	Web       *Web               `toml:"web,omitempty"`
-	Admission *Admission         `toml:"door,omitempty"`
-	Settings  Settings           `toml:"settings"`
-	Workers   []discovery.Member `toml:"workers"`
-	Intake    Intake             `toml:"intake,omitempty"`
+	Seed          string             `toml:"seed,omitempty"`
+	Planners      int                `toml:"planners,omitempty"`
+	Loops         int                `toml:"loops,omitempty"`
+	Limits        Limits             `toml:"limits"`
+	SSE           *SSE               `toml:"sse,omitempty"`
+	Journal       *Journal           `toml:"journal,omitempty"`
+	Web           *Web               `toml:"web,omitempty"`
+	Admission     *Admission         `toml:"door,omitempty"`
+	Settings      Settings           `toml:"settings"`
+	Workers       []discovery.Member `toml:"workers"`
+	ResourceQuota ResourceQuota      `toml:"resource_quota,omitempty"`
 }
 
-// Intake bounds what the process holds for clients.
-type Intake struct {
+// ResourceQuota bounds what the process holds for clients.
+type ResourceQuota struct {
 	RequestMB int `toml:"request_mb,omitempty"` // memory for requests and responses in MiB; 0 means a quarter of limits.memory_mb
 }
 
@@ -108,7 +108,7 @@
 	return &Config{Name: f.Name, Revision: f.Revision, Listen: f.Listen, Ops: f.Ops, Discovery: f.Discovery, Seed: f.Seed, Limits: f.Limits,
 		PeerListen: f.PeerListen, Peers: f.Peers, FailureDetection: true,
 		KnownWorkers: &discovery.List{Complete: true, Members: f.Workers}, Settings: f.Settings,
-		SSE: f.SSE, Journal: f.Journal, Web: f.Web, Admission: f.Admission, Planners: f.Planners, EventLoops: f.Loops, Intake: f.Intake}
+		SSE: f.SSE, Journal: f.Journal, Web: f.Web, Admission: f.Admission, Planners: f.Planners, EventLoops: f.Loops, ResourceQuota: f.ResourceQuota}
 }
 
 // Write writes the file as TOML.
--- a/internal/evloop/evloop.go
+++ b/internal/evloop/evloop.go
@@ -13,7 +13,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"github.com/panjf2000/gnet/v2/pkg/logging"
 
-	"sedgevale/internal/intake"
+	"sedgevale/internal/resourcequota"
 	"sedgevale/internal/taskgroup"
 	"sedgevale/internal/unbounded"
 )
@@ -99,7 +99,7 @@
 // latest, even after Stop.
 func (l *Loop) Dial(addr string, timeout time.Duration, h Handler, onError func(error)) {
 	started := l.dials.Go(func(ctx context.Context) {
-		c, err := (&net.Dialer{Timeout: timeout, Control: intake.LimitReceive}).DialContext(ctx, "tcp", addr)
+		c, err := (&net.Dialer{Timeout: timeout, Control: resourcequota.LimitReceive}).DialContext(ctx, "tcp", addr)
 		if err == nil {
 			_, err = l.client.EnrollContext(c, h)
 		}
--- a/internal/httpd/conn.go
+++ b/internal/httpd/conn.go
@@ -10,7 +10,7 @@
 
 	"sedgevale/internal/evloop"
 	"sedgevale/internal/http1"
-	"sedgevale/internal/intake"
+	"sedgevale/internal/resourcequota"
 )
 
 // connState is the state of a connection. Every state except stateServing and stateClosed has a deadline
@@ -48,12 +48,12 @@
 	list             *connList // list of connections in the same state
 	out              []byte    // write buffer for heads and chunks
 
-	hold         *intake.Hold // the connection's part of the budget; nil while it holds less than chargeUnit
-	charged      int64        // bytes of hold
-	declared     int          // length of the body being read if it is known, which is counted before it has come
-	requestBytes int          // capacity of the body of the request that the handler is serving
-	unsent       int          // bytes of responses that the kernel had not taken when they were last counted
-	readAt       time.Time    // when the client last read some of them
+	reservation  *resourcequota.Reservation // the connection's part of the quota; nil while it holds less than chargeUnit
+	charged      int64                      // bytes of reservation
+	declared     int                        // length of the body being read if it is known, which is counted before it has come
+	requestBytes int                        // capacity of the body of the request that the handler is serving
+	unsent       int                        // bytes of responses that the kernel had not taken when they were last counted
+	readAt       time.Time                  // when the client last read some of them
 }
 
 // OnOpen implements gnet.EventHandler for a new connection.
@@ -123,7 +123,7 @@
 		if c.received {
 			c.deadline = time.Now().Add(c.server.limits.Request)
 		}
-		c.hold.Await()
+		c.reservation.Await()
 		c.loop.reading.push(c)
 	case stateClosing:
 		c.deadline = time.Now().Add(lingerTimeout)
@@ -233,7 +233,7 @@
 	c.closeAfter = head.Close
 	body := c.body
 	c.body, c.declared, c.requestBytes = nil, 0, cap(body)
-	c.hold.Complete()
+	c.reservation.Complete()
 	c.server.handler.Serve(c, &Request{Head: &head, Body: body, At: time.Now()})
 }
 
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -18,7 +18,7 @@
 	"sedgevale/internal/evloop"
 	"sedgevale/internal/fdlimit"
 	"sedgevale/internal/http1"
-	"sedgevale/internal/intake"
+	"sedgevale/internal/resourcequota"
 	"sedgevale/internal/taskgroup"
 )
 
@@ -67,7 +67,7 @@
 	handler     Handler
 	limits      Limits
 	descriptors *fdlimit.Limiter
-	intake      *Intake // nil if the memory for clients is not bounded
+	quota       *Quota // nil if the memory for clients is not bounded
 	log         *slog.Logger
 	client      *gnet.Client
 	acceptor    *acceptor
@@ -97,12 +97,12 @@
 // with backpressure, or for a tunnel.
 type Detached struct {
 	net.Conn
-	Parser   *http1.Parser // parser with the state of the current request
-	Unparsed []byte        // bytes read but not yet parsed
-	server   *Server
-	opened   time.Time
-	hold     *intake.Hold // its part of the budget
-	once     sync.Once
+	Parser      *http1.Parser // parser with the state of the current request
+	Unparsed    []byte        // bytes read but not yet parsed
+	server      *Server
+	opened      time.Time
+	reservation *resourcequota.Reservation // its part of the quota
+	once        sync.Once
 }
 
 // New returns a Server that is not yet listening.
@@ -142,8 +142,8 @@
 			return err
 		}
 	}
-	if s.intake != nil {
-		intake.LimitSocket(inherited, s.intake.Receive, s.intake.Backlog)
+	if s.quota != nil {
+		resourcequota.LimitSocket(inherited, s.quota.Receive, s.quota.Backlog)
 	}
 	client, err := gnet.NewClient(s, gnet.WithNumEventLoop(s.loops), gnet.WithReadBufferCap(readBufferSize),
 		gnet.WithWriteBufferCap(writeBufferSize), gnet.WithLogger(evloop.ErrorLogger(s.log)))
@@ -162,8 +162,8 @@
 
 // register adds a new connection to an event loop.
 func (s *Server) register(c *net.TCPConn) {
-	if s.intake != nil {
-		intake.LimitUnsent(c)
+	if s.quota != nil {
+		resourcequota.LimitUnsent(c)
 	}
 	if _, err := s.client.EnrollContext(c, nil); err != nil {
 		s.log.Warn("cannot register a new connection with an event loop; evicting idle connections", "err", err)
--- a/internal/httpd/intake.go
+++ b/internal/httpd/quota.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"sedgevale/internal/http1"
-	"sedgevale/internal/intake"
+	"sedgevale/internal/resourcequota"
 )
 
 const (
@@ -14,7 +14,7 @@
 	bufferGrowth = 2
 	// kernelUnsentBytes is what the kernel holds of a response that a client does not read: up to one packet of the largest size.
 	kernelUnsentBytes = 64 << 10
-	// chargeUnit is the granularity in bytes in which memory counts against the budget; less than one unit does not count.
+	// chargeUnit is the granularity in bytes in which memory counts against the quota; less than one unit does not count.
 	chargeUnit = 4 << 10
 	// transferBytes is what counts for a connection whose body is streamed, and tunnelBytes for a tunnel: buffers for both directions.
 	transferBytes = 256 << 10
@@ -28,33 +28,33 @@
 // busyText is the body of the response to a request for which there is no room.
 const busyText = "the process holds as much for other requests as it may; try again later\n"
 
-// Intake bounds the memory that a Server holds for clients. Several servers may share one.
-type Intake struct {
-	Budget  *intake.Budget
+// Quota bounds the memory that a Server holds for clients. Several servers may share one.
+type Quota struct {
+	Memory  *resourcequota.Quota
 	Receive int // size in bytes of the kernel's buffer for what a client sends
 	Backlog int // connections that wait until they are accepted
 }
 
-// NewIntake returns an Intake for a process with the given memory in bytes and descriptors, of which a value of 0 means that of the
+// NewQuota returns a Quota for a process with the given memory in bytes and descriptors, of which a value of 0 means that of the
 // machine.
-func NewIntake(memory int64, descriptors int) *Intake {
-	limits := intake.LimitsFor(memory, descriptors)
+func NewQuota(memory int64, descriptors int) *Quota {
+	limits := resourcequota.LimitsFor(memory, descriptors)
 	receive := limits.ConnectionBytes / int64(limits.Connections) / kernelGrowth
-	return &Intake{
-		Budget: intake.NewBudget(limits), Receive: int(min(max(receive, minReceiveBytes), maxReceiveBytes)),
+	return &Quota{
+		Memory: resourcequota.New(limits), Receive: int(min(max(receive, minReceiveBytes), maxReceiveBytes)),
 		Backlog: limits.Connections / backlogShare,
 	}
 }
 
-// Bounds of Intake.Receive, and how much larger than asked for the kernel makes the buffer.
+// Bounds of Quota.Receive, and how much larger than asked for the kernel makes the buffer.
 const (
 	kernelGrowth    = 2
 	minReceiveBytes = 16 << 10
 	maxReceiveBytes = 128 << 10
 )
 
-// SetIntake bounds the memory that the server holds. It must be called before Start.
-func (s *Server) SetIntake(i *Intake) { s.intake = i }
+// SetQuota bounds the memory that the server holds. It must be called before Start.
+func (s *Server) SetQuota(q *Quota) { s.quota = q }
 
 // memory returns what the process holds for the connection, in bytes.
 func (c *Conn) memory() int64 {
@@ -66,9 +66,9 @@
 	return int64(held + bufferGrowth*(c.conn.InboundBuffered()+unsent))
 }
 
-// charge counts the memory of the connection against the budget and reports whether there is room for it.
+// charge counts the memory of the connection against the quota and reports whether there is room for it.
 func (c *Conn) charge() bool {
-	if c.server.intake == nil {
+	if c.server.quota == nil {
 		return true
 	}
 	wanted := c.memory() / chargeUnit * chargeUnit
@@ -79,20 +79,20 @@
 		c.discharge()
 		return true
 	}
-	if c.hold == nil {
-		c.hold = c.server.intake.Budget.NewHold(func() { c.Post((*Conn).yield) })
+	if c.reservation == nil {
+		c.reservation = c.server.quota.Memory.Reserve(func() { c.Post((*Conn).yield) })
 	}
-	if c.hold.TryGrow(wanted-c.charged) != nil {
+	if c.reservation.TryGrow(wanted-c.charged) != nil {
 		return false
 	}
 	c.charged = wanted
 	return true
 }
 
-// discharge returns the connection's part of the budget.
+// discharge returns the connection's part of the quota.
 func (c *Conn) discharge() {
-	c.hold.Release()
-	c.hold, c.charged = nil, 0
+	c.reservation.Release()
+	c.reservation, c.charged = nil, 0
 }
 
 // yield makes room for others after the client has been slow: it refuses a request that is incomplete, and breaks off a response
@@ -115,7 +115,7 @@
 // refuse responds to a request for which there is no room, and closes the connection.
 func (c *Conn) refuse() {
 	c.body, c.declared, c.requestBytes = nil, 0, 0
-	c.RespondLast(503, []http1.Field{{Name: "Retry-After", Value: intake.RetryAfterSeconds}}, []byte(busyText))
+	c.RespondLast(503, []http1.Field{{Name: "Retry-After", Value: resourcequota.RetryAfterSeconds}}, []byte(busyText))
 	c.charge()
 }
 
@@ -133,11 +133,11 @@
 	switch {
 	case unsent == 0 && c.unsent > 0:
 		delete(c.loop.unread, c)
-		c.hold.Complete()
+		c.reservation.Complete()
 	case unsent > 0:
 		if c.unsent == 0 || unsent < c.unsent {
 			c.readAt = time.Now()
-			c.hold.Await()
+			c.reservation.Await()
 		}
 		c.loop.unread[c] = struct{}{}
 	}
@@ -155,22 +155,22 @@
 	}
 }
 
-// Hold counts bytes against the budget until the Hold is released. It returns intake.ErrBusy if there is no room. The budget may call
-// interrupt while the Hold awaits a client. A nil Intake has room for everything.
-func (i *Intake) Hold(bytes int64, interrupt func()) (*intake.Hold, error) {
-	if i == nil {
+// Reserve counts bytes until the Reservation is released. It returns resourcequota.ErrBusy if there is no room. The quota may call
+// interrupt while the Reservation awaits a client. A nil Quota has room for everything.
+func (q *Quota) Reserve(bytes int64, interrupt func()) (*resourcequota.Reservation, error) {
+	if q == nil {
 		return nil, nil
 	}
-	hold := i.Budget.NewHold(interrupt)
-	if err := hold.TryGrow(bytes); err != nil {
-		hold.Release()
+	reservation := q.Memory.Reserve(interrupt)
+	if err := reservation.TryGrow(bytes); err != nil {
+		reservation.Release()
 		return nil, err
 	}
-	return hold, nil
+	return reservation, nil
 }
 
 // Progressed records that the client has sent or read something, and is expected to go on.
-func (d *Detached) Progressed() { d.hold.Await() }
+func (d *Detached) Progressed() { d.reservation.Await() }
 
 // Complete records that nothing is expected from the client.
-func (d *Detached) Complete() { d.hold.Complete() }
+func (d *Detached) Complete() { d.reservation.Complete() }
--- a/internal/httpd/stream.go
+++ b/internal/httpd/stream.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"sedgevale/internal/http1"
-	"sedgevale/internal/intake"
+	"sedgevale/internal/resourcequota"
 )
 
 // Framing is the way in which the end of a response body is marked.
@@ -93,12 +93,12 @@
 	if err != nil {
 		return nil, err
 	}
-	hold, err := c.server.intake.Hold(memory, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	reservation, err := c.server.quota.Reserve(memory, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	if err != nil {
 		_ = conn.Close() // the event loop still has its own descriptor
 		return nil, err
 	}
-	d := &Detached{Conn: conn, Parser: c.parser, Unparsed: unparsed, server: c.server, opened: c.opened, hold: hold}
+	d := &Detached{Conn: conn, Parser: c.parser, Unparsed: unparsed, server: c.server, opened: c.opened, reservation: reservation}
 	c.server.clients.Add(1) // compensates for OnClose; Close or Reattach decrements it
 	c.server.descriptors.AcquireClient()
 	c.detached = true
@@ -112,7 +112,7 @@
 	head, body := c.parser.Head, c.body
 	c.setState(stateServing)
 	d, err := c.detach(append([]byte(nil), rest...), transferBytes)
-	if errors.Is(err, intake.ErrBusy) {
+	if errors.Is(err, resourcequota.ErrBusy) {
 		c.refuse()
 		return
 	}
@@ -134,7 +134,7 @@
 	d.once.Do(func() {
 		d.server.clients.Add(-1)
 		d.server.descriptors.Release()
-		d.hold.Release()
+		d.reservation.Release()
 	})
 }
 
@@ -146,7 +146,7 @@
 // connection.
 func (d *Detached) Reattach() {
 	d.release()
-	_ = d.SetDeadline(time.Time{}) // after the last moment at which the budget may have interrupted the client
+	_ = d.SetDeadline(time.Time{}) // after the last moment at which the quota may have interrupted the client
 	// EnrollContext waits for the event loop and would block forever after it has stopped, so Stop must wait for this
 	// goroutine.
 	reattached := make(chan struct{})
--- a/internal/intake/body.go
+++ b/internal/resourcequota/body.go
@@ -1,4 +1,4 @@
-package intake
+package resourcequota
 
 import (
 	"context"
@@ -30,43 +30,43 @@
 // bodyChunk is the size in bytes of the pieces in which a body of unknown length is read.
 const bodyChunk = 16 << 10
 
-// HoldFor returns a Hold on the budget of the request's server. It is nil if the server has none.
-func HoldFor(ctx context.Context) *Hold {
+// ReservationFor returns a Reservation on the quota of the request's server. It is nil if the server has none.
+func ReservationFor(ctx context.Context) *Reservation {
 	c := connectionOf(ctx)
 	if c == nil {
 		return nil
 	}
-	return c.budget.NewHold(func() { _ = c.SetReadDeadline(time.Unix(1, 0)) })
+	return c.quota.Reserve(func() { _ = c.SetReadDeadline(time.Unix(1, 0)) })
 }
 
-// ReadBody reads the body of a request and counts it against the budget of the server. The caller must release the Hold, also
+// ReadBody reads the body of a request and counts it against the quota of the server. The caller must release the Reservation, also
 // after an error, once it holds the body no more. The error is ErrBusy, a *TooLargeError or that of the connection; WriteRefusal
 // writes the answer.
-func ReadBody(r *http.Request, limits BodyLimits) ([]byte, *Hold, error) {
-	hold := HoldFor(r.Context())
-	body, err := readBody(r, hold, limits)
-	if hold.Complete() {
-		return nil, hold, errSlow
+func ReadBody(r *http.Request, limits BodyLimits) ([]byte, *Reservation, error) {
+	reservation := ReservationFor(r.Context())
+	body, err := readBody(r, reservation, limits)
+	if reservation.Complete() {
+		return nil, reservation, errSlow
 	}
 	if err != nil {
-		return nil, hold, err
+		return nil, reservation, err
 	}
 	if c := connectionOf(r.Context()); c != nil {
 		c.setPhase(phaseServing)
 	}
-	return body, hold, nil
+	return body, reservation, nil
 }
 
-func readBody(r *http.Request, hold *Hold, limits BodyLimits) ([]byte, error) {
+func readBody(r *http.Request, reservation *Reservation, limits BodyLimits) ([]byte, error) {
 	switch {
 	case r.ContentLength > limits.MaxBytes:
 		return nil, &TooLargeError{limits.MaxBytes}
 	case r.ContentLength < 0 && limits.NeedsLength:
 		return nil, errLengthRequired
 	case r.ContentLength < 0:
-		return readChunked(r.Body, hold, limits)
+		return readChunked(r.Body, reservation, limits)
 	}
-	if err := hold.Grow(r.ContentLength * limits.Copies); err != nil {
+	if err := reservation.Grow(r.ContentLength * limits.Copies); err != nil {
 		return nil, err
 	}
 	body := make([]byte, r.ContentLength)
@@ -77,11 +77,11 @@
 }
 
 // readChunked reads a body of unknown length in pieces, each of which is counted before it is read.
-func readChunked(source io.Reader, hold *Hold, limits BodyLimits) ([]byte, error) {
+func readChunked(source io.Reader, reservation *Reservation, limits BodyLimits) ([]byte, error) {
 	var pieces [][]byte
 	var length int64
 	for {
-		if err := hold.Grow(bodyChunk * limits.Copies); err != nil {
+		if err := reservation.Grow(bodyChunk * limits.Copies); err != nil {
 			return nil, err
 		}
 		piece := make([]byte, bodyChunk)
--- a/internal/intake/body_test.go
+++ b/internal/resourcequota/body_test.go
@@ -1,4 +1,4 @@
-package intake
+package resourcequota
 
 import (
 	"bufio"
@@ -13,7 +13,7 @@
 )
 
 // startServer serves a handler that reads bodies and answers with their length.
-func startServer(t *testing.T, b *Budget, limits BodyLimits) (address string) {
+func startServer(t *testing.T, b *Quota, limits BodyLimits) (address string) {
 	t.Helper()
 	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -21,8 +21,8 @@
 	}
 	server := &http.Server{ReadHeaderTimeout: 5 * time.Second}
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, hold, err := ReadBody(r, limits)
-		defer hold.Release()
+		body, reservation, err := ReadBody(r, limits)
+		defer reservation.Release()
 		if err != nil {
 			WriteRefusal(w, err)
 			return
@@ -114,7 +114,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			b := NewBudget(testLimits())
+			b := New(testLimits())
 			address := startServer(t, b, BodyLimits{MaxBytes: limit, Copies: 3, NeedsLength: test.needsLength})
 			if a := send(t, address, test.request); a.status != test.status || a.body != test.body {
 				t.Errorf("%+v, want %d %q", a, test.status, test.body)
@@ -128,9 +128,9 @@
 
 // A body for which there is no room is refused before it is read, whether its length is known or not.
 func TestReadBodyRefusesWithoutRoom(t *testing.T) {
-	b := NewBudget(Limits{RequestBytes: mib, SmallBytes: mib / 4, ConnectionBytes: mib, Connections: 100})
+	b := New(Limits{RequestBytes: mib, SmallBytes: mib / 4, ConnectionBytes: mib, Connections: 100})
 	address := startServer(t, b, BodyLimits{MaxBytes: 4 * mib, Copies: 3})
-	other, _ := hold(b)
+	other, _ := reservation(b)
 	grow(t, other, mib/2, nil)
 	other.Complete()
 	for _, request := range []string{
@@ -154,7 +154,7 @@
 
 // A body that stalls while another needs the room is answered with 503, and its room goes to the other.
 func TestReadBodyInterruptsStalledBody(t *testing.T) {
-	b := NewBudget(Limits{RequestBytes: mib, SmallBytes: mib / 4, ConnectionBytes: mib, Connections: 100})
+	b := New(Limits{RequestBytes: mib, SmallBytes: mib / 4, ConnectionBytes: mib, Connections: 100})
 	address := startServer(t, b, BodyLimits{MaxBytes: mib, Copies: 1})
 	var dialer net.Dialer
 	stalled, err := dialer.DialContext(t.Context(), "tcp", address)
--- a/internal/intake/connections.go
+++ b/internal/resourcequota/connections.go
@@ -1,4 +1,4 @@
-package intake
+package resourcequota
 
 import (
 	"container/list"
@@ -18,7 +18,7 @@
 
 // Port describes the connections of one listening address.
 type Port struct {
-	// Receive is the size in bytes of the kernel's buffer for what a peer sends. The kernel may hold up to twice as much.
+	// Receive is the size in bytes of the kernel's buffer for what a peer sends. The kernel may reservation up to twice as much.
 	Receive int
 }
 
@@ -29,7 +29,7 @@
 func (p *Port) cost() int64 { return connectionMemory + int64(p.Receive) }
 
 // connectionTable holds the open connections of a process by phase, the one that is in its phase for the longest time first. It
-// is guarded by Budget.mu.
+// is guarded by Quota.mu.
 type connectionTable struct {
 	total      int
 	bytes      int64
@@ -47,13 +47,13 @@
 	return t
 }
 
-// connection is an accepted connection that counts against a Budget until it is closed.
+// connection is an accepted connection that counts against a Quota until it is closed.
 type connection struct {
 	net.Conn
-	budget *Budget
-	port   *Port
+	quota *Quota
+	port  *Port
 
-	// The fields below are guarded by budget.mu.
+	// The fields below are guarded by quota.mu.
 	phase   phase
 	since   time.Time     // begin of the phase
 	element *list.Element // in the list of the phase; nil once the connection is closed
@@ -62,17 +62,17 @@
 // accept adds a connection. If there is no room it closes others: first the one that has been idle for the longest time, then the
 // one that has been waiting for its peer for the longest time, if that is over stallTimeout. It returns nil if there still is no
 // room.
-func (b *Budget) accept(conn net.Conn, port *Port) *connection {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for !b.hasRoom(port) {
-		if !b.evict(port) {
-			b.connections.turnedAway++
+func (q *Quota) accept(conn net.Conn, port *Port) *connection {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for !q.hasRoom(port) {
+		if !q.evict(port) {
+			q.connections.turnedAway++
 			return nil
 		}
 	}
-	c := &connection{Conn: conn, budget: b, port: port}
-	t := &b.connections
+	c := &connection{Conn: conn, quota: q, port: port}
+	t := &q.connections
 	t.total++
 	t.bytes += port.cost()
 	t.ofPort[port]++
@@ -80,28 +80,28 @@
 	return c
 }
 
-// hasRoom reports whether another connection of a port fits. b.mu is held.
-func (b *Budget) hasRoom(port *Port) bool {
-	t := &b.connections
-	if t.total >= b.limits.Connections || t.bytes+port.cost() > b.limits.ConnectionBytes {
+// hasRoom reports whether another connection of a port fits. q.mu is held.
+func (q *Quota) hasRoom(port *Port) bool {
+	t := &q.connections
+	if t.total >= q.limits.Connections || t.bytes+port.cost() > q.limits.ConnectionBytes {
 		return false
 	}
-	return !b.portFull(port)
+	return !q.portFull(port)
 }
 
-// evict closes one connection, of the port itself if that has used up its share, and reports whether there was one. b.mu is held.
-func (b *Budget) evict(port *Port) bool {
+// evict closes one connection, of the port itself if that has used up its share, and reports whether there was one. q.mu is held.
+func (q *Quota) evict(port *Port) bool {
 	latest := time.Now().Add(-stallTimeout)
 	for _, candidates := range []phase{phaseIdle, phaseReading} {
-		for e := b.connections.byPhase[candidates].Front(); e != nil; e = e.Next() {
+		for e := q.connections.byPhase[candidates].Front(); e != nil; e = e.Next() {
 			c := e.Value.(*connection)
 			if candidates == phaseReading && c.since.After(latest) {
 				break
 			}
-			if c.port != port && b.portFull(port) {
+			if c.port != port && q.portFull(port) {
 				continue
 			}
-			b.connections.evicted++
+			q.connections.evicted++
 			c.leave()
 			discardOnClose(c.Conn)
 			_ = c.Conn.Close() // its server notices the error of the next read or write
@@ -118,32 +118,32 @@
 	}
 }
 
-// portFull reports whether a port has used up its share of the connections. b.mu is held.
-func (b *Budget) portFull(port *Port) bool {
-	return b.connections.ofPort[port] >= b.portLimit(port)
+// portFull reports whether a port has used up its share of the connections. q.mu is held.
+func (q *Quota) portFull(port *Port) bool {
+	return q.connections.ofPort[port] >= q.portLimit(port)
 }
 
 // portLimit returns the number of connections that one port may have.
-func (b *Budget) portLimit(port *Port) int {
-	limit := int(min(int64(b.limits.Connections), b.limits.ConnectionBytes/port.cost()))
+func (q *Quota) portLimit(port *Port) int {
+	limit := int(min(int64(q.limits.Connections), q.limits.ConnectionBytes/port.cost()))
 	return max(1, limit-limit/portShare)
 }
 
-// enter moves a connection into a phase. budget.mu is held.
+// enter moves a connection into a phase. quota.mu is held.
 func (c *connection) enter(p phase) {
 	if c.element != nil {
-		c.budget.connections.byPhase[c.phase].Remove(c.element)
+		c.quota.connections.byPhase[c.phase].Remove(c.element)
 	}
 	c.phase, c.since = p, time.Now()
-	c.element = c.budget.connections.byPhase[p].PushBack(c)
+	c.element = c.quota.connections.byPhase[p].PushBack(c)
 }
 
-// leave removes a connection from the table. budget.mu is held.
+// leave removes a connection from the table. quota.mu is held.
 func (c *connection) leave() {
 	if c.element == nil {
 		return
 	}
-	t := &c.budget.connections
+	t := &c.quota.connections
 	t.byPhase[c.phase].Remove(c.element)
 	c.element = nil
 	t.total--
@@ -153,17 +153,17 @@
 
 // setPhase moves an open connection into a phase.
 func (c *connection) setPhase(p phase) {
-	c.budget.mu.Lock()
-	defer c.budget.mu.Unlock()
+	c.quota.mu.Lock()
+	defer c.quota.mu.Unlock()
 	if c.element != nil {
 		c.enter(p)
 	}
 }
 
-// Close closes the connection and returns its part of the budget.
+// Close closes the connection and returns its part of the quota.
 func (c *connection) Close() error {
-	c.budget.mu.Lock()
+	c.quota.mu.Lock()
 	c.leave()
-	c.budget.mu.Unlock()
+	c.quota.mu.Unlock()
 	return c.Conn.Close()
 }
--- a/internal/intake/connections_test.go
+++ b/internal/resourcequota/connections_test.go
@@ -1,4 +1,4 @@
-package intake
+package resourcequota
 
 import (
 	"net"
@@ -18,14 +18,14 @@
 	return nil
 }
 
-func connect(b *Budget, port *Port) (*connection, *pipeConn) {
+func connect(b *Quota, port *Port) (*connection, *pipeConn) {
 	raw := &pipeConn{}
 	return b.accept(raw, port), raw
 }
 
 func TestConnectionsAreEvicted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := NewBudget(Limits{ConnectionBytes: 100 * mib, Connections: 4}) // three of them for one port
+		b := New(Limits{ConnectionBytes: 100 * mib, Connections: 4}) // three of them for one port
 		port, other := &Port{Receive: 32 << 10}, &Port{Receive: 32 << 10}
 		serving, servingRaw := connect(b, port)
 		serving.setPhase(phaseServing)
@@ -58,7 +58,7 @@
 
 func TestConnectionMemoryIsLimited(t *testing.T) {
 	port := &Port{Receive: 32 << 10}
-	b := NewBudget(Limits{ConnectionBytes: 8 * port.cost(), Connections: 1000})
+	b := New(Limits{ConnectionBytes: 8 * port.cost(), Connections: 1000})
 	for range 20 {
 		connect(b, port)
 	}
--- a/internal/intake/limits.go
+++ b/internal/resourcequota/limits.go
@@ -1,6 +1,6 @@
-// Package intake bounds what a process holds for its peers before their requests are admitted: the connections, and the
-// bytes of requests and answers in memory. All servers of a process share one Budget.
-package intake
+// Package resourcequota bounds what a process holds for its peers before their requests are admitted: the connections, and the
+// bytes of requests and answers in memory. All servers of a process share one Quota.
+package resourcequota
 
 import (
 	"math"
@@ -16,7 +16,7 @@
 	Connections     int   `json:"connections"`      // open connections
 }
 
-// SmallRequest is the largest memory of a request, in bytes, that may use the part of the budget reserved for small requests.
+// SmallRequest is the largest memory of a request, in bytes, that may use the part of the quota reserved for small requests.
 const SmallRequest = 64 << 10
 
 // Shares of a machine's memory and descriptors. A quarter of the memory for requests and a quarter for connections leave half to
--- a/internal/intake/main_test.go
+++ b/internal/resourcequota/main_test.go
@@ -1,4 +1,4 @@
-package intake
+package resourcequota
 
 import (
 	"testing"
--- a/internal/intake/metrics.go
+++ b/internal/resourcequota/metrics.go
@@ -1,26 +1,26 @@
-package intake
+package resourcequota
 
 import "github.com/prometheus/client_golang/prometheus"
 
-// The metrics of a Budget.
+// The metrics of a Quota.
 var (
-	bytesMetric      = prometheus.NewDesc("sedgevale_intake_bytes", "Memory held for requests and large answers, in bytes.", nil, nil)
-	bytesLimitMetric = prometheus.NewDesc("sedgevale_intake_bytes_limit",
+	bytesMetric      = prometheus.NewDesc("sedgevale_quota_bytes", "Memory held for requests and large answers, in bytes.", nil, nil)
+	bytesLimitMetric = prometheus.NewDesc("sedgevale_quota_bytes_limit",
 		"Limit of the memory held for requests and large answers, in bytes.", nil, nil)
-	connectionsMetric      = prometheus.NewDesc("sedgevale_intake_connections", "Open connections.", nil, nil)
-	connectionsLimitMetric = prometheus.NewDesc("sedgevale_intake_connections_limit", "Limit of the open connections.", nil, nil)
-	refusalsMetric         = prometheus.NewDesc("sedgevale_intake_refusals_total",
+	connectionsMetric      = prometheus.NewDesc("sedgevale_quota_connections", "Open connections.", nil, nil)
+	connectionsLimitMetric = prometheus.NewDesc("sedgevale_quota_connections_limit", "Limit of the open connections.", nil, nil)
+	refusalsMetric         = prometheus.NewDesc("sedgevale_quota_refusals_total",
 		"Requests and connections for which there was no room, by what became of them.", []string{"reason"}, nil)
 )
 
 // Describe implements prometheus.Collector.
-func (b *Budget) Describe(descriptions chan<- *prometheus.Desc) {
-	prometheus.DescribeByCollect(b, descriptions)
+func (q *Quota) Describe(descriptions chan<- *prometheus.Desc) {
+	prometheus.DescribeByCollect(q, descriptions)
 }
 
 // Collect implements prometheus.Collector.
-func (b *Budget) Collect(metrics chan<- prometheus.Metric) {
-	usage := b.Usage()
+func (q *Quota) Collect(metrics chan<- prometheus.Metric) {
+	usage := q.Usage()
 	gauges := map[*prometheus.Desc]float64{
 		bytesMetric: float64(usage.Bytes), bytesLimitMetric: float64(usage.Limits.RequestBytes),
 		connectionsMetric: float64(usage.Connections), connectionsLimitMetric: float64(usage.Limits.Connections),
--- a/internal/intake/budget_test.go
+++ b/internal/resourcequota/quota_test.go
@@ -1,4 +1,4 @@
-package intake
+package resourcequota
 
 import (
 	"errors"
@@ -15,13 +15,13 @@
 	return Limits{RequestBytes: 8 * mib, SmallBytes: 2 * mib, ConnectionBytes: 100 * mib, Connections: 100}
 }
 
-// hold returns a Hold that counts its interruptions.
-func hold(b *Budget) (h *Hold, interrupted *int) {
+// reservation returns a Reservation that counts its interruptions.
+func reservation(b *Quota) (h *Reservation, interrupted *int) {
 	interrupted = new(int)
-	return b.NewHold(func() { *interrupted++ }), interrupted
+	return b.Reserve(func() { *interrupted++ }), interrupted
 }
 
-func grow(t *testing.T, h *Hold, bytes int64, want error) {
+func grow(t *testing.T, h *Reservation, bytes int64, want error) {
 	t.Helper()
 	if err := h.Grow(bytes); !errors.Is(err, want) {
 		t.Fatalf("Grow(%d): %v, want %v", bytes, err, want)
@@ -48,15 +48,15 @@
 	}
 }
 
-// Large requests leave SmallBytes to small ones, also when a single one of them exceeds the whole budget.
+// Large requests leave SmallBytes to small ones, also when a single one of them exceeds the whole quota.
 func TestSmallRequestsKeepTheirPart(t *testing.T) {
 	for _, large := range []int64{6 * mib, 20 * mib} {
-		b := NewBudget(testLimits())
-		first, _ := hold(b)
+		b := New(testLimits())
+		first, _ := reservation(b)
 		grow(t, first, large, nil)
-		second, _ := hold(b)
+		second, _ := reservation(b)
 		grow(t, second, mib, ErrBusy)
-		small, _ := hold(b)
+		small, _ := reservation(b)
 		grow(t, small, SmallRequest, nil)
 		grow(t, small, 1, ErrBusy) // it would be large
 		first.Release()
@@ -67,18 +67,18 @@
 // Only a request that has been incomplete for stallTimeout is interrupted, the oldest first and no more than needed.
 func TestStalledRequestsMakeRoom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := NewBudget(testLimits())
-		complete, completeInterrupted := hold(b)
+		b := New(testLimits())
+		complete, completeInterrupted := reservation(b)
 		grow(t, complete, mib, nil)
 		if complete.Complete() {
 			t.Error("the complete request counts as interrupted")
 		}
-		oldest, oldestInterrupted := hold(b)
+		oldest, oldestInterrupted := reservation(b)
 		grow(t, oldest, 3*mib, nil)
 		time.Sleep(stallTimeout / 2)
-		younger, youngerInterrupted := hold(b)
+		younger, youngerInterrupted := reservation(b)
 		grow(t, younger, 2*mib, nil)
-		next, _ := hold(b)
+		next, _ := reservation(b)
 		grow(t, next, 2*mib, ErrBusy)
 		time.Sleep(stallTimeout/2 + time.Millisecond)
 		go func() {
@@ -98,11 +98,11 @@
 // A request that was interrupted and does not end leaves the others refused after roomTimeout.
 func TestWaitForRoomEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := NewBudget(testLimits())
-		stuck, _ := hold(b)
+		b := New(testLimits())
+		stuck, _ := reservation(b)
 		grow(t, stuck, 6*mib, nil)
 		time.Sleep(2 * stallTimeout)
-		next, _ := hold(b)
+		next, _ := reservation(b)
 		began := time.Now()
 		grow(t, next, mib, ErrBusy)
 		if waited := time.Since(began); waited != roomTimeout {
@@ -114,27 +114,27 @@
 	})
 }
 
-// The budget's sums are those of its holds, and only a single large request exceeds the limits.
-func TestBudgetThroughRandomHistories(t *testing.T) {
+// The quota's sums are those of its reservations, and only a single large request exceeds the limits.
+func TestQuotaThroughRandomHistories(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := NewBudget(testLimits())
-		holds := map[*Hold]int64{}
+		b := New(testLimits())
+		reservations := map[*Reservation]int64{}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			h, _ := hold(b)
-			if len(holds) > 0 && rapid.Bool().Draw(t, "known") {
-				for h = range holds {
+			h, _ := reservation(b)
+			if len(reservations) > 0 && rapid.Bool().Draw(t, "known") {
+				for h = range reservations {
 					break
 				}
 			}
 			if rapid.IntRange(0, 3).Draw(t, "release") == 0 {
 				h.Release()
-				delete(holds, h)
+				delete(reservations, h)
 			} else if bytes := rapid.Int64Range(1, 4*mib).Draw(t, "bytes"); h.TryGrow(bytes) == nil {
-				holds[h] += bytes
+				reservations[h] += bytes
 			}
 			var used, large int64
 			largest := 0
-			for _, bytes := range holds {
+			for _, bytes := range reservations {
 				used += bytes
 				if bytes > SmallRequest {
 					large += bytes
@@ -142,7 +142,7 @@
 				}
 			}
 			if b.used != used || b.large != large {
-				t.Fatalf("the budget counts %d bytes, %d large; its holds have %d, %d", b.used, b.large, used, large)
+				t.Fatalf("the quota counts %d bytes, %d large; its reservations have %d, %d", b.used, b.large, used, large)
 			}
 			if largest > 1 && large > b.limits.RequestBytes-b.limits.SmallBytes {
 				t.Fatalf("%d large requests have %d bytes", largest, large)
@@ -151,11 +151,11 @@
 	})
 }
 
-func TestNilHold(t *testing.T) {
-	var h *Hold
+func TestNilReservation(t *testing.T) {
+	var h *Reservation
 	grow(t, h, mib, nil)
 	if h.Complete() || h.TryGrow(mib) != nil {
-		t.Error("a nil Hold refuses or was interrupted")
+		t.Error("a nil Reservation refuses or was interrupted")
 	}
 	h.Release()
 }
--- a/internal/intake/server.go
+++ b/internal/resourcequota/server.go
@@ -1,4 +1,4 @@
-package intake
+package resourcequota
 
 import (
 	"context"
@@ -22,19 +22,19 @@
 // refusalText is the answer on a connection for which there is no room.
 const refusalText = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
-// Serve makes an HTTP server count its connections and requests against the budget, and returns the listener that the server must
+// Serve makes an HTTP server count its connections and requests against the quota, and returns the listener that the server must
 // serve. It replaces the server's ConnContext, ConnState and Handler.
-func (b *Budget) Serve(server *http.Server, listener net.Listener, port *Port) net.Listener {
-	LimitSocket(listener, port.Receive, b.portLimit(port)/backlogShare)
+func (q *Quota) Serve(server *http.Server, listener net.Listener, port *Port) net.Listener {
+	LimitSocket(listener, port.Receive, q.portLimit(port)/backlogShare)
 	server.ConnContext = withConnection
 	server.ConnState = trackState
 	server.Handler = trackRequests(server.Handler)
-	return &budgetListener{Listener: listener, budget: b, port: port}
+	return &quotaListener{Listener: listener, quota: q, port: port}
 }
 
 // LimitSocket sets the size in bytes of the buffer for what a peer sends, which accepted connections inherit, and the number of
-// connections that the kernel keeps until they are accepted. It does nothing for listeners that are not sockets. A system that does not know an option keeps its
-// default.
+// connections that the kernel keeps until they are accepted. It does nothing for listeners that are not sockets. A system that
+// does not know an option keeps its default.
 func LimitSocket(listener net.Listener, receive, backlog int) {
 	socket, ok := listener.(syscall.Conn)
 	if !ok {
@@ -77,21 +77,21 @@
 	})
 }
 
-// budgetListener accepts connections that count against a Budget.
-type budgetListener struct {
+// quotaListener accepts connections that count against a Quota.
+type quotaListener struct {
 	net.Listener
-	budget *Budget
-	port   *Port
+	quota *Quota
+	port  *Port
 }
 
 // Accept returns the next connection for which there is room. It answers and closes the others.
-func (l *budgetListener) Accept() (net.Conn, error) {
+func (l *quotaListener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
-		if c := l.budget.accept(conn, l.port); c != nil {
+		if c := l.quota.accept(conn, l.port); c != nil {
 			LimitUnsent(conn)
 			return c, nil
 		}
@@ -108,7 +108,7 @@
 	return context.WithValue(ctx, connectionKey{}, conn)
 }
 
-// connectionOf returns the connection of a request, or nil if its server has no budget.
+// connectionOf returns the connection of a request, or nil if its server has no quota.
 func connectionOf(ctx context.Context) *connection {
 	c, _ := ctx.Value(connectionKey{}).(*connection)
 	return c
--- a/internal/reverseproxy/proxy.go
+++ b/internal/reverseproxy/proxy.go
@@ -35,7 +35,7 @@
 	Clock  dispatchdriver.Clock // clock of the planner and the pools
 	Seed   uint64               // seed of the planner's random number generator
 	Budget *fdlimit.Limiter     // limiter of open file descriptors
-	Intake *httpd.Intake        // bounds the memory for clients; nil for no bound
+	Quota  *httpd.Quota         // bounds the memory for clients; nil for no bound
 	Log    *slog.Logger
 }
 
@@ -113,7 +113,7 @@
 		limits := httpd.Limits{FirstByte: timeout, FirstRequest: timeout, Request: timeout, Idle: dispatchconfig.Seconds(f.IdleTimeout)}
 		for _, addr := range f.Listen {
 			server := httpd.NewWithLimits(addr, o.Loops, &frontendHandler{p, f.Name}, limits, o.Budget, o.Log)
-			server.SetIntake(o.Intake)
+			server.SetQuota(o.Quota)
 			p.servers = append(p.servers, server)
 		}
 	}
--- a/internal/reverseproxy/server_conn.go
+++ b/internal/reverseproxy/server_conn.go
@@ -256,23 +256,23 @@
 	if !ok {
 		return
 	}
-	hold, err := sc.transport.proxy.opt.Intake.Hold(streamBytes, func() {})
+	reservation, err := sc.transport.proxy.opt.Quota.Reserve(streamBytes, func() {})
 	if err != nil {
 		sc.failResponse(err)
 		return
 	}
-	hold.Complete() // what the client does not read counts at its own connection
+	reservation.Complete() // what the client does not read counts at its own connection
 	sc.deliver(part)
 	sc.detached = true
 	nc, rest, err := sc.transport.loop.Detach(sc.loopConn)
 	if err != nil {
 		sc.detached = false
-		hold.Release()
+		reservation.Release()
 		sc.failResponse(err)
 		return
 	}
 	go func() {
-		defer hold.Release()
+		defer reservation.Release()
 		defer sc.transport.proxy.opt.Budget.Release()
 		defer func() { _ = nc.Close() }()
 		sc.streamRest(ua, lr, nc, rest)
--- a/internal/reverseproxy/transfer.go
+++ b/internal/reverseproxy/transfer.go
@@ -11,7 +11,7 @@
 	"sedgevale/internal/dispatchdriver"
 	"sedgevale/internal/http1"
 	"sedgevale/internal/httpd"
-	"sedgevale/internal/intake"
+	"sedgevale/internal/resourcequota"
 )
 
 const (
@@ -154,7 +154,7 @@
 		return true
 	}
 	defer r.proxy.opt.Budget.Release()
-	dialer := net.Dialer{Timeout: connect, Control: intake.LimitReceive}
+	dialer := net.Dialer{Timeout: connect, Control: resourcequota.LimitReceive}
 	server, err := dialer.DialContext(t.ctx, "tcp", addr)
 	switch {
 	case err != nil && t.ctx.Err() != nil: // stopped while connecting
--- a/internal/system/core/controlplane/controlplane.go
+++ b/internal/system/core/controlplane/controlplane.go
@@ -10,7 +10,7 @@
 
 	"github.com/go-logr/logr"
 
-	"sedgevale/internal/intake"
+	"sedgevale/internal/resourcequota"
 	"sedgevale/internal/system/clusterconfig"
 	"sedgevale/internal/system/result"
 )
@@ -31,7 +31,7 @@
 
 // changeLimits bound the body of a change. It is held as it is sent and parsed, and as the texts of the old and the new
 // configuration.
-var changeLimits = intake.BodyLimits{MaxBytes: maxConfigBytes, Copies: 4}
+var changeLimits = resourcequota.BodyLimits{MaxBytes: maxConfigBytes, Copies: 4}
 
 // ConfigStore gives access to the replicated configuration. Its errors have codes of package result.
 type ConfigStore interface {
@@ -78,10 +78,10 @@
 
 // changeConfig applies a change. The change continues if the operator closes the connection.
 func (s *server) changeConfig(w http.ResponseWriter, r *http.Request, patch bool) {
-	body, hold, err := intake.ReadBody(r, changeLimits)
-	defer hold.Release()
+	body, reservation, err := resourcequota.ReadBody(r, changeLimits)
+	defer reservation.Release()
 	if err != nil {
-		intake.WriteRefusal(w, err)
+		resourcequota.WriteRefusal(w, err)
 		return
 	}
 	baseVersion, err := parseIfMatch(r.Header.Get("If-Match"))
@@ -114,7 +114,7 @@
 	case semaphore <- struct{}{}:
 		return true
 	case <-ctx.Done():
-		w.Header().Set("Retry-After", intake.RetryAfterSeconds)
+		w.Header().Set("Retry-After", resourcequota.RetryAfterSeconds)
 		writeError(w, result.Errorf(result.NotReady, "%d requests of this kind are in progress", cap(semaphore)))
 		return false
 	}
--- a/internal/system/edge/handler.go
+++ b/internal/system/edge/handler.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	"sedgevale/internal/intake"
+	"sedgevale/internal/resourcequota"
 	"sedgevale/internal/system/api"
 	"sedgevale/internal/system/clusterconfig"
 	"sedgevale/jobs"
@@ -86,11 +86,11 @@
 	if maxBytes <= 0 {
 		maxBytes = defaultMaxBodyBytes
 	}
-	limits := intake.BodyLimits{MaxBytes: min(maxBytes, jobs.MaxBodyBytes), Copies: bodyCopies}
-	body, hold, err := intake.ReadBody(httpRequest, limits)
-	defer hold.Release()
+	limits := resourcequota.BodyLimits{MaxBytes: min(maxBytes, jobs.MaxBodyBytes), Copies: bodyCopies}
+	body, reservation, err := resourcequota.ReadBody(httpRequest, limits)
+	defer reservation.Release()
 	if err != nil {
-		intake.WriteRefusal(w, err)
+		resourcequota.WriteRefusal(w, err)
 		return
 	}
 	if err := validateJob(body); err != nil {
--- a/internal/system/node/metrics.go
+++ b/internal/system/node/metrics.go
@@ -20,7 +20,7 @@
 		port = p.Settings.PortRange[1]
 	}
 	p.metrics = prometheus.NewRegistry()
-	p.RegisterMetrics(p.budget, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	p.RegisterMetrics(p.quota, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(p.metrics, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes}))
 	return p.Listen(ctx, net.JoinHostPort(p.Settings.IP, strconv.Itoa(port)), mux)
--- a/internal/system/node/node.go
+++ b/internal/system/node/node.go
@@ -20,7 +20,7 @@
 	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"sedgevale/internal/intake"
+	"sedgevale/internal/resourcequota"
 	"sedgevale/internal/system/rpc"
 	"sedgevale/internal/system/settings"
 	"sedgevale/workeragent"
@@ -53,7 +53,7 @@
 	Settings *settings.Settings
 	Logger   logr.Logger
 	Client   *rpc.Client
-	budget   *intake.Budget // shared by all servers of the process
+	quota    *resourcequota.Quota // shared by all servers of the process
 	current  atomic.Pointer[settings.Settings]
 	metrics  *prometheus.Registry // nil if metrics are not served
 	listen   func(address string) (net.Listener, error)
@@ -66,24 +66,24 @@
 // NewProcess returns a process that uses dial and listen for all connections. Run uses TCP; tests use a simulated network.
 func NewProcess(s *settings.Settings, logger logr.Logger, dial rpc.Dial, listen func(string) (net.Listener, error)) *Process {
 	p := &Process{
-		Settings: s, Logger: logger, Client: rpc.NewClient(dial), budget: intake.NewBudget(intakeLimits(s)), listen: listen,
+		Settings: s, Logger: logger, Client: rpc.NewClient(dial), quota: resourcequota.New(quotaLimits(s)), listen: listen,
 	}
 	p.current.Store(s)
 	return p
 }
 
-// intakeLimits returns the limits of what the process holds for its peers: those of the settings, or else those that follow from
+// quotaLimits returns the limits of what the process holds for its peers: those of the settings, or else those that follow from
 // the memory and the descriptors of its machine.
-func intakeLimits(s *settings.Settings) intake.Limits {
-	limits := intake.LimitsFor(s.Limits.MemoryMB<<20, s.Limits.FileDescriptors)
-	if s.Intake.RequestMB > 0 {
-		limits.SetRequestBytes(s.Intake.RequestMB << 20)
+func quotaLimits(s *settings.Settings) resourcequota.Limits {
+	limits := resourcequota.LimitsFor(s.Limits.MemoryMB<<20, s.Limits.FileDescriptors)
+	if s.ResourceQuota.RequestMB > 0 {
+		limits.SetRequestBytes(s.ResourceQuota.RequestMB << 20)
 	}
-	if s.Intake.ConnectionMB > 0 {
-		limits.ConnectionBytes = s.Intake.ConnectionMB << 20
+	if s.ResourceQuota.ConnectionMB > 0 {
+		limits.ConnectionBytes = s.ResourceQuota.ConnectionMB << 20
 	}
-	if s.Intake.Connections > 0 {
-		limits.Connections = s.Intake.Connections
+	if s.ResourceQuota.Connections > 0 {
+		limits.Connections = s.ResourceQuota.Connections
 	}
 	return limits
 }
@@ -196,7 +196,7 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	setServerDefaults(server)
-	listener = p.budget.Serve(server, listener, &intake.Port{Receive: receive})
+	listener = p.quota.Serve(server, listener, &resourcequota.Port{Receive: receive})
 	server.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)
 	p.mu.Lock()
 	p.servers = append(p.servers, server)
--- a/internal/system/node/node_test.go
+++ b/internal/system/node/node_test.go
@@ -13,7 +13,7 @@
 	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"sedgevale/internal/intake"
+	"sedgevale/internal/resourcequota"
 	"sedgevale/internal/system/rpc"
 	"sedgevale/internal/system/settings"
 )
@@ -74,23 +74,23 @@
 }
 
 // The settings replace single limits of those that follow from the memory and the descriptors.
-func TestIntakeLimits(t *testing.T) {
+func TestQuotaLimits(t *testing.T) {
 	s := &settings.Settings{Limits: settings.Limits{MemoryMB: 96, FileDescriptors: 1024}}
-	derived := intake.LimitsFor(96<<20, 1024)
-	if got := intakeLimits(s); got != derived {
+	derived := resourcequota.LimitsFor(96<<20, 1024)
+	if got := quotaLimits(s); got != derived {
 		t.Errorf("limits %+v, want those derived from the machine, %+v", got, derived)
 	}
-	s.Intake = settings.Intake{RequestMB: 8, ConnectionMB: 3, Connections: 7}
-	if got, want := intakeLimits(s), (intake.Limits{RequestBytes: 8 << 20, SmallBytes: 2 << 20, ConnectionBytes: 3 << 20, Connections: 7}); got != want {
+	s.ResourceQuota = settings.ResourceQuota{RequestMB: 8, ConnectionMB: 3, Connections: 7}
+	if got, want := quotaLimits(s), (resourcequota.Limits{RequestBytes: 8 << 20, SmallBytes: 2 << 20, ConnectionBytes: 3 << 20, Connections: 7}); got != want {
 		t.Errorf("limits %+v, want %+v", got, want)
 	}
 }
 
-// The metrics of the budget have their names and values in what the endpoint serves.
-func TestIntakeMetrics(t *testing.T) {
+// The metrics of the quota have their names and values in what the endpoint serves.
+func TestQuotaMetrics(t *testing.T) {
 	registry := prometheus.NewRegistry()
-	budget := intake.NewBudget(intake.Limits{RequestBytes: 5, Connections: 6})
-	if err := registry.Register(budget); err != nil {
+	quota := resourcequota.New(resourcequota.Limits{RequestBytes: 5, Connections: 6})
+	if err := registry.Register(quota); err != nil {
 		t.Fatal(err)
 	}
 	families, err := registry.Gather()
@@ -104,8 +104,8 @@
 		}
 	}
 	want := map[string]float64{
-		"sedgevale_intake_bytes": 0, "sedgevale_intake_bytes_limit": 5, "sedgevale_intake_connections": 0,
-		"sedgevale_intake_connections_limit": 6, "sedgevale_intake_refusals_total": 0,
+		"sedgevale_quota_bytes": 0, "sedgevale_quota_bytes_limit": 5, "sedgevale_quota_connections": 0,
+		"sedgevale_quota_connections_limit": 6, "sedgevale_quota_refusals_total": 0,
 	}
 	if !maps.Equal(values, want) {
 		t.Errorf("metrics %v, want %v", values, want)
--- a/internal/system/rpc/intake_test.go
+++ b/internal/system/rpc/quota_test.go
@@ -9,11 +9,11 @@
 	"testing"
 	"time"
 
-	"sedgevale/internal/intake"
+	"sedgevale/internal/resourcequota"
 	"sedgevale/internal/system/result"
 )
 
-// startBounded serves a method that echoes its message, with a budget of the given number of bytes.
+// startBounded serves a method that echoes its message, with a quota of the given number of bytes.
 func startBounded(t *testing.T, bytes, limit int64) (address string, calls *int) {
 	t.Helper()
 	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp4", "127.0.0.1:0")
@@ -26,14 +26,14 @@
 		*calls++
 		return m, nil
 	})
-	budget := intake.NewBudget(intake.Limits{RequestBytes: bytes, SmallBytes: bytes / 4, ConnectionBytes: 1 << 20, Connections: 100})
-	hold := budget.NewHold(func() {}) // leaves no room for another large message
-	if err := hold.Grow(bytes / 2); err != nil {
+	quota := resourcequota.New(resourcequota.Limits{RequestBytes: bytes, SmallBytes: bytes / 4, ConnectionBytes: 1 << 20, Connections: 100})
+	reservation := quota.Reserve(func() {}) // leaves no room for another large message
+	if err := reservation.Grow(bytes / 2); err != nil {
 		t.Fatal(err)
 	}
-	hold.Complete()
+	reservation.Complete()
 	httpServer := &http.Server{Handler: server.Handler(), ReadHeaderTimeout: time.Second}
-	listener = budget.Serve(httpServer, listener, &intake.Port{Receive: 64 << 10})
+	listener = quota.Serve(httpServer, listener, &resourcequota.Port{Receive: 64 << 10})
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/system/rpc/rpc.go
+++ b/internal/system/rpc/rpc.go
@@ -18,7 +18,7 @@
 	"golang.org/x/sys/unix"
 
 	"sedgevale/internal/avrocodec"
-	"sedgevale/internal/intake"
+	"sedgevale/internal/resourcequota"
 	"sedgevale/internal/system/result"
 )
 
@@ -131,7 +131,7 @@
 // Server dispatches calls to registered methods.
 type Server struct {
 	mux    *http.ServeMux
-	limits intake.BodyLimits // of a call's body, which is held as it is sent and decoded
+	limits resourcequota.BodyLimits // of a call's body, which is held as it is sent and decoded
 }
 
 // NewServer returns a Server with no methods registered.
@@ -139,7 +139,7 @@
 
 // NewServerWithLimit returns a Server with no methods registered that refuses calls of more than the given number of bytes.
 func NewServerWithLimit(bytes int64) *Server {
-	return &Server{mux: http.NewServeMux(), limits: intake.BodyLimits{MaxBytes: bytes, Copies: 2, NeedsLength: true}}
+	return &Server{mux: http.NewServeMux(), limits: resourcequota.BodyLimits{MaxBytes: bytes, Copies: 2, NeedsLength: true}}
 }
 
 // Handler returns the HTTP handler of all methods.
@@ -148,8 +148,8 @@
 // Handle registers a method. An error that serve returns is sent to the caller with the code that result.CodeOf returns.
 func Handle[Request, Response any](s *Server, method string, serve func(context.Context, *Request) (*Response, error)) {
 	s.mux.HandleFunc("POST "+pathPrefix+method, func(w http.ResponseWriter, r *http.Request) {
-		body, hold, err := intake.ReadBody(r, s.limits)
-		defer hold.Release()
+		body, reservation, err := resourcequota.ReadBody(r, s.limits)
+		defer reservation.Release()
 		if err != nil {
 			w.Header().Set("Connection", "close") // the rest of the body may still be on its way
 			writeError(w, result.Errorf(refusalCode(err), "%s: %w", method, err))
@@ -170,8 +170,8 @@
 			writeError(w, fmt.Errorf("%s: %w", method, err))
 			return
 		}
-		if len(text) > intake.SmallRequest {
-			if err := hold.Grow(int64(len(text))); err != nil {
+		if len(text) > resourcequota.SmallRequest {
+			if err := reservation.Grow(int64(len(text))); err != nil {
 				writeError(w, result.Errorf(result.OutcomeUnknown, "%s: the answer: %w", method, err))
 				return
 			}
@@ -184,7 +184,7 @@
 
 // refusalCode returns the result code for a call whose body could not be read. The call has not been applied.
 func refusalCode(err error) result.Code {
-	if errors.Is(err, intake.ErrBusy) {
+	if errors.Is(err, resourcequota.ErrBusy) {
 		return result.Unavailable
 	}
 	return result.BadRequest
--- a/internal/system/settings/settings.go
+++ b/internal/system/settings/settings.go
@@ -36,9 +36,9 @@
 	Limits          Limits            `json:"limits"`   // resource limits of the process
 	DataDir         string            `json:"data_dir"` // directory of a core scheduler's snapshot and log
 	HeartbeatMS     int               `json:"heartbeat_ms"`
-	FaultTolerance  FaultTolerance    `json:"fault_tolerance"` // determines the number of seats of the core
-	Bounds          Bounds            `json:"bounds"`          // time limits, most of which have no effect
-	Intake          Intake            `json:"intake,omitzero"` // limits of what the process holds for its peers
+	FaultTolerance  FaultTolerance    `json:"fault_tolerance"`         // determines the number of seats of the core
+	Bounds          Bounds            `json:"bounds"`                  // time limits, most of which have no effect
+	ResourceQuota   ResourceQuota     `json:"resource_quota,omitzero"` // limits of what the process holds for its peers
 	Commands        string            `json:"commands"`
 	App             string            `json:"app"`
 	Service         string            `json:"service"`
@@ -59,8 +59,8 @@
 	DiskMB          int64   `json:"disk_mb"`
 }
 
-// Intake bounds what the process holds for its peers. A value of 0 means the default, which follows from Limits.
-type Intake struct {
+// ResourceQuota bounds what the process holds for its peers. A value of 0 means the default, which follows from Limits.
+type ResourceQuota struct {
 	RequestMB    int64 `json:"request_mb"`    // memory of requests and large answers in MiB; by default a quarter of the memory
 	ConnectionMB int64 `json:"connection_mb"` // memory of connections in MiB; by default a quarter of the memory
 	Connections  int   `json:"connections"`   // open connections; by default half of the descriptors beyond 200
@@ -191,8 +191,8 @@
 	if s.Limits.MemoryMB < 0 {
 		return errors.New("limits.memory_mb: must not be negative")
 	}
-	if s.Intake.RequestMB < 0 || s.Intake.ConnectionMB < 0 || s.Intake.Connections < 0 {
-		return errors.New("intake: its limits must not be negative")
+	if s.ResourceQuota.RequestMB < 0 || s.ResourceQuota.ConnectionMB < 0 || s.ResourceQuota.Connections < 0 {
+		return errors.New("resource_quota: its limits must not be negative")
 	}
 	if s.FaultTolerance.Machines < 0 || s.FaultTolerance.Machines > 4 {
 		return fmt.Errorf("fault_tolerance.machines: %d is not between 0 and 4", s.FaultTolerance.Machines)
--- a/internal/system/settings/settings_test.go
+++ b/internal/system/settings/settings_test.go
@@ -33,7 +33,7 @@
 		"bind_addrs":               {`"control_plane":"10.0.0.1:80"`, `"control_plane":"x"`},
 		"limits.memory_mb":         {`"memory_mb":100`, `"memory_mb":-1`},
 		"fault_tolerance.machines": {`"machines":1`, `"machines":9`},
-		"intake":                   {`"data_dir":null`, `"intake":{"connections":-1}`},
+		"resource_quota":           {`"data_dir":null`, `"resource_quota":{"connections":-1}`},
 		"decode JSON":              {`"data_dir":null}`, ``},
 	}
 	for key, change := range cases {
--- a/internal/system/side/heartbeat.go
+++ b/internal/system/side/heartbeat.go
@@ -4,7 +4,7 @@
 	"net/http"
 	"time"
 
-	"sedgevale/internal/intake"
+	"sedgevale/internal/resourcequota"
 	"sedgevale/workeragent"
 )
 
@@ -15,16 +15,16 @@
 )
 
 // heartbeatLimits bound the body of a heartbeat. It is held as it is sent, parsed, and in the agent's state.
-var heartbeatLimits = intake.BodyLimits{MaxBytes: maxHeartbeatBytes, Copies: 3}
+var heartbeatLimits = resourcequota.BodyLimits{MaxBytes: maxHeartbeatBytes, Copies: 3}
 
 // handleHeartbeat applies a worker's heartbeat and responds with the orders for the worker. The heartbeat of an idle
 // worker is a long poll: no task can end in the meantime, and the response is delayed until there are orders, for at most
 // orderWaitTimeout, so that tasks start without waiting for the next heartbeat.
 func (s *Scheduler) handleHeartbeat(w http.ResponseWriter, r *http.Request) {
-	body, hold, err := intake.ReadBody(r, heartbeatLimits)
-	defer hold.Release()
+	body, reservation, err := resourcequota.ReadBody(r, heartbeatLimits)
+	defer reservation.Release()
 	if err != nil {
-		intake.WriteRefusal(w, err)
+		resourcequota.WriteRefusal(w, err)
 		return
 	}
 	heartbeat := workeragent.Heartbeat{}
@@ -38,7 +38,7 @@
 		http.Error(w, "sequence: a later heartbeat came before", http.StatusConflict)
 		return
 	case heartbeatRefused:
-		w.Header().Set("Retry-After", intake.RetryAfterSeconds)
+		w.Header().Set("Retry-After", resourcequota.RetryAfterSeconds)
 		http.Error(w, "too many or too large incarnations of the worker", http.StatusServiceUnavailable)
 		return
 	case heartbeatReplaced:
--- a/scheduler/build.go
+++ b/scheduler/build.go
@@ -53,7 +53,7 @@
 		return nil, err
 	}
 	settings.WatchOnDemand = c.Discovery != "" // the scheduler requests the list from discovery even where the platform pushes lists
-	s := &Scheduler{options: opt, config: c, clock: dispatchdriver.NewClock(), descriptors: fdlimit.New(0), intake: newIntake(c),
+	s := &Scheduler{options: opt, config: c, clock: dispatchdriver.NewClock(), descriptors: fdlimit.New(0), quota: newQuota(c),
 		cordonSemaphore: make(chan struct{}, 1), siblings: siblingSet{all: map[*sibling]struct{}{}, added: make(chan struct{}, 1)}}
 	s.settings.Store(&settings)
 	s.current.Store(c)
@@ -148,7 +148,7 @@
 	if c.Web != nil {
 		var err error
 		if s.reverseProxy, err = reverseproxy.New(reverseproxy.Options{Config: c.Web, Loops: c.EventLoops, Loop: s.workerLoop, Clock: s.clock,
-			Seed: c.SeedNumber() + uint64(max(1, c.Planners)), Budget: s.descriptors, Intake: s.intake, Log: log}); err != nil {
+			Seed: c.SeedNumber() + uint64(max(1, c.Planners)), Budget: s.descriptors, Quota: s.quota, Log: log}); err != nil {
 			return err
 		}
 		s.servers = append(s.servers, s.reverseProxy.Servers()...)
@@ -163,7 +163,7 @@
 
 // addServer adds a server for clients, whose memory counts against that of the process.
 func (s *Scheduler) addServer(server *httpd.Server) {
-	server.SetIntake(s.intake)
+	server.SetQuota(s.quota)
 	s.servers = append(s.servers, server)
 }
 
@@ -180,7 +180,7 @@
 	if c.Ops != "" {
 		s.opsServer = httpd.New(c.Ops, 1, ops.New(s, s.journalReader(), s.opsPages()),
 			fdlimit.New(fdlimit.Reserve+reservedOpsDescriptors/2), log)
-		s.opsServer.SetIntake(s.intake)
+		s.opsServer.SetQuota(s.quota)
 	}
 }
 
--- a/scheduler/operate.go
+++ b/scheduler/operate.go
@@ -122,8 +122,8 @@
 
 // opsPages returns the status pages for operators by path.
 func (s *Scheduler) opsPages() map[string]ops.Page {
-	pages := map[string]ops.Page{"/admin/intake": {Type: "application/json", Read: func() []byte {
-		b, _ := json.Marshal(s.intake.Budget.Usage()) // cannot fail for this type
+	pages := map[string]ops.Page{"/admin/quota": {Type: "application/json", Read: func() []byte {
+		b, _ := json.Marshal(s.quota.Memory.Usage()) // cannot fail for this type
 		return append(b, '\n')
 	}}}
 	if s.reverseProxy != nil {
--- a/scheduler/resources.go
+++ b/scheduler/resources.go
@@ -6,7 +6,7 @@
 
 	"sedgevale/internal/dispatchconfig"
 	"sedgevale/internal/httpd"
-	"sedgevale/internal/intake"
+	"sedgevale/internal/resourcequota"
 )
 
 const (
@@ -41,18 +41,18 @@
 	}
 }
 
-// newIntake returns the bounds of the memory for clients.
-func newIntake(c *dispatchconfig.Config) *httpd.Intake {
-	bounds := httpd.NewIntake(int64(c.Limits.MemoryMB)<<20, c.Limits.Sockets)
-	bounds.Budget.SetLimits(intakeLimits(c, 1))
+// newQuota returns the bounds of the memory for clients.
+func newQuota(c *dispatchconfig.Config) *httpd.Quota {
+	bounds := httpd.NewQuota(int64(c.Limits.MemoryMB)<<20, c.Limits.Sockets)
+	bounds.Memory.SetLimits(quotaLimits(c, 1))
 	return bounds
 }
 
-// intakeLimits returns the limits of the memory for clients of one of several processes that share the configured memory equally.
-func intakeLimits(c *dispatchconfig.Config, processes int) intake.Limits {
-	limits := intake.LimitsFor(int64(c.Limits.MemoryMB)<<20/int64(processes), c.Limits.Sockets)
-	if c.Intake.RequestMB > 0 {
-		limits.SetRequestBytes(int64(c.Intake.RequestMB) << 20 / int64(processes))
+// quotaLimits returns the limits of the memory for clients of one of several processes that share the configured memory equally.
+func quotaLimits(c *dispatchconfig.Config, processes int) resourcequota.Limits {
+	limits := resourcequota.LimitsFor(int64(c.Limits.MemoryMB)<<20/int64(processes), c.Limits.Sockets)
+	if c.ResourceQuota.RequestMB > 0 {
+		limits.SetRequestBytes(int64(c.ResourceQuota.RequestMB) << 20 / int64(processes))
 	}
 	return limits
 }
@@ -78,7 +78,7 @@
 		used += sib.descriptorsInUse()
 	}
 	s.descriptors.SetOtherProcesses(used)
-	s.intake.Budget.SetLimits(intakeLimits(s.current.Load(), 1+len(siblings)))
+	s.quota.Memory.SetLimits(quotaLimits(s.current.Load(), 1+len(siblings)))
 	if s.options.OnProcessCount != nil {
 		s.options.OnProcessCount(1 + len(siblings))
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -65,8 +65,8 @@
 	requestParser   *jobrequest.Parser
 	clock           dispatchdriver.Clock
 	descriptors     *fdlimit.Limiter
-	intake          *httpd.Intake // bounds the memory for clients of all servers
-	workerLoop      *evloop.Loop  // event loop of the connections to workers, discovery and sibling processes
+	quota           *httpd.Quota // bounds the memory for clients of all servers
+	workerLoop      *evloop.Loop // event loop of the connections to workers, discovery and sibling processes
 	pool            *upstream.Pool
 	watcher         *discovery.Watcher
 	planners        *dispatchdriver.Set
