--- a/internal/resourcequota/body_test.go
+++ b/internal/resourcequota/body_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"sedgevale/internal/testkit"
 )
 
 // startServer serves a handler that reads bodies and answers with their length.
@@ -30,46 +31,12 @@
 		_, _ = fmt.Fprint(w, len(body))
 	})
 	listener = b.Serve(server, listener, &Port{Receive: 32 << 10})
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = server.Serve(listener) // returns when the server is closed
-	}()
-	t.Cleanup(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		defer cancel()
-		if err := server.Shutdown(ctx); err != nil { // waits until connections with a refused body are closed
-			t.Error(err)
-		}
-		<-done
-	})
+	testkit.Serve(t, server, listener)
 	return listener.Addr().String()
 }
 
-// answer is the response to a request.
-type answer struct {
-	status     int
-	retryAfter string
-	last       bool // whether the server closes the connection
-	body       string
-}
-
-func readAnswer(t *testing.T, conn net.Conn) answer {
-	t.Helper()
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return answer{response.StatusCode, response.Header.Get("Retry-After"), response.Close, strings.TrimSpace(string(body))}
-}
-
 // send sends the text of a request and returns the response.
-func send(t *testing.T, address, text string) answer {
+func send(t *testing.T, address, text string) testkit.Response {
 	t.Helper()
 	var dialer net.Dialer
 	conn, err := dialer.DialContext(t.Context(), "tcp", address)
@@ -83,7 +50,11 @@
 	if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
 		t.Fatal(err)
 	}
-	return readAnswer(t, conn)
+	response, err := testkit.ReadResponse(bufio.NewReader(conn))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response
 }
 
 const chunkedHead = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -116,7 +87,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			b := New(testLimits())
 			address := startServer(t, b, BodyLimits{MaxBytes: limit, Copies: 3, NeedsLength: test.needsLength})
-			if a := send(t, address, test.request); a.status != test.status || a.body != test.body {
+			if a := send(t, address, test.request); a.Status != test.status || strings.TrimSpace(a.Body) != test.body {
 				t.Errorf("%+v, want %d %q", a, test.status, test.body)
 			}
 			if bytes := b.Usage().Bytes; bytes != 0 {
@@ -136,15 +107,15 @@
 	for _, request := range []string{
 		withLength(mib / 4), chunkedHead + fmt.Sprintf("%x\r\n%s", mib/4, strings.Repeat("x", mib/4)),
 	} {
-		if a := send(t, address, request); a.status != 503 || a.retryAfter != RetryAfterSeconds || !a.last {
+		if a := send(t, address, request); a.Status != 503 || a.Header.Get("Retry-After") != RetryAfterSeconds || !a.Last {
 			t.Errorf("%+v, want 503 with Retry-After on a connection that ends", a)
 		}
 	}
-	if a := send(t, address, withLength(3)+"abc"); a.status != 200 {
+	if a := send(t, address, withLength(3)+"abc"); a.Status != 200 {
 		t.Errorf("a small body: %+v", a)
 	}
 	other.Release()
-	if a := send(t, address, withLength(mib/4)+strings.Repeat("x", mib/4)); a.status != 200 {
+	if a := send(t, address, withLength(mib/4)+strings.Repeat("x", mib/4)); a.Status != 200 {
 		t.Errorf("after the release: %+v", a)
 	}
 	if bytes := b.Usage().Bytes; bytes != 0 {
@@ -166,10 +137,10 @@
 		t.Fatal(err)
 	}
 	time.Sleep(stallTimeout + 200*time.Millisecond)
-	if a := send(t, address, withLength(mib/2)+strings.Repeat("x", mib/2)); a.status != 200 {
+	if a := send(t, address, withLength(mib/2)+strings.Repeat("x", mib/2)); a.Status != 200 {
 		t.Errorf("the other body: %+v", a)
 	}
-	if a := readAnswer(t, stalled); a.status != 503 || a.retryAfter != RetryAfterSeconds {
-		t.Errorf("the stalled body: %+v", a)
+	if a, err := testkit.ReadResponse(bufio.NewReader(stalled)); err != nil || a.Status != 503 || a.Header.Get("Retry-After") != RetryAfterSeconds {
+		t.Errorf("the stalled body: %+v, error %v", a, err)
 	}
 }
--- a/internal/resourcequota/server.go
+++ b/internal/resourcequota/server.go
@@ -36,18 +36,21 @@
 // connections that the kernel keeps until they are accepted. It does nothing for listeners that are not sockets. A system that
 // does not know an option keeps its default.
 func LimitSocket(listener net.Listener, receive, backlog int) {
-	socket, ok := listener.(syscall.Conn)
+	withDescriptor(listener, func(descriptor int) {
+		_ = unix.SetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_RCVBUF, receive)
+		_ = unix.Listen(descriptor, backlog) // changes the backlog of a socket that listens already
+	})
+}
+
+// withDescriptor calls f with the descriptor of a connection or listener. It does nothing for those that are not sockets.
+func withDescriptor(socket any, f func(descriptor int)) {
+	conn, ok := socket.(syscall.Conn)
 	if !ok {
 		return
 	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return
+	if raw, err := conn.SyscallConn(); err == nil {
+		_ = raw.Control(func(descriptor uintptr) { f(int(descriptor)) })
 	}
-	_ = raw.Control(func(descriptor uintptr) {
-		_ = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_RCVBUF, receive)
-		_ = unix.Listen(int(descriptor), backlog) // changes the backlog of a socket that listens already
-	})
 }
 
 // dialReceiveBytes is the size of the kernel's buffer for what a server sends before this process reads it, in bytes.
@@ -64,16 +67,8 @@
 // LimitUnsent makes the kernel take little of an answer before the peer reads, whatever the size of its send buffer: unlike a small
 // buffer, this does not limit what is on its way to a peer that reads.
 func LimitUnsent(conn net.Conn) {
-	socket, ok := conn.(syscall.Conn)
-	if !ok {
-		return
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Control(func(descriptor uintptr) {
-		_ = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, unsentBytes)
+	withDescriptor(conn, func(descriptor int) {
+		_ = unix.SetsockoptInt(descriptor, unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, unsentBytes)
 	})
 }
 
--- a/internal/system/rpc/quota_test.go
+++ b/internal/system/rpc/quota_test.go
@@ -11,6 +11,7 @@
 
 	"sedgevale/internal/resourcequota"
 	"sedgevale/internal/system/result"
+	"sedgevale/internal/testkit"
 )
 
 // startBounded serves a method that echoes its message, with a quota of the given number of bytes.
@@ -34,19 +35,7 @@
 	reservation.Complete()
 	httpServer := &http.Server{Handler: server.Handler(), ReadHeaderTimeout: time.Second}
 	listener = quota.Serve(httpServer, listener, &resourcequota.Port{Receive: 64 << 10})
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = httpServer.Serve(listener) // returns when the server is closed
-	}()
-	t.Cleanup(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		defer cancel()
-		if err := httpServer.Shutdown(ctx); err != nil {
-			t.Error(err)
-		}
-		<-done
-	})
+	testkit.Serve(t, httpServer, listener)
 	return listener.Addr().String(), calls
 }
 
--- a/internal/testkit/http.go
+++ b/internal/testkit/http.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
+	"net"
 	"net/http"
 	"testing"
+	"time"
 )
 
 // Response is an HTTP response that has been read to its end.
@@ -48,3 +51,24 @@
 	_ = a.Body.Close() // it has been read
 	return Response{a.StatusCode, a.Header, string(body), a.Close}, err
 }
+
+// serverShutdownTimeout is longer than net/http waits before it closes a connection whose request it did not read to the end.
+const serverShutdownTimeout = 5 * time.Second
+
+// Serve serves on a listener until the end of the test, and then waits until all connections are closed.
+func Serve(t *testing.T, server *http.Server, listener net.Listener) {
+	t.Helper()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(listener) // returns when the server is shut down
+	}()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), serverShutdownTimeout)
+		defer cancel()
+		if err := server.Shutdown(ctx); err != nil {
+			t.Error(err)
+		}
+		<-done
+	})
+}
