--- a/internal/system/result/result.go
+++ b/internal/system/result/result.go
@@ -28,7 +28,7 @@
 	WrongInstance     Code = 1012 // the orders are for another incarnation of the worker
 	BallotOutdated    Code = 1013 // a higher ballot was promised; no longer returned
 	WrongReplica      Code = 1014 // the replica at the address is not the one addressed, or is in another epoch
-	Unavailable       Code = 1015 // no connection was established, or no quorum was reached before anything was accepted
+	Unavailable       Code = 1015 // no connection was established, no quorum was reached before anything was accepted, or the message found no room
 	MembershipInvalid Code = 1016 // the membership violates an invariant
 	WrongDeployment   Code = 1017 // the message belongs to another deployment
 	WrongDisk         Code = 1018 // the disk belongs to another machine
