--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -19,6 +19,7 @@
 // cases are the cases by name. Trouble is false for the control run without the disruption.
 var cases = map[string]func(log *record, trouble bool) int{
 	"unlisted-ends": unlistedEnds,
+	"refused-flood": refusedFlood,
 }
 
 func main() {
--- a/review/rig-2/worker.go
+++ b/review/rig-2/worker.go
@@ -39,6 +39,8 @@
 	sequence int64
 	fence    int64
 	number   int64 // N of the last end
+	refused  int64 // starts that were rejected
+	brief    bool  // the record gets the numbers of starts and ends in place of a line for each
 	active   map[string]*run
 	ended    map[string]int64 // highest run that was stopped or ended here, by task
 	finished []*end           // ends that are not noted yet
@@ -149,7 +151,7 @@
 		account["state"] = "draining"
 		account["remaining_ms"] = max(0, time.Until(w.draining).Milliseconds())
 	}
-	w.log.write("worker %s beats %d %s: %d active, ends listed %d of %d", w.id, w.sequence, account["state"], len(active), len(finished), len(w.finished))
+	w.log.write("worker %s beats %d %s: %d active, ends listed %d of %d, %d starts rejected so far", w.id, w.sequence, account["state"], len(active), len(finished), len(w.finished), w.refused)
 	pending := len(w.finished)
 	w.nextBeat = time.Now().Add(time.Hour)
 	w.mu.Unlock()
@@ -167,6 +169,9 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.closed { // it ended before the answer came
+		return
+	}
 	w.lapse()
 	if err != nil || response.StatusCode/100 != 2 || time.Since(sent) > answerLimit {
 		w.beatSoon(200 * time.Millisecond)
@@ -206,6 +211,9 @@
 	if until := sent.Add(time.Duration(min(answer.HoldMS, 10000)) * time.Millisecond); until.After(w.holdEnd) {
 		w.holdEnd = until
 	}
+	if w.brief && len(answer.Started) > 0 {
+		w.log.write("worker %s is told to start %d runs, the first is %v", w.id, len(answer.Started), answer.Started[0])
+	}
 	for _, s := range answer.Started {
 		saved := ""
 		if len(s) > 3 {
@@ -277,7 +285,9 @@
 			w.finish(r, how)
 		}
 	})
-	w.log.write("worker %s starts %s run %d (%s) %s", w.id, task, attempt, spec, saved)
+	if !w.brief {
+		w.log.write("worker %s starts %s run %d (%s) %s", w.id, task, attempt, spec, saved)
+	}
 }
 
 // stop stops a run within stop_ms. One that is not there yet will be rejected. w.mu is held.
@@ -314,7 +324,11 @@
 func (w *worker) addEnd(task string, attempt int64, how string) {
 	w.number++
 	w.finished = append(w.finished, &end{w.number, task, attempt, how, time.Now(), w.holds})
-	w.log.write("worker %s end %d: %s run %d %s", w.id, w.number, task, attempt, how)
+	if how == "refused" { // there may be millions of them; the heartbeats' lines tell how many
+		w.refused++
+	} else if !w.brief {
+		w.log.write("worker %s end %d: %s run %d %s", w.id, w.number, task, attempt, how)
+	}
 	w.beatSoon(endDelay)
 }
 
@@ -372,7 +386,9 @@
 	mu      sync.Mutex
 	log     *record
 	tasks   map[string]*history
-	retries int // of the queue; 0 if it isn't checked
+	retries int                  // of the queue; 0 if it isn't checked
+	running map[string]int       // runs at work by job
+	lastRan map[string]time.Time // end of the last run by job
 }
 
 type history struct {
@@ -392,7 +408,7 @@
 }
 
 func newJudge(log *record) *judge {
-	return &judge{log: log, tasks: map[string]*history{}}
+	return &judge{log: log, tasks: map[string]*history{}, running: map[string]int{}, lastRan: map[string]time.Time{}}
 }
 
 func (j *judge) task(name string) *history {
@@ -407,6 +423,8 @@
 	defer j.mu.Unlock()
 	h := j.task(task)
 	h.starts++
+	job, _, _ := strings.Cut(task, ".")
+	j.running[job]++
 	if h.failed >= j.retries && j.retries > 0 {
 		j.log.say("BUDGET: %s run %d starts on %s after %d runs that ended failed", task, attempt, worker, h.failed)
 	}
@@ -425,6 +443,9 @@
 	defer j.mu.Unlock()
 	h := j.task(task)
 	delete(h.running, worker)
+	job, _, _ := strings.Cut(task, ".")
+	j.running[job]--
+	j.lastRan[job] = time.Now()
 	if how == "done" {
 		h.dones = append(h.dones, &doneEnd{worker: worker, attempt: attempt, at: time.Now()})
 	}
@@ -462,6 +483,13 @@
 	return broken
 }
 
+// idleSince returns when the last run of a job ended, and false while one is at work.
+func (j *judge) idleSince(job string) (time.Time, bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.lastRan[job], j.running[job] == 0
+}
+
 // totals returns the numbers of tasks that started and of starts.
 func (j *judge) totals() (tasks, starts int) {
 	j.mu.Lock()
