review: case 6, an order of an old version is acknowledged

Cause: the digest that recognizes a repeated change covers its body, not the version in If-Match, and goes before the comparison of versions. Change: a script.

--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(log *record, trouble bool) int{
 	"unlisted-ends": unlistedEnds,
 	"refused-flood": refusedFlood,
+	"stale-order":   staleOrder,
 }
 
 func main() {
