review: case 7, jobs of a removed route get other retries after a core restart

Cause: Scheduler.queue gives a queue that the configuration lacks retries 3, and a job keeps none of its own.

--- a/review/rig-2/client.go
+++ b/review/rig-2/client.go
@@ -17,10 +17,12 @@
 	host      = "ficu95.example"
 	prefix    = "/lohu930/"
 	queue     = "r-zji9n73"
-	service   = "huvo11a"
 	webClient = 3 * time.Second // Deadline-Ms of the sites' requests
 )
 
+// service is the name of the one service; a case may choose another before it starts anything.
+var service = "huvo11a"
+
 // caller sends the requests of clients and of the operator, each on a new connection.
 type caller struct {
 	log *record
@@ -45,8 +47,8 @@
 		request.Header.Set(key, value)
 	}
 	shown := body
-	if len(shown) > 400 {
-		shown = shown[:400] + "..."
+	if len(shown) > 200 {
+		shown = shown[:200] + "..."
 	}
 	c.log.write("%s sends %s %s %v %s", who, method, url, header, shown)
 	response, err := http.DefaultClient.Do(request)
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -21,6 +21,7 @@
 	"unlisted-ends": unlistedEnds,
 	"refused-flood": refusedFlood,
 	"stale-order":   staleOrder,
+	"removed-route": removedRoute,
 }
 
 func main() {
--- a/review/rig-2/worker.go
+++ b/review/rig-2/worker.go
@@ -386,7 +386,7 @@
 	mu      sync.Mutex
 	log     *record
 	tasks   map[string]*history
-	retries int                  // of the queue; 0 if it isn't checked
+	retries map[string]int       // of the queue, by job; others are not checked
 	running map[string]int       // runs at work by job
 	lastRan map[string]time.Time // end of the last run by job
 }
@@ -397,6 +397,7 @@
 	starts  int
 	overlap bool
 	failed  int // ends failed that are taken note of
+	beyond  int // starts after that
 }
 
 type doneEnd struct {
@@ -408,7 +409,7 @@
 }
 
 func newJudge(log *record) *judge {
-	return &judge{log: log, tasks: map[string]*history{}, running: map[string]int{}, lastRan: map[string]time.Time{}}
+	return &judge{log: log, tasks: map[string]*history{}, running: map[string]int{}, lastRan: map[string]time.Time{}, retries: map[string]int{}}
 }
 
 func (j *judge) task(name string) *history {
@@ -425,7 +426,8 @@
 	h.starts++
 	job, _, _ := strings.Cut(task, ".")
 	j.running[job]++
-	if h.failed >= j.retries && j.retries > 0 {
+	if limit := j.retries[job]; limit > 0 && h.failed >= limit {
+		h.beyond++
 		j.log.say("BUDGET: %s run %d starts on %s after %d runs that ended failed", task, attempt, worker, h.failed)
 	}
 	if len(h.running) > 0 {
@@ -483,6 +485,13 @@
 	return broken
 }
 
+// failures returns how many noted runs of a task ended failed, and the starts beyond the retries of its job.
+func (j *judge) failures(task string) (failed, beyond int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.task(task).failed, j.task(task).beyond
+}
+
 // idleSince returns when the last run of a job ended, and false while one is at work.
 func (j *judge) idleSince(job string) (time.Time, bool) {
 	j.mu.Lock()
