--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -22,6 +22,7 @@
 	"refused-flood": refusedFlood,
 	"stale-order":   staleOrder,
 	"removed-route": removedRoute,
+	"large-shard":   largeShard,
 }
 
 func main() {
