review: case 4 stays inside the site's share of workers that drain

Cause: one of three workers drained, while the site's scale_in has a share of 0.065, one of its twelve. Change: twelve workers, of which one drains, five jobs of 4,000 tasks.

--- a/review/rig-2/unlisted_ends.go
+++ b/review/rig-2/unlisted_ends.go
@@ -9,7 +9,7 @@
 
 // unlistedEnds has a worker with more ends than one heartbeat lists (500) drain while the owner of its shard restarts.
 func unlistedEnds(log *record, trouble bool) int {
-	c, err := newCluster(log, 3, 1, 3)
+	c, err := newCluster(log, 3, 1, 12)
 	if err != nil {
 		log.say("can't run: %v", err)
 		return invalid
@@ -27,27 +27,32 @@
 	j := newJudge(log)
 	var workers []*worker
 	for i, side := range c.sides {
-		w := newWorker(fmt.Sprintf("i-7f3a91c%d", i+1), side, log, j)
+		w := newWorker(fmt.Sprintf("i-7f3a91%02x", i+1), side, log, j)
+		w.brief = true
 		workers = append(workers, w)
 		go w.loop()
 		defer w.close()
 	}
 	time.Sleep(1500 * time.Millisecond)
-	const count, taskMS = 3000, 4000
+	const jobs, count, taskMS = 5, 4000, 4000 // 1,667 tasks at each of twelve workers
 	body := fmt.Sprintf(`{"spec":"ms=%d","stages":[{"count":%d,"cpu":5,"mem_mb":10,"estimate_ms":%d}]}`, taskMS, count, taskMS)
-	id := "5c0e7a21d94b36f8"
-	if !calls.submit(c.edges, id, body, 10*time.Second) {
-		log.say("can't run: the job is not accepted")
-		return invalid
+	var ids []string
+	for n := range jobs {
+		id := fmt.Sprintf("5c0e7a21d94b36f%d", n)
+		if !calls.submit(c.edges, id, body, 10*time.Second) {
+			log.say("can't run: a job is not accepted")
+			return invalid
+		}
+		ids = append(ids, id)
 	}
 	total := func() int {
 		_, n := j.totals()
 		return n
 	}
-	waitFor(10*time.Second, func() bool { return total() > 0 })
+	waitFor(10*time.Second, func() bool { active, _ := workers[0].count(); return active > 0 })
 	began := time.Now()
-	if !waitFor(20*time.Second, func() bool { return total() >= count }) {
-		log.say("can't run: %d of %d tasks have started", total(), count)
+	if !waitFor(20*time.Second, func() bool { return total() >= jobs*count }) {
+		log.say("can't run: %d of %d tasks have started", total(), jobs*count)
 		return invalid
 	}
 	for _, w := range workers {
@@ -77,20 +82,25 @@
 		})
 		defer leaves.Stop()
 	}
-	state := ""
-	for end := time.Now().Add(40 * time.Second); time.Now().Before(end) && state != "completed"; time.Sleep(300 * time.Millisecond) {
-		state, _ = calls.state(c.edges[0], id)
+	completed := 0
+	for end := time.Now().Add(40 * time.Second); time.Now().Before(end) && completed < jobs; time.Sleep(300 * time.Millisecond) {
+		completed = 0
+		for _, id := range ids {
+			if state, _ := calls.state(c.edges[0], id); state == "completed" {
+				completed++
+			}
+		}
 	}
 	time.Sleep(time.Second)
 	tasks, starts := j.totals()
 	twice := j.twice()
-	log.say("job %s is %s; %d tasks, %d starts; %d tasks ran twice", id, state, tasks, starts, len(twice))
+	log.say("%d of %d jobs are completed; %d tasks, %d starts; %d tasks ran twice", completed, jobs, tasks, starts, len(twice))
 	if len(twice) > 0 {
 		log.say("the first of them: %v", twice[:min(3, len(twice))])
 		return broken
 	}
-	if state != "completed" {
-		log.say("can't judge: the job did not complete")
+	if completed < jobs {
+		log.say("can't judge: a job did not complete")
 		return invalid
 	}
 	return held
