side: log and count the runs that are reported as never started, by reason

Change: Agent.TakeDrops tells each drop with its reason and the length of the last list of ends; the side scheduler logs a line a reason (DEBUG) and counts them in sedgevale_side_dropped_runs_total. No decision is changed.

--- a/internal/system/side/heartbeat.go
+++ b/internal/system/side/heartbeat.go
@@ -80,6 +80,7 @@
 	if !w.agent.HandleHeartbeat(s.now(), heartbeat) {
 		return w, heartbeatOutdated
 	}
+	s.recordDrops(w)
 	if w.replaced {
 		return w, heartbeatReplaced
 	}
@@ -122,6 +123,7 @@
 	defer s.mu.Unlock()
 	if leaving := s.workers[r.PathValue("id")]; leaving != nil {
 		leaving.agent.HandleDeregister(s.now())
+		s.recordDrops(leaving)
 		signal(leaving.reportDue)
 	}
 	w.WriteHeader(http.StatusOK)
--- a/internal/system/side/heartbeat_test.go
+++ b/internal/system/side/heartbeat_test.go
@@ -16,7 +16,7 @@
 func TestIncarnationsAreLimited(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &Scheduler{
-			workers: map[string]*worker{}, started: time.Now(), ctx: t.Context(),
+			workers: map[string]*worker{}, drops: newDropCounter(), started: time.Now(), ctx: t.Context(),
 			timing: workeragent.Timing{WorkerLease: 4 * time.Second, AgentLease: 8 * time.Second},
 		}
 		beat := func(instance string) *httptest.ResponseRecorder {
--- a/internal/system/side/side.go
+++ b/internal/system/side/side.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"sedgevale/internal/system/api"
 	"sedgevale/internal/system/directory"
@@ -47,6 +48,7 @@
 	timing      workeragent.Timing
 	incarnation string // random ID that identifies this process to owners
 	started     time.Time
+	drops       *prometheus.CounterVec
 	ctx         context.Context // the process's context, for the loops that heartbeats start
 	loops       sync.WaitGroup
 
@@ -84,6 +86,7 @@
 func Run(ctx context.Context, p *node.Process) error {
 	ctx, cancel := context.WithCancel(ctx)
 	s := newScheduler(ctx, p)
+	p.RegisterMetrics(s.drops)
 	defer s.stop(cancel)
 	s.loops.Go(func() { s.directory.Run(ctx) })
 	server := rpc.NewServerWithLimit(maxOrdersBytes)
@@ -108,7 +111,7 @@
 	return &Scheduler{
 		settings: p.Settings, logger: p.Logger, client: p.Client, directory: directory.New(p, false),
 		timing: node.LeaseTiming(p.Settings), incarnation: hex.EncodeToString(random[:]), started: time.Now(),
-		workers: map[string]*worker{}, ctx: ctx,
+		workers: map[string]*worker{}, drops: newDropCounter(), ctx: ctx,
 	}
 }
 
@@ -182,6 +185,7 @@
 	if err := w.agent.HandleOrders(s.now(), r.Token, &r.Orders); err != nil {
 		return nil, err
 	}
+	s.recordDrops(w)
 	if w.agent.HasOrders(s.now()) {
 		signal(w.ordersReady)
 	}
--- a/workeragent/agent.go
+++ b/workeragent/agent.go
@@ -40,6 +40,7 @@
 type pendingStart struct {
 	start    jobs.Start
 	inFlight bool // whether the answer to the last heartbeat contains it
+	sent     bool // whether any answer contained it
 }
 
 // Agent holds the state of the agent for one incarnation of a worker. It is not safe for concurrent use. Times are durations
@@ -70,6 +71,7 @@
 	rejected map[jobs.RunRef]time.Duration  // runs that must not be started any more, with the time of the drop
 	active   map[jobs.RunRef]bool           // active runs in the last heartbeat
 	finished map[jobs.RunRef]bool           // finished runs in the last heartbeat
+	drops    []Drop                         // drops since the last call of TakeDrops
 }
 
 // New returns the agent for an incarnation of a worker. Process identifies the agent's process. An earlier process may have
@@ -130,12 +132,12 @@
 	}
 	for ref := range a.stops {
 		if !a.active[ref] && !a.finished[ref] {
-			a.dropOrder(now, ref)
+			a.dropOrder(now, ref, DropStopped)
 		}
 	}
 	if !a.acceptsRuns() {
 		for ref := range a.starts {
-			a.dropOrder(now, ref)
+			a.dropOrder(now, ref, a.notAcceptingReason())
 		}
 	}
 }
@@ -148,7 +150,7 @@
 	a.deregistered = true
 	for ref, pending := range a.starts {
 		if !pending.inFlight {
-			a.dropOrder(now, ref)
+			a.dropOrder(now, ref, DropDeregistered)
 		}
 	}
 }
--- a/workeragent/answer.go
+++ b/workeragent/answer.go
@@ -56,6 +56,7 @@
 		free.MemMB -= demand.MemMB
 		free.GPU -= demand.GPU
 		pending.inFlight = true
+		pending.sent = true
 		starts = append(starts, Start{ref.Task, ref.Attempt, pending.start.Spec, pending.start.Checkpoint})
 	}
 	return starts
--- a/workeragent/orders.go
+++ b/workeragent/orders.go
@@ -50,6 +50,7 @@
 func (a *Agent) addStart(now time.Duration, start jobs.Start) {
 	ref := jobs.RunRef{Task: start.Task, Attempt: start.Attempt}
 	if _, rejected := a.rejected[ref]; rejected {
+		a.drops = append(a.drops, Drop{Run: ref, Reason: DropRepeated, ListedEnds: len(a.heartbeat.Finished)})
 		a.dropped[ref] = now
 		return
 	}
@@ -62,7 +63,7 @@
 	}
 	a.starts[ref] = &pendingStart{start: start}
 	if a.heartbeats > 0 && !a.acceptsRuns() {
-		a.dropOrder(now, ref)
+		a.dropOrder(now, ref, a.notAcceptingReason())
 	}
 }
 
@@ -77,14 +78,5 @@
 	if a.finished[ref] {
 		return
 	}
-	a.dropOrder(now, ref)
-}
-
-// dropOrder removes the pending orders for a run that has not started, reports it to the owner as dropped, and rejects
-// later orders to start it.
-func (a *Agent) dropOrder(now time.Duration, ref jobs.RunRef) {
-	delete(a.starts, ref)
-	delete(a.stops, ref)
-	a.dropped[ref] = now
-	a.rejected[ref] = now
+	a.dropOrder(now, ref, DropStopped)
 }
