--- a/jobs/protocol.go
+++ b/jobs/protocol.go
@@ -21,8 +21,8 @@
 	Labels           []string // the last label is the rack
 	Active           []ActiveRun
 	Finished         []FinishedRun
-	InFlight         []RunRef // starts that the agent received but the worker does not report as active yet
-	Dropped          []RunRef // starts that did not reach the worker and never will
+	InFlight         []RunRef // runs that may have started or will start, but that the worker lists neither as active nor as finished yet
+	Dropped          []RunRef // runs that certainly never started and never will
 	MissedMessages   int64    // missed heartbeats and dropped responses during the agent's incarnation
 	HeartbeatAgeMS   int64    // age of the worker's latest heartbeat
 	UnknownDemands   int64    // number of active runs whose demand the agent does not know
--- a/workeragent/agent.go
+++ b/workeragent/agent.go
@@ -22,9 +22,8 @@
 	// pollSlack bounds the delay between an expiry and the periodic check that detects it.
 	pollSlack = 100 * time.Millisecond
 
-	maxFinishedRuns = 500             // maximum number of finished runs in one heartbeat
-	droppedTTL      = 5 * time.Second // duration for which a dropped order is reported to the owner
-	rejectedTTL     = time.Minute     // duration for which further orders to start a dropped run are rejected
+	droppedTTL  = 5 * time.Second // duration for which a dropped order is reported to the owner
+	rejectedTTL = time.Minute     // duration for which further orders to start a dropped run are rejected
 )
 
 // RunsExpireAfter returns how long an owner must wait after its last grant of an agent lease until the worker's lease has
@@ -39,8 +38,12 @@
 // pendingStart is an order to start a run that no heartbeat has confirmed yet.
 type pendingStart struct {
 	start    jobs.Start
-	inFlight bool // whether the answer to the last heartbeat contains it
-	sent     bool // whether any answer contained it
+	inFlight bool // whether an answer contains it that may have reached the worker
+
+	// sentAfter is the number of the heartbeat whose answer contained the order last. Until an answer contains it, it is the
+	// Agent's incarnationStart, since an earlier process may have sent the order. If the ends before a later heartbeat are known
+	// and the run is neither active nor ended, the order has not reached the worker.
+	sentAfter int64
 }
 
 // Agent holds the state of the agent for one incarnation of a worker. It is not safe for concurrent use. Times are durations
@@ -59,11 +62,15 @@
 	deregistered  bool          // whether the worker has deregistered
 	missedAnswers int64         // number of starts in flight that the worker has not acted on, plus expiries
 
+	// incarnationStart is the number of heartbeats received when the current incarnation began. Runs of earlier incarnations may
+	// have been started before the heartbeat that follows.
+	incarnationStart int64
+
 	token        int64         // highest fencing token seen; never decreases
 	leaseUntil   time.Duration // expiry of the agent's lease; until then the agent may renew the worker's lease
 	acknowledged int64         // the owner has stored all finished runs up to this number; never decreases
 
-	// A run is in at most one of starts and active after reconcile.
+	// A run is in at most one of starts, active and ends.unlisted.
 	starts   map[jobs.RunRef]*pendingStart
 	demands  map[jobs.RunRef]jobs.Resources // demands of the runs in active and starts, as far as the owner has sent them
 	stops    map[jobs.RunRef]bool           // runs to stop, until a heartbeat confirms that they have ended
@@ -71,7 +78,8 @@
 	rejected map[jobs.RunRef]time.Duration  // runs that must not be started any more, with the time of the drop
 	active   map[jobs.RunRef]bool           // active runs in the last heartbeat
 	finished map[jobs.RunRef]bool           // finished runs in the last heartbeat
-	drops    []Drop                         // drops since the last call of TakeDrops
+	ends     endLog
+	drops    []Drop // drops since the last call of TakeDrops
 }
 
 // New returns the agent for an incarnation of a worker. Process identifies the agent's process. An earlier process may have
@@ -82,7 +90,7 @@
 		runsExpireAt: now + withClockDrift(timing.WorkerLease) + pollSlack,
 		starts:       map[jobs.RunRef]*pendingStart{}, demands: map[jobs.RunRef]jobs.Resources{}, stops: map[jobs.RunRef]bool{},
 		dropped: map[jobs.RunRef]time.Duration{}, rejected: map[jobs.RunRef]time.Duration{},
-		active: map[jobs.RunRef]bool{}, finished: map[jobs.RunRef]bool{},
+		active: map[jobs.RunRef]bool{}, finished: map[jobs.RunRef]bool{}, ends: newEndLog(),
 	}
 }
 
@@ -96,28 +104,16 @@
 	a.heartbeatAt = now
 	a.heartbeats++
 	a.expired = false
-	clear(a.active)
-	clear(a.finished)
-	for _, run := range heartbeat.Active {
-		a.active[jobs.RunRef{Task: run.Task, Attempt: run.Attempt}] = true
-	}
-	for _, run := range heartbeat.Finished {
-		ref := jobs.RunRef{Task: run.Task, Attempt: run.Attempt}
-		a.finished[ref] = true
-		delete(a.stops, ref)
-	}
+	a.applyLists()
 	a.reconcile(now)
 	return true
 }
 
 // reconcile compares the pending orders with the last heartbeat. A heartbeat reflects the answer before it, so a start in
-// flight that it does not list has not reached the worker and is sent again.
+// flight that has neither become active nor ended by then has not reached the worker and is sent again.
 func (a *Agent) reconcile(now time.Duration) {
-	for ref, pending := range a.starts {
-		switch {
-		case a.active[ref] || a.finished[ref]:
-			delete(a.starts, ref)
-		case pending.inFlight:
+	for _, pending := range a.starts {
+		if pending.inFlight && a.ends.knownBefore > pending.sentAfter {
 			pending.inFlight = false
 			a.missedAnswers++
 		}
@@ -127,16 +123,21 @@
 			delete(a.demands, ref)
 		}
 	}
-	if len(a.heartbeat.Finished) >= maxFinishedRuns { // the list may be truncated: an unlisted run may have finished
-		return
-	}
 	for ref := range a.stops {
-		if !a.active[ref] && !a.finished[ref] {
+		if a.neverStarted(ref) {
 			a.dropOrder(now, ref, DropStopped)
 		}
 	}
-	if !a.acceptsRuns() {
-		for ref := range a.starts {
+	a.dropUnacceptedStarts(now)
+}
+
+// dropUnacceptedStarts drops the pending starts that have not reached the worker if it accepts no more runs.
+func (a *Agent) dropUnacceptedStarts(now time.Duration) {
+	if a.acceptsRuns() {
+		return
+	}
+	for ref := range a.starts {
+		if a.neverStarted(ref) {
 			a.dropOrder(now, ref, a.notAcceptingReason())
 		}
 	}
@@ -148,11 +149,7 @@
 // HandleDeregister handles the worker's deregistration. Active runs may still finish and be reported.
 func (a *Agent) HandleDeregister(now time.Duration) {
 	a.deregistered = true
-	for ref, pending := range a.starts {
-		if !pending.inFlight {
-			a.dropOrder(now, ref, DropDeregistered)
-		}
-	}
+	a.dropUnacceptedStarts(now)
 }
 
 // CheckExpiry checks whether the worker's lease has expired, and reports true once for each expiry. It also forgets dropped
@@ -178,6 +175,8 @@
 	clear(a.demands)
 	clear(a.stops)
 	clear(a.active)
+	clear(a.ends.unlisted)
+	a.incarnationStart = a.heartbeats
 	return true
 }
 
--- a/workeragent/agent_test.go
+++ b/workeragent/agent_test.go
@@ -15,6 +15,7 @@
 // scriptRunner runs a script against an Agent. Each line has a time in milliseconds and one event or expectation:
 //
 //	heartbeat S:1 a:t1 f:3/t2/done ready  the worker sends a heartbeat: sequence, active runs, finished runs, state
+//	heartbeat S:1 F:1-500                 likewise, with the finished runs 1 to 500, of other tasks, all done
 //	deregister                            the worker deregisters
 //	=> lease seen1 start t1 stop t2       the answer to the last heartbeat must have this content
 //	dropped t1 t2                         the report must list these dropped runs
@@ -139,6 +140,13 @@
 			parts := strings.Split(value, "/")
 			number, _ := strconv.ParseInt(parts[0], 10, 64)
 			heartbeat.Finished = append(heartbeat.Finished, FinishedRun{Number: number, Task: parts[1], Attempt: 1, Outcome: parts[2]})
+		case "F":
+			first, last, _ := strings.Cut(value, "-")
+			from, _ := strconv.ParseInt(first, 10, 64)
+			to, _ := strconv.ParseInt(last, 10, 64)
+			for number := from; number <= to; number++ {
+				heartbeat.Finished = append(heartbeat.Finished, FinishedRun{Number: number, Task: fmt.Sprint("e", number), Attempt: 1, Outcome: "done"})
+			}
 		case "S":
 			heartbeat.Sequence, _ = strconv.ParseInt(value, 10, 64)
 		default:
--- a/workeragent/answer.go
+++ b/workeragent/answer.go
@@ -44,7 +44,7 @@
 	remainingBytes := maxStartBytes
 	for ref, pending := range a.starts {
 		demand := pending.start.Demand
-		if pending.inFlight || !free.Holds(demand) {
+		if !a.sendable(pending) || !free.Holds(demand) {
 			continue
 		}
 		size := maxJSONSize(ref.Task) + maxJSONSize(pending.start.Spec) + maxJSONSize(pending.start.Checkpoint) + startOverheadBytes
@@ -56,7 +56,7 @@
 		free.MemMB -= demand.MemMB
 		free.GPU -= demand.GPU
 		pending.inFlight = true
-		pending.sent = true
+		pending.sentAfter = a.heartbeats
 		starts = append(starts, Start{ref.Task, ref.Attempt, pending.start.Spec, pending.start.Checkpoint})
 	}
 	return starts
@@ -96,13 +96,19 @@
 		return false
 	}
 	for _, pending := range a.starts {
-		if !pending.inFlight {
+		if a.sendable(pending) {
 			return true
 		}
 	}
 	return false
 }
 
+// sendable reports whether an answer may contain a pending start: none that may have reached the worker does, neither of this
+// process nor of an earlier one. The worker would reject the repetition of a run that has ended, and list it as another end.
+func (a *Agent) sendable(pending *pendingStart) bool {
+	return !pending.inFlight && a.ends.knownBefore > pending.sentAfter
+}
+
 // maxJSONSize returns an upper bound on the size in bytes of a JSON string, without its quotes.
 func maxJSONSize(s string) int {
 	size := len(s)
--- a/workeragent/drops.go
+++ b/workeragent/drops.go
@@ -21,8 +21,8 @@
 type Drop struct {
 	Run          jobs.RunRef
 	Reason       DropReason
-	ListedEnds   int // finished runs in the last heartbeat, which lists at most maxFinishedRuns
-	SentToWorker bool
+	ListedEnds   int  // finished runs in the last heartbeat, which lists at most maxFinishedRuns
+	SentToWorker bool // whether an answer contained the order; it did not reach the worker
 }
 
 // TakeDrops returns the drops since the last call.
@@ -36,7 +36,8 @@
 // later orders to start it.
 func (a *Agent) dropOrder(now time.Duration, ref jobs.RunRef, reason DropReason) {
 	a.drops = append(a.drops, Drop{
-		Run: ref, Reason: reason, ListedEnds: len(a.heartbeat.Finished), SentToWorker: a.starts[ref] != nil && a.starts[ref].sent,
+		Run: ref, Reason: reason, ListedEnds: len(a.heartbeat.Finished),
+		SentToWorker: a.starts[ref] != nil && a.starts[ref].sentAfter > a.incarnationStart,
 	})
 	delete(a.starts, ref)
 	delete(a.stops, ref)
--- a/workeragent/orders.go
+++ b/workeragent/orders.go
@@ -54,29 +54,26 @@
 		a.dropped[ref] = now
 		return
 	}
-	if a.finished[ref] {
+	if a.finished[ref] || a.isUnlisted(ref) {
 		return
 	}
 	a.demands[ref] = start.Demand
 	if a.active[ref] || a.starts[ref] != nil {
 		return
 	}
-	a.starts[ref] = &pendingStart{start: start}
-	if a.heartbeats > 0 && !a.acceptsRuns() {
+	a.starts[ref] = &pendingStart{start: start, sentAfter: a.incarnationStart}
+	if !a.acceptsRuns() && a.neverStarted(ref) {
 		a.dropOrder(now, ref, a.notAcceptingReason())
 	}
 }
 
-// addStop handles the order to stop a run. If the order to start it cannot have reached the worker, the run is dropped at
-// once.
+// addStop handles the order to stop a run. If it is certain that the run has not started, the run is dropped at once.
 func (a *Agent) addStop(now time.Duration, ref jobs.RunRef) {
-	pending := a.starts[ref]
-	if a.active[ref] || (pending != nil && pending.inFlight) || a.heartbeats == 0 {
-		a.stops[ref] = true
+	if a.finished[ref] || a.isUnlisted(ref) {
 		return
 	}
-	if a.finished[ref] {
-		return
+	a.stops[ref] = true
+	if a.neverStarted(ref) {
+		a.dropOrder(now, ref, DropStopped)
 	}
-	a.dropOrder(now, ref, DropStopped)
 }
--- a/workeragent/report.go
+++ b/workeragent/report.go
@@ -44,6 +44,9 @@
 	for ref := range a.starts {
 		add("pending ", ref)
 	}
+	for ref := range a.ends.unlisted {
+		add("pending ", ref)
+	}
 	for ref := range a.dropped {
 		add("dropped ", ref)
 	}
@@ -83,6 +86,9 @@
 	for ref := range a.starts {
 		r.InFlight = append(r.InFlight, ref)
 	}
+	for ref := range a.ends.unlisted {
+		r.InFlight = append(r.InFlight, ref)
+	}
 	for ref := range a.dropped {
 		r.Dropped = append(r.Dropped, ref)
 	}
