simulation: workers list 500 ends, reject repeated starts and drain; runs beyond the list

Change: fakeworker follows the protocol (500 ends, the oldest first; a repeated start is listed as refused; drain, deregistration).

--- a/internal/system/fakeworker/worker.go
+++ b/internal/system/fakeworker/worker.go
@@ -48,6 +48,8 @@
 	heartbeatTimeout  = time.Second
 	heartbeatInterval = 50 * time.Millisecond
 	retryBackoff      = 200 * time.Millisecond
+
+	maxListedEnds = 500 // finished runs in one heartbeat; the oldest come first
 )
 
 // Worker simulates one incarnation of a worker.
@@ -63,6 +65,8 @@
 	unacknowledged  []workeragent.FinishedRun // finished runs that heartbeats repeat until acknowledged
 	lastAttempt     map[string]int64          // highest attempt that ended on this worker, by task
 	leaseExpiry     time.Time                 // zero before the first lease
+	leavesAt        time.Time                 // earliest end of the worker; zero while it does not drain
+	rejectedStarts  int                       // starts that were rejected as repetitions
 }
 
 // attempt is a running attempt of a task.
@@ -93,6 +97,46 @@
 	w.Client.CloseIdleConnections()
 }
 
+// Drain makes the worker announce that it drains and stays for at least the given duration.
+func (w *Worker) Drain(remaining time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leavesAt = time.Now().Add(remaining)
+}
+
+// Deregister announces the end of the worker. The caller then cancels the context of Run.
+func (w *Worker) Deregister(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, w.url(), http.NoBody)
+	if err != nil {
+		w.Observer.InvalidMessage(err)
+		return
+	}
+	if response, err := w.Client.Do(request); err == nil {
+		_ = response.Body.Close()
+	}
+}
+
+// UnlistedEnds returns the number of finished runs that the next heartbeat does not list.
+func (w *Worker) UnlistedEnds() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return max(0, len(w.unacknowledged)-maxListedEnds)
+}
+
+// RejectedStarts returns the number of starts that the worker has rejected, since the run or a later one had ended.
+func (w *Worker) RejectedStarts() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.rejectedStarts
+}
+
+// url returns the URL of the worker's registration.
+func (w *Worker) url() string {
+	return "http://" + w.SideAddress + "/sedgevale/instances/" + w.ID
+}
+
 // endFinishedAttempts ends the attempts whose run time has elapsed, or all attempts if the lease has expired. The caller
 // holds w.mu.
 func (w *Worker) endFinishedAttempts() {
@@ -119,9 +163,14 @@
 func (w *Worker) endAttempt(task string, attempt int64, outcome string) {
 	delete(w.active, task)
 	w.lastAttempt[task] = max(w.lastAttempt[task], attempt)
+	w.addEnd(task, attempt, outcome)
+	w.Observer.TaskEnded(task, w.ID)
+}
+
+// addEnd queues an outcome for the next heartbeats. The caller holds w.mu.
+func (w *Worker) addEnd(task string, attempt int64, outcome string) {
 	w.lastFinished++
 	w.unacknowledged = append(w.unacknowledged, workeragent.FinishedRun{Number: w.lastFinished, Task: task, Attempt: attempt, Outcome: outcome})
-	w.Observer.TaskEnded(task, w.ID)
 }
 
 // heartbeat sends one heartbeat, applies the response and returns the delay before the next heartbeat.
@@ -134,8 +183,7 @@
 	sentAt := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	url := "http://" + w.SideAddress + "/sedgevale/instances/" + w.ID
-	request, err := http.NewRequestWithContext(callCtx, http.MethodPut, url, bytes.NewReader(text))
+	request, err := http.NewRequestWithContext(callCtx, http.MethodPut, w.url(), bytes.NewReader(text))
 	if err != nil {
 		w.Observer.InvalidMessage(err)
 		return retryBackoff
@@ -166,7 +214,12 @@
 	w.endFinishedAttempts()
 	w.sequence++
 	heartbeat := workeragent.Heartbeat{
-		Service: w.Service, State: "ready", Sequence: w.sequence, Capacity: w.Capacity, Labels: w.Labels, Finished: w.unacknowledged,
+		Service: w.Service, State: "ready", Sequence: w.sequence, Capacity: w.Capacity, Labels: w.Labels,
+		Finished: w.unacknowledged[:min(len(w.unacknowledged), maxListedEnds)],
+	}
+	if !w.leavesAt.IsZero() {
+		heartbeat.State = "draining"
+		heartbeat.RemainingMS = max(0, time.Until(w.leavesAt).Milliseconds())
 	}
 	for task, running := range w.active {
 		heartbeat.Active = append(heartbeat.Active, workeragent.ActiveRun{Task: task, Attempt: running.number})
@@ -202,10 +255,15 @@
 	}
 }
 
-// startTask starts a task, unless the task is running or this attempt or a later one has ended on this worker. The caller
-// holds w.mu.
+// startTask starts a task. It ignores the repetition of an active run, and rejects a run if it or a later one has ended here. The
+// caller holds w.mu.
 func (w *Worker) startTask(start workeragent.Start) {
+	if running := w.active[start.Task]; running != nil && running.number == start.Attempt {
+		return
+	}
 	if w.active[start.Task] != nil || start.Attempt <= w.lastAttempt[start.Task] {
+		w.rejectedStarts++
+		w.addEnd(start.Task, start.Attempt, "refused")
 		return
 	}
 	w.Observer.TaskStarted(start.Task, w.ID, int64(len(w.active)+1)*w.TaskCPU, w.Capacity.CPU)
--- a/internal/system/simulation/cluster_test.go
+++ b/internal/system/simulation/cluster_test.go
@@ -32,6 +32,8 @@
 	taskCPU   = 500 // millicores
 	coreCount = 4   // core machines of the default topology: three seeds and a spare
 	sideCount = 3
+
+	defaultWorkerTasks = 8 // tasks that fit on a worker
 )
 
 // topology is the initial number of core machines of a cluster, and how many simultaneous failures of them it tolerates.
@@ -55,6 +57,13 @@
 	bootstrap bool
 }
 
+// runningWorker is a worker of a side machine.
+type runningWorker struct {
+	*fakeworker.Worker
+
+	crash context.CancelFunc
+}
+
 // cluster is a simulated cluster: real schedulers and fake workers on a simulated network, with methods that act as clients
 // and operators and inject faults.
 type cluster struct {
@@ -63,9 +72,10 @@
 	random             *rand.Rand
 	checker            *checker
 	machines           map[string]*machine
-	columns            []string                      // names of the machines in the order of the timeline's columns
-	workers            map[string]context.CancelFunc // stops the worker of a side machine, by the machine's name
+	columns            []string                  // names of the machines in the order of the timeline's columns
+	workers            map[string]*runningWorker // by the name of the side machine
 	workerIncarnations int
+	workerTasks        int // capacity of the workers that are started from now on, in tasks
 	topology           topology
 	seeds              []string // seeds in the settings of processes that are started from now on
 	coresAdded         int      // number of core machines added so far
@@ -85,7 +95,7 @@
 	c := &cluster{
 		topology: size, seeds: initialSeeds, decommissioned: map[string]bool{},
 		t: t, network: newNetwork(), random: rand.New(rand.NewPCG(seed, 11)), checker: newChecker(time.Now()),
-		machines: map[string]*machine{}, workers: map[string]context.CancelFunc{}, started: time.Now(), acceptedJobs: map[string]bool{},
+		machines: map[string]*machine{}, workers: map[string]*runningWorker{}, workerTasks: defaultWorkerTasks, started: time.Now(), acceptedJobs: map[string]bool{},
 	}
 	for range size.cores {
 		c.addCore(true)
@@ -284,17 +294,19 @@
 	m := c.machines[name]
 	c.workerIncarnations++
 	ctx, cancel := context.WithCancel(context.Background())
-	c.workers[name] = cancel
 	incarnation := c.workerIncarnations
 	c.mu.Unlock()
 	h := c.network.host("w" + m.ip)
 	worker := fakeworker.New(fakeworker.Options{
 		ID: fmt.Sprintf("i-%d", incarnation), Service: service, SideAddress: m.ip + ":80", TaskCPU: taskCPU,
-		Capacity: workeragent.Capacity{CPU: 8 * taskCPU}, Labels: []string{"k", "r1"},
+		Capacity: workeragent.Capacity{CPU: int64(c.workerTasks) * taskCPU}, Labels: []string{"k", "r1"},
 		MinTaskTime: 100 * time.Millisecond, MaxTaskTime: time.Second, FailOneIn: 30, ClockDrift: 0.02, Observer: c.checker,
 		Random: rand.New(rand.NewPCG(uint64(incarnation), 5)),
 		Client: &http.Client{Transport: &http.Transport{DialContext: h.dial}},
 	})
+	c.mu.Lock()
+	c.workers[name] = &runningWorker{worker, cancel}
+	c.mu.Unlock()
 	c.background.Add(1)
 	go func() {
 		defer c.background.Done()
@@ -306,8 +318,8 @@
 
 // stop kills all processes and workers, and waits for them.
 func (c *cluster) stop() {
-	for _, cancel := range c.workers {
-		cancel()
+	for _, worker := range c.workers {
+		worker.crash()
 	}
 	for _, name := range c.columns {
 		m := c.machine(name)
--- a/internal/system/simulation/golden_test.go
+++ b/internal/system/simulation/golden_test.go
@@ -81,7 +81,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newClusterOf(t, 1, topology{cores: 3, tolerance: 1})
 		for i := range sideCount {
-			c.workers[fmt.Sprint("side", i)]()
+			c.workers[fmt.Sprint("side", i)].crash()
 		}
 		time.Sleep(3 * time.Second)
 		c.checkResponses(t, []exchange{
--- a/internal/system/simulation/peripheral_faults_test.go
+++ b/internal/system/simulation/peripheral_faults_test.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"context"
 	"fmt"
 	"time"
 )
@@ -14,6 +15,7 @@
 	workerCrashed
 	workerPartitioned
 	edgeKilled
+	workerDrained
 	peripheralFaults // number of kinds
 )
 
@@ -29,7 +31,7 @@
 		time.Sleep(wait)
 		c.partition(name, false, false)
 	case workerCrashed:
-		c.workers[name]()
+		c.workers[name].crash()
 		c.record(name, "crash")
 		time.Sleep(wait)
 		c.startWorker(name)
@@ -41,9 +43,23 @@
 		c.kill("edge0")
 		time.Sleep(wait)
 		c.start("edge0")
+	case workerDrained:
+		c.drainWorker(name, wait)
+		c.startWorker(name)
 	}
 }
 
+// drainWorker lets the worker of a side machine drain, deregister and end.
+func (c *cluster) drainWorker(name string, remaining time.Duration) {
+	worker := c.workers[name]
+	c.record(name, "drain")
+	worker.Drain(remaining)
+	time.Sleep(remaining + time.Duration(c.intN(2000))*time.Millisecond)
+	worker.Deregister(context.Background())
+	worker.crash()
+	c.record(name, "left")
+}
+
 // injectPeripheralFaults injects random peripheral faults until stop is closed.
 func (c *cluster) injectPeripheralFaults(stop <-chan struct{}) {
 	for waitUnlessStopped(stop, time.Duration(500+c.intN(2500))*time.Millisecond) {
--- a/internal/system/simulation/stored_data_test.go
+++ b/internal/system/simulation/stored_data_test.go
@@ -170,7 +170,7 @@
 // startScriptedWorker replaces the fake workers by a scripted worker and returns the function that stops it.
 func (c *cluster) startScriptedWorker() context.CancelFunc {
 	for i := range sideCount {
-		c.workers[fmt.Sprint("side", i)]()
+		c.workers[fmt.Sprint("side", i)].crash()
 	}
 	h := c.network.host("w10.0.2.1")
 	worker := &scriptedWorker{
