--- a/internal/system/simulation/unlisted_ends_test.go
+++ b/internal/system/simulation/unlisted_ends_test.go
@@ -79,21 +79,21 @@
 			c.drainWorker("side0", 2*time.Second)
 		},
 		"a side process restarts, its worker drains": func(c *cluster) {
-			c.kill("side0")
-			c.awaitUnlistedEnds("side0")
-			c.start("side0")
-			c.drainWorker("side0", 2*time.Second)
+			c.kill("side1")
+			c.awaitUnlistedEnds("side1")
+			c.start("side1")
+			c.drainWorker("side1", 2*time.Second)
 		},
 		"core restarts, a worker deregisters at once": func(c *cluster) {
 			c.restartCore(1500 * time.Millisecond)
-			c.awaitUnlistedEnds("side0")
-			c.drainWorker("side0", 0)
+			c.awaitUnlistedEnds("side1")
+			c.drainWorker("side1", 0)
 		},
 		"a side process restarts, its worker deregisters at once": func(c *cluster) {
-			c.kill("side0")
-			c.awaitUnlistedEnds("side0")
-			c.start("side0")
-			c.drainWorker("side0", 0)
+			c.kill("side1")
+			c.awaitUnlistedEnds("side1")
+			c.start("side1")
+			c.drainWorker("side1", 0)
 		},
 	}
 	for name, scenario := range scenarios {
