--- a/internal/system/core/config.go
+++ b/internal/system/core/config.go
@@ -1,9 +1,11 @@
 package core
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"sedgevale/internal/avrocodec"
@@ -29,7 +31,8 @@
 	History []appliedChange // newest maxHistory applied changes, oldest first
 }
 
-// appliedChange identifies a change that was applied.
+// appliedChange identifies a change that was applied. A call repeats it only if both fields are equal: the same text on another
+// base version is another change.
 type appliedChange struct {
 	Base   int64 // version to which the change was applied
 	Digest int64 // configChange.digest
@@ -50,15 +53,18 @@
 	patch       bool   // whether body is a patch rather than a complete configuration
 	baseVersion int64  // version that the change replaces
 	body        []byte // configuration or patch
-	digest      int64  // identifies the change across retries
+	digest      int64  // identifies the kind and the body of the change across retries
 }
 
+// patchPrefix distinguishes the hashed text of a patch from that of a complete configuration, which cannot begin with it.
+const patchPrefix = "patch "
+
 // newConfigChange returns a change whose digest is the first 8 bytes, in little-endian order, of the SHA-256 hash of the
-// body. For a patch the hashed text is the body with the prefix "patch ".
+// body. For a patch the hashed text is the body with the prefix patchPrefix.
 func newConfigChange(patch bool, baseVersion int64, body []byte) *configChange {
 	hash := sha256.New()
 	if patch {
-		hash.Write([]byte("patch "))
+		hash.Write([]byte(patchPrefix))
 	}
 	hash.Write(body)
 	return &configChange{
@@ -76,43 +82,67 @@
 			return nil, result.Errorf(result.Unavailable, "current configuration: %w", err)
 		}
 	}
-	for _, applied := range record.History {
-		if applied.Digest == o.digest {
-			return current, nil
-		}
-	}
-	text := o.body
-	if o.patch {
-		if o.baseVersion != record.Version || record.Version == 0 {
-			return nil, o.conflictError(&record)
-		}
-		patched, err := clusterconfig.Apply(record.Text, o.body)
-		if err != nil {
-			return nil, result.Errorf(result.Invalid, "patch: %w", err)
-		}
-		text = patched
-	}
-	if len(text) > clusterconfig.MaxBytes {
-		return nil, result.Errorf(result.Invalid, "configuration: %d bytes, %d at most", len(text), clusterconfig.MaxBytes)
+	if o.wasApplied(&record) {
+		return current, nil
 	}
-	config, err := clusterconfig.Parse(text)
-	if err == nil {
-		err = config.Validate()
+	text, err := o.nextText(&record)
+	if err != nil {
+		return nil, err
 	}
+	version, err := validConfigVersion(text)
 	if err != nil {
-		return nil, result.Errorf(result.Invalid, "configuration: %w", err)
+		return nil, err
 	}
 	if o.baseVersion != record.Version {
 		return nil, o.conflictError(&record)
 	}
-	if config.Version <= record.Version {
-		return nil, result.Errorf(result.Invalid, "version: %d is not above %d", config.Version, record.Version)
+	if version <= record.Version {
+		return nil, result.Errorf(result.Invalid, "version: %d is not above %d", version, record.Version)
 	}
 	history := append(record.History, appliedChange{o.baseVersion, o.digest})
 	if len(history) > maxHistory {
 		history = history[len(history)-maxHistory:]
 	}
-	return avrocodec.Encode(&configRecord{Version: config.Version, Text: text, History: history})
+	return avrocodec.Encode(&configRecord{Version: version, Text: text, History: history})
+}
+
+// wasApplied reports whether the change is the repetition of one in the history: the same kind of change, with the same body, to the
+// same base version.
+func (o *configChange) wasApplied(record *configRecord) bool {
+	if !o.patch && bytes.HasPrefix(o.body, []byte(patchPrefix)) {
+		return false // not a configuration; the digest is that of a patch
+	}
+	return slices.Contains(record.History, appliedChange{o.baseVersion, o.digest})
+}
+
+// nextText returns the text of the configuration after the change. A patch must have the current version as its base.
+func (o *configChange) nextText(record *configRecord) ([]byte, error) {
+	if !o.patch {
+		return o.body, nil
+	}
+	if o.baseVersion != record.Version || record.Version == 0 {
+		return nil, o.conflictError(record)
+	}
+	text, err := clusterconfig.Apply(record.Text, o.body)
+	if err != nil {
+		return nil, result.Errorf(result.Invalid, "patch: %w", err)
+	}
+	return text, nil
+}
+
+// validConfigVersion returns the version of a valid configuration.
+func validConfigVersion(text []byte) (int64, error) {
+	if len(text) > clusterconfig.MaxBytes {
+		return 0, result.Errorf(result.Invalid, "configuration: %d bytes, %d at most", len(text), clusterconfig.MaxBytes)
+	}
+	config, err := clusterconfig.Parse(text)
+	if err == nil {
+		err = config.Validate()
+	}
+	if err != nil {
+		return 0, result.Errorf(result.Invalid, "configuration: %w", err)
+	}
+	return config.Version, nil
 }
 
 // conflictError returns the error for a change whose base version is not the current one. If the base version precedes the
--- a/internal/system/core/config_test.go
+++ b/internal/system/core/config_test.go
@@ -75,6 +75,35 @@
 	}
 }
 
+// TestRepeatIsTheWholeCall guards against the failure of review/8: the text of an earlier change, sent on top of another version, was
+// acknowledged as a repetition of that change, and nothing was changed. Only a call of the same kind, base version and text repeats one.
+func TestRepeatIsTheWholeCall(t *testing.T) {
+	added := fmt.Sprintf(`{"version":7,"upsert":{"routes":[%s]}}`, route("b", "/b/"))
+	removed := `{"version":9,"remove":{"routes":["b"]}}`
+	first := configText(5, route("a", "/a/"))
+	record := applySteps(t, []changeStep{
+		{false, 0, first, result.OK},
+		{true, 5, added, result.OK},
+		{true, 7, removed, result.OK},
+		{true, 9, added, result.Invalid}, // version 7 is not above 9
+		{true, 9, removed, result.Invalid},
+		{true, 7, added, result.Conflict},
+		{true, 0, added, result.Conflict},
+		{false, 9, first, result.Invalid},
+		{false, 5, first, result.Conflict},
+		{false, 5, added, result.Conflict}, // a patch as a complete configuration
+		{false, 5, "patch " + added, result.Invalid},
+		{true, 0, first, result.Conflict}, // a complete configuration as a patch
+		{true, 5, added + " ", result.Conflict},
+		{false, 0, first, result.OK}, // repetitions
+		{true, 5, added, result.OK},
+		{true, 7, removed, result.OK},
+	})
+	if record.Version != 9 || strings.Contains(string(record.Text), `"/b/"`) {
+		t.Errorf("version %d in force: %s", record.Version, record.Text)
+	}
+}
+
 func TestInvalidConfigurationsAreRejected(t *testing.T) {
 	good := configText(5, route("a", "/a/"))
 	cases := map[string]string{
