core: acknowledge a repeated job before any limit; refuse its ID with another body (409)

Callers would see 429 or 404, which say that a job never runs, for an accepted job that is posted again while its shard is full or after its route was removed; and 200 for another job with a known ID, which is not kept. Change: a known job is recognized first; its specification is compared, with the stored one after a restart; 1010 becomes 409 at an edge. Before: TestRepeatedJobIsAcknowledged fails in 4 checks (code 0 for 1010 twice, 1009 and 1007 for 0). After: it passes, as do the tests of jobs, core, result, docs and TestRejectionOnlyIfNotApplied.

--- a/internal/system/core/jobsapi.go
+++ b/internal/system/core/jobsapi.go
@@ -45,45 +45,73 @@
 	return nil
 }
 
-// submit accepts a job and returns once the job is committed. It is idempotent: a retry with the same job ID does not
-// create another job.
+// submit accepts a job and returns once the job is committed. It is idempotent: a retry with the same job ID and body does not
+// create another job, and it is acknowledged whatever has become of the route and of the shard's room since.
 func (c *Core) submit(ctx context.Context, r *api.SubmitRequest) (*api.Empty, error) {
 	o, err := c.activeOwner(r.Shard)
 	if err != nil {
 		return nil, err
 	}
-	if err := c.ensureConfig(ctx, r.ConfigVersion); err != nil {
+	if !o.hasJob(r.ID) {
+		if err := c.ensureConfig(ctx, r.ConfigVersion); err != nil {
+			return nil, err
+		}
+	}
+	sequence, err := o.submit(r)
+	if err != nil {
 		return nil, err
 	}
+	return &api.Empty{}, o.waitCommitted(ctx, sequence)
+}
+
+// submit adds a job to the scheduler unless it is known, and returns the sequence number of the change that must be committed
+// before the job may be acknowledged.
+func (o *owner) submit(r *api.SubmitRequest) (sequence int64, err error) {
 	o.mu.Lock()
-	if !o.scheduler.HasQueue(r.Queue) {
-		o.mu.Unlock()
-		return nil, result.Errorf(result.NoRoute, "queue %s is not in the newest configuration", r.Queue)
-	}
-	if o.scheduler.ActiveJobs() > maxUnfinishedJobs {
-		o.mu.Unlock()
-		return nil, result.Errorf(result.Overloaded, "shard %s: %d jobs have not ended", r.Shard, maxUnfinishedJobs)
+	defer o.mu.Unlock()
+	if !o.scheduler.HasJob(r.ID) {
+		if err := o.checkAdmission(r.Queue); err != nil {
+			return 0, err
+		}
 	}
 	durable, err := o.scheduler.Submit(o.monotonicNow(), wallClockMS(), r.ID, r.Queue, r.Body)
 	if err != nil {
-		o.mu.Unlock()
-		return nil, submitError(r.ID, err)
+		return 0, submitError(r.ID, err)
 	}
 	if durable {
-		o.mu.Unlock()
-		return &api.Empty{}, nil
+		return 0, nil
 	}
-	sequence := o.flush()
-	o.mu.Unlock()
-	return &api.Empty{}, o.waitCommitted(ctx, sequence)
+	return o.flush(), nil
+}
+
+// checkAdmission returns nil if the shard may accept a new job in a queue. o.mu is held.
+func (o *owner) checkAdmission(queue string) error {
+	if !o.scheduler.HasQueue(queue) {
+		return result.Errorf(result.NoRoute, "queue %s is not in the newest configuration", queue)
+	}
+	if o.scheduler.ActiveJobs() > maxUnfinishedJobs {
+		return result.Errorf(result.Overloaded, "shard %s: %d jobs have not ended", o.name, maxUnfinishedJobs)
+	}
+	return nil
+}
+
+// hasJob reports whether the job is known.
+func (o *owner) hasJob(id string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.scheduler.HasJob(id)
 }
 
-// submitError returns the error for a job that the scheduler rejected. Only an invalid body is a client error.
+// submitError returns the error for a job that the scheduler rejected. Only an invalid body and an ID that is in use are client
+// errors.
 func submitError(id string, err error) error {
 	var invalid *jobs.InvalidJobError
 	if errors.As(err, &invalid) {
 		return result.Errorf(result.Invalid, "job %s: %w", id, err)
 	}
+	if errors.Is(err, jobs.ErrIDInUse) {
+		return result.Errorf(result.Conflict, "job %s: %w", id, err)
+	}
 	return result.Errorf(result.Unavailable, "job %s: %w", id, err)
 }
 
--- a/internal/system/core/owner_test.go
+++ b/internal/system/core/owner_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,27 +17,35 @@
 	"sedgevale/internal/taskgroup"
 )
 
+// newServingOwner returns a core scheduler and its owner of the shard s, which has the queue q and replicas that acknowledged nothing
+// but the takeover.
+func newServingOwner(t *testing.T) (*Core, *owner) {
+	t.Helper()
+	config := &clusterconfig.Config{
+		Routes:   []clusterconfig.Route{{Name: "q", Service: "s", TargetLatencyMS: 1000}},
+		Services: []clusterconfig.Service{{Name: "s"}},
+	}
+	c := &Core{
+		address: "a", logger: logr.Discard(), store: newStore("a"), settings: &settings.Settings{}, started: time.Now(),
+		config: &configState{record: configRecord{Version: 1}, config: config}, owners: map[string]*owner{}, goroutines: taskgroup.New(t.Context()),
+	}
+	o := newOwner(c, "s", 2, membership.Bootstrap(3, []string{"a", "b", "c"}), shard.NewRecordSet())
+	c.owners["s"] = o
+	for _, r := range o.replicators {
+		_, upTo := o.primary.BeginRepair(r.seat, shard.NewRecordSet().Digests())
+		o.onReplicaAck(r, upTo, time.Now())
+	}
+	if err := o.start(c.currentConfig()); err != nil {
+		t.Fatal(err)
+	}
+	return c, o
+}
+
 // A job is not acknowledged before a quorum has stored it, even if it is submitted again.
 func TestJobIsAcknowledgedOnceAQuorumHasStoredIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		config := &clusterconfig.Config{
-			Routes:   []clusterconfig.Route{{Name: "q", Service: "s", TargetLatencyMS: 1000}},
-			Services: []clusterconfig.Service{{Name: "s"}},
-		}
-		c := &Core{
-			address: "a", logger: logr.Discard(), store: newStore("a"), settings: &settings.Settings{}, started: time.Now(),
-			config: &configState{record: configRecord{Version: 1}, config: config}, owners: map[string]*owner{}, goroutines: taskgroup.New(t.Context()),
-		}
-		o := newOwner(c, "s", 2, membership.Bootstrap(3, []string{"a", "b", "c"}), shard.NewRecordSet())
+		c, o := newServingOwner(t)
 		defer o.close()
-		c.owners["s"] = o
-		for _, r := range o.replicators {
-			_, upTo := o.primary.BeginRepair(r.seat, shard.NewRecordSet().Digests())
-			o.onReplicaAck(r, upTo, time.Now())
-		}
-		if err := o.start(c.currentConfig()); err != nil {
-			t.Fatal(err)
-		}
 		submit := func() result.Code {
 			_, err := c.submit(t.Context(), &api.SubmitRequest{
 				Shard: "s", ConfigVersion: 1, Queue: "q", ID: "00000000000000aa", Body: []byte(`{"spec":"x","stages":[{"count":1}]}`),
@@ -68,6 +77,48 @@
 	})
 }
 
+// TestRepeatedJobIsAcknowledged guards against a refusal of an accepted job that is posted again: 429 and 404 say that it never runs. It
+// is acknowledged although the shard has no room for more jobs by now, its route was removed, or the newest configuration is not known
+// here. The same ID with another body is not a repetition, and is refused.
+func TestRepeatedJobIsAcknowledged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, o := newServingOwner(t)
+		defer o.close()
+		const body = `{"spec":"x","stages":[{"count":1}]}`
+		submit := func(id, body string, configVersion int64) result.Code {
+			_, err := c.submit(t.Context(), &api.SubmitRequest{Shard: "s", ConfigVersion: configVersion, Queue: "q", ID: id, Body: []byte(body)})
+			return result.CodeOf(err)
+		}
+		_ = submit("00000000000000aa", body, 1)
+		for seat := range o.replicators {
+			o.onReplicaAck(o.replicators[seat], o.primary.Sequence(), time.Now())
+		}
+		check := func(name, id, body string, configVersion int64, want result.Code) {
+			t.Helper()
+			if code := submit(id, body, configVersion); code != want {
+				t.Errorf("%s: code %d, want %d", name, code, want)
+			}
+		}
+		check("repetition", "00000000000000aa", body, 1, result.OK)
+		check("another body", "00000000000000aa", `{"spec":"y","stages":[{"count":1}]}`, 1, result.Conflict)
+		check("another body, more tasks", "00000000000000aa", `{"spec":"x","stages":[{"count":2}]}`, 1, result.Conflict)
+		o.mu.Lock()
+		for i := range maxUnfinishedJobs + 1 {
+			if _, err := o.scheduler.Submit(o.monotonicNow(), 0, fmt.Sprintf("%016x", 1<<40+i), "q", []byte(body)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		o.mu.Unlock()
+		check("another job while the shard is full", "00000000000000bb", body, 1, result.Overloaded)
+		check("repetition while the shard is full", "00000000000000aa", body, 1, result.OK)
+		o.mu.Lock()
+		o.scheduler.Configure(nil)
+		o.mu.Unlock()
+		check("another job of a removed route", "00000000000000bb", body, 1, result.NoRoute)
+		check("repetition after the route was removed", "00000000000000aa", body, 1, result.OK)
+	})
+}
+
 // An owner rejects calls unless a quorum has acknowledged it within the lease.
 func TestOwnerWithoutValidLeaseRejectsCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/system/edge/forward.go
+++ b/internal/system/edge/forward.go
@@ -111,6 +111,8 @@
 		http.Error(w, err.Error(), http.StatusTooManyRequests)
 	case result.Invalid, result.BadRequest:
 		http.Error(w, err.Error(), http.StatusBadRequest)
+	case result.Conflict:
+		http.Error(w, err.Error(), http.StatusConflict)
 	default:
 		writeUnavailable(w, err.Error())
 	}
--- a/internal/system/result/result.go
+++ b/internal/system/result/result.go
@@ -23,7 +23,7 @@
 	NoRoute           Code = 1007 // the current configuration has no such route
 	NoJob             Code = 1008 // the job does not exist
 	Overloaded        Code = 1009 // the shard has too many unfinished jobs; the job was not accepted
-	Conflict          Code = 1010 // another version of the configuration is current, or another disk holds the seat
+	Conflict          Code = 1010 // another version of the configuration is current, another disk holds the seat, or another job has the ID
 	Invalid           Code = 1011 // the configuration or job is invalid
 	WrongInstance     Code = 1012 // the orders are for another incarnation of the worker
 	BallotOutdated    Code = 1013 // a higher ballot was promised; no longer returned
--- a/internal/system/simulation/edge_test.go
+++ b/internal/system/simulation/edge_test.go
@@ -114,6 +114,7 @@
 		{"full", result.Errorf(result.Overloaded, "no"), http.StatusTooManyRequests},
 		{"a commit with unknown outcome", result.Errorf(result.OutcomeUnknown, "no"), http.StatusGatewayTimeout},
 		{"a removed route", result.Errorf(result.NoRoute, "no"), http.StatusNotFound},
+		{"an ID that another job has", result.Errorf(result.Conflict, "no"), http.StatusConflict},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
--- a/jobs/lifecycle.go
+++ b/jobs/lifecycle.go
@@ -1,7 +1,9 @@
 package jobs
 
 import (
+	"errors"
 	"fmt"
+	"reflect"
 	"time"
 
 	"sedgevale/internal/avrocodec"
@@ -14,17 +16,26 @@
 
 func (e *InvalidJobError) Unwrap() error { return e.Cause }
 
-// Submit accepts a job. It is idempotent: a job with a known ID is not accepted again. The result durable reports whether the
-// job's record is already committed; otherwise it is durable once all changes up to and including the next Flush are. On any
-// error the job was not accepted. The error is an *InvalidJobError if the body is invalid.
+// ErrIDInUse is the error for a job whose ID another job has.
+var ErrIDInUse = errors.New("another job has this ID")
+
+// Submit accepts a job. It is idempotent: a job with a known ID and the same specification is not accepted again. The result
+// durable reports whether the job's record is already committed; otherwise it is durable once all changes up to and including the
+// next Flush are. On any error the job was not accepted. The error is an *InvalidJobError if the body is invalid, and ErrIDInUse
+// if a job with another specification has the ID.
+//
+// The queue is not compared: its name is that of the route, which an operator may have changed since the first submission.
 func (s *Scheduler) Submit(now time.Duration, wallMS int64, id, queue string, body []byte) (durable bool, err error) {
-	if known := s.jobs[id]; known != nil {
-		return known.durable, nil
-	}
 	job, err := parseJob(id, queue, body)
 	if err != nil {
 		return false, &InvalidJobError{err}
 	}
+	if known := s.jobs[id]; known != nil {
+		if !reflect.DeepEqual(known.Spec, job.Spec) {
+			return false, ErrIDInUse
+		}
+		return known.durable, nil
+	}
 	record, err := avrocodec.Encode(&specRecord{Queue: queue, Body: body})
 	if err != nil {
 		return false, fmt.Errorf("record of the job: %w", err)
@@ -73,6 +84,9 @@
 	delete(s.delayed, job.ID)
 }
 
+// HasJob reports whether a job with the ID is known.
+func (s *Scheduler) HasJob(id string) bool { return s.jobs[id] != nil }
+
 // Cancel cancels a job unless it has ended, and reports whether the job is known. The cancellation is durable once all changes
 // up to and including the next Flush are.
 func (s *Scheduler) Cancel(now time.Duration, id string) (known bool) {
