simulation: operators and clients repeat calls that were taken, and change them

Change: in TestSystemThroughOverlappingFaults operators resend changes that were acknowledged, and send their texts on the current version; clients post accepted jobs again, and other jobs with their IDs.

--- a/internal/system/simulation/client_test.go
+++ b/internal/system/simulation/client_test.go
@@ -82,14 +82,16 @@
 	return false
 }
 
-// submitJobs submits jobs in the background at random times within 30 seconds, and returns their IDs.
-func (c *cluster) submitJobs(count int) []string {
-	var ids []string
+// submitJobs submits jobs in the background at random times within 30 seconds, and returns their IDs and the widths of their first
+// stages.
+func (c *cluster) submitJobs(count int) (ids []string, widths map[string]int) {
+	widths = map[string]int{}
 	random := rand.New(rand.NewPCG(c.random.Uint64(), 2))
 	for i := range count {
 		id := fmt.Sprintf("%016x", i+1)
 		ids = append(ids, id)
 		width := 1 + random.IntN(5)
+		widths[id] = width
 		delay := time.Duration(random.IntN(30000)) * time.Millisecond
 		c.background.Add(1)
 		go func() {
@@ -97,7 +99,13 @@
 			c.submitJob(id, width)
 		}()
 	}
-	return ids
+	return ids, widths
+}
+
+// jobBody returns the body of a job with two stages.
+func jobBody(width int) string {
+	return fmt.Sprintf(`{"spec":"x","stages":[{"count":%d,"cpu":%d,"estimate_ms":500},{"count":1,"cpu":%d,"estimate_ms":500,"depends_on":[0]}]}`,
+		width, taskCPU, taskCPU)
 }
 
 // submitJob submits a job, and retries until it is accepted, at most 30 times.
@@ -106,10 +114,8 @@
 	c.checker.mu.Lock()
 	c.checker.submitted[id] = true
 	c.checker.mu.Unlock()
-	body := fmt.Sprintf(`{"spec":"x","stages":[{"count":%d,"cpu":%d,"estimate_ms":500},{"count":1,"cpu":%d,"estimate_ms":500,"depends_on":[0]}]}`,
-		width, taskCPU, taskCPU)
 	for range 30 {
-		status, _ := c.call(http.MethodPost, "10.0.1.1:90", "/q/"+id, "h", "", body)
+		status, _ := c.call(http.MethodPost, "10.0.1.1:90", "/q/"+id, "h", "", jobBody(width))
 		if status == http.StatusOK {
 			c.mu.Lock()
 			c.acceptedJobs[id] = true
@@ -120,6 +126,26 @@
 	}
 }
 
+// repeatJobs posts accepted jobs again until stop is closed, and other jobs with their IDs. A repetition must not be answered with a
+// status that says that the job never runs; 503 says it of the call alone while no owner is known. Another job must not be accepted.
+func (c *cluster) repeatJobs(ids []string, widths map[string]int, stop <-chan struct{}) {
+	for waitUnlessStopped(stop, time.Duration(200+c.intN(1500))*time.Millisecond) {
+		id := ids[c.intN(len(ids))]
+		c.mu.Lock()
+		accepted := c.acceptedJobs[id]
+		c.mu.Unlock()
+		if !accepted {
+			continue
+		}
+		if status, _ := c.call(http.MethodPost, "10.0.1.1:90", "/q/"+id, "h", "", jobBody(widths[id])); status >= 400 && status < 500 {
+			c.violation("REPEAT: the accepted job %s was posted again and got status %d", id, status)
+		}
+		if status, _ := c.call(http.MethodPost, "10.0.1.1:90", "/q/"+id, "h", "", jobBody(widths[id]+1)); status == http.StatusOK {
+			c.violation("REPEAT: another job was accepted under the ID of job %s", id)
+		}
+	}
+}
+
 // jobState returns a job's state. It retries until there is a response, at most 10 times.
 func (c *cluster) jobState(id string) string {
 	for range 10 {
--- a/internal/system/simulation/control_test.go
+++ b/internal/system/simulation/control_test.go
@@ -145,7 +145,7 @@
 		t.Run(fmt.Sprintf("%d machines tolerate %d", size.cores, size.tolerance), func(t *testing.T) {
 			t.Parallel()
 			runScenario(t, size, func(t *testing.T, c *cluster) {
-				ids := c.submitJobs(30)
+				ids, _ := c.submitJobs(30)
 				for round := range 3 {
 					c.rotateSeeds()
 					c.replacePlanned(c.coreNames()[0])
@@ -172,7 +172,7 @@
 // replicated to other members: no state is lost although another member loses its disk at the moment of the exit.
 func TestGracefulShutdownReplicatesState(t *testing.T) {
 	runScenario(t, topology{cores: 5, tolerance: 1}, func(t *testing.T, c *cluster) {
-		ids := c.submitJobs(30)
+		ids, _ := c.submitJobs(30)
 		for round := range 4 {
 			name := c.coreNames()[round]
 			other := c.coreNames()[(round+1)%5]
--- a/internal/system/simulation/faults_test.go
+++ b/internal/system/simulation/faults_test.go
@@ -38,7 +38,7 @@
 	if !c.putConfiguration(1, 0) {
 		t.Error("the initial configuration was not applied")
 	}
-	ids := c.submitJobs(60)
+	ids, _ := c.submitJobs(60)
 	for round := range 5 {
 		c.injectFault()
 		c.putConfiguration(int64(2+round), c.acknowledgedVersion)
--- a/internal/system/simulation/operators_test.go
+++ b/internal/system/simulation/operators_test.go
@@ -143,10 +143,27 @@
 	return registerState{}, false
 }
 
+// repeatApplied sends an applied change once more. It must be acknowledged again or left without a clear answer, however many changes
+// came since.
+func (c *cluster) repeatApplied(change configChange) {
+	if status := c.putConfigurationTo(c.anyCore().name, change.baseVersion, change.version, change.marker); status >= 400 && status < 500 {
+		c.violation("CONFIG: a repetition of version %d on base %d, which was acknowledged, got status %d", change.version, change.baseVersion, status)
+	}
+}
+
+// sendOnCurrentBase sends the text of an applied change on top of the version that is current by now. That is another change, and
+// invalid.
+func (c *cluster) sendOnCurrentBase(change configChange, currentVersion int64) {
+	if status := c.putConfigurationTo(c.anyCore().name, currentVersion, change.version, change.marker); status == http.StatusOK {
+		c.violation("CONFIG: the text of version %d was acknowledged on base %d", change.version, currentVersion)
+	}
+}
+
 // runOperator simulates an operator who changes the configuration repeatedly until stop is closed. Concurrent operators
-// choose the same versions.
+// choose the same versions. Now and then one sends an earlier change again, or its text on top of the current version.
 func (c *cluster) runOperator(client int, h *history, stop <-chan struct{}) {
 	defer c.background.Done()
+	var applied []configChange
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
@@ -157,6 +174,13 @@
 		if !ok {
 			continue
 		}
-		c.putUntilOutcomeKnown(client, configChange{baseVersion: current.version, version: current.version + 1, marker: fmt.Sprintf("%d-%d", client, n)}, h)
+		if len(applied) > 0 {
+			c.repeatApplied(applied[c.intN(len(applied))])
+			c.sendOnCurrentBase(applied[c.intN(len(applied))], current.version)
+		}
+		change := configChange{baseVersion: current.version, version: current.version + 1, marker: fmt.Sprintf("%d-%d", client, n)}
+		if c.putUntilOutcomeKnown(client, change, h) == changeApplied {
+			applied = append(applied, change)
+		}
 	}
 }
--- a/internal/system/simulation/overlap_test.go
+++ b/internal/system/simulation/overlap_test.go
@@ -42,7 +42,7 @@
 	if c.putUntilOutcomeKnown(0, configChange{version: 1}, h) != changeApplied {
 		t.Error("the initial configuration was not applied")
 	}
-	ids := c.submitJobs(overlapJobCount)
+	ids, widths := c.submitJobs(overlapJobCount)
 	stop := make(chan struct{})
 	var injectors sync.WaitGroup
 	inject := func(loop func()) {
@@ -60,6 +60,7 @@
 	}
 	inject(func() { c.injectPeripheralFaults(stop) })
 	inject(func() { c.injectNetworkFaults(stop) })
+	inject(func() { c.repeatJobs(ids, widths, stop) })
 	for client := range 2 {
 		c.background.Add(1)
 		go c.runOperator(client+1, h, stop)
