side: orders that were delayed until their worker was forgotten are rejected

Needs a cut of over 20 s between a core and a side machine; seen by nobody. Change: an agent's incarnation begins with the number of the registration in its process. Owners only compare the text. Before: TestOrdersForAForgottenRegistrationAreRejected fails ('delayed orders: error <nil>, want code 1012'); after: it passes.

--- a/internal/system/side/heartbeat_test.go
+++ b/internal/system/side/heartbeat_test.go
@@ -9,24 +9,59 @@
 	"testing/synctest"
 	"time"
 
+	"sedgevale/internal/system/api"
+	"sedgevale/internal/system/result"
+	"sedgevale/jobs"
 	"sedgevale/workeragent"
 )
 
-// Whoever sends heartbeats under ever new names does not fill the memory, and does not keep the worker out for good.
-func TestIncarnationsAreLimited(t *testing.T) {
+func newTestScheduler(t *testing.T) *Scheduler {
+	t.Helper()
+	return &Scheduler{
+		workers: map[string]*worker{}, drops: newDropCounter(), started: time.Now(), ctx: t.Context(),
+		timing: workeragent.Timing{WorkerLease: 4 * time.Second, AgentLease: 8 * time.Second},
+	}
+}
+
+// sendHeartbeat lets a scheduler handle a heartbeat of an idle worker.
+func sendHeartbeat(t *testing.T, s *Scheduler, instance string) *httptest.ResponseRecorder {
+	t.Helper()
+	request := httptest.NewRequestWithContext(t.Context(), http.MethodPut, "/sedgevale/instances/"+instance,
+		strings.NewReader(`{"service":"s","state":"ready","sequence":1}`))
+	request.SetPathValue("id", instance)
+	recorder := httptest.NewRecorder()
+	s.handleHeartbeat(recorder, request)
+	return recorder
+}
+
+// TestOrdersForAForgottenRegistrationAreRejected guards against orders that were delayed until their worker was forgotten and registered
+// again: its runs of before have expired, and their tasks may run elsewhere.
+func TestOrdersForAForgottenRegistrationAreRejected(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &Scheduler{
-			workers: map[string]*worker{}, drops: newDropCounter(), started: time.Now(), ctx: t.Context(),
-			timing: workeragent.Timing{WorkerLease: 4 * time.Second, AgentLease: 8 * time.Second},
+		s := newTestScheduler(t)
+		sendHeartbeat(t, s, "i-1")
+		delayed := &api.OrdersRequest{Token: 1, Orders: jobs.Orders{
+			Instance: "i-1", AgentIncarnation: s.workers["i-1"].agent.Incarnation(), Starts: []jobs.Start{{Task: "t", Attempt: 1}},
+		}}
+		for range 3 {
+			time.Sleep(expiredRetention)
+			s.expireLeases()
 		}
-		beat := func(instance string) *httptest.ResponseRecorder {
-			request := httptest.NewRequestWithContext(t.Context(), http.MethodPut, "/sedgevale/instances/"+instance,
-				strings.NewReader(`{"service":"s","state":"ready","sequence":1}`))
-			request.SetPathValue("id", instance)
-			recorder := httptest.NewRecorder()
-			s.handleHeartbeat(recorder, request)
-			return recorder
+		if s.workers["i-1"] != nil {
+			t.Fatal("the worker is not forgotten")
 		}
+		sendHeartbeat(t, s, "i-1")
+		if _, err := s.handleOrders(t.Context(), delayed); result.CodeOf(err) != result.WrongInstance {
+			t.Errorf("delayed orders: error %v, want code %d", err, result.WrongInstance)
+		}
+	})
+}
+
+// Whoever sends heartbeats under ever new names does not fill the memory, and does not keep the worker out for good.
+func TestIncarnationsAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestScheduler(t)
+		beat := func(instance string) *httptest.ResponseRecorder { return sendHeartbeat(t, s, instance) }
 		for i := range maxIncarnations {
 			if response := beat(fmt.Sprintf("i-%d", i)); response.Code != http.StatusOK {
 				t.Fatalf("incarnation %d: status %d", i, response.Code)
--- a/internal/system/side/side.go
+++ b/internal/system/side/side.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -55,6 +56,7 @@
 	mu             sync.Mutex         // guards the fields below and the workers
 	workers        map[string]*worker // by instance
 	newestInstance string             // the instance that was confirmed last
+	registrations  int64              // number of agents created so far; distinguishes those of an instance that was forgotten
 	reportSequence int64
 	owner          string // address of the owner of the current session
 	session        string // session ID assigned by the owner; empty before its first response
@@ -136,8 +138,9 @@
 	if len(s.workers) >= maxIncarnations {
 		return nil
 	}
+	s.registrations++
 	added := &worker{
-		agent:       workeragent.New(s.now(), instance, s.incarnation, s.timing),
+		agent:       workeragent.New(s.now(), instance, fmt.Sprintf("%s.%d", s.incarnation, s.registrations), s.timing),
 		ordersReady: make(chan struct{}, 1), reportDue: make(chan struct{}, 1),
 	}
 	s.workers[instance] = added
--- a/workeragent/agent.go
+++ b/workeragent/agent.go
@@ -51,7 +51,7 @@
 type Agent struct {
 	Instance string // instance ID of the worker in its heartbeats and in the owner's orders
 	timing   Timing
-	process  string // ID of the agent's process
+	process  string // distinguishes this agent from the earlier ones of the worker
 
 	heartbeat     Heartbeat     // the heartbeat with the highest sequence number
 	heartbeats    int64         // number of heartbeats received
@@ -82,7 +82,7 @@
 	drops    []Drop // drops since the last call of TakeDrops
 }
 
-// New returns the agent for an incarnation of a worker. Process identifies the agent's process. An earlier process may have
+// New returns the agent for an incarnation of a worker. Process identifies this agent of the worker. An earlier one may have
 // granted the worker a lease just before, so the worker's runs may be active for the duration of one more lease.
 func New(now time.Duration, instance, process string, timing Timing) *Agent {
 	return &Agent{
@@ -180,8 +180,8 @@
 	return true
 }
 
-// Incarnation returns the ID of the incarnation: the agent's process and the number of expiries of the worker's lease during
-// it. Orders for an earlier incarnation are rejected.
+// Incarnation returns the ID of the incarnation: the agent and the number of expiries of the worker's lease during it. Orders for
+// an earlier incarnation are rejected.
 func (a *Agent) Incarnation() string { return a.process + "/" + strconv.FormatInt(a.expiries, 10) }
 
 // LeaseExpired reports whether the worker's lease has expired, so that no run of this incarnation can be active.
