jobs, workeragent: one way to name a run and to subtract resources

Change: Ref methods of Start, ActiveRun and FinishedRun; Resources.Plus and Minus; Capacity.resources. No decision and no encoding changes.

--- a/jobs/backlog.go
+++ b/jobs/backlog.go
@@ -153,7 +153,7 @@
 	n := int64(0)
 	for _, w := range s.workers {
 		if w.State == Ready {
-			sum = sum.plus(w.Capacity)
+			sum = sum.Plus(w.Capacity)
 			n++
 		}
 	}
--- a/jobs/completion.go
+++ b/jobs/completion.go
@@ -17,7 +17,7 @@
 			continue
 		}
 		last = max(last, end.Number)
-		s.finishRun(now, w, RunRef{end.Task, end.Attempt}, end.Outcome, end.Checkpoint)
+		s.finishRun(now, w, end.Ref(), end.Outcome, end.Checkpoint)
 	}
 	if last == w.appliedCompletions {
 		return
--- a/jobs/filter.go
+++ b/jobs/filter.go
@@ -52,7 +52,7 @@
 			if plan.rack != "" && w.rack() != plan.rack {
 				continue
 			}
-			total = total.plus(plan.demand[w])
+			total = total.Plus(plan.demand[w])
 			planned = plan.tasks[w]
 		}
 		if w.fits(total) && c.reservationAllows(w, group, total) && w.isFeasible(group, planned) {
--- a/jobs/gang.go
+++ b/jobs/gang.go
@@ -59,7 +59,7 @@
 		if w == nil {
 			return nil
 		}
-		plan.demand[w] = plan.demand[w].plus(demand)
+		plan.demand[w] = plan.demand[w].Plus(demand)
 		plan.tasks[w]++
 		workers = append(workers, w)
 	}
--- a/jobs/protocol.go
+++ b/jobs/protocol.go
@@ -46,6 +46,12 @@
 	Checkpoint string // latest checkpoint, if any
 }
 
+// Ref identifies the run.
+func (r *ActiveRun) Ref() RunRef { return RunRef{r.Task, r.Attempt} }
+
+// Ref identifies the run.
+func (r *FinishedRun) Ref() RunRef { return RunRef{r.Task, r.Attempt} }
+
 // The outcomes of a run. The values are sent by agents.
 const (
 	outcomeSucceeded    = "done"    // the task succeeded
@@ -85,3 +91,6 @@
 	Checkpoint string // checkpoint to resume from, if any
 	Demand     Resources
 }
+
+// Ref identifies the run to start.
+func (s *Start) Ref() RunRef { return RunRef{s.Task, s.Attempt} }
--- a/jobs/report.go
+++ b/jobs/report.go
@@ -125,7 +125,7 @@
 // applyActive applies the active runs of a report. Runs without an assignment are added so that they are stopped.
 func (s *Scheduler) applyActive(now time.Duration, w *Worker, r *Report) {
 	for _, active := range r.Active {
-		key := RunRef{active.Task, active.Attempt}
+		key := active.Ref()
 		run := w.Runs[key]
 		if run == nil {
 			run = s.newOrphanedRun(key)
--- a/jobs/reservation.go
+++ b/jobs/reservation.go
@@ -32,7 +32,7 @@
 // takeBackfill subtracts the demand of a task of another group from the backfill capacity.
 func (r *reservation) takeBackfill(demand Resources) {
 	if r.backfillKnown {
-		remaining := r.backfill.minus(demand)
+		remaining := r.backfill.Minus(demand)
 		r.backfill = Resources{max(0, remaining.CPU), max(0, remaining.MemMB), max(0, remaining.GPU)}
 	}
 }
@@ -68,7 +68,7 @@
 // there. It assumes that the smallest current runs stay as long as they fit next to that task. The other runs must end before
 // the task can start in any case.
 func (w *Worker) backfillCapacity(demand Resources) Resources {
-	remaining := w.Capacity.minus(demand)
+	remaining := w.Capacity.Minus(demand)
 	runs := make([]*Run, 0, len(w.Runs))
 	for _, run := range w.Runs {
 		if !run.stopping {
@@ -80,7 +80,7 @@
 		if !remaining.Holds(run.demand) {
 			break
 		}
-		remaining = remaining.minus(run.demand)
+		remaining = remaining.Minus(run.demand)
 	}
 	return remaining
 }
--- a/jobs/resources.go
+++ b/jobs/resources.go
@@ -9,11 +9,13 @@
 	GPU   int64 // number of accelerators
 }
 
-func (r Resources) plus(o Resources) Resources {
+// Plus returns the sum of r and o.
+func (r Resources) Plus(o Resources) Resources {
 	return Resources{r.CPU + o.CPU, r.MemMB + o.MemMB, r.GPU + o.GPU}
 }
 
-func (r Resources) minus(o Resources) Resources {
+// Minus returns the difference of r and o, which may be negative.
+func (r Resources) Minus(o Resources) Resources {
 	return Resources{r.CPU - o.CPU, r.MemMB - o.MemMB, r.GPU - o.GPU}
 }
 
--- a/jobs/workconserving_test.go
+++ b/jobs/workconserving_test.go
@@ -229,7 +229,7 @@
 	for _, run := range w.runs {
 		position, _ := parseTaskName(run.ref.Task)
 		if job := s.scheduler.jobs[position.jobID]; job != nil {
-			free = free.minus(job.Spec.Stages[position.stage].demand())
+			free = free.Minus(job.Spec.Stages[position.stage].demand())
 		}
 	}
 	return free
@@ -250,7 +250,7 @@
 		}
 		free := s.freeCapacity(w)
 		for n := 0; n < maxTasks && free.Holds(stage.demand()); n++ {
-			free = free.minus(stage.demand())
+			free = free.Minus(stage.demand())
 			slots++
 		}
 	}
--- a/jobs/worker.go
+++ b/jobs/worker.go
@@ -60,12 +60,12 @@
 
 // freeCapacity returns the capacity that is not used by runs. It is negative in a resource if the worker's capacity was reduced
 // below the usage.
-func (w *Worker) freeCapacity() Resources { return w.Capacity.minus(w.used) }
+func (w *Worker) freeCapacity() Resources { return w.Capacity.Minus(w.used) }
 
 // add adds a run and its share to the worker and to the run's queue.
 func (w *Worker) add(r *Run) {
 	w.Runs[r.Key] = r
-	w.used = w.used.plus(r.demand)
+	w.used = w.used.Plus(r.demand)
 	w.allocated += r.share
 	w.countForQueue(r, r.share)
 }
@@ -73,7 +73,7 @@
 // remove removes a run and its share from the worker and from the run's queue.
 func (w *Worker) remove(r *Run) {
 	delete(w.Runs, r.Key)
-	w.used = w.used.minus(r.demand)
+	w.used = w.used.Minus(r.demand)
 	w.allocated -= r.share
 	if len(w.Runs) == 0 {
 		w.allocated = 0 // discards accumulated rounding errors
@@ -127,7 +127,7 @@
 	if w.State != Ready || !w.freeCapacity().Holds(demand) {
 		return false
 	}
-	return len(w.Runs) == 0 || w.Capacity.dominantShare(w.used.plus(demand)) <= w.loadLimit+roundingError
+	return len(w.Runs) == 0 || w.Capacity.dominantShare(w.used.Plus(demand)) <= w.loadLimit+roundingError
 }
 
 // hasLabels reports whether the worker has all of the given labels.
--- a/workeragent/answer.go
+++ b/workeragent/answer.go
@@ -52,9 +52,7 @@
 			continue
 		}
 		remainingBytes -= size
-		free.CPU -= demand.CPU
-		free.MemMB -= demand.MemMB
-		free.GPU -= demand.GPU
+		free = free.Minus(demand)
 		pending.inFlight = true
 		pending.sentAfter = a.heartbeats
 		starts = append(starts, Start{ref.Task, ref.Attempt, pending.start.Spec, pending.start.Checkpoint})
@@ -65,22 +63,16 @@
 // freeCapacity returns the worker's capacity minus the demands of its active, stopping and possibly started runs, and whether
 // the demands of all active runs are known.
 func (a *Agent) freeCapacity() (jobs.Resources, bool) {
-	c := a.heartbeat.Capacity
-	free := jobs.Resources{CPU: c.CPU, MemMB: c.MemMB, GPU: c.GPU}
+	free := a.heartbeat.Capacity.resources()
 	known := true
-	subtract := func(demand jobs.Resources) {
-		free.CPU -= demand.CPU
-		free.MemMB -= demand.MemMB
-		free.GPU -= demand.GPU
-	}
 	for ref := range a.active {
 		demand, ok := a.demands[ref]
 		known = known && ok
-		subtract(demand)
+		free = free.Minus(demand)
 	}
-	for ref, pending := range a.starts {
-		if pending.inFlight && !a.active[ref] {
-			subtract(pending.start.Demand)
+	for _, pending := range a.starts {
+		if pending.inFlight {
+			free = free.Minus(pending.start.Demand)
 		}
 	}
 	return free, known
--- a/workeragent/ends.go
+++ b/workeragent/ends.go
@@ -59,14 +59,14 @@
 	clear(a.active)
 	clear(a.finished)
 	for _, run := range a.heartbeat.Active {
-		ref := jobs.RunRef{Task: run.Task, Attempt: run.Attempt}
+		ref := run.ref()
 		a.active[ref] = true
 		delete(a.ends.unlisted, ref)
 		delete(a.starts, ref)
 	}
 	lastNumber := int64(0)
 	for _, run := range a.heartbeat.Finished {
-		ref := jobs.RunRef{Task: run.Task, Attempt: run.Attempt}
+		ref := run.ref()
 		a.finished[ref] = true
 		a.ends.addListed(run.Number, a.endedAfter(ref))
 		lastNumber = run.Number
--- a/workeragent/message.go
+++ b/workeragent/message.go
@@ -20,6 +20,8 @@
 
 	"github.com/mailru/easyjson/jlexer"
 	"github.com/mailru/easyjson/jwriter"
+
+	"sedgevale/jobs"
 )
 
 // Heartbeat is the periodic status message of a worker. Its JSON keys and those of HeartbeatResponse are part of the worker protocol.
@@ -52,6 +54,10 @@
 	GPU   int64 `json:"gpu"`
 }
 
+func (c Capacity) resources() jobs.Resources {
+	return jobs.Resources{CPU: c.CPU, MemMB: c.MemMB, GPU: c.GPU}
+}
+
 // HeartbeatResponse is the response to a Heartbeat.
 //
 //easyjson:json
@@ -72,6 +78,8 @@
 	Percent    float64 // progress in percent
 }
 
+func (a *ActiveRun) ref() jobs.RunRef { return jobs.RunRef{Task: a.Task, Attempt: a.Attempt} }
+
 // FinishedRun is a run that has finished. It is encoded as [N, task, run, how, saved].
 type FinishedRun struct {
 	Number     int64 // sequence number among the finished runs of the worker
@@ -81,6 +89,8 @@
 	Checkpoint string
 }
 
+func (f *FinishedRun) ref() jobs.RunRef { return jobs.RunRef{Task: f.Task, Attempt: f.Attempt} }
+
 // Start is the order to start a run. It is encoded as [task, run, spec, saved].
 type Start struct {
 	Task       string
--- a/workeragent/orders.go
+++ b/workeragent/orders.go
@@ -20,7 +20,7 @@
 	}
 	a.acknowledged = max(a.acknowledged, orders.DurableCompletions)
 	for _, known := range orders.KnownDemands {
-		a.demands[jobs.RunRef{Task: known.Task, Attempt: known.Attempt}] = known.Demand
+		a.demands[known.Ref()] = known.Demand
 	}
 	for _, ref := range orders.Stops {
 		a.addStop(now, ref)
@@ -48,7 +48,7 @@
 }
 
 func (a *Agent) addStart(now time.Duration, start jobs.Start) {
-	ref := jobs.RunRef{Task: start.Task, Attempt: start.Attempt}
+	ref := start.Ref()
 	if _, rejected := a.rejected[ref]; rejected {
 		a.drops = append(a.drops, Drop{Run: ref, Reason: DropRepeated, ListedEnds: len(a.heartbeat.Finished)})
 		a.dropped[ref] = now
--- a/workeragent/report.go
+++ b/workeragent/report.go
@@ -55,11 +55,10 @@
 
 // Report returns the worker's state, runs and orders for the owner.
 func (a *Agent) Report(now time.Duration) *jobs.Report {
-	c := a.heartbeat.Capacity
 	r := &jobs.Report{
 		AgentIncarnation: a.Incarnation(), Service: a.heartbeat.Service, Instance: a.Instance, State: string(a.State()),
 		DrainRemainingMS: max(0, a.heartbeat.RemainingMS-(now-a.heartbeatAt).Milliseconds()),
-		Capacity:         jobs.Resources{CPU: c.CPU, MemMB: c.MemMB, GPU: c.GPU}, Labels: a.heartbeat.Labels,
+		Capacity:         a.heartbeat.Capacity.resources(), Labels: a.heartbeat.Labels,
 		MissedMessages: a.missedAnswers, HeartbeatAgeMS: (now - a.heartbeatAt).Milliseconds(),
 	}
 	if a.expired {
@@ -72,7 +71,7 @@
 		r.Active = append(r.Active, jobs.ActiveRun{
 			Task: run.Task, Attempt: run.Attempt, Checkpoint: run.Checkpoint, Percent: int64(run.Percent),
 		})
-		if _, known := a.demands[jobs.RunRef{Task: run.Task, Attempt: run.Attempt}]; !known {
+		if _, known := a.demands[run.ref()]; !known {
 			r.UnknownDemands++
 		}
 	}
