core, side: a file each for a change of the configuration and for registrations

Cause: clean-up: config.go held the change itself beside what a core scheduler does with it, side.go all that belongs to registrations. Change: config_change.go and registration.go, moved word for word; a comment wrapped; the mutants follow; a test prelude stands once.

--- a/internal/system/side/heartbeat.go
+++ b/internal/system/side/heartbeat.go
@@ -67,7 +67,8 @@
 	heartbeatRefused                   // the state of too many or too large incarnations is kept
 )
 
-// applyHeartbeat updates the state of an incarnation, which it returns unless the heartbeat, of the given number of bytes, was refused. If the state has changed, it triggers a report to the owner.
+// applyHeartbeat updates the state of an incarnation, which it returns unless the heartbeat, of the given number of bytes, was
+// refused. If the state has changed, it triggers a report to the owner.
 func (s *Scheduler) applyHeartbeat(instance string, heartbeat workeragent.Heartbeat, bytes int) (*worker, heartbeatOutcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -39,10 +39,10 @@
 mutate "a pending membership change is overridden" coord/membership/change.go 's/current\.Epoch > installed\.Epoch && current\.BaseEpoch != installed\.Epoch/current.Epoch > installed.Epoch/'
 mutate "a learner replaces a voter without a quorum" coord/membership/change.go 's/if remaining < m\.Quorum\(\)/if remaining < 1/'
 mutate "a late machine bootstraps a membership" internal/system/core/store.go 's/if bootstrap \{\s+s\.bootstrapMembership\(first\)\s+\}/s.membership = first.Clone()/'
-mutate "changes from before the history are rejected" internal/system/core/config.go 's/o\.baseVersion < record\.History\[0\]\.Base/false/'
+mutate "changes from before the history are rejected" internal/system/core/config_change.go 's/o\.baseVersion < record\.History\[0\]\.Base/false/'
 mutate "net/http repeats a call" internal/system/rpc/rpc.go 's/httpRequest\.GetBody = nil/httpRequest.Header.Set("Idempotency-Key", "x")/'
 mutate "accepted before it is durable" internal/system/core/jobsapi.go 's/return o\.flush\(\), nil/o.flush()\n\treturn 0, nil/'
-mutate "a retried change is rejected" internal/system/core/config.go 's/if o\.wasApplied\(&record\) \{/if false {/'
+mutate "a retried change is rejected" internal/system/core/config_change.go 's/if o\.wasApplied\(&record\) \{/if false {/'
 mutate "no backfill on reserved workers" jobs/reservation.go 's/reserved\.backfillCapacity\(\)\.Holds\(demand\)/false/' ./jobs
 mutate "reservations hold without end" jobs/overdue.go 's/c\.ignoreReservations = idle \|\| group\.isLongRunning\(\)/c.ignoreReservations = idle && false/' ./jobs
 mutate "overdue work is not placed" jobs/cycle.go 's/if s\.overdueCycle \{/if false {/' ./jobs
@@ -67,7 +67,7 @@
 mutate "records: a failure changes no part" jobs/completion.go 's/\t\tcounter\.changed = true\n//' ./jobs
 mutate "records: parts of deleted jobs remain" jobs/lifecycle.go 's/s\.deletedKeys = append\(s\.deletedKeys, job\.parts\.recordKeys\(job\.ID\)\.\.\.\)//' ./jobs
 mutate "records: byte strings above 1 MiB are not decoded" internal/avrocodec/codec.go 's/MaxByteSliceSize: MaxBytes/MaxByteSliceSize: 1 << 20/' "./internal/avrocodec ./internal/system/core"
-mutate "records: a patch makes a configuration of any size" internal/system/core/config.go 's/if len\(text\) > clusterconfig\.MaxBytes/if false/' ./internal/system/core
+mutate "records: a patch makes a configuration of any size" internal/system/core/config_change.go 's/if len\(text\) > clusterconfig\.MaxBytes/if false/' ./internal/system/core
 mutate "ends: truncated lists count as complete" workeragent/ends.go 's/if listed < e\.maxListed \{/if listed < 500 {/' ./workeragent
 mutate "ends: full lists count as complete" workeragent/ends.go 's/if listed < e\.maxListed \{/if true {/' "./workeragent ./internal/system/simulation"
 mutate "ends: an expiry begins no incarnation" workeragent/agent.go 's/\ta\.incarnationStart = a\.heartbeats\n//' ./workeragent
@@ -76,9 +76,9 @@
 mutate "ends: an end counts for a later heartbeat" workeragent/ends.go 's/return lastActive\n/return lastActive + 1\n/' ./workeragent
 mutate "ends: ends show nothing while lists are truncated" workeragent/ends.go 's/e\.knownBefore = max\(e\.knownBefore, endedAfter\)//' ./workeragent
 mutate "ends: a start is repeated without proof" workeragent/answer.go 's/!pending\.inFlight && a\.ends\.knownBefore > pending\.sentAfter/!pending.inFlight/' ./workeragent
-mutate "repeats: a change on another base version" internal/system/core/config.go 's/slices\.Contains\(record\.History, appliedChange\{o\.baseVersion, o\.digest\}\)/slices.ContainsFunc(record.History, func(a appliedChange) bool { return a.Digest == o.digest })/' ./internal/system/core
-mutate "repeats: a complete configuration for a patch" internal/system/core/config.go 's/if !o\.patch && bytes\.HasPrefix/if false \&\& bytes.HasPrefix/' ./internal/system/core
+mutate "repeats: a change on another base version" internal/system/core/config_change.go 's/slices\.Contains\(record\.History, appliedChange\{o\.baseVersion, o\.digest\}\)/slices.ContainsFunc(record.History, func(a appliedChange) bool { return a.Digest == o.digest })/' ./internal/system/core
+mutate "repeats: a complete configuration for a patch" internal/system/core/config_change.go 's/if !o\.patch && bytes\.HasPrefix/if false \&\& bytes.HasPrefix/' ./internal/system/core
 mutate "repeats: another job with a known ID" jobs/lifecycle.go 's/if !reflect\.DeepEqual/if false \&\& !reflect.DeepEqual/' "./jobs ./internal/system/core"
 mutate "repeats: a full shard refuses an accepted job" internal/system/core/jobsapi.go 's/if !o\.scheduler\.HasJob\(r\.ID\) \{/if true {/' ./internal/system/core
-mutate "repeats: a registration that was forgotten" internal/system/side/side.go 's/s\.registrations\+\+/s.registrations = 1/' ./internal/system/side
+mutate "repeats: a registration that was forgotten" internal/system/side/registration.go 's/s\.registrations\+\+/s.registrations = 1/' ./internal/system/side
 exit $missed
--- a/workeragent/ends_test.go
+++ b/workeragent/ends_test.go
@@ -94,6 +94,15 @@
 	}
 }
 
+// sentBesideActive sends the worker the start of t1 while e900 is active, whose end has the number 900.
+const sentBesideActive = `
+	0    7: lease
+	10   heartbeat S:1 a:e900
+	20   7: start t1 100
+	25   7: known e900 100
+	30   => lease start t1
+`
+
 // TestUnlistedEndIsNotStartedAgain checks that a run that may have ended is not sent to the worker again, which would reject it and
 // list one more end, and that the owner is told that it may have started.
 func TestUnlistedEndIsNotStartedAgain(t *testing.T) {
@@ -121,22 +130,12 @@
 // A start whose answer was lost is sent again, and a run that never started is dropped, also while every list is truncated: an end
 // that came after the answer shows that all earlier ends are listed.
 func TestLostStartIsResentAlthoughListsAreTruncated(t *testing.T) {
-	runScript(t, `
-	0    7: lease
-	10   heartbeat S:1 a:e900
-	20   7: start t1 100
-	25   7: known e900 100
-	30   => lease start t1
+	runScript(t, sentBesideActive+`
 	40   heartbeat S:2 F:1-500 a:e900
 	50   => lease
 	60   heartbeat S:3 F:501-1000
 	70   => lease start t1`)
-	runScript(t, `
-	0    7: lease
-	10   heartbeat S:1 a:e900
-	20   7: start t1 100
-	25   7: known e900 100
-	30   => lease start t1
+	runScript(t, sentBesideActive+`
 	40   heartbeat S:2 F:1-500 a:e900
 	50   7: stop t1
 	60   dropped nothing
@@ -157,12 +156,7 @@
 	60   => lease
 	70   7: stop t1
 	80   dropped nothing`)
-	runScript(t, `
-	0    7: lease
-	10   heartbeat S:1 a:e900
-	20   7: start t1 100
-	25   7: known e900 100
-	30   => lease start t1
+	runScript(t, sentBesideActive+`
 	40   heartbeat S:2 F:1-500 a:e900
 	60   heartbeat S:3 F:601-1100
 	70   => lease
