review: a crashed stand-in worker ends its runs

Cause: crash left the runs of the stand-in worker open, so a later check could count them as active. Change: crash ends them.

--- a/review/rig-3/worker.go
+++ b/review/rig-3/worker.go
@@ -102,6 +102,12 @@
 func (w *worker) crash() {
 	w.cancel()
 	<-w.done
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.active {
+		w.endedAt[runKey{r.task, r.attempt}] = time.Now()
+	}
+	clear(w.active)
 }
 
 func (w *worker) loop(ctx context.Context) {
