--- a/review/rig-3/late_submission.go
+++ b/review/rig-3/late_submission.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -11,7 +12,9 @@
 // Limits of the pages for the case.
 const (
 	freezeDuration = 5 * time.Second // node_freeze, the default for_s
-	lateJobs       = 40
+	frozenJobs     = 100             // jobs that are handed in at the frozen edge
+	lateJobs       = 35              // of them, those whose clients leave and cancel: give_up, a share of 0.35
+	leaveAfter     = 1500 * time.Millisecond
 	cancelBound    = 3 * time.Second // cancel_ms
 )
 
@@ -44,10 +47,19 @@
 	}
 	results := make(chan cancelled)
 	begin := time.Now()
+	var staying sync.WaitGroup
+	for range frozenJobs - lateJobs {
+		staying.Go(func() {
+			id := newJobID()
+			if status, _ := c.job(clientDeadline, http.MethodPost, c.edges[0], "/pule252/", id, body); status == 0 {
+				c.job(clientDeadline, http.MethodPost, c.edges[1], "/pule252/", id, body) // after silence, to another edge
+			}
+		})
+	}
 	for range lateJobs {
 		go func() {
 			id := newJobID()
-			status, _ := c.job(clientDeadline/2, http.MethodPost, c.edges[0], "/pule252/", id, body)
+			status, _ := c.job(leaveAfter, http.MethodPost, c.edges[0], "/pule252/", id, body)
 			if status != 0 {
 				c.record.note("job %s: answered %d", id, status)
 			}
@@ -64,6 +76,7 @@
 	for range lateJobs {
 		jobs = append(jobs, <-results)
 	}
+	staying.Wait()
 	time.Sleep(time.Until(begin.Add(freezeDuration)))
 	if trouble {
 		c.signal(c.edges[0], syscall.SIGCONT)
