--- a/internal/avrocodec/codec.go
+++ b/internal/avrocodec/codec.go
@@ -2,8 +2,10 @@
 // for stored records.
 //
 // Schemas are derived from Go types by reflection and are not part of the encoded data. The fields of a record are encoded
-// in the order of the struct. Fields may be renamed, but must never be reordered, retyped, added or removed: messages of
-// other releases and stored data would be decoded incorrectly.
+// in the order of the struct. Fields may be renamed, but must never be reordered, retyped or removed: messages of other
+// releases and stored data would be decoded incorrectly. A field may be added only at the end of a struct that is encoded by
+// itself, not as part of another one, and with the tag `avrocodec:"added"`: earlier releases ignore what follows the fields
+// that they know, and Decode accepts an encoding that ends before an added field, which keeps its zero value.
 package avrocodec
 
 import (
@@ -27,19 +29,37 @@
 // readerConfig lets a byte string be as long as the whole encoding. The library's default is 1 MiB.
 var readerConfig = avro.Config{MaxByteSliceSize: MaxBytes}.Freeze()
 
-var schemas sync.Map // cache of avro.Schema by reflect.Type
+// addedTag marks the fields that a later release has added to a struct.
+const (
+	tagKey   = "avrocodec"
+	addedTag = "added"
+)
+
+// schemaKey identifies the schema of the first fields of a struct type.
+type schemaKey struct {
+	message reflect.Type
+	fields  int
+}
+
+var schemas sync.Map // cache of avro.Schema by schemaKey
 
 // SchemaOf returns the Avro schema of a struct type. It panics if a field has an unsupported kind.
 func SchemaOf(message reflect.Type) (avro.Schema, error) {
-	if known, ok := schemas.Load(message); ok {
+	return schemaOfFields(message, message.NumField())
+}
+
+// schemaOfFields returns the Avro schema of the first fields of a struct type.
+func schemaOfFields(message reflect.Type, fields int) (avro.Schema, error) {
+	key := schemaKey{message, fields}
+	if known, ok := schemas.Load(key); ok {
 		return known.(avro.Schema), nil
 	}
-	text := schemaText(message, map[reflect.Type]bool{})
+	text := recordText(message, fields, map[reflect.Type]bool{})
 	schema, err := avro.ParseWithCache(text, "", &avro.SchemaCache{})
 	if err != nil {
 		return nil, fmt.Errorf("schema of %v: %w", message, err)
 	}
-	schemas.Store(message, schema)
+	schemas.Store(key, schema)
 	return schema, nil
 }
 
@@ -62,20 +82,21 @@
 	case reflect.Map:
 		return `{"type":"map","values":` + schemaText(t.Elem(), named) + `}`
 	case reflect.Struct:
-		return recordText(t, named)
+		return recordText(t, t.NumField(), named)
 	default:
 		panic(fmt.Sprintf("avrocodec: unsupported type %v", t))
 	}
 }
 
-func recordText(t reflect.Type, named map[reflect.Type]bool) string {
+// recordText returns the JSON schema of the first fields of a struct type.
+func recordText(t reflect.Type, count int, named map[reflect.Type]bool) string {
 	name := strings.ReplaceAll(t.PkgPath(), "/", "_") + "_" + t.Name()
 	if named[t] {
 		return `"` + name + `"`
 	}
 	named[t] = true
 	var fields []string
-	for i := range t.NumField() {
+	for i := range count {
 		field := t.Field(i)
 		fields = append(fields, `{"name":"`+field.Name+`","type":`+schemaText(field.Type, named)+`}`)
 	}
@@ -98,20 +119,47 @@
 // ErrTruncated is returned for a body that ends before all fields are decoded.
 var ErrTruncated = errors.New("avrocodec: the body is truncated")
 
-// Decode decodes body into the struct to which message points. If the body ends before the last field, it returns an error
-// that wraps ErrTruncated, and message is partially set. The error wraps ErrTooLong if body is longer than MaxBytes.
+// Decode decodes body into the struct to which message points. If the body ends before the last field, other than just before
+// an added one, it returns an error that wraps ErrTruncated, and message is partially set. The error wraps ErrTooLong if body is
+// longer than MaxBytes.
 func Decode(body []byte, message any) error {
-	schema, err := SchemaOf(reflect.TypeOf(message).Elem())
+	messageType := reflect.TypeOf(message).Elem()
+	if len(body) > MaxBytes {
+		return fmt.Errorf("%w: %v of %d bytes", ErrTooLong, messageType, len(body))
+	}
+	err := decodeFields(body, message, messageType.NumField())
+	for fields := messageType.NumField() - 1; fields > 0 && errors.Is(err, ErrTruncated) && isAdded(messageType.Field(fields)); fields-- {
+		reflect.ValueOf(message).Elem().Field(fields).SetZero()
+		if earlier := decodeFields(body, message, fields); earlier == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+func isAdded(field reflect.StructField) bool { return field.Tag.Get(tagKey) == addedTag }
+
+// decodeFields decodes the first fields of a struct. If they are not all, body must end behind them.
+func decodeFields(body []byte, message any, fields int) error {
+	messageType := reflect.TypeOf(message).Elem()
+	schema, err := schemaOfFields(messageType, fields)
 	if err != nil {
 		return err
 	}
-	if len(body) > MaxBytes {
-		return fmt.Errorf("%w: %v of %d bytes", ErrTooLong, reflect.TypeOf(message).Elem(), len(body))
-	}
 	reader := avro.NewReader(nil, 0, avro.WithReaderConfig(readerConfig)).Reset(body)
 	reader.ReadVal(schema, message)
-	if errors.Is(reader.Error, io.EOF) || errors.Is(reader.Error, io.ErrUnexpectedEOF) { // avro.Unmarshal would ignore the former
-		return fmt.Errorf("%w: %d bytes are no %v", ErrTruncated, len(body), reflect.TypeOf(message).Elem())
+	readError := reader.Error
+	if errors.Is(readError, io.EOF) || errors.Is(readError, io.ErrUnexpectedEOF) { // avro.Unmarshal would ignore the former
+		return fmt.Errorf("%w: %d bytes are no %v", ErrTruncated, len(body), messageType)
+	}
+	if readError != nil || fields == messageType.NumField() || atEnd(reader) {
+		return readError
 	}
-	return reader.Error
+	return fmt.Errorf("%w: %d bytes are no %v", ErrTruncated, len(body), messageType)
+}
+
+// atEnd reports whether nothing is left to read.
+func atEnd(reader *avro.Reader) bool {
+	reader.Peek()
+	return errors.Is(reader.Error, io.EOF)
 }
--- a/internal/avrocodec/codec_test.go
+++ b/internal/avrocodec/codec_test.go
@@ -31,6 +31,57 @@
 	Bytes   []byte
 }
 
+type extended struct {
+	Flag  bool
+	Items []inner
+	ByKey map[string]float64
+	Raw   []byte
+	Text  string  `avrocodec:"added"`
+	List  []inner `avrocodec:"added"`
+}
+
+// TestAddedFieldsAreOptional checks that an encoding that ends before an added field is decoded, that one that ends within any
+// field is rejected, and that a release without the added fields reads an encoding with them.
+func TestAddedFieldsAreOptional(t *testing.T) {
+	want := extended{Flag: true, Items: []inner{{"a", 7}}, ByKey: map[string]float64{"k": 1.5}, Raw: []byte("raw"), Text: "text", List: []inner{{"b", 300}}}
+	body, err := Encode(&want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, err := Encode(&record{want.Flag, want.Items, want.ByKey, want.Raw})
+	if err != nil || !bytes.HasPrefix(body, first) {
+		t.Fatalf("error %v, %x does not begin with %x", err, body, first)
+	}
+	withText := len(first) + 1 + len(want.Text)
+	for n := range len(body) {
+		got := extended{Text: "old", List: []inner{{"old", 1}}}
+		err := Decode(body[:n], &got)
+		switch n {
+		case len(first):
+			checkDecoded(t, got, err, extended{want.Flag, want.Items, want.ByKey, want.Raw, "", nil})
+		case withText:
+			checkDecoded(t, got, err, extended{want.Flag, want.Items, want.ByKey, want.Raw, want.Text, nil})
+		default:
+			if !errors.Is(err, ErrTruncated) {
+				t.Errorf("Decode of %d of %d bytes returned error %v", n, len(body), err)
+			}
+		}
+	}
+	var got extended
+	err = Decode(body, &got)
+	checkDecoded(t, got, err, want)
+	var earlier record
+	err = Decode(body, &earlier)
+	checkDecoded(t, earlier, err, record{want.Flag, want.Items, want.ByKey, want.Raw})
+}
+
+func checkDecoded(t *testing.T, got any, err error, want any) {
+	t.Helper()
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("decoded %+v, error %v, want %+v", got, err, want)
+	}
+}
+
 // TestTruncatedBodyIsRejected checks that each proper prefix of a body is rejected and that the complete body is decoded.
 func TestTruncatedBodyIsRejected(t *testing.T) {
 	body, err := Encode(&record{Flag: true, Items: []inner{{"a", 7}, {"b", 300}}, ByKey: map[string]float64{"k": 1.5}, Raw: []byte("raw")})
--- a/internal/system/api/api.go
+++ b/internal/system/api/api.go
@@ -1,8 +1,12 @@
 // Package api defines the requests and responses that edge and side schedulers exchange with core schedulers. The order of
-// the fields of a message is part of the wire format, since avrocodec encodes them in that order.
+// the fields of a message is part of the wire format, since avrocodec encodes them in that order. Fields with the tag "added" are
+// missing in messages of earlier releases.
 package api
 
-import "sedgevale/jobs"
+import (
+	"sedgevale/internal/system/clusterconfig"
+	"sedgevale/jobs"
+)
 
 // The methods of the internal protocol. Core schedulers serve all of them except MethodOrders.
 const (
@@ -23,6 +27,7 @@
 	WantConfig    bool  // false if the sender needs only the version
 	OwnersDigest  int64 // OwnersDigest of the last response
 	WaitMS        int64 // milliseconds; the core scheduler waits for at most 1000
+	FormerDigest  int64 `avrocodec:"added"` // FormerDigest of the routes that the sender has; 0 if it does not support them
 }
 
 // WatchResponse holds the current configuration, the owners of the shards and the addresses of the core schedulers.
@@ -34,6 +39,10 @@
 	Owners        []Owner
 	OwnersDigest  int64    // digest of Owners and Cores, for the next request
 	Cores         []string // addresses
+
+	// Former has the former routes that belong to the configuration, oldest first, unless the sender has them.
+	Former       []clusterconfig.FormerRoute `avrocodec:"added"`
+	FormerDigest int64                       `avrocodec:"added"` // digest of the former routes, never 0; 0 from an earlier release
 }
 
 // Owner is the owner of a shard, with its fencing token.
@@ -50,15 +59,28 @@
 	Queue         string
 	ID            string
 	Body          []byte // jobs.Spec as JSON, unchanged from the client's request
+	Endpoint      string `avrocodec:"added"` // clusterconfig.Endpoint that the client used
+	KnownOnly     bool   `avrocodec:"added"` // the shard is that of a former route: it must not accept a new job
+}
+
+// Submission returns the job that is submitted.
+func (r *SubmitRequest) Submission() *jobs.Submission {
+	return &jobs.Submission{ID: r.ID, Endpoint: r.Endpoint, Queue: r.Queue, Body: r.Body}
 }
 
 // JobRequest identifies a job whose state is read or that is cancelled.
 type JobRequest struct {
-	Shard string
-	Queue string // unused, since IDs are unique within a shard
-	ID    string
+	Shard         string
+	Queue         string // queue to which the endpoint belongs at the edge scheduler; empty if to none
+	ID            string
+	Endpoint      string `avrocodec:"added"` // clusterconfig.Endpoint that the client used
+	ConfigVersion int64  `avrocodec:"added"` // version that the edge scheduler has; an owner with an older version catches up first
+	KnownOnly     bool   `avrocodec:"added"` // the shard is that of a former route
 }
 
+// Ref returns the reference to the job.
+func (r *JobRequest) Ref() jobs.JobRef { return jobs.JobRef{Endpoint: r.Endpoint, ID: r.ID} }
+
 // JobResponse holds a job's state.
 type JobResponse struct {
 	State string // a jobs.State
@@ -66,8 +88,9 @@
 
 // PendingRequest requests the number of unfinished jobs of a queue of which no task has ever started.
 type PendingRequest struct {
-	Shard string
-	Queue string
+	Shard    string
+	Queue    string
+	Endpoint string `avrocodec:"added"` // clusterconfig.Endpoint of the queue
 }
 
 // PendingResponse is the response to a PendingRequest.
--- a/internal/system/clusterconfig/routing.go
+++ b/internal/system/clusterconfig/routing.go
@@ -1,7 +1,6 @@
 package clusterconfig
 
 import (
-	"net"
 	"sort"
 	"strings"
 )
@@ -10,11 +9,13 @@
 type Table struct {
 	Config *Config
 	byHost map[string][]*Route // keyed by lowercase host; sorted by path prefix, the longest first
+	former map[string][]string // services of former routes by endpoint, the latest first
 }
 
-// NewTable builds the routing table of a configuration. The configuration must not be modified afterwards.
-func NewTable(c *Config) *Table {
-	t := &Table{Config: c, byHost: map[string][]*Route{}}
+// NewTable builds the routing table of a configuration and its former routes, oldest first. The configuration must not be modified
+// afterwards.
+func NewTable(c *Config, former []FormerRoute) *Table {
+	t := &Table{Config: c, byHost: map[string][]*Route{}, former: newFormerIndex(former)}
 	for i := range c.Routes {
 		route := &c.Routes[i]
 		host := strings.ToLower(route.Host)
@@ -29,10 +30,7 @@
 // Match returns the route of a request and the part of its path after the route's prefix. The host may include a port. The
 // route is nil if no route matches.
 func (t *Table) Match(host, path string) (route *Route, rest string) {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	for _, candidate := range t.byHost[strings.ToLower(host)] {
+	for _, candidate := range t.byHost[hostName(host)] {
 		if rest, ok := strings.CutPrefix(path, candidate.PathPrefix); ok {
 			return candidate, rest
 		}
--- a/internal/system/clusterconfig/routing_test.go
+++ b/internal/system/clusterconfig/routing_test.go
@@ -4,7 +4,7 @@
 
 func TestMatchPrefersLongestPrefix(t *testing.T) {
 	c := &Config{Routes: []Route{{Name: "a", Host: "H", PathPrefix: "/x/"}, {Name: "b", Host: "h", PathPrefix: "/x/y/"}}}
-	table := NewTable(c)
+	table := NewTable(c, nil)
 	cases := map[string]string{"/x/1": "a", "/x/y/1": "b", "/z": ""}
 	for path, want := range cases {
 		got := ""
--- a/internal/system/core/config.go
+++ b/internal/system/core/config.go
@@ -21,6 +21,11 @@
 	record configRecord
 	config *clusterconfig.Config
 
+	routeByName     map[string]*clusterconfig.Route
+	routeByEndpoint map[string]*clusterconfig.Route
+	movedAt         map[string]int64 // by endpoint, the version that last ended a former route of it
+	formerDigest    int64            // formerRoutesDigest of record.Former
+
 	// patches caches the patches from earlier versions to this one, keyed by the earlier version. An entry is nil if no
 	// patch exists.
 	patches map[int64][]byte
@@ -28,14 +33,14 @@
 
 // applyConfig applies a newer configuration to this scheduler and to the shards that it owns. c.mu is held.
 func (c *Core) applyConfig(value []byte) {
-	state := &configState{patches: map[int64][]byte{}}
-	if err := avrocodec.Decode(value, &state.record); err != nil {
+	var record configRecord
+	if err := avrocodec.Decode(value, &record); err != nil {
 		c.logger.Error(err, "decoding the chosen configuration failed; the previous one remains in force")
 		return
 	}
-	config, err := clusterconfig.Parse(state.record.Text)
+	config, err := clusterconfig.Parse(record.Text)
 	if err != nil {
-		c.logger.Error(err, "parsing the chosen configuration failed; the previous one remains in force", "version", state.record.Version)
+		c.logger.Error(err, "parsing the chosen configuration failed; the previous one remains in force", "version", record.Version)
 		return
 	}
 	if c.config != nil {
@@ -44,7 +49,7 @@
 			c.previousConfigs = c.previousConfigs[1:]
 		}
 	}
-	state.config = config
+	state := newConfigState(record, config)
 	c.config = state
 	for _, o := range c.owners {
 		o.configure(state)
@@ -52,6 +57,24 @@
 	c.logger.V(1).Info("configuration applied", "version", state.record.Version)
 }
 
+// newConfigState returns the state of a configuration and its record.
+func newConfigState(record configRecord, config *clusterconfig.Config) *configState {
+	s := &configState{
+		record: record, config: config, formerDigest: formerRoutesDigest(record.Former), patches: map[int64][]byte{},
+		routeByName: map[string]*clusterconfig.Route{}, routeByEndpoint: map[string]*clusterconfig.Route{},
+		movedAt: map[string]int64{},
+	}
+	for _, route := range record.Former {
+		s.movedAt[route.Endpoint] = max(s.movedAt[route.Endpoint], route.Until)
+	}
+	for i := range config.Routes {
+		route := &config.Routes[i]
+		s.routeByName[route.Name] = route
+		s.routeByEndpoint[route.Endpoint()] = route
+	}
+	return s
+}
+
 // currentConfig returns the newest known configuration, or nil if none is known.
 func (c *Core) currentConfig() *configState {
 	c.mu.Lock()
--- a/internal/system/core/config_change.go
+++ b/internal/system/core/config_change.go
@@ -20,6 +20,9 @@
 	Version int64
 	Text    []byte          // JSON as sent by the operator, with later patches applied
 	History []appliedChange // newest maxHistory applied changes, oldest first
+
+	// Former has the routes of earlier configurations whose jobs may still be known, oldest first.
+	Former []clusterconfig.FormerRoute `avrocodec:"added"`
 }
 
 // appliedChange identifies a change that was applied. A call repeats it only if both fields are equal: the same text on another
@@ -70,21 +73,37 @@
 	if err != nil {
 		return nil, err
 	}
-	version, err := validConfigVersion(text)
+	next, err := parseValidConfig(text)
 	if err != nil {
 		return nil, err
 	}
 	if o.baseVersion != record.Version {
 		return nil, o.conflictError(&record)
 	}
-	if version <= record.Version {
-		return nil, result.Errorf(result.Invalid, "version: %d is not above %d", version, record.Version)
+	if next.Version <= record.Version {
+		return nil, result.Errorf(result.Invalid, "version: %d is not above %d", next.Version, record.Version)
+	}
+	former, err := record.formerRoutesUnder(next)
+	if err != nil {
+		return nil, err
 	}
 	history := append(record.History, appliedChange{o.baseVersion, o.digest})
 	if len(history) > maxHistory {
 		history = history[len(history)-maxHistory:]
 	}
-	return avrocodec.Encode(&configRecord{Version: version, Text: text, History: history})
+	return avrocodec.Encode(&configRecord{Version: next.Version, Text: text, History: history, Former: former})
+}
+
+// formerRoutesUnder returns the former routes once the next configuration is in force.
+func (r *configRecord) formerRoutesUnder(next *clusterconfig.Config) ([]clusterconfig.FormerRoute, error) {
+	if r.Version == 0 {
+		return nil, nil
+	}
+	current, err := clusterconfig.Parse(r.Text)
+	if err != nil {
+		return nil, result.Errorf(result.Unavailable, "current configuration: %w", err)
+	}
+	return clusterconfig.NextFormerRoutes(r.Former, current, next), nil
 }
 
 // wasApplied reports whether the change is the repetition of one in the history: the same kind of change, with the same body, to the
@@ -111,19 +130,19 @@
 	return text, nil
 }
 
-// validConfigVersion returns the version of a valid configuration.
-func validConfigVersion(text []byte) (int64, error) {
+// parseValidConfig parses and validates the text of a configuration.
+func parseValidConfig(text []byte) (*clusterconfig.Config, error) {
 	if len(text) > clusterconfig.MaxBytes {
-		return 0, result.Errorf(result.Invalid, "configuration: %d bytes, %d at most", len(text), clusterconfig.MaxBytes)
+		return nil, result.Errorf(result.Invalid, "configuration: %d bytes, %d at most", len(text), clusterconfig.MaxBytes)
 	}
 	config, err := clusterconfig.Parse(text)
 	if err == nil {
 		err = config.Validate()
 	}
 	if err != nil {
-		return 0, result.Errorf(result.Invalid, "configuration: %w", err)
+		return nil, result.Errorf(result.Invalid, "configuration: %w", err)
 	}
-	return config.Version, nil
+	return config, nil
 }
 
 // conflictError returns the error for a change whose base version is not the current one. If the base version precedes the
--- a/internal/system/core/draining_test.go
+++ b/internal/system/core/draining_test.go
@@ -14,7 +14,7 @@
 	s := newStoreCluster(t)
 	since := time.Now().Add(-time.Second / 2)
 	c := &Core{address: "a", store: s.stores["a"], peers: map[string]*peerState{}, draining: true, drainingSince: since}
-	c.config = &configState{config: &clusterconfig.Config{Services: []clusterconfig.Service{{Name: "s"}}}}
+	c.config = newConfigState(configRecord{}, &clusterconfig.Config{Services: []clusterconfig.Service{{Name: "s"}}})
 	setPeer := func(address string, after time.Duration, claims ...ownershipClaim) {
 		c.peers[address] = &peerState{known: true, lastHeartbeat: since.Add(after), status: pingMessage{Address: address, Claims: claims}}
 	}
--- a/internal/system/core/golden_test.go
+++ b/internal/system/core/golden_test.go
@@ -11,6 +11,7 @@
 	"sedgevale/coord/register"
 	"sedgevale/coord/shard"
 	"sedgevale/internal/system/api"
+	"sedgevale/internal/system/clusterconfig"
 	"sedgevale/internal/testkit"
 	"sedgevale/jobs"
 )
@@ -63,7 +64,7 @@
 		Claims: []ownershipClaim{{Shard: "s", Token: 19, LeaseValid: true, InSync: 20}}, Accepted: map[string]register.Ballot{"n": goldenBallot},
 	}, "0261027a026d02640604031402690261020100000000000104027800010a027326012800010a026e0802700001"},
 	{&ownerRecord{Address: "a", Token: 21}, "02612a"},
-	{&configRecord{Version: 22, Text: []byte("t"), History: []appliedChange{{Base: 23, Digest: -24}}}, "2c027401042e2f00"},
+	{&configRecord{Version: 22, Text: []byte("t"), History: []appliedChange{{Base: 23, Digest: -24}}, Former: []clusterconfig.FormerRoute{{Endpoint: "e", Service: "s", Until: 6}}}, "2c027401042e2f00010a026502730c00"},
 	{&MembersRequest{}, ""},
 	{&MembersResponse{
 		Address: "a", ConfigVersion: 25, ConfigFresh: true, Membership: goldenMembership,
--- a/internal/system/core/goroutines_test.go
+++ b/internal/system/core/goroutines_test.go
@@ -111,7 +111,7 @@
 		}
 	}
 	scheduler := jobs.New(jobs.Options{}, rand.New(rand.NewPCG(1, 1)))
-	_, err := scheduler.Submit(0, 0, "a", "q", []byte(`{"spec":`))
+	_, err := scheduler.Submit(0, 0, &jobs.Submission{ID: "a", Queue: "q", Body: []byte(`{"spec":`)})
 	var invalid *jobs.InvalidJobError
 	if !errors.As(err, &invalid) {
 		t.Errorf("body that is not JSON: error %v, want a jobs.InvalidJobError", err)
--- a/internal/system/core/jobsapi.go
+++ b/internal/system/core/jobsapi.go
@@ -52,12 +52,13 @@
 	if err != nil {
 		return nil, err
 	}
-	if !o.hasJob(r.ID) {
+	submission := r.Submission()
+	if !o.hasJob(submission.Ref()) {
 		if err := c.ensureConfig(ctx, r.ConfigVersion); err != nil {
 			return nil, err
 		}
 	}
-	sequence, err := o.submit(r)
+	sequence, err := o.submit(submission, caller{r.ConfigVersion, r.KnownOnly})
 	if err != nil {
 		return nil, err
 	}
@@ -66,17 +67,17 @@
 
 // submit adds a job to the scheduler unless it is known, and returns the sequence number of the change that must be committed
 // before the job may be acknowledged.
-func (o *owner) submit(r *api.SubmitRequest) (sequence int64, err error) {
+func (o *owner) submit(submission *jobs.Submission, from caller) (sequence int64, err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.scheduler.HasJob(r.ID) {
-		if err := o.checkAdmission(r.Queue); err != nil {
+	if !o.scheduler.HasJob(submission.Ref()) {
+		if err := o.admit(submission, from); err != nil {
 			return 0, err
 		}
 	}
-	durable, err := o.scheduler.Submit(o.monotonicNow(), wallClockMS(), r.ID, r.Queue, r.Body)
+	durable, err := o.scheduler.Submit(o.monotonicNow(), wallClockMS(), submission)
 	if err != nil {
-		return 0, submitError(r.ID, err)
+		return 0, submitError(submission.ID, err)
 	}
 	if durable {
 		return 0, nil
@@ -84,11 +85,15 @@
 	return o.flush(), nil
 }
 
-// checkAdmission returns nil if the shard may accept a new job in a queue. o.mu is held.
-func (o *owner) checkAdmission(queue string) error {
-	if !o.scheduler.HasQueue(queue) {
-		return result.Errorf(result.NoRoute, "queue %s is not in the newest configuration", queue)
+// admit returns nil if the shard may accept a new job, after it has set the job's queue and endpoint to those of the newest
+// configuration. o.mu is held.
+func (o *owner) admit(submission *jobs.Submission, from caller) error {
+	route, err := o.routeOf(submission.Endpoint, submission.Queue, from)
+	if err != nil {
+		return err
 	}
+	submission.Queue = route.Name
+	submission.Endpoint = route.Endpoint()
 	if o.scheduler.ActiveJobs() > maxUnfinishedJobs {
 		return result.Errorf(result.Overloaded, "shard %s: %d jobs have not ended", o.name, maxUnfinishedJobs)
 	}
@@ -96,10 +101,10 @@
 }
 
 // hasJob reports whether the job is known.
-func (o *owner) hasJob(id string) bool {
+func (o *owner) hasJob(ref jobs.JobRef) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.scheduler.HasJob(id)
+	return o.scheduler.HasJob(ref)
 }
 
 // submitError returns the error for a job that the scheduler rejected. Only an invalid body and an ID that is in use are client
@@ -122,7 +127,7 @@
 		return nil, err
 	}
 	o.mu.Lock()
-	uncertain := o.scheduler.CommitPending(r.ID)
+	uncertain := o.scheduler.CommitPending(r.Ref())
 	sequence := o.primary.Sequence()
 	o.mu.Unlock()
 	if uncertain {
@@ -131,14 +136,34 @@
 		}
 	}
 	o.mu.Lock()
-	defer o.mu.Unlock()
-	state, known := o.scheduler.Status(r.ID)
+	state, known := o.scheduler.Status(r.Ref())
+	o.mu.Unlock()
 	if !known {
-		return nil, result.Errorf(result.NoJob, "no job %s", r.ID)
+		return nil, c.unknownJobError(ctx, o, r)
 	}
 	return &api.JobResponse{State: string(state)}, nil
 }
 
+// unknownJobError returns the error for a job that the owner does not know. It has the code result.NoJob only if the newest
+// configuration sends the job's queue to this shard and the owner's lease is valid: otherwise another shard or a later owner may
+// have the job.
+func (c *Core) unknownJobError(ctx context.Context, o *owner, r *api.JobRequest) error {
+	if err := c.ensureConfig(ctx, r.ConfigVersion); err != nil {
+		return err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if r.Endpoint != "" {
+		if _, err := o.routeOf(r.Endpoint, r.Queue, caller{r.ConfigVersion, r.KnownOnly}); err != nil {
+			return err
+		}
+	}
+	if !o.leaseValidLocked() {
+		return result.Errorf(result.NotReady, "%s has no quorum for %s", c.address, o.name)
+	}
+	return result.Errorf(result.NoJob, "no job %s", r.ID)
+}
+
 // cancel cancels a job and returns once the cancellation is committed.
 func (c *Core) cancel(ctx context.Context, r *api.JobRequest) (*api.Empty, error) {
 	o, err := c.activeOwner(r.Shard)
@@ -146,11 +171,11 @@
 		return nil, err
 	}
 	o.mu.Lock()
-	known := o.scheduler.Cancel(o.monotonicNow(), r.ID)
+	known := o.scheduler.Cancel(o.monotonicNow(), r.Ref())
 	sequence := o.flush()
 	o.mu.Unlock()
 	if !known {
-		return nil, result.Errorf(result.NoJob, "no job %s", r.ID)
+		return nil, c.unknownJobError(ctx, o, r)
 	}
 	return &api.Empty{}, o.waitCommitted(ctx, sequence)
 }
@@ -163,7 +188,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return &api.PendingResponse{Pending: int64(o.scheduler.PendingJobs(r.Queue))}, nil
+	return &api.PendingResponse{Pending: int64(o.scheduler.PendingJobs(r.Queue, r.Endpoint))}, nil
 }
 
 // report applies a worker agent's report and renews the agent's lease. A report outside the current session is ignored; the
--- a/internal/system/core/owner_test.go
+++ b/internal/system/core/owner_test.go
@@ -15,6 +15,7 @@
 	"sedgevale/internal/system/result"
 	"sedgevale/internal/system/settings"
 	"sedgevale/internal/taskgroup"
+	"sedgevale/jobs"
 )
 
 // newServingOwner returns a core scheduler and its owner of the shard s, which has the queue q and replicas that acknowledged nothing
@@ -27,7 +28,7 @@
 	}
 	c := &Core{
 		address: "a", logger: logr.Discard(), store: newStore("a"), settings: &settings.Settings{}, started: time.Now(),
-		config: &configState{record: configRecord{Version: 1}, config: config}, owners: map[string]*owner{}, goroutines: taskgroup.New(t.Context()),
+		config: newConfigState(configRecord{Version: 1}, config), owners: map[string]*owner{}, goroutines: taskgroup.New(t.Context()),
 	}
 	o := newOwner(c, "s", 2, membership.Bootstrap(3, []string{"a", "b", "c"}), shard.NewRecordSet())
 	c.owners["s"] = o
@@ -104,7 +105,7 @@
 		check("another body, more tasks", "00000000000000aa", `{"spec":"x","stages":[{"count":2}]}`, 1, result.Conflict)
 		o.mu.Lock()
 		for i := range maxUnfinishedJobs + 1 {
-			if _, err := o.scheduler.Submit(o.monotonicNow(), 0, fmt.Sprintf("%016x", 1<<40+i), "q", []byte(body)); err != nil {
+			if _, err := o.scheduler.Submit(o.monotonicNow(), 0, &jobs.Submission{ID: fmt.Sprintf("%016x", 1<<40+i), Queue: "q", Body: []byte(body)}); err != nil {
 				t.Fatal(err)
 			}
 		}
--- a/internal/system/core/ownership.go
+++ b/internal/system/core/ownership.go
@@ -27,12 +27,12 @@
 		if state == nil || !c.quorumAlive() || (time.Since(c.started) < startupTakeoverDelay && !c.allPeersAlive()) {
 			continue
 		}
-		for _, service := range state.config.Services {
-			if c.shouldTakeOver(service.Name) {
+		for _, name := range state.shards() {
+			if c.shouldTakeOver(name) {
 				c.mu.Lock()
-				c.takeoverNotBefore[service.Name] = time.Now().Add(takeoverTimeout)
+				c.takeoverNotBefore[name] = time.Now().Add(takeoverTimeout)
 				c.mu.Unlock()
-				c.goroutines.Go(func(ctx context.Context) { c.takeOver(ctx, service.Name) })
+				c.goroutines.Go(func(ctx context.Context) { c.takeOver(ctx, name) })
 			}
 		}
 		c.removeDeposedOwners()
--- a/internal/system/core/takeover.go
+++ b/internal/system/core/takeover.go
@@ -35,6 +35,9 @@
 		o.close()
 	} else if err == nil {
 		c.owners[name] = o
+		if c.config != nil {
+			o.configure(c.config) // a version that was applied since the owner was started
+		}
 		c.notifyWatchers()
 	}
 	c.mu.Unlock()
@@ -48,7 +51,8 @@
 }
 
 // acquireShard fences all earlier owners of a shard, takes over the records of the most current replica of a quorum and
-// returns an owner with which a quorum of the replicas is in sync.
+// returns an owner with which a quorum of the replicas is in sync. Its configuration is at least as new as that of any earlier
+// owner, since it is read once those are fenced: what an earlier owner refused under its configuration stays refused.
 func (c *Core) acquireShard(ctx context.Context, name string) (*owner, error) {
 	token, err := c.nextToken(ctx, name)
 	if err != nil {
@@ -72,6 +76,10 @@
 		o.close()
 		return nil, err
 	}
+	if err := c.read(ctx, configRegister); err != nil {
+		o.close()
+		return nil, err
+	}
 	if err := o.start(c.currentConfig()); err != nil {
 		o.close()
 		return nil, err
--- a/internal/system/core/watch.go
+++ b/internal/system/core/watch.go
@@ -54,6 +54,10 @@
 	if r.WantConfig && response.ConfigVersion > r.ConfigVersion {
 		response.Config, response.ConfigBase = c.configSince(r.ConfigVersion)
 	}
+	response.FormerDigest = c.config.formerDigest
+	if r.WantConfig && r.FormerDigest != 0 && r.FormerDigest != response.FormerDigest {
+		response.Former = c.config.record.Former
+	}
 	return response
 }
 
--- a/internal/system/directory/directory.go
+++ b/internal/system/directory/directory.go
@@ -24,6 +24,10 @@
 	retryBackoff     = 60 * time.Millisecond
 )
 
+// noFormerRoutes is the digest to send while no former routes are known. It equals no digest of former routes, and it is not 0,
+// which would mean that the sender does not support them.
+const noFormerRoutes = 2
+
 // Directory is a cache of the state of the core. It is safe for concurrent use.
 type Directory struct {
 	process    *node.Process
@@ -38,8 +42,10 @@
 	table        *clusterconfig.Table // nil if no configuration is known, or none is wanted
 	text         []byte               // JSON text of the configuration; nil if none is known
 	version      int64                // version of the configuration; 0 if none is known
-	confirmedAt  time.Time            // send time of the last request whose response confirmed the configuration as the newest
-	updated      chan struct{}        // closed and replaced on each response
+	former       []clusterconfig.FormerRoute
+	formerDigest int64         // FormerDigest of the response with former; noFormerRoutes if there was none
+	confirmedAt  time.Time     // send time of the last request whose response confirmed the configuration as the newest
+	updated      chan struct{} // closed and replaced on each response
 }
 
 // New returns a Directory that initially knows only the seeds. If wantConfig is false, it tracks only the version of the
@@ -47,7 +53,7 @@
 func New(p *node.Process, wantConfig bool) *Directory {
 	return &Directory{
 		process: p, logger: p.Logger, wantConfig: wantConfig, owners: map[string]api.Owner{},
-		updated: make(chan struct{}),
+		updated: make(chan struct{}), formerDigest: noFormerRoutes,
 	}
 }
 
@@ -89,7 +95,7 @@
 	d.mu.Lock()
 	request := &api.WatchRequest{
 		Node: d.process.Settings.Node, ConfigVersion: d.version, WantConfig: d.wantConfig, OwnersDigest: d.ownersDigest,
-		WaitMS: longPollDuration.Milliseconds(),
+		WaitMS: longPollDuration.Milliseconds(), FormerDigest: d.formerDigest,
 	}
 	stale := time.Since(d.confirmedAt) > watchTimeout
 	d.mu.Unlock()
@@ -123,6 +129,8 @@
 	d.ownersDigest = response.OwnersDigest
 	if response.ConfigVersion > d.version {
 		d.applyConfig(response)
+	} else if response.ConfigVersion == d.version && d.table != nil && d.applyFormerRoutes(response) {
+		d.table = clusterconfig.NewTable(d.table.Config, d.former)
 	}
 	if response.Confirmed && response.ConfigVersion >= d.version {
 		d.confirmedAt = sentAt
@@ -151,11 +159,21 @@
 		return
 	}
 	d.text = text
-	d.table = clusterconfig.NewTable(config)
+	d.applyFormerRoutes(response)
+	d.table = clusterconfig.NewTable(config, d.former)
 	d.version = response.ConfigVersion
 	d.logger.V(1).Info("applied configuration", "version", d.version)
 }
 
+// applyFormerRoutes keeps the former routes in a response and reports whether it has any that were not known. The caller holds d.mu.
+func (d *Directory) applyFormerRoutes(response *api.WatchResponse) bool {
+	if response.FormerDigest == 0 || response.FormerDigest == d.formerDigest {
+		return false
+	}
+	d.former, d.formerDigest = response.Former, response.FormerDigest
+	return true
+}
+
 // fullConfigText returns the full text of the configuration in a response, which contains either the full text or a patch
 // against the known configuration. The caller holds d.mu.
 func (d *Directory) fullConfigText(response *api.WatchResponse) ([]byte, error) {
@@ -176,6 +194,13 @@
 	return d.table, d.version, time.Since(d.confirmedAt)
 }
 
+// Updated returns a channel that is closed on the next response of a core scheduler.
+func (d *Directory) Updated() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.updated
+}
+
 // Owner returns the address of a shard's owner, or "" if it is unknown, and a channel that is closed on the next response
 // of a core scheduler.
 func (d *Directory) Owner(shard string) (string, <-chan struct{}) {
--- a/internal/system/edge/forward.go
+++ b/internal/system/edge/forward.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"sedgevale/internal/system/clusterconfig"
 	"sedgevale/internal/system/result"
 )
 
@@ -20,23 +19,22 @@
 	responseReserve   = 150 * time.Millisecond // reserved for the transfer of the response to the client
 )
 
-// request is a client request that is forwarded to the owner of its route's shard.
+// request is a client request that is forwarded to the owners of shards.
 type request struct {
-	scheduler     *Scheduler
-	route         *clusterconfig.Route
-	configVersion int64
-	configAge     time.Duration // since the configuration was last confirmed
-	jobID         string
-	mutatesJob    bool // the request submits or cancels a job
-	maybeApplied  bool // an attempt failed with an unknown outcome; the owner may have applied it
+	destination
+
+	scheduler    *Scheduler
+	host, path   string
+	mutatesJob   bool // the request submits or cancels a job
+	maybeApplied bool // an attempt failed with an unknown outcome; the owner may have applied it
 }
 
-// forward calls the owner of the shard until the call succeeds, fails with an error that is not retryable, or less than
+// forward calls the owner of a shard until the call succeeds, fails with an error that is not retryable, or less than
 // minAttemptTime remains.
-func (r *request) forward(ctx context.Context, method string, message, response any) error {
-	err := result.Errorf(result.NotReady, "no owner of %s is known", r.route.Service)
+func (r *request) forward(ctx context.Context, shard, method string, message, response any) error {
+	err := result.Errorf(result.NotReady, "no owner of %s is known", shard)
 	for {
-		owner, changed := r.scheduler.directory.Owner(r.route.Service)
+		owner, changed := r.scheduler.directory.Owner(shard)
 		if owner != "" {
 			err = r.attempt(ctx, owner, method, message, response)
 			if !retryable(err) || remainingTime(ctx) < minAttemptTime {
--- a/internal/system/edge/handler.go
+++ b/internal/system/edge/handler.go
@@ -15,7 +15,6 @@
 
 const (
 	confirmationTTL     = 1500 * time.Millisecond // how long a confirmed configuration is considered current
-	jobIDLength         = 16                      // hexadecimal digits
 	defaultMaxBodyBytes = 262144
 	deadlineHeader      = "Deadline-Ms"
 	bodyCopies          = 3 // a body as it was sent, parsed, and in the message to the owner
@@ -26,30 +25,28 @@
 	if s.isDraining() {
 		w.Header().Set("Connection", "close")
 	}
-	table, version, age := s.directory.Table()
-	if table == nil {
+	req := &request{destination: s.resolve(r.Host, r.URL.Path), scheduler: s, host: r.Host, path: r.URL.Path}
+	if req.table == nil {
 		writeUnavailable(w, "no configuration yet")
 		return
 	}
-	route, id := table.Match(r.Host, r.URL.Path)
-	if route == nil {
-		if age > confirmationTTL {
+	if !req.isKnown() {
+		if req.configAge > confirmationTTL {
 			writeUnavailable(w, "the configuration is not confirmed")
 			return
 		}
 		http.Error(w, "no such route", http.StatusNotFound)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout(r, route))
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout(r, req.route))
 	defer cancel()
-	req := &request{scheduler: s, route: route, configVersion: version, configAge: age, jobID: id}
 	switch {
-	case id == "" && r.Method == http.MethodGet:
+	case req.jobID == "" && r.Method == http.MethodGet:
 		req.handlePending(ctx, w)
-	case !validJobID(id):
+	case !validJobID(req.jobID):
 		http.Error(w, "path: an ID of 16 hex digits is wanted behind the prefix", http.StatusBadRequest)
 	case r.Method == http.MethodPost:
-		req.handleSubmit(ctx, w, r, table.Config.Limits.MaxBodyBytes)
+		req.handleSubmit(ctx, w, r, req.table.Config.Limits.MaxBodyBytes)
 	case r.Method == http.MethodGet:
 		req.handleStatus(ctx, w)
 	case r.Method == http.MethodDelete:
@@ -59,29 +56,20 @@
 	}
 }
 
-// requestTimeout returns the timeout of a request: the minimum of maxRequestTimeout, the route's timeout and the client's
-// deadline, the latter two less responseReserve. It is never less than minRequestTimeout.
+// requestTimeout returns the timeout of a request: the minimum of maxRequestTimeout, the timeout of the route, if there is one, and
+// the client's deadline, the latter two less responseReserve. It is never less than minRequestTimeout.
 func requestTimeout(r *http.Request, route *clusterconfig.Route) time.Duration {
-	timeout := min(maxRequestTimeout, time.Duration(route.TimeoutMS)*time.Millisecond-responseReserve)
+	timeout := maxRequestTimeout
+	if route != nil {
+		timeout = min(timeout, time.Duration(route.TimeoutMS)*time.Millisecond-responseReserve)
+	}
 	if deadline, err := strconv.ParseInt(r.Header.Get(deadlineHeader), 10, 64); err == nil && deadline > 0 {
 		timeout = min(timeout, time.Duration(deadline)*time.Millisecond-responseReserve)
 	}
 	return max(timeout, minRequestTimeout)
 }
 
-func validJobID(id string) bool {
-	if len(id) != jobIDLength {
-		return false
-	}
-	for _, c := range id {
-		if (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
-			return false
-		}
-	}
-	return true
-}
-
-// handleSubmit validates a job and submits it to the owner of the route's shard.
+// handleSubmit validates a job and submits it to the owner of the shard that has it, or of the route's shard.
 func (r *request) handleSubmit(ctx context.Context, w http.ResponseWriter, httpRequest *http.Request, maxBytes int64) {
 	if maxBytes <= 0 {
 		maxBytes = defaultMaxBodyBytes
@@ -97,11 +85,14 @@
 		http.Error(w, "job: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	message := &api.SubmitRequest{
-		Shard: r.route.Service, ConfigVersion: r.configVersion, Queue: r.route.Name, ID: r.jobID, Body: body,
+	message := func(shard string) any {
+		return &api.SubmitRequest{
+			Shard: shard, ConfigVersion: r.configVersion, Queue: r.queue(), ID: r.jobID, Body: body, Endpoint: r.endpoint,
+			KnownOnly: r.isFormer(shard),
+		}
 	}
 	r.mutatesJob = true
-	if err := r.forward(ctx, api.MethodSubmit, message, &api.Empty{}); err != nil {
+	if err := r.callJob(ctx, jobCall{api.MethodSubmit, message, &api.Empty{}}); err != nil {
 		r.writeError(w, err)
 		return
 	}
@@ -117,14 +108,16 @@
 	return spec.Validate()
 }
 
-func (r *request) jobMessage() *api.JobRequest {
-	return &api.JobRequest{Shard: r.route.Service, Queue: r.route.Name, ID: r.jobID}
+func (r *request) jobMessage(shard string) any {
+	return &api.JobRequest{
+		Shard: shard, Queue: r.queue(), ID: r.jobID, Endpoint: r.endpoint, ConfigVersion: r.configVersion, KnownOnly: r.isFormer(shard),
+	}
 }
 
 // handleStatus writes a job's state.
 func (r *request) handleStatus(ctx context.Context, w http.ResponseWriter) {
 	response := &api.JobResponse{}
-	if err := r.forward(ctx, api.MethodStatus, r.jobMessage(), response); err != nil {
+	if err := r.callJob(ctx, jobCall{api.MethodStatus, r.jobMessage, response}); err != nil {
 		r.writeError(w, err)
 		return
 	}
@@ -133,26 +126,30 @@
 
 func (r *request) handleCancel(ctx context.Context, w http.ResponseWriter) {
 	r.mutatesJob = true
-	if err := r.forward(ctx, api.MethodCancel, r.jobMessage(), &api.Empty{}); err != nil {
+	if err := r.callJob(ctx, jobCall{api.MethodCancel, r.jobMessage, &api.Empty{}}); err != nil {
 		r.writeError(w, err)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
-// handlePending writes the number of the queue's jobs of which no task has started.
+// handlePending writes the number of the endpoint's jobs of which no task has started, in all shards that may have some.
 func (r *request) handlePending(ctx context.Context, w http.ResponseWriter) {
 	if r.configAge > confirmationTTL {
 		writeUnavailable(w, "the configuration is not confirmed")
 		return
 	}
-	response := &api.PendingResponse{}
-	message := &api.PendingRequest{Shard: r.route.Service, Queue: r.route.Name}
-	if err := r.forward(ctx, api.MethodPending, message, response); err != nil {
-		r.writeError(w, err)
-		return
+	pending := int64(0)
+	for _, shard := range append([]string{r.route.Service}, r.formerShards...) {
+		response := &api.PendingResponse{}
+		message := &api.PendingRequest{Shard: shard, Queue: r.queue(), Endpoint: r.endpoint}
+		if err := r.forward(ctx, shard, api.MethodPending, message, response); err != nil {
+			r.writeError(w, err)
+			return
+		}
+		pending += response.Pending
 	}
-	writeJSON(w, map[string]any{"pending": response.Pending})
+	writeJSON(w, map[string]any{"pending": pending})
 }
 
 func writeJSON(w http.ResponseWriter, value any) {
--- a/internal/system/simulation/cluster_test.go
+++ b/internal/system/simulation/cluster_test.go
@@ -75,7 +75,8 @@
 	columns            []string                  // names of the machines in the order of the timeline's columns
 	workers            map[string]*runningWorker // by the name of the side machine
 	workerIncarnations int
-	workerTasks        int // capacity of the workers that are started from now on, in tasks
+	workerTasks        int               // capacity of the workers that are started from now on, in tasks
+	workerServices     map[string]string // services of workers by the name of the side machine; service if missing
 	topology           topology
 	seeds              []string // seeds in the settings of processes that are started from now on
 	coresAdded         int      // number of core machines added so far
@@ -295,10 +296,14 @@
 	c.workerIncarnations++
 	ctx, cancel := context.WithCancel(context.Background())
 	incarnation := c.workerIncarnations
+	workerService := c.workerServices[name]
+	if workerService == "" {
+		workerService = service
+	}
 	c.mu.Unlock()
 	h := c.network.host("w" + m.ip)
 	worker := fakeworker.New(fakeworker.Options{
-		ID: fmt.Sprintf("i-%d", incarnation), Service: service, SideAddress: m.ip + ":80", TaskCPU: taskCPU,
+		ID: fmt.Sprintf("i-%d", incarnation), Service: workerService, SideAddress: m.ip + ":80", TaskCPU: taskCPU,
 		Capacity: workeragent.Capacity{CPU: int64(c.workerTasks) * taskCPU}, Labels: []string{"k", "r1"},
 		MinTaskTime: 100 * time.Millisecond, MaxTaskTime: time.Second, FailOneIn: 30, ClockDrift: 0.02, Observer: c.checker,
 		Random: rand.New(rand.NewPCG(uint64(incarnation), 5)),
--- a/jobs/cost_test.go
+++ b/jobs/cost_test.go
@@ -94,7 +94,7 @@
 				w.lastReport, w.leaseExpiry = now, now+time.Minute
 			}
 		}
-		if _, err := scheduler.Submit(now, 0, fmt.Sprintf("%016x", n), queues[n/16%len(queues)].Name, body); err != nil {
+		if _, err := scheduler.Submit(now, 0, &Submission{ID: fmt.Sprintf("%016x", n), Queue: queues[n/16%len(queues)].Name, Body: body}); err != nil {
 			t.Fatal(err)
 		}
 		for _, q := range scheduler.queueOrder { // keeps the admission limits from restricting the assignments
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -99,6 +99,7 @@
 type Job struct {
 	ID             string
 	Queue          string // name of the queue
+	Endpoint       string // endpoint that it was submitted under; empty if an earlier release accepted it
 	Spec           *Spec
 	State          State // Queued until the job ends; never Running
 	Occurrences    []*Occurrence
--- a/jobs/lifecycle.go
+++ b/jobs/lifecycle.go
@@ -19,29 +19,40 @@
 // ErrIDInUse is the error for a job whose ID another job has.
 var ErrIDInUse = errors.New("another job has this ID")
 
+// Submission is a job as a client submits it.
+type Submission struct {
+	ID       string
+	Endpoint string // host and path prefix that the client used; empty if an edge scheduler of an earlier release sent it
+	Queue    string // name of the queue
+	Body     []byte // Spec as JSON
+}
+
+// Ref returns the reference to the submitted job.
+func (s *Submission) Ref() JobRef { return JobRef{Endpoint: s.Endpoint, ID: s.ID} }
+
 // Submit accepts a job. It is idempotent: a job with a known ID and the same specification is not accepted again. The result
 // durable reports whether the job's record is already committed; otherwise it is durable once all changes up to and including the
 // next Flush are. On any error the job was not accepted. The error is an *InvalidJobError if the body is invalid, and ErrIDInUse
-// if a job with another specification has the ID.
+// if a job with another specification or of another endpoint has the ID.
 //
 // The queue is not compared: its name is that of the route, which an operator may have changed since the first submission.
-func (s *Scheduler) Submit(now time.Duration, wallMS int64, id, queue string, body []byte) (durable bool, err error) {
-	job, err := parseJob(id, queue, body)
+func (s *Scheduler) Submit(now time.Duration, wallMS int64, submission *Submission) (durable bool, err error) {
+	job, err := parseJob(submission)
 	if err != nil {
 		return false, &InvalidJobError{err}
 	}
-	if known := s.jobs[id]; known != nil {
-		if !reflect.DeepEqual(known.Spec, job.Spec) {
+	if known := s.jobs[job.ID]; known != nil {
+		if !known.isReferredToBy(submission.Ref()) || !reflect.DeepEqual(known.Spec, job.Spec) {
 			return false, ErrIDInUse
 		}
 		return known.durable, nil
 	}
-	record, err := avrocodec.Encode(&specRecord{Queue: queue, Body: body})
+	record, err := avrocodec.Encode(&specRecord{Queue: job.Queue, Body: submission.Body, Endpoint: job.Endpoint})
 	if err != nil {
 		return false, fmt.Errorf("record of the job: %w", err)
 	}
-	s.newSpecs = append(s.newSpecs, Change{Key: specPrefix + id, Value: record})
-	s.jobs[id] = job
+	s.newSpecs = append(s.newSpecs, Change{Key: specPrefix + job.ID, Value: record})
+	s.jobs[job.ID] = job
 	s.countJob(job)
 	s.markDirty(job)
 	s.onDurable(func() { job.durable = true })
@@ -50,18 +61,20 @@
 }
 
 // parseJob parses and validates the body of a submitted job.
-func parseJob(id, queue string, body []byte) (*Job, error) {
-	if len(body) > MaxBodyBytes {
-		return nil, fmt.Errorf("%d bytes, %d at most", len(body), MaxBodyBytes)
+func parseJob(submission *Submission) (*Job, error) {
+	if len(submission.Body) > MaxBodyBytes {
+		return nil, fmt.Errorf("%d bytes, %d at most", len(submission.Body), MaxBodyBytes)
 	}
 	spec := &Spec{}
-	if err := spec.UnmarshalJSON(body); err != nil {
+	if err := spec.UnmarshalJSON(submission.Body); err != nil {
 		return nil, fmt.Errorf("cannot be read: %w", err)
 	}
 	if err := spec.Validate(); err != nil {
 		return nil, err
 	}
-	return &Job{ID: id, Queue: queue, Spec: spec, State: Queued, durableState: Queued}, nil
+	return &Job{
+		ID: submission.ID, Endpoint: submission.Endpoint, Queue: submission.Queue, Spec: spec, State: Queued, durableState: Queued,
+	}, nil
 }
 
 // startDueOccurrences enqueues the due occurrences of a job. Only the schedule that starts at StartAtMS is compared with the
@@ -84,13 +97,10 @@
 	delete(s.delayed, job.ID)
 }
 
-// HasJob reports whether a job with the ID is known.
-func (s *Scheduler) HasJob(id string) bool { return s.jobs[id] != nil }
-
 // Cancel cancels a job unless it has ended, and reports whether the job is known. The cancellation is durable once all changes
 // up to and including the next Flush are.
-func (s *Scheduler) Cancel(now time.Duration, id string) (known bool) {
-	job := s.jobs[id]
+func (s *Scheduler) Cancel(now time.Duration, ref JobRef) (known bool) {
+	job := s.job(ref)
 	if job == nil {
 		return false
 	}
--- a/jobs/limits_test.go
+++ b/jobs/limits_test.go
@@ -12,13 +12,13 @@
 		h := newPartitionHarness(t)
 		body := `{"spec":"s","stages":[{"count":1}]}`
 		body += strings.Repeat(" ", MaxBodyBytes+excess-len(body))
-		_, err := h.scheduler.Submit(h.now, 1000, "j", testQueues[0].Name, []byte(body))
+		_, err := h.scheduler.Submit(h.now, 1000, &Submission{ID: "j", Queue: testQueues[0].Name, Body: []byte(body)})
 		var invalid *InvalidJobError
 		if accepted := err == nil; accepted != (excess <= 0) || !accepted && !errors.As(err, &invalid) {
 			t.Errorf("%d bytes beyond the limit: error %v", excess, err)
 		}
 		h.commit()
-		if _, known := h.scheduler.Status("j"); known != (excess <= 0) {
+		if _, known := h.scheduler.Status(JobRef{ID: "j"}); known != (excess <= 0) {
 			t.Errorf("%d bytes beyond the limit: the job is known: %t", excess, known)
 		}
 		h.checkRestored("j")
--- a/jobs/partition_test.go
+++ b/jobs/partition_test.go
@@ -32,7 +32,7 @@
 // submit submits a job and commits it.
 func (h *partitionHarness) submit(id, body string) {
 	h.t.Helper()
-	if _, err := h.scheduler.Submit(h.now, 1000, id, testQueues[0].Name, []byte(body)); err != nil {
+	if _, err := h.scheduler.Submit(h.now, 1000, &Submission{ID: id, Queue: testQueues[0].Name, Body: []byte(body)}); err != nil {
 		h.t.Fatal(err)
 	}
 	h.commit()
@@ -139,7 +139,7 @@
 		}
 		h.checkRestored(ids...)
 		for _, id := range ids {
-			h.scheduler.Cancel(h.now, id)
+			h.scheduler.Cancel(h.now, JobRef{ID: id})
 		}
 		h.commit()
 		h.checkRestored(ids...)
@@ -215,7 +215,7 @@
 // TestJobIsPartitionedAboveRecordLimit checks a jobRecord just below, at and just above maxRecordBytes.
 func TestJobIsPartitionedAboveRecordLimit(t *testing.T) {
 	for _, excess := range []int{-1, 0, 1} {
-		job, err := parseJob("j", "q", []byte(`{"spec":"s","stages":[{"count":200}]}`))
+		job, err := parseJob(&Submission{ID: "j", Queue: "q", Body: []byte(`{"spec":"s","stages":[{"count":200}]}`)})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -284,7 +284,7 @@
 // TestManifestIsNoJobRecord checks that a release without partitions, which decodes each record of a job as a jobRecord, gets an
 // error: it must not take over a shard without the tasks of a partitioned job.
 func TestManifestIsNoJobRecord(t *testing.T) {
-	job, err := parseJob("j", "q", []byte(`{"spec":"s","stages":[{"count":2}],"repeat":5}`))
+	job, err := parseJob(&Submission{ID: "j", Queue: "q", Body: []byte(`{"spec":"s","stages":[{"count":2}],"repeat":5}`)})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -336,7 +336,7 @@
 
 // TestPartitionedFormIsPinned pins the stored bytes of a manifest and a part, which later releases must read.
 func TestPartitionedFormIsPinned(t *testing.T) {
-	job, err := parseJob("j", "q", []byte(`{"spec":"s","stages":[{"count":1},{"count":1}],"repeat":2}`))
+	job, err := parseJob(&Submission{ID: "j", Queue: "q", Body: []byte(`{"spec":"s","stages":[{"count":1},{"count":1}],"repeat":2}`)})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -17,10 +17,11 @@
 const maxRecordBytes = 1 << 20
 
 // specRecord is the stored form of a submitted job. Like all records it is encoded as Avro and read by field order: no field
-// may be moved, added, removed or given another type.
+// may be moved, removed or given another type, and fields are added as package avrocodec says.
 type specRecord struct {
-	Queue string
-	Body  []byte
+	Queue    string
+	Body     []byte
+	Endpoint string `avrocodec:"added"`
 }
 
 // jobRecord is the stored form of a job's state.
--- a/jobs/recovery.go
+++ b/jobs/recovery.go
@@ -58,7 +58,7 @@
 
 // restoreJob restores a job from its records.
 func (s *Scheduler) restoreJob(now time.Duration, id string, spec specRecord, value []byte, parts map[partNumber][]byte) error {
-	job, err := parseJob(id, spec.Queue, spec.Body)
+	job, err := parseJob(&Submission{ID: id, Endpoint: spec.Endpoint, Queue: spec.Queue, Body: spec.Body})
 	if err != nil {
 		return fmt.Errorf("cannot restore the specification of job %s: %w", id, err)
 	}
--- a/jobs/scenario_test.go
+++ b/jobs/scenario_test.go
@@ -81,7 +81,7 @@
 	case "tick":
 		sc.scheduler.Tick(now, now.Milliseconds())
 	case "pending":
-		if got := strconv.Itoa(sc.scheduler.PendingJobs(fields[1])); got != fields[3] {
+		if got := strconv.Itoa(sc.scheduler.PendingJobs(fields[1], "")); got != fields[3] {
 			sc.t.Errorf("%q: got %s", row, got)
 		}
 	case "orders":
@@ -104,13 +104,13 @@
 		if strings.HasPrefix(fields[1], "low") {
 			queue = "low"
 		}
-		if _, err := sc.scheduler.Submit(now, now.Milliseconds(), fields[1], queue, jobBody(fields[2:])); err != nil {
+		if _, err := sc.scheduler.Submit(now, now.Milliseconds(), &Submission{ID: fields[1], Queue: queue, Body: jobBody(fields[2:])}); err != nil {
 			sc.t.Errorf("%q: %v", row, err)
 		}
 	case "cancel":
-		sc.scheduler.Cancel(now, fields[1])
+		sc.scheduler.Cancel(now, JobRef{ID: fields[1]})
 	default:
-		got, known := sc.scheduler.Status(fields[0])
+		got, known := sc.scheduler.Status(JobRef{ID: fields[0]})
 		if !known {
 			got = "unknown"
 		}
--- a/jobs/scheduler.go
+++ b/jobs/scheduler.go
@@ -32,6 +32,7 @@
 	meanCapacity Resources          // mean capacity of the ready workers
 	delayed      map[string]*Job    // jobs with occurrences that are not yet due, keyed by ID
 	ended        []*Job             // ended jobs, in the order in which they ended
+	pendingJobs  map[pendingKey]int // number of active jobs of which no task has ever run
 
 	// Changes since the last Flush, and callbacks that wait for commits.
 	dirtyJobs            []*Job
@@ -69,6 +70,7 @@
 	return &Scheduler{
 		options: options, random: random,
 		jobs: map[string]*Job{}, queues: map[string]*Queue{}, workers: map[string]*Worker{}, delayed: map[string]*Job{},
+		pendingJobs:    map[pendingKey]int{},
 		workersByAgent: map[string]map[string]*Worker{}, readyStale: true,
 	}
 }
--- a/jobs/status.go
+++ b/jobs/status.go
@@ -1,8 +1,42 @@
 package jobs
 
+// JobRef refers to a job as clients do. An ID names one job of a shard at a time; a reference under another endpoint than the
+// job's does not find it. An empty Endpoint, which edge schedulers of earlier releases send, refers to a job of any endpoint.
+type JobRef struct {
+	Endpoint string
+	ID       string
+}
+
+// isReferredToBy reports whether a reference with the job's ID refers to the job. Jobs without an endpoint, which earlier releases
+// accepted, are found under any.
+func (j *Job) isReferredToBy(ref JobRef) bool {
+	return j.Endpoint == ref.Endpoint || j.Endpoint == "" || ref.Endpoint == ""
+}
+
+// job returns the job that a reference refers to, or nil.
+func (s *Scheduler) job(ref JobRef) *Job {
+	if job := s.jobs[ref.ID]; job != nil && job.isReferredToBy(ref) {
+		return job
+	}
+	return nil
+}
+
+// HasJob reports whether the job is known.
+func (s *Scheduler) HasJob(ref JobRef) bool { return s.job(ref) != nil }
+
+// HasJobsOf reports whether a job of the endpoint, or one that is found under any endpoint, is known.
+func (s *Scheduler) HasJobsOf(endpoint string) bool {
+	for _, job := range s.jobs {
+		if job.Endpoint == endpoint || job.Endpoint == "" {
+			return true
+		}
+	}
+	return false
+}
+
 // Status returns the committed state of a job and whether the job is known and its record committed.
-func (s *Scheduler) Status(id string) (State, bool) {
-	job := s.jobs[id]
+func (s *Scheduler) Status(ref JobRef) (State, bool) {
+	job := s.job(ref)
 	if job == nil || !job.durable {
 		return "", false
 	}
@@ -10,37 +44,59 @@
 }
 
 // CommitPending reports whether a job was accepted but its record is not yet committed.
-func (s *Scheduler) CommitPending(id string) bool {
-	job := s.jobs[id]
+func (s *Scheduler) CommitPending(ref JobRef) bool {
+	job := s.job(ref)
 	return job != nil && !job.durable
 }
 
-// PendingJobs returns the number of active jobs of a queue of which no task has ever run.
-func (s *Scheduler) PendingJobs(queue string) int {
+// pendingKey is what pending jobs are counted by for clients: their endpoint or, if they have none, their queue.
+type pendingKey struct{ endpoint, queue string }
+
+func (j *Job) pendingKey() pendingKey {
+	if j.Endpoint != "" {
+		return pendingKey{endpoint: j.Endpoint}
+	}
+	return pendingKey{queue: j.Queue}
+}
+
+// PendingJobs returns the number of active jobs of an endpoint of which no task has ever run, with those of its queue that have no
+// endpoint. An empty endpoint counts all of the queue.
+func (s *Scheduler) PendingJobs(queue, endpoint string) int {
+	if endpoint != "" {
+		return s.pendingJobs[pendingKey{endpoint: endpoint}] + s.pendingJobs[pendingKey{queue: queue}]
+	}
 	if q := s.queues[queue]; q != nil {
 		return q.pendingJobs
 	}
 	return 0
 }
 
+// addPending adds a number to the counts of pending jobs that a job belongs to.
+func (s *Scheduler) addPending(job *Job, number int) {
+	s.queue(job.Queue).pendingJobs += number
+	key := job.pendingKey()
+	s.pendingJobs[key] += number
+	if s.pendingJobs[key] == 0 {
+		delete(s.pendingJobs, key)
+	}
+}
+
 // ActiveJobs returns the number of jobs that have not ended.
 func (s *Scheduler) ActiveJobs() int { return len(s.jobs) - len(s.ended) }
 
 // countJob counts a job as active.
 func (s *Scheduler) countJob(job *Job) {
-	q := s.queue(job.Queue)
-	q.activeJobs++
+	s.queue(job.Queue).activeJobs++
 	if !job.everRan {
-		q.pendingJobs++
+		s.addPending(job, 1)
 	}
 }
 
 // uncountJob removes an ending job from the counts of active jobs.
 func (s *Scheduler) uncountJob(job *Job) {
-	q := s.queue(job.Queue)
-	q.activeJobs--
+	s.queue(job.Queue).activeJobs--
 	if !job.everRan {
-		q.pendingJobs--
+		s.addPending(job, -1)
 	}
 }
 
@@ -51,6 +107,6 @@
 	}
 	job.everRan = true
 	if !job.hasEnded() {
-		s.queue(job.Queue).pendingJobs--
+		s.addPending(job, -1)
 	}
 }
--- a/jobs/stored_data_test.go
+++ b/jobs/stored_data_test.go
@@ -105,7 +105,7 @@
 				if got := describeJob(job); got != stored.text {
 					t.Errorf("job %s:\n%s\nwant\n%s", id, got, stored.text)
 				}
-				if state, known := restored.Status(id); !known || string(state) != stored.visibleState {
+				if state, known := restored.Status(JobRef{ID: id}); !known || string(state) != stored.visibleState {
 					t.Errorf("visible state of job %s is %q, want %q", id, state, stored.visibleState)
 				}
 				encoded, err := job.encode()
--- a/jobs/submit_test.go
+++ b/jobs/submit_test.go
@@ -20,7 +20,7 @@
 		return newTestScheduler(time.Second, rand.New(rand.NewPCG(1, 1)), []QueueConfig{{Name: "q", Retries: 2}})
 	}
 	submit := func(s *Scheduler, body string) error {
-		_, err := s.Submit(0, 0, "00000000000000aa", "q", []byte(body))
+		_, err := s.Submit(0, 0, &Submission{ID: "00000000000000aa", Queue: "q", Body: []byte(body)})
 		return err
 	}
 	check := func(name string, s *Scheduler) {
@@ -46,6 +46,6 @@
 	check("durable", first)
 	store.restore(t, next, time.Second)
 	check("next owner", next)
-	next.Cancel(time.Second, "00000000000000aa")
+	next.Cancel(time.Second, JobRef{ID: "00000000000000aa"})
 	check("cancelled", next)
 }
--- a/jobs/workconserving_test.go
+++ b/jobs/workconserving_test.go
@@ -110,7 +110,7 @@
 	}
 	s.jobs++
 	id := fmt.Sprintf("%s%d", queue, s.jobs)
-	if _, err := s.scheduler.Submit(now, now.Milliseconds(), id, queue, jobBody(strings.Fields(spec+" "+label))); err != nil {
+	if _, err := s.scheduler.Submit(now, now.Milliseconds(), &Submission{ID: id, Queue: queue, Body: jobBody(strings.Fields(spec + " " + label))}); err != nil {
 		s.t.Fatalf("%s %s: %v", id, spec, err)
 	}
 }
