--- a/internal/system/api/api.go
+++ b/internal/system/api/api.go
@@ -4,6 +4,8 @@
 package api
 
 import (
+	"time"
+
 	"sedgevale/internal/system/clusterconfig"
 	"sedgevale/jobs"
 )
@@ -61,11 +63,14 @@
 	Body          []byte // jobs.Spec as JSON, unchanged from the client's request
 	Endpoint      string `avrocodec:"added"` // clusterconfig.Endpoint that the client used
 	KnownOnly     bool   `avrocodec:"added"` // the shard is that of a former route: it must not accept a new job
+	MaxWaitMS     int64  `avrocodec:"added"` // milliseconds for which the client's request may have waited to be read
 }
 
 // Submission returns the job that is submitted.
 func (r *SubmitRequest) Submission() *jobs.Submission {
-	return &jobs.Submission{ID: r.ID, Endpoint: r.Endpoint, Queue: r.Queue, Body: r.Body}
+	return &jobs.Submission{
+		ID: r.ID, Endpoint: r.Endpoint, Queue: r.Queue, Body: r.Body, MaxWait: time.Duration(r.MaxWaitMS) * time.Millisecond,
+	}
 }
 
 // JobRequest identifies a job whose state is read or that is cancelled.
--- a/internal/system/api/golden_test.go
+++ b/internal/system/api/golden_test.go
@@ -40,7 +40,7 @@
 		Confirmed: true, ConfigVersion: 1, Config: []byte("c"), ConfigBase: 2, Owners: []api.Owner{{Shard: "s", Address: "a", Token: 3}},
 		OwnersDigest: 4, Cores: []string{"x", "y"}, Former: []clusterconfig.FormerRoute{{Endpoint: "e", Service: "f", Until: 6}}, FormerDigest: 5,
 	}, "0102026304010a0273026106000803080278027900010a026502660c000a"},
-	{&api.SubmitRequest{Shard: "s", ConfigVersion: 1, Queue: "q", ID: "i", Body: []byte("b"), Endpoint: "e", KnownOnly: true}, "027302027102690262026501"},
+	{&api.SubmitRequest{Shard: "s", ConfigVersion: 1, Queue: "q", ID: "i", Body: []byte("b"), Endpoint: "e", KnownOnly: true, MaxWaitMS: 5}, "0273020271026902620265010a"},
 	{&api.JobRequest{Shard: "s", Queue: "q", ID: "i", Endpoint: "e", ConfigVersion: 1, KnownOnly: true}, "02730271026902650201"},
 	{&api.JobResponse{State: "queued"}, "0c717565756564"},
 	{&api.PendingRequest{Shard: "s", Queue: "q", Endpoint: "e"}, "027302710265"},
--- a/internal/system/core/golden_test.go
+++ b/internal/system/core/golden_test.go
@@ -116,7 +116,7 @@
 		got = append(got, name[1]+" "+name[2])
 	}
 	want := []string{
-		"sedgevale_config_version ", "sedgevale_shard_records shard", "sedgevale_shard_replicas_in_step shard",
+		"sedgevale_config_version ", "sedgevale_config_former_routes ", "sedgevale_shard_cancellations shard", "sedgevale_shard_records shard", "sedgevale_shard_replicas_in_step shard",
 		"sedgevale_queue_unended_jobs shard,queue", "sedgevale_queue_pending_jobs shard,queue", "sedgevale_queue_held shard,queue",
 		"sedgevale_queue_wanted shard,queue", "sedgevale_queue_sigma shard,queue", "sedgevale_queue_withheld shard,queue,reason",
 		"sedgevale_worker_held shard,worker", "sedgevale_worker_sigma shard,worker",
--- a/internal/system/core/jobsapi.go
+++ b/internal/system/core/jobsapi.go
@@ -58,6 +58,9 @@
 			return nil, err
 		}
 	}
+	if ctx.Err() != nil {
+		return nil, result.Errorf(result.Unavailable, "job %s: its sender has gone", r.ID) // and may have got another answer since
+	}
 	sequence, err := o.submit(submission, caller{r.ConfigVersion, r.KnownOnly})
 	if err != nil {
 		return nil, err
@@ -70,7 +73,7 @@
 func (o *owner) submit(submission *jobs.Submission, from caller) (sequence int64, err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.scheduler.HasJob(submission.Ref()) {
+	if !o.scheduler.HasJob(submission.Ref()) && !o.scheduler.IsCancelled(submission.Ref()) {
 		if err := o.admit(submission, from); err != nil {
 			return 0, err
 		}
@@ -107,8 +110,8 @@
 	return o.scheduler.HasJob(ref)
 }
 
-// submitError returns the error for a job that the scheduler rejected. Only an invalid body and an ID that is in use are client
-// errors.
+// submitError returns the error for a job that the scheduler rejected. Only an invalid body, an ID that is in use and a job that was
+// cancelled are client errors.
 func submitError(id string, err error) error {
 	var invalid *jobs.InvalidJobError
 	if errors.As(err, &invalid) {
@@ -117,6 +120,12 @@
 	if errors.Is(err, jobs.ErrIDInUse) {
 		return result.Errorf(result.Conflict, "job %s: %w", id, err)
 	}
+	if errors.Is(err, jobs.ErrCancelled) {
+		return result.Errorf(result.JobCancelled, "job %s: %w", id, err)
+	}
+	if errors.Is(err, jobs.ErrOutdated) {
+		return result.Errorf(result.JobOutdated, "job %s: %w", id, err)
+	}
 	return result.Errorf(result.Unavailable, "job %s: %w", id, err)
 }
 
@@ -164,20 +173,45 @@
 	return result.Errorf(result.NoJob, "no job %s", r.ID)
 }
 
-// cancel cancels a job and returns once the cancellation is committed.
+// cancel cancels a job and returns once the cancellation is committed. The cancellation of a job that is not known is remembered, so
+// that a submission that arrives later is refused; once that is committed, the error has the code result.NoJob.
 func (c *Core) cancel(ctx context.Context, r *api.JobRequest) (*api.Empty, error) {
 	o, err := c.activeOwner(r.Shard)
 	if err != nil {
 		return nil, err
 	}
-	o.mu.Lock()
-	known := o.scheduler.Cancel(o.monotonicNow(), r.Ref())
-	sequence := o.flush()
-	o.mu.Unlock()
+	if !o.hasJob(r.Ref()) {
+		if err := c.ensureConfig(ctx, r.ConfigVersion); err != nil {
+			return nil, err
+		}
+	}
+	known, sequence, err := o.cancel(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := o.waitCommitted(ctx, sequence); err != nil {
+		return nil, err
+	}
 	if !known {
-		return nil, c.unknownJobError(ctx, o, r)
+		return nil, result.Errorf(result.NoJob, "no job %s", r.ID)
 	}
-	return &api.Empty{}, o.waitCommitted(ctx, sequence)
+	return &api.Empty{}, nil
+}
+
+// cancel cancels a job that is known, or remembers the cancellation. It returns the sequence number of the change that must be
+// committed before the cancellation may be acknowledged.
+func (o *owner) cancel(r *api.JobRequest) (known bool, sequence int64, err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.scheduler.Cancel(o.monotonicNow(), r.Ref()) {
+		return true, o.flush(), nil
+	}
+	route, err := o.routeOf(r.Endpoint, r.Queue, caller{r.ConfigVersion, r.KnownOnly})
+	if err != nil {
+		return false, 0, err
+	}
+	o.scheduler.RememberCancellation(o.monotonicNow(), jobs.JobRef{Endpoint: route.Endpoint(), ID: r.ID})
+	return false, o.flush(), nil
 }
 
 // pending returns the number of unfinished jobs of a queue of which no worker has started a task.
--- a/internal/system/core/metrics.go
+++ b/internal/system/core/metrics.go
@@ -13,6 +13,8 @@
 	configVersionDesc       = prometheus.NewDesc("sedgevale_config_version", "Version of the configuration in force.", nil, nil)
 	shardRecordsDesc        = prometheus.NewDesc("sedgevale_shard_records", "Records of an owned shard.", []string{"shard"}, nil)
 	inSyncReplicasDesc      = prometheus.NewDesc("sedgevale_shard_replicas_in_step", "Replicas in sync with the owner.", []string{"shard"}, nil)
+	cancellationsDesc       = prometheus.NewDesc("sedgevale_shard_cancellations", "Remembered cancellations of unknown jobs of an owned shard.", []string{"shard"}, nil)
+	formerRoutesDesc        = prometheus.NewDesc("sedgevale_config_former_routes", "Former routes whose jobs may still be known.", nil, nil)
 	pendingJobsDesc         = prometheus.NewDesc("sedgevale_queue_pending_jobs", "Unfinished jobs of which no task has run.", []string{"shard", "queue"}, nil)
 	unfinishedJobsDesc      = prometheus.NewDesc("sedgevale_queue_unended_jobs", "Jobs that have not ended.", []string{"shard", "queue"}, nil)
 	queueAllocatedDesc      = prometheus.NewDesc("sedgevale_queue_held", "Capacity allocated to the queue's runs, in workers.", []string{"shard", "queue"}, nil)
@@ -27,7 +29,7 @@
 // Describe implements prometheus.Collector.
 func (m collector) Describe(out chan<- *prometheus.Desc) {
 	for _, desc := range []*prometheus.Desc{
-		configVersionDesc, shardRecordsDesc, inSyncReplicasDesc, unfinishedJobsDesc, pendingJobsDesc, queueAllocatedDesc, queueDemandDesc, queueLimitDesc,
+		configVersionDesc, formerRoutesDesc, cancellationsDesc, shardRecordsDesc, inSyncReplicasDesc, unfinishedJobsDesc, pendingJobsDesc, queueAllocatedDesc, queueDemandDesc, queueLimitDesc,
 		unschedulableGroupsDesc, workerAllocatedDesc, workerLimitDesc,
 	} {
 		out <- desc
@@ -41,6 +43,10 @@
 	}
 	if state := m.core.currentConfig(); state != nil {
 		gauge(configVersionDesc, float64(state.record.Version))
+		gauge(formerRoutesDesc, float64(len(state.record.Former)))
+	}
+	for shard, cancellations := range m.core.cancellationCounts() {
+		gauge(cancellationsDesc, float64(cancellations), shard)
 	}
 	for _, shard := range m.core.shardInfos() {
 		gauge(shardRecordsDesc, float64(shard.Records), shard.Shard)
@@ -62,6 +68,19 @@
 	}
 }
 
+// cancellationCounts returns the number of remembered cancellations of each owned shard.
+func (c *Core) cancellationCounts() map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counts := map[string]int{}
+	for name, o := range c.owners {
+		o.mu.Lock()
+		counts[name] = o.scheduler.Cancellations()
+		o.mu.Unlock()
+	}
+	return counts
+}
+
 // unschedulableKey holds the labels by which unschedulable task groups are counted.
 type unschedulableKey struct {
 	queue  string
--- a/internal/system/core/owner_test.go
+++ b/internal/system/core/owner_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -23,12 +24,13 @@
 func newServingOwner(t *testing.T) (*Core, *owner) {
 	t.Helper()
 	config := &clusterconfig.Config{
-		Routes:   []clusterconfig.Route{{Name: "q", Service: "s", TargetLatencyMS: 1000}},
+		Routes:   []clusterconfig.Route{{Name: "q", PathPrefix: "/", Service: "s", TargetLatencyMS: 1000}},
 		Services: []clusterconfig.Service{{Name: "s"}},
 	}
 	c := &Core{
-		address: "a", logger: logr.Discard(), store: newStore("a"), settings: &settings.Settings{}, started: time.Now(),
-		config: newConfigState(configRecord{Version: 1}, config), owners: map[string]*owner{}, goroutines: taskgroup.New(t.Context()),
+		address: "a", logger: logr.Discard(), store: newStore("a"), started: time.Now(),
+		settings: &settings.Settings{Bounds: settings.Bounds{EndedJobRetentionS: 120}},
+		config:   newConfigState(configRecord{Version: 1}, config), owners: map[string]*owner{}, goroutines: taskgroup.New(t.Context()),
 	}
 	o := newOwner(c, "s", 2, membership.Bootstrap(3, []string{"a", "b", "c"}), shard.NewRecordSet())
 	c.owners["s"] = o
@@ -120,6 +122,52 @@
 	})
 }
 
+// TestSubmissionOfAGoneSenderIsNotAccepted guards against a submission that waited in the owner's queue until its sender had given up,
+// and that would undo what the client was answered meanwhile.
+func TestSubmissionOfAGoneSenderIsNotAccepted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, o := newServingOwner(t)
+		defer o.close()
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, err := c.submit(ctx, &api.SubmitRequest{
+			Shard: "s", ConfigVersion: 1, Queue: "q", ID: "00000000000000aa", Body: []byte(`{"spec":"x","stages":[{"count":1}]}`),
+		})
+		if code := result.CodeOf(err); code != result.Unavailable || o.hasJob(jobs.JobRef{ID: "00000000000000aa"}) {
+			t.Errorf("code %d, want %d; the job was accepted: %t", code, result.Unavailable, o.hasJob(jobs.JobRef{ID: "00000000000000aa"}))
+		}
+	})
+}
+
+// TestCancellationIsAcknowledgedOnceAQuorumHasStoredIt checks that the cancellation of an unknown job is answered only once a later
+// owner knows of it, and that the submission is refused from then on.
+func TestCancellationIsAcknowledgedOnceAQuorumHasStoredIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, o := newServingOwner(t)
+		defer o.close()
+		request := &api.JobRequest{Shard: "s", Queue: "q", ID: "00000000000000aa", Endpoint: "/", ConfigVersion: 1}
+		cancel := func() result.Code {
+			_, err := c.cancel(t.Context(), request)
+			return result.CodeOf(err)
+		}
+		if code := cancel(); code != result.OutcomeUnknown {
+			t.Errorf("no replica has stored the cancellation: code %d, want %d", code, result.OutcomeUnknown)
+		}
+		for seat := range o.replicators {
+			o.onReplicaAck(o.replicators[seat], o.primary.Sequence(), time.Now())
+		}
+		if code := cancel(); code != result.NoJob {
+			t.Errorf("the replicas have stored the cancellation: code %d, want %d", code, result.NoJob)
+		}
+		_, err := c.submit(t.Context(), &api.SubmitRequest{
+			Shard: "s", ConfigVersion: 1, Queue: "q", ID: request.ID, Endpoint: request.Endpoint, Body: []byte(`{"spec":"x","stages":[{"count":1}]}`),
+		})
+		if code := result.CodeOf(err); code != result.JobCancelled {
+			t.Errorf("submission after the cancellation: code %d, want %d", code, result.JobCancelled)
+		}
+	})
+}
+
 // An owner rejects calls unless a quorum has acknowledged it within the lease.
 func TestOwnerWithoutValidLeaseRejectsCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/system/edge/edge.go
+++ b/internal/system/edge/edge.go
@@ -32,7 +32,9 @@
 	client    *rpc.Client
 	directory *directory.Directory
 	draining  chan struct{} // closed when the shutdown begins
+	stalls    stallDetector
 	responses *prometheus.CounterVec
+	outdated  prometheus.Counter // submissions that were not forwarded since their clients may have given up
 }
 
 // Run serves clients until ctx is cancelled, and then shuts down gracefully: it returns once the requests in flight have
@@ -40,14 +42,16 @@
 func Run(ctx context.Context, p *node.Process) error {
 	s := &Scheduler{
 		client: p.Client, directory: directory.New(p, true), draining: make(chan struct{}), responses: newResponseCounter(),
+		outdated: newOutdatedCounter(),
 	}
-	p.RegisterMetrics(s.responses)
+	p.RegisterMetrics(s.responses, s.outdated)
 	// Requests in flight need the owners of the shards after ctx is cancelled.
 	directoryCtx, stopDirectory := context.WithCancel(context.WithoutCancel(ctx))
 	var background sync.WaitGroup
 	defer background.Wait()
 	defer stopDirectory()
 	background.Go(func() { s.directory.Run(directoryCtx) })
+	background.Go(func() { s.stalls.run(directoryCtx) })
 	readiness := http.NewServeMux()
 	readiness.HandleFunc("GET "+readinessPath, s.handleReadiness)
 	if err := p.Listen(ctx, p.Settings.BindAddrs.Readiness, readiness); err != nil {
--- a/internal/system/edge/forward.go
+++ b/internal/system/edge/forward.go
@@ -91,9 +91,16 @@
 // two attempts, and its removal does not end jobs that were accepted.
 func (r *request) writeError(w http.ResponseWriter, err error) {
 	code := result.CodeOf(err)
-	if code == result.NoJob {
+	switch code {
+	case result.NoJob:
 		http.Error(w, "no such job", http.StatusGone)
 		return
+	case result.JobCancelled:
+		http.Error(w, "the job was cancelled", http.StatusGone)
+		return
+	case result.JobOutdated:
+		r.writeOutdated(w)
+		return
 	}
 	if code == result.NoRoute && (!r.maybeApplied || !r.mutatesJob) {
 		http.Error(w, "no such route", http.StatusNotFound)
@@ -116,6 +123,13 @@
 	}
 }
 
+// writeOutdated writes the response to a submission that may have waited for so long that the client has got another answer about the
+// job since.
+func (r *request) writeOutdated(w http.ResponseWriter) {
+	r.scheduler.outdated.Inc()
+	http.Error(w, "read too late: the request may have been sent before this scheduler stalled; send it again", http.StatusGatewayTimeout)
+}
+
 // writeUnavailable writes a 503 response with a Retry-After header.
 func writeUnavailable(w http.ResponseWriter, text string) {
 	w.Header().Set("Retry-After", retryAfterSeconds)
--- a/internal/system/edge/handler.go
+++ b/internal/system/edge/handler.go
@@ -56,6 +56,23 @@
 	}
 }
 
+// patience returns how long a client waits for the answer to its request, as far as is known.
+func patience(r *http.Request, route *clusterconfig.Route) time.Duration {
+	if deadline, ok := clientDeadline(r); ok {
+		return deadline
+	}
+	if route != nil {
+		return time.Duration(route.TimeoutMS) * time.Millisecond
+	}
+	return maxRequestTimeout + responseReserve
+}
+
+// clientDeadline returns how long the client waits for an answer, if it says so.
+func clientDeadline(r *http.Request) (time.Duration, bool) {
+	milliseconds, err := strconv.ParseInt(r.Header.Get(deadlineHeader), 10, 64)
+	return time.Duration(milliseconds) * time.Millisecond, err == nil && milliseconds > 0
+}
+
 // requestTimeout returns the timeout of a request: the minimum of maxRequestTimeout, the timeout of the route, if there is one, and
 // the client's deadline, the latter two less responseReserve. It is never less than minRequestTimeout.
 func requestTimeout(r *http.Request, route *clusterconfig.Route) time.Duration {
@@ -63,14 +80,19 @@
 	if route != nil {
 		timeout = min(timeout, time.Duration(route.TimeoutMS)*time.Millisecond-responseReserve)
 	}
-	if deadline, err := strconv.ParseInt(r.Header.Get(deadlineHeader), 10, 64); err == nil && deadline > 0 {
-		timeout = min(timeout, time.Duration(deadline)*time.Millisecond-responseReserve)
+	if deadline, ok := clientDeadline(r); ok {
+		timeout = min(timeout, deadline-responseReserve)
 	}
 	return max(timeout, minRequestTimeout)
 }
 
 // handleSubmit validates a job and submits it to the owner of the shard that has it, or of the route's shard.
 func (r *request) handleSubmit(ctx context.Context, w http.ResponseWriter, httpRequest *http.Request, maxBytes int64) {
+	maxWait := r.scheduler.stalls.stalledFor(time.Now())
+	if maxWait >= patience(httpRequest, r.route) {
+		r.writeOutdated(w) // the client may have got another answer since, which the submission would undo
+		return
+	}
 	if maxBytes <= 0 {
 		maxBytes = defaultMaxBodyBytes
 	}
@@ -88,7 +110,7 @@
 	message := func(shard string) any {
 		return &api.SubmitRequest{
 			Shard: shard, ConfigVersion: r.configVersion, Queue: r.queue(), ID: r.jobID, Body: body, Endpoint: r.endpoint,
-			KnownOnly: r.isFormer(shard),
+			KnownOnly: r.isFormer(shard), MaxWaitMS: maxWait.Milliseconds(),
 		}
 	}
 	r.mutatesJob = true
--- a/internal/system/edge/metrics.go
+++ b/internal/system/edge/metrics.go
@@ -14,6 +14,13 @@
 	}, []string{"method", "status"})
 }
 
+// newOutdatedCounter returns a counter of submissions that were read so late that their clients may have given up.
+func newOutdatedCounter() prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "sedgevale_edge_outdated_submissions_total", Help: "Submissions that were not forwarded, since they may have been sent before a stall.",
+	})
+}
+
 // countResponses wraps a handler with middleware that counts its responses.
 func (s *Scheduler) countResponses(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/system/result/golden_test.go
+++ b/internal/system/result/golden_test.go
@@ -14,7 +14,7 @@
 		result.NotRecovered: 1006, result.NoRoute: 1007, result.NoJob: 1008, result.Overloaded: 1009, result.Conflict: 1010, result.Invalid: 1011,
 		result.WrongInstance: 1012, result.BallotOutdated: 1013, result.WrongReplica: 1014, result.Unavailable: 1015,
 		result.MembershipInvalid: 1016, result.WrongDeployment: 1017, result.WrongDisk: 1018, result.QueueMoved: 1019,
-		result.ConfigOutdated: 1020, result.StorageFailed: 2001,
+		result.ConfigOutdated: 1020, result.JobCancelled: 1021, result.JobOutdated: 1022, result.StorageFailed: 2001,
 		result.OutcomeUnknown: 2002, result.TransportFailed: 2003,
 	} {
 		if int(got) != want {
--- a/internal/system/result/result.go
+++ b/internal/system/result/result.go
@@ -34,6 +34,8 @@
 	WrongDisk         Code = 1018 // the disk belongs to another machine
 	QueueMoved        Code = 1019 // the current configuration sends the queue to another shard, and this one does not have the job
 	ConfigOutdated    Code = 1020 // the sender's configuration precedes a change of the queue's shard
+	JobCancelled      Code = 1021 // the job was cancelled before its submission arrived; it was not accepted
+	JobOutdated       Code = 1022 // the job may have been cancelled before its submission arrived; it was not accepted
 	StorageFailed     Code = 2001 // a disk write failed, or may have failed
 	OutcomeUnknown    Code = 2002 // a commit was started and its outcome is unknown
 	TransportFailed   Code = 2003 // the connection failed before the response was received
--- a/internal/system/simulation/route_changes_test.go
+++ b/internal/system/simulation/route_changes_test.go
@@ -70,11 +70,16 @@
 	return status, text
 }
 
+// setSubmitted says whether tasks of a job may start.
+func (c *cluster) setSubmitted(id string, submitted bool) {
+	c.checker.mu.Lock()
+	defer c.checker.mu.Unlock()
+	c.checker.submitted[id] = submitted
+}
+
 // submitAs submits a job until it is accepted.
 func (c *cluster) submitAs(path, body string) {
-	c.checker.mu.Lock()
-	c.checker.submitted[path[len(path)-16:]] = true
-	c.checker.mu.Unlock()
+	c.setSubmitted(path[len(path)-16:], true)
 	if status, text := c.client(http.MethodPost, path, body); status != http.StatusOK {
 		c.violation("SUBMIT: %s got status %d: %s", path, status, text)
 	}
@@ -223,7 +228,7 @@
 }
 
 // TestRoutesChangeThroughFaults moves, removes and adds routes at random while jobs are submitted and faults are injected, and checks
-// that each accepted job is found under its path, completes, and runs once.
+// that each accepted job is found under its path, completes, and runs once, and that no job runs that was unknown when it was cancelled.
 func TestRoutesChangeThroughFaults(t *testing.T) {
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
@@ -259,6 +264,10 @@
 			h.putRoutes()
 		}
 		h.submit(fmt.Sprintf("%016x", n+1))
+		if n%3 == 0 {
+			h.cancelUnknown(fmt.Sprintf("%016x", 1<<40+n))
+		}
+		h.submitCancelled()
 		h.checkSome()
 		time.Sleep(time.Duration(random.IntN(600)) * time.Millisecond)
 	}
@@ -280,11 +289,12 @@
 
 // routeHistory is a random history of jobs and changes of their routes.
 type routeHistory struct {
-	cluster  *cluster
-	random   *rand.Rand
-	services map[string]string // by path prefix; empty if there is no route
-	paths    []string          // of the accepted jobs
-	bodies   map[string]string // by path
+	cluster   *cluster
+	random    *rand.Rand
+	services  map[string]string // by path prefix; empty if there is no route
+	paths     []string          // of the accepted jobs
+	bodies    map[string]string // by path
+	cancelled []string          // paths of jobs whose cancellation was answered with 410
 }
 
 func (h *routeHistory) anyPrefix() string { return []string{"/a/", "/b/", "/c/"}[h.random.IntN(3)] }
@@ -303,9 +313,7 @@
 // submit submits a job under a random prefix. It must be accepted if there is a route.
 func (h *routeHistory) submit(id string) {
 	c, prefix, body := h.cluster, h.anyPrefix(), jobBody(1+h.random.IntN(3))
-	c.checker.mu.Lock()
-	c.checker.submitted[id] = true
-	c.checker.mu.Unlock()
+	c.setSubmitted(id, true)
 	status, _ := c.client(http.MethodPost, prefix+id, body)
 	if status == http.StatusNotFound && h.services[prefix] != "" {
 		time.Sleep(configApplyTimeout)
@@ -327,3 +335,37 @@
 		}
 	}
 }
+
+// cancelUnknown cancels a job that was not submitted, or whose submission is still on its way.
+func (h *routeHistory) cancelUnknown(id string) {
+	c, path := h.cluster, h.anyPrefix()+id
+	submitted := make(chan int, 1)
+	inFlight := h.random.IntN(2) == 0
+	c.setSubmitted(id, inFlight)
+	if inFlight {
+		go func() {
+			status, _ := c.call(http.MethodPost, edgeAddress, path, "h", "", jobBody(1))
+			submitted <- status
+		}()
+		time.Sleep(time.Duration(h.random.IntN(4000)) * time.Microsecond)
+	}
+	status, _ := c.client(http.MethodDelete, path, "")
+	if status == http.StatusGone {
+		h.cancelled = append(h.cancelled, path)
+		c.setSubmitted(id, false)
+	}
+	if inFlight && <-submitted == http.StatusOK && status == http.StatusGone {
+		c.violation("UNASKED: %s was accepted, and its cancellation answered with 410", path)
+	}
+}
+
+// submitCancelled submits a job whose cancellation was answered with 410. It must not be accepted.
+func (h *routeHistory) submitCancelled() {
+	if len(h.cancelled) == 0 {
+		return
+	}
+	path := h.cancelled[h.random.IntN(len(h.cancelled))]
+	if status, _ := h.cluster.client(http.MethodPost, path, jobBody(1)); status == http.StatusOK {
+		h.cluster.violation("UNASKED: %s was accepted after its cancellation was answered with 410", path)
+	}
+}
--- a/jobs/changes.go
+++ b/jobs/changes.go
@@ -26,10 +26,10 @@
 // Flush passes all changes since the last Flush to put, which returns the sequence number of each change. Flush returns the
 // sequence number of the last change, or the argument last if there was none.
 func (s *Scheduler) Flush(put func(Change) int64, last int64) (int64, error) {
-	for _, change := range s.newSpecs {
+	for _, change := range s.newRecords {
 		last = put(change)
 	}
-	s.newSpecs = s.newSpecs[:0]
+	s.newRecords = s.newRecords[:0]
 	for _, job := range s.dirtyJobs {
 		job.dirty = false
 		changes, err := job.changedRecords()
--- a/jobs/lifecycle.go
+++ b/jobs/lifecycle.go
@@ -25,6 +25,9 @@
 	Endpoint string // host and path prefix that the client used; empty if an edge scheduler of an earlier release sent it
 	Queue    string // name of the queue
 	Body     []byte // Spec as JSON
+
+	// MaxWait is the upper limit on the time for which the submission may have waited to be read; 0 if it was read at once.
+	MaxWait time.Duration
 }
 
 // Ref returns the reference to the submitted job.
@@ -32,8 +35,9 @@
 
 // Submit accepts a job. It is idempotent: a job with a known ID and the same specification is not accepted again. The result
 // durable reports whether the job's record is already committed; otherwise it is durable once all changes up to and including the
-// next Flush are. On any error the job was not accepted. The error is an *InvalidJobError if the body is invalid, and ErrIDInUse
-// if a job with another specification or of another endpoint has the ID.
+// next Flush are. On any error the job was not accepted. The error is an *InvalidJobError if the body is invalid, ErrIDInUse if
+// a job with another specification or of another endpoint has the ID, ErrCancelled if the job was cancelled before, and
+// ErrOutdated if it may have been.
 //
 // The queue is not compared: its name is that of the route, which an operator may have changed since the first submission.
 func (s *Scheduler) Submit(now time.Duration, wallMS int64, submission *Submission) (durable bool, err error) {
@@ -47,11 +51,14 @@
 		}
 		return known.durable, nil
 	}
+	if err := s.checkCancellation(now, submission); err != nil {
+		return false, err
+	}
 	record, err := avrocodec.Encode(&specRecord{Queue: job.Queue, Body: submission.Body, Endpoint: job.Endpoint})
 	if err != nil {
 		return false, fmt.Errorf("record of the job: %w", err)
 	}
-	s.newSpecs = append(s.newSpecs, Change{Key: specPrefix + job.ID, Value: record})
+	s.newRecords = append(s.newRecords, Change{Key: specPrefix + job.ID, Value: record})
 	s.jobs[job.ID] = job
 	s.countJob(job)
 	s.markDirty(job)
--- a/jobs/recovery.go
+++ b/jobs/recovery.go
@@ -30,6 +30,9 @@
 		}
 	}
 	for _, r := range records {
+		if s.restoreCancellation(now, r.Key) {
+			continue
+		}
 		id, ok := strings.CutPrefix(r.Key, jobPrefix)
 		spec, hasSpec := specs[id]
 		if !ok || !hasSpec {
--- a/jobs/scheduler.go
+++ b/jobs/scheduler.go
@@ -34,10 +34,12 @@
 	ended        []*Job             // ended jobs, in the order in which they ended
 	pendingJobs  map[pendingKey]int // number of active jobs of which no task has ever run
 
+	cancellations *cancellations // of jobs that were unknown
+
 	// Changes since the last Flush, and callbacks that wait for commits.
 	dirtyJobs            []*Job
 	deletedKeys          []string
-	newSpecs             []Change
+	newRecords           []Change // records that are written once
 	newCallbacks         []func()
 	uncommittedCallbacks []commitCallback // sorted by sequence
 
@@ -70,7 +72,7 @@
 	return &Scheduler{
 		options: options, random: random,
 		jobs: map[string]*Job{}, queues: map[string]*Queue{}, workers: map[string]*Worker{}, delayed: map[string]*Job{},
-		pendingJobs:    map[pendingKey]int{},
+		pendingJobs: map[pendingKey]int{}, cancellations: newCancellations(),
 		workersByAgent: map[string]map[string]*Worker{}, readyStale: true,
 	}
 }
--- a/jobs/tick.go
+++ b/jobs/tick.go
@@ -5,8 +5,8 @@
 // failureRateDecay is the factor applied to a worker's failure rate per tick, so that an avoided worker is tried again.
 const failureRateDecay = 0.98
 
-// Tick performs the time-driven work: it starts due occurrences, expires workers, updates the admission limits and deletes
-// ended jobs. The owner calls it at a fixed interval.
+// Tick performs the time-driven work: it starts due occurrences, expires workers, updates the admission limits, and forgets
+// ended jobs and cancellations. The owner calls it at a fixed interval.
 func (s *Scheduler) Tick(now time.Duration, wallMS int64) {
 	for _, job := range s.delayed {
 		s.startDueOccurrences(now, wallMS, job)
@@ -29,6 +29,7 @@
 	s.overdueCycle = true
 	s.needsCycle = true
 	s.deleteEndedJobs(now)
+	s.forgetCancellations(now)
 }
 
 // expireWorker ends all runs of a worker whose lease is certain to have expired.
