core: former routes are kept while jobs of theirs are known, and never forgotten before

Cause: the list of former routes grew with each removed route until the oldest was dropped, whose jobs were then not found; and each submission to a moved route asked the former shard for ever. Change: an owner removes the former routes of its shard of which it has known no job at two searches 30 s apart under one version, with a valid lease; beyond 2,048 the oldest are merged into one for each service that stands for any endpoint. The state command shows their number.

--- a/internal/system/clusterconfig/former_test.go
+++ b/internal/system/clusterconfig/former_test.go
@@ -43,16 +43,31 @@
 	}
 }
 
-// TestFormerRoutesAreBounded checks the number of former routes at their limit and beyond it.
+// TestFormerRoutesAreBounded checks the number of former routes at their limit and beyond it, and that no endpoint's former service is
+// forgotten.
 func TestFormerRoutesAreBounded(t *testing.T) {
 	var routes []string
 	for i := range MaxFormerRoutes + 1 {
 		routes = append(routes, fmt.Sprintf("/%d/", i), "one")
 	}
-	for _, count := range []int{MaxFormerRoutes - 1, MaxFormerRoutes, MaxFormerRoutes + 1} {
+	for _, count := range []int{MaxFormerRoutes - 3, MaxFormerRoutes - 1, MaxFormerRoutes, MaxFormerRoutes + 1} {
 		former := NextFormerRoutes(nil, configOf(1, routes[:2*count]...), configOf(2))
-		if len(former) != min(count, MaxFormerRoutes) || former[len(former)-1].Endpoint != fmt.Sprintf("h/%d/", count-1) {
+		if len(former) != count || former[len(former)-1].Endpoint != fmt.Sprintf("h/%d/", count-1) {
 			t.Errorf("%d former routes, the last %v, after %d were removed", len(former), former[len(former)-1], count)
 		}
+		if merged := former[0] == (FormerRoute{AnyEndpoint, "one", 2}); merged != (count > MaxFormerRoutes) {
+			t.Errorf("the oldest former route is %v after %d were removed", former[0], count)
+		}
+		former = NextFormerRoutes(former, configOf(2, "/x/", "two", "/y/", "one"), configOf(3))
+		table := NewTable(configOf(3), former)
+		for endpoint, want := range map[string][]string{"h/0/": {"one"}, "h/x/": {"two", "one"}, "h/y/": {"one"}} {
+			got := table.FormerServices(endpoint)
+			if count < MaxFormerRoutes-2 {
+				want = want[:1]
+			}
+			if !reflect.DeepEqual(got, want) {
+				t.Errorf("former services of %s are %v after %d were removed, want %v", endpoint, got, count, want)
+			}
+		}
 	}
 }
--- a/internal/system/core/config.go
+++ b/internal/system/core/config.go
@@ -23,7 +23,7 @@
 
 	routeByName     map[string]*clusterconfig.Route
 	routeByEndpoint map[string]*clusterconfig.Route
-	movedAt         map[string]int64 // by endpoint, the version that last ended a former route of it
+	movedAt         map[string]int64 // by endpoint, the version that last ended a former route of it alone
 	formerDigest    int64            // formerRoutesDigest of record.Former
 
 	// patches caches the patches from earlier versions to this one, keyed by the earlier version. An entry is nil if no
@@ -43,7 +43,7 @@
 		c.logger.Error(err, "parsing the chosen configuration failed; the previous one remains in force", "version", record.Version)
 		return
 	}
-	if c.config != nil {
+	if c.config != nil && c.config.record.Version != record.Version {
 		c.previousConfigs = append(c.previousConfigs, c.config.record)
 		if len(c.previousConfigs) > maxPreviousConfigs {
 			c.previousConfigs = c.previousConfigs[1:]
@@ -75,6 +75,11 @@
 	return s
 }
 
+// lastMove returns the version that last ended a former route of an endpoint.
+func (s *configState) lastMove(endpoint string) int64 {
+	return max(s.movedAt[endpoint], s.movedAt[clusterconfig.AnyEndpoint])
+}
+
 // currentConfig returns the newest known configuration, or nil if none is known.
 func (c *Core) currentConfig() *configState {
 	c.mu.Lock()
--- a/internal/system/core/core.go
+++ b/internal/system/core/core.go
@@ -81,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	for _, loop := range []func(context.Context){c.pingLoop, c.ownershipLoop, c.joinLoop, c.followMembership} {
+	for _, loop := range []func(context.Context){c.pingLoop, c.ownershipLoop, c.joinLoop, c.followMembership, c.forgetFormerRoutesLoop} {
 		c.goroutines.Go(loop)
 	}
 	<-ctx.Done()
--- a/internal/system/core/describe.go
+++ b/internal/system/core/describe.go
@@ -36,11 +36,15 @@
 	return err
 }
 
-// versionOf formats the version in a value of the configuration register. It returns "" for other registers.
+// versionOf formats the version and the number of former routes in a value of the configuration register. It returns "" for other
+// registers.
 func versionOf(name string, value []byte) string {
 	var record configRecord
 	if name != configRegister || avrocodec.Decode(value, &record) != nil {
 		return ""
 	}
+	if len(record.Former) > 0 {
+		return fmt.Sprintf(", configuration %d, %d former routes", record.Version, len(record.Former))
+	}
 	return fmt.Sprintf(", configuration %d", record.Version)
 }
--- a/internal/system/core/doc.go
+++ b/internal/system/core/doc.go
@@ -18,6 +18,8 @@
 //     its jobs.Scheduler and sends orders to the worker agents.
 //   - joining.go acquires a seat in the membership, and draining.go waits for another machine to take it before the
 //     process stops.
+//   - placement.go decides whether an unknown job belongs to an owned shard, and former_routes.go keeps the routes of earlier
+//     configurations whose jobs are still known.
 //   - config.go, watch.go, jobsapi.go, admin.go and metrics.go serve the configuration, subscriptions, jobs, operators'
 //     commands and Prometheus metrics. Package controlplane serves operators' HTTP requests.
 //
@@ -57,7 +59,7 @@
 //
 // The goroutines of a Core and of its owners belong to its taskgroup.Group: they end when the group is shut down, and Run
 // returns once all have ended. The exceptions are the concurrent calls of announceChosen and of confirmTimedOut, which wait
-// for the goroutines that they start. Run starts pingLoop, ownershipLoop, joinLoop and followMembership, which end after the
+// for the goroutines that they start. Run starts pingLoop, ownershipLoop, joinLoop, followMembership and forgetFormerRoutesLoop, which end after the
 // drain. In addition there are one takeOver for each shard that needs one, which lasts about takeoverTimeout at most, at
 // most one ping per peer, one announceChosen per chosen value, which lasts at most roundTimeout, and at most one readAsync
 // per register. The calls of a broadcast continue for up to roundTimeout after their start, even if the round that started
--- a/internal/system/core/placement.go
+++ b/internal/system/core/placement.go
@@ -36,7 +36,7 @@
 		return nil, result.Errorf(result.NoRoute, "queue %s is not in the newest configuration", queue)
 	case route.Service != o.name:
 		return nil, result.Errorf(result.QueueMoved, "queue %s is in the shard %s in the newest configuration", route.Name, route.Service)
-	case from.knownOnly || from.configVersion < o.config.movedAt[endpoint]:
+	case from.knownOnly || from.configVersion < o.config.lastMove(endpoint):
 		return nil, result.Errorf(result.ConfigOutdated, "queue %s came to the shard %s after version %d", route.Name, o.name, from.configVersion)
 	}
 	return route, nil
--- a/internal/system/simulation/route_changes_test.go
+++ b/internal/system/simulation/route_changes_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"sedgevale/internal/system/core"
 )
 
 const (
@@ -214,6 +216,44 @@
 	}
 }
 
+// TestFormerRoutesAreForgotten checks that the register keeps the former route of an endpoint while a job of it is known, also through
+// takeovers, and forgets it later.
+func TestFormerRoutesAreForgotten(t *testing.T) {
+	runScenario(t, defaultTopology, func(_ *testing.T, c *cluster) {
+		const path = "/q/00000000000000a2"
+		c.startOtherWorker()
+		c.putRoutes(clientRoute{"q", "/q/", service}, routeP)
+		c.submitAs(path, waitingBody)
+		c.putRoutes(clientRoute{"q", "/q/", otherService}, routeP)
+		for range 4 {
+			time.Sleep(time.Minute)
+			c.restartCore(time.Second)
+		}
+		time.Sleep(catchUpTimeout)
+		c.checkFormerRoutes(", 1 former routes")
+		c.checkFound("after four minutes", path, waitingBody, "queued")
+		if status, text := c.client(http.MethodDelete, path, ""); status != http.StatusOK {
+			c.violation("UNASKED: the cancellation of a job got status %d: %s", status, text)
+		}
+		time.Sleep(4 * time.Minute)
+		c.checkFormerRoutes("configuration 3\n")
+		c.submitAs(path, laterBody)
+		time.Sleep(5 * time.Second)
+		c.checkFound("accepted again after it was forgotten", path, laterBody, "completed")
+	})
+}
+
+// checkFormerRoutes checks that the description of the state of core0 contains a text.
+func (c *cluster) checkFormerRoutes(want string) {
+	c.kill("core0")
+	var text strings.Builder
+	if err := core.Describe(c.machine("core0").dir, &text); err != nil || !strings.Contains(text.String(), want) {
+		c.violation("the state of core0 is %s, error %v, want %q in it", text.String(), err, want)
+	}
+	c.start("core0")
+	time.Sleep(catchUpTimeout)
+}
+
 // checkNotFound checks that the path of another queue neither shows, cancels nor repeats a job, which runs under its own path.
 func (c *cluster) checkNotFound(path string) {
 	if status, text := c.client(http.MethodGet, path, ""); status != http.StatusGone {
--- a/jobs/status.go
+++ b/jobs/status.go
@@ -24,14 +24,17 @@
 // HasJob reports whether the job is known.
 func (s *Scheduler) HasJob(ref JobRef) bool { return s.job(ref) != nil }
 
-// HasJobsOf reports whether a job of the endpoint, or one that is found under any endpoint, is known.
-func (s *Scheduler) HasJobsOf(endpoint string) bool {
+// KnownEndpoints returns the endpoints of all known jobs and of all remembered cancellations. It contains the empty endpoint if a job
+// has none.
+func (s *Scheduler) KnownEndpoints() map[string]bool {
+	known := map[string]bool{}
 	for _, job := range s.jobs {
-		if job.Endpoint == endpoint || job.Endpoint == "" {
-			return true
-		}
+		known[job.Endpoint] = true
 	}
-	return false
+	for ref := range s.cancellations.known {
+		known[ref.Endpoint] = true
+	}
+	return known
 }
 
 // Status returns the committed state of a job and whether the job is known and its record committed.
