core, simulation: submissions and cancellations in files of their own, one log of a timeline

Cause: clean-up: jobsapi.go held all calls about jobs, and four tests repeated how a timeline is logged. Change: submission.go and cancellation.go, moved word for word; logTimeline; two mutants that did not compile now do; the patterns follow.

--- a/internal/system/core/doc.go
+++ b/internal/system/core/doc.go
@@ -20,7 +20,8 @@
 //     process stops.
 //   - placement.go decides whether an unknown job belongs to an owned shard, and former_routes.go keeps the routes of earlier
 //     configurations whose jobs are still known.
-//   - config.go, watch.go, jobsapi.go, admin.go and metrics.go serve the configuration, subscriptions, jobs, operators'
+//   - submission.go, cancellation.go and jobsapi.go serve jobs.
+//   - config.go, watch.go, admin.go and metrics.go serve the configuration, subscriptions, operators'
 //     commands and Prometheus metrics. Package controlplane serves operators' HTTP requests.
 //
 // # Locks
--- a/internal/system/simulation/cluster_test.go
+++ b/internal/system/simulation/cluster_test.go
@@ -191,6 +191,13 @@
 		strings.Repeat("          ", column), fmt.Sprintf(format, args...)))
 }
 
+// logTimeline logs the timeline of a test that has failed.
+func (c *cluster) logTimeline(t *testing.T, seed uint64) {
+	if t.Failed() {
+		t.Logf("seed %d, %+v\n%s", seed, c.topology, strings.Join(c.timeline, "\n"))
+	}
+}
+
 // violation records a violation of an invariant.
 func (c *cluster) violation(format string, args ...any) {
 	c.checker.mu.Lock()
--- a/internal/system/simulation/control_test.go
+++ b/internal/system/simulation/control_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -16,11 +15,7 @@
 func runScenario(t *testing.T, size topology, scenario func(t *testing.T, c *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newClusterOf(t, 1, size)
-		defer func() {
-			if t.Failed() {
-				t.Log("\n" + strings.Join(c.timeline, "\n"))
-			}
-		}()
+		defer c.logTimeline(t, 1)
 		time.Sleep(3 * time.Second)
 		if !c.putConfiguration(1, 0) {
 			t.Error("the initial configuration was not applied")
--- a/internal/system/simulation/faults_test.go
+++ b/internal/system/simulation/faults_test.go
@@ -4,7 +4,6 @@
 	"flag"
 	"fmt"
 	"strconv"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,11 +28,7 @@
 
 func runFaults(t *testing.T, seed uint64) {
 	c := newCluster(t, seed)
-	defer func() {
-		if t.Failed() {
-			t.Logf("seed %d\n%s", seed, strings.Join(c.timeline, "\n"))
-		}
-	}()
+	defer c.logTimeline(t, seed)
 	time.Sleep(2 * time.Second)
 	if !c.putConfiguration(1, 0) {
 		t.Error("the initial configuration was not applied")
--- a/internal/system/simulation/overlap_test.go
+++ b/internal/system/simulation/overlap_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -32,11 +31,7 @@
 
 func runOverlappingFaults(t *testing.T, seed uint64) {
 	c := newClusterOf(t, seed, overlapTopologies[seed%uint64(len(overlapTopologies))])
-	defer func() {
-		if t.Failed() {
-			t.Logf("seed %d, %+v\n%s", seed, c.topology, strings.Join(c.timeline, "\n"))
-		}
-	}()
+	defer c.logTimeline(t, seed)
 	time.Sleep(2 * time.Second)
 	h := &history{started: time.Now()}
 	if c.putUntilOutcomeKnown(0, configChange{version: 1}, h) != changeApplied {
--- a/internal/system/simulation/route_changes_test.go
+++ b/internal/system/simulation/route_changes_test.go
@@ -280,11 +280,7 @@
 
 func runRouteChanges(t *testing.T, seed uint64) {
 	c := newCluster(t, seed)
-	defer func() {
-		if t.Failed() {
-			t.Logf("seed %d\n%s", seed, strings.Join(c.timeline, "\n"))
-		}
-	}()
+	defer c.logTimeline(t, seed)
 	c.startOtherWorker()
 	random := rand.New(rand.NewPCG(seed, 87))
 	h := &routeHistory{cluster: c, random: random, services: map[string]string{"/a/": service, "/b/": service, "/c/": service}, bodies: map[string]string{}}
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -41,7 +41,7 @@
 mutate "a late machine bootstraps a membership" internal/system/core/store.go 's/if bootstrap \{\s+s\.bootstrapMembership\(first\)\s+\}/s.membership = first.Clone()/'
 mutate "changes from before the history are rejected" internal/system/core/config_change.go 's/o\.baseVersion < record\.History\[0\]\.Base/false/'
 mutate "net/http repeats a call" internal/system/rpc/rpc.go 's/httpRequest\.GetBody = nil/httpRequest.Header.Set("Idempotency-Key", "x")/'
-mutate "accepted before it is durable" internal/system/core/jobsapi.go 's/return o\.flush\(\), nil/o.flush()\n\treturn 0, nil/'
+mutate "accepted before it is durable" internal/system/core/submission.go 's/return o\.flush\(\), nil/o.flush()\n\treturn 0, nil/'
 mutate "a retried change is rejected" internal/system/core/config_change.go 's/if o\.wasApplied\(&record\) \{/if false {/'
 mutate "no backfill on reserved workers" jobs/reservation.go 's/reserved\.backfillCapacity\(\)\.Holds\(demand\)/false/' ./jobs
 mutate "reservations hold without end" jobs/overdue.go 's/c\.ignoreReservations = idle \|\| group\.isLongRunning\(\)/c.ignoreReservations = idle && false/' ./jobs
@@ -78,21 +78,21 @@
 mutate "ends: a start is repeated without proof" workeragent/answer.go 's/!pending\.inFlight && a\.ends\.knownBefore > pending\.sentAfter/!pending.inFlight/' ./workeragent
 mutate "repeats: a change on another base version" internal/system/core/config_change.go 's/slices\.Contains\(record\.History, appliedChange\{o\.baseVersion, o\.digest\}\)/slices.ContainsFunc(record.History, func(a appliedChange) bool { return a.Digest == o.digest })/' ./internal/system/core
 mutate "repeats: a complete configuration for a patch" internal/system/core/config_change.go 's/if !o\.patch && bytes\.HasPrefix/if false \&\& bytes.HasPrefix/' ./internal/system/core
-mutate "repeats: another job with a known ID" jobs/lifecycle.go 's/\|\| !reflect\.DeepEqual\(known\.Spec, job\.Spec\)//' "./jobs ./internal/system/core"
-mutate "repeats: a full shard refuses an accepted job" internal/system/core/jobsapi.go 's/if !o\.scheduler\.HasJob\(submission\.Ref\(\)\) && /if /' ./internal/system/core
+mutate "repeats: another job with a known ID" jobs/lifecycle.go 's/reflect\.DeepEqual\(known\.Spec, job\.Spec\)/reflect.DeepEqual(known.Spec, known.Spec)/' "./jobs ./internal/system/core"
+mutate "repeats: a full shard refuses an accepted job" internal/system/core/submission.go 's/if !o\.scheduler\.HasJob\(submission\.Ref\(\)\) && /if /' ./internal/system/core
 mutate "repeats: a registration that was forgotten" internal/system/side/registration.go 's/s\.registrations\+\+/s.registrations = 1/' ./internal/system/side
 mutate "moves: a former shard accepts new jobs" internal/system/core/placement.go 's/from\.knownOnly \|\| //' ./internal/system/core
 mutate "moves: the caller does not know the last move" internal/system/core/placement.go 's/ \|\| from\.configVersion < o\.config\.lastMove\(endpoint\)//' ./internal/system/core
 mutate "moves: former routes are dropped" internal/system/clusterconfig/former.go 's/if !current\[assignment\{route\.Endpoint, route\.Service\}\]/if false/' "./internal/system/clusterconfig ./internal/system/core"
 mutate "moves: former shards are not asked" internal/system/edge/destination.go 's/d\.formerShards = append\(d\.formerShards, service\)/_ = service/' ./internal/system/simulation
-mutate "moves: shards of removed services have no owner" internal/system/core/former_routes.go 's/\t\tadd\(route\.Service\)\n//' ./internal/system/simulation
+mutate "moves: shards of removed services have no owner" internal/system/core/former_routes.go 's/add\(route\.Service\)/_ = route/' ./internal/system/simulation
 mutate "moves: queues of a service share their jobs" jobs/status.go 's/return j\.Endpoint == ref\.Endpoint \|\|/return true ||/' "./jobs ./internal/system/simulation"
 mutate "moves: former routes are forgotten with their jobs" internal/system/core/former_routes.go 's/used := known\[route\.Endpoint\]/used := false/' ./internal/system/simulation
 mutate "cancellations: of unknown jobs are forgotten" jobs/cancellations.go 's/\ts\.cancellations\.add\(now, ref\)\n//' "./jobs ./internal/system/core"
 mutate "cancellations: are not stored" jobs/cancellations.go 's/\ts\.newRecords = append\(s\.newRecords, Change\{Key: cancellationKey\(ref\), Value: cancellationValue\}\)\n//' ./jobs
-mutate "cancellations: are answered before they are stored" internal/system/core/jobsapi.go 's/return false, o\.flush\(\), nil/o.flush()\n\treturn false, 0, nil/' ./internal/system/core
+mutate "cancellations: are answered before they are stored" internal/system/core/cancellation.go 's/return false, o\.flush\(\), nil/o.flush()\n\treturn false, 0, nil/' ./internal/system/core
 mutate "cancellations: are not bounded" jobs/cancellations.go 's/n := max\(0, len\(c\.order\)-maxCancellations\)/n := 0/' ./jobs
 mutate "cancellations: a flood undoes one" jobs/cancellations.go 's/c\.forgottenAt = c\.order\[n-1\]\.at/_ = n/' ./jobs
-mutate "cancellations: a gone sender's job is accepted" internal/system/core/jobsapi.go 's/if ctx\.Err\(\) != nil/if false/' ./internal/system/core
+mutate "cancellations: a gone sender's job is accepted" internal/system/core/submission.go 's/if ctx\.Err\(\) != nil/if false/' ./internal/system/core
 mutate "cancellations: stalls are not noticed" internal/system/edge/stall.go 's/>= minStall/>= 1000*minStall/' ./internal/system/edge
 exit $missed
