--- a/Makefile
+++ b/Makefile
@@ -53,6 +53,7 @@
 model:
 	go test -count=1 -timeout 0 -v -parallel 2 ./coord/membership -run TestModel -args -model.states $(MODEL_STATES) -model.seeds $(MODEL_SEEDS)
 	go test -count=1 -timeout 0 -v ./coord/shard -run TestModel -args -model.seeds $(MODEL_SEEDS)
+	go test -count=1 -timeout 0 -v ./internal/system/core -run TestModel -args -model.seeds $(MODEL_SEEDS)
 
 # Breaks the system on purpose, one way at a time, and says which tests notice.
 mutations:
