--- a/internal/system/simulation/route_changes_test.go
+++ b/internal/system/simulation/route_changes_test.go
@@ -219,6 +219,7 @@
 // TestFormerRoutesAreForgotten checks that the register keeps the former route of an endpoint while a job of it is known, also through
 // takeovers, and forgets it later.
 func TestFormerRoutesAreForgotten(t *testing.T) {
+	t.Parallel()
 	runScenario(t, defaultTopology, func(_ *testing.T, c *cluster) {
 		const path = "/q/00000000000000a2"
 		c.startOtherWorker()
